--- /dev/null
+++ b/crates/config/src/node.rs
@@ -0,0 +1,88 @@
+//! Settings of one entry node, read from its YAML file at start.
+//!
+//! A process learns its addresses and availability zone from these settings
+//! (the brief); nothing is discovered from the machine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_yaml_ng::Value;
+use smol_str::SmolStr;
+
+use crate::findings::Findings;
+use crate::walk::{self, Fields};
+
+/// Settings of one `oatcoved` process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Stable name of this entry node, unique in the fleet.
+    pub node_id: SmolStr,
+    /// Availability zone of this entry VM.
+    pub zone: SmolStr,
+    /// Address where callers connect, for discovery answers and proxied calls.
+    pub listen_addr: SocketAddr,
+    /// Address of the platform's table service and VM list.
+    pub platform_addr: SocketAddr,
+    /// How often the node asks the table service for a newer config.
+    pub config_poll: Duration,
+    /// How often the node reads the VM list.
+    pub vm_poll: Duration,
+    /// How long callers may keep a discovery answer.
+    pub entries_ttl: Duration,
+}
+
+impl NodeSettings {
+    /// Parses and checks the settings file's text.
+    ///
+    /// # Errors
+    ///
+    /// Returns every finding together: unknown keys, missing keys, addresses
+    /// that do not parse as `ip:port`, durations out of range.
+    pub fn parse(text: &str) -> Result<NodeSettings, Findings> {
+        let mut findings = Findings::default();
+        let settings = walk::parse(text, &mut findings).and_then(|v| build(&v, &mut findings));
+        match settings {
+            Some(settings) if !findings.has_errors() => Ok(settings),
+            _ => Err(findings),
+        }
+    }
+}
+
+fn build(root: &Value, findings: &mut Findings) -> Option<NodeSettings> {
+    let mut fields = Fields::new(root, "$", findings);
+    let node_id = fields.string("node_id", findings);
+    let zone = fields.string("zone", findings);
+    let listen_addr = address(&mut fields, "listen_addr", findings);
+    let platform_addr = address(&mut fields, "platform_addr", findings);
+    let config_poll_ms = fields.uint("config_poll_ms", 50..=60_000, findings);
+    let vm_poll_ms = fields.uint("vm_poll_ms", 50..=60_000, findings);
+    let entries_ttl_s = fields.uint("entries_ttl_s", 1..=3_600, findings);
+    fields.finish(findings);
+    Some(NodeSettings {
+        node_id: node_id?,
+        zone: zone?,
+        listen_addr: listen_addr?,
+        platform_addr: platform_addr?,
+        config_poll: Duration::from_millis(config_poll_ms?.unwrap_or(500)),
+        vm_poll: Duration::from_millis(vm_poll_ms?.unwrap_or(1_000)),
+        entries_ttl: Duration::from_secs(entries_ttl_s?.unwrap_or(30)),
+    })
+}
+
+fn address(
+    fields: &mut Fields<'_>,
+    key: &'static str,
+    findings: &mut Findings,
+) -> Option<SocketAddr> {
+    let text = fields.string(key, findings)?;
+    match text.parse() {
+        Ok(addr) => Some(addr),
+        Err(_) => {
+            findings.error(
+                &walk::join(fields.path(), key),
+                format!("{text:?} is not an address of the form ip:port"),
+            );
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/emu/src/bin/platform.rs
@@ -0,0 +1,37 @@
+//! `oatcove-platform`: the stand-in for the platform's table service and VM list.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bpaf::Bpaf;
+
+/// Serves the platform stand-in until killed.
+#[derive(Bpaf, Debug)]
+#[bpaf(options)]
+struct Args {
+    /// Address to listen on, ip:port
+    #[bpaf(long("listen"), argument("ADDR"), fallback("127.0.0.1:7000".parse().unwrap()))]
+    listen: SocketAddr,
+}
+
+fn main() {
+    let args = args().run();
+    emu_log();
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime starts");
+    runtime.block_on(async move {
+        let listener = monoio::net::TcpListener::bind(args.listen).expect("binds");
+        println!("listening on {}", listener.local_addr().expect("addr"));
+        web::serve(listener, Rc::new(emu::table::Table::default())).await;
+    });
+}
+
+fn emu_log() {
+    let _ = simplelog::WriteLogger::init(
+        log::LevelFilter::Info,
+        simplelog::Config::default(),
+        std::io::stderr(),
+    );
+}
--- /dev/null
+++ b/crates/emu/src/bin/upstream.rs
@@ -0,0 +1,60 @@
+//! `oatcove-upstream`: the stand-in for one upstream VM.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+/// Serves one upstream stand-in until killed.
+#[derive(Bpaf, Debug)]
+#[bpaf(options)]
+struct Args {
+    /// Address to listen on, ip:port
+    #[bpaf(long("listen"), argument("ADDR"))]
+    listen: SocketAddr,
+    /// Requests run at once
+    #[bpaf(long("slots"), argument("N"), fallback(6))]
+    slots: usize,
+    /// Requests queued for a slot before shedding
+    #[bpaf(long("queue-limit"), argument("N"), fallback(250))]
+    queue_limit: usize,
+    /// Mean service time of a light request, in ms
+    #[bpaf(long("light-ms"), argument("MS"), fallback(2))]
+    light_ms: u64,
+    /// Mean service time of a heavy request, in ms
+    #[bpaf(long("heavy-ms"), argument("MS"), fallback(40))]
+    heavy_ms: u64,
+    /// Extra time per request during the first this many ms
+    #[bpaf(long("cold-start-ms"), argument("MS"), fallback(0))]
+    cold_start_ms: u64,
+    /// Age of the load report, in ms
+    #[bpaf(long("load-lag-ms"), argument("MS"), fallback(200))]
+    load_lag_ms: u64,
+}
+
+fn main() {
+    let args = args().run();
+    let _ = simplelog::WriteLogger::init(
+        log::LevelFilter::Info,
+        simplelog::Config::default(),
+        std::io::stderr(),
+    );
+    let shape = emu::upstream::Shape {
+        slots: args.slots,
+        queue_limit: args.queue_limit,
+        light: Duration::from_millis(args.light_ms),
+        heavy: Duration::from_millis(args.heavy_ms),
+        cold_start: Duration::from_millis(args.cold_start_ms),
+        load_lag: Duration::from_millis(args.load_lag_ms),
+    };
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime starts");
+    runtime.block_on(async move {
+        let listener = monoio::net::TcpListener::bind(args.listen).expect("binds");
+        println!("listening on {}", listener.local_addr().expect("addr"));
+        web::serve(listener, Rc::new(emu::upstream::Upstream::new(shape))).await;
+    });
+}
--- /dev/null
+++ b/crates/emu/src/upstream.rs
@@ -0,0 +1,219 @@
+//! The upstream stand-in: one upstream VM of one service.
+//!
+//! It runs at most `slots` requests at once and queues up to `queue_limit`
+//! more; beyond that it sheds with 503 and `Retry-After`, which means the
+//! request was not run. Each executed request is counted under its
+//! `idempotency-key` (or `x-request-id`) header, so tests can check
+//! at-most-once. `GET /load` reports in-flight work, refreshed only every
+//! `load_lag`, as real load reports are stale. `POST /admin/mode` turns it
+//! into a straggler, starts a drain, or makes it fail fast.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// Header naming the key under which an execution is counted.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header carrying the caller's request id.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// Fixed shape of an upstream stand-in.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Requests run at once.
+    pub slots: usize,
+    /// Requests waiting for a slot before shedding starts.
+    pub queue_limit: usize,
+    /// Mean service time of a light request.
+    pub light: Duration,
+    /// Mean service time of a request whose path starts with `/heavy`.
+    pub heavy: Duration,
+    /// Time after start during which every request takes `cold_start` longer.
+    pub cold_start: Duration,
+    /// Age of the figures `GET /load` reports.
+    pub load_lag: Duration,
+}
+
+/// What can be changed while running, through `POST /admin/mode`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Mode {
+    /// Service times are multiplied by this when above 1.
+    #[serde(default)]
+    pub straggle_factor: u32,
+    /// Refuses new requests with 503 (not run) and reports `draining` on `/load`.
+    #[serde(default)]
+    pub draining: bool,
+    /// Refuses everything with 500 at once, without running it.
+    #[serde(default)]
+    pub fail_fast: bool,
+    /// `/load` reports zero in-flight whatever the truth.
+    #[serde(default)]
+    pub lie: bool,
+}
+
+/// What `GET /load` answers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests running or queued, as of the last refresh.
+    pub in_flight: u64,
+    /// Slots of this upstream.
+    pub slots: u64,
+    /// Whether the upstream is leaving.
+    pub draining: bool,
+}
+
+/// Counters of `GET /admin/stats`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Requests executed.
+    pub executed: u64,
+    /// Requests shed before running.
+    pub shed: u64,
+    /// `GET /load` probes answered.
+    pub probes: u64,
+    /// Largest execution count of any one idempotency key.
+    pub max_executions_per_key: u64,
+    /// Slots of this upstream, for turning probe counts into a share of capacity.
+    pub slots: u64,
+}
+
+/// One upstream stand-in; all state is owned by its server task.
+pub struct Upstream {
+    shape: Shape,
+    started: Instant,
+    slots: Rc<local_sync::semaphore::Semaphore>,
+    waiting: Cell<usize>,
+    in_flight: Cell<u64>,
+    reported: RefCell<(Instant, Load)>,
+    mode: RefCell<Mode>,
+    stats: RefCell<Stats>,
+    executions: RefCell<HashMap<SmolStr, u64>>,
+}
+
+impl Upstream {
+    /// Creates a stand-in of `shape`.
+    pub fn new(shape: Shape) -> Upstream {
+        let load = Load { in_flight: 0, slots: shape.slots as u64, draining: false };
+        Upstream {
+            slots: Rc::new(local_sync::semaphore::Semaphore::new(shape.slots)),
+            shape,
+            started: Instant::now(),
+            waiting: Cell::new(0),
+            in_flight: Cell::new(0),
+            reported: RefCell::new((Instant::now(), load)),
+            mode: RefCell::new(Mode::default()),
+            stats: RefCell::new(Stats::default()),
+            executions: RefCell::new(HashMap::new()),
+        }
+    }
+
+    async fn work(&self, request: &web::Request) -> web::Response {
+        let mode = self.mode.borrow().clone();
+        let refusal = match () {
+            _ if mode.fail_fast => {
+                Some(web::reply(StatusCode::INTERNAL_SERVER_ERROR, "failing fast\n"))
+            }
+            _ if mode.draining => Some(shed("draining")),
+            _ if self.waiting.get() >= self.shape.queue_limit => Some(shed("queue full")),
+            _ => None,
+        };
+        if let Some(refusal) = refusal {
+            self.stats.borrow_mut().shed += 1;
+            return refusal;
+        }
+        self.waiting.set(self.waiting.get() + 1);
+        self.in_flight.set(self.in_flight.get() + 1);
+        let permit = self.slots.acquire().await;
+        self.waiting.set(self.waiting.get() - 1);
+        self.count(request);
+        monoio::time::sleep(self.service_time(request, &mode)).await;
+        drop(permit);
+        self.in_flight.set(self.in_flight.get() - 1);
+        let mut response = web::reply(StatusCode::OK, format!("{}\n", request.uri().path()));
+        if let Some(id) = request.headers().get(REQUEST_ID) {
+            response.headers_mut().insert(REQUEST_ID, id.clone());
+        }
+        response
+    }
+
+    fn count(&self, request: &web::Request) {
+        let key =
+            request.headers().get(IDEMPOTENCY_KEY).or_else(|| request.headers().get(REQUEST_ID));
+        let mut stats = self.stats.borrow_mut();
+        stats.executed += 1;
+        if let Some(key) = key.and_then(|v| v.to_str().ok()) {
+            let mut executions = self.executions.borrow_mut();
+            let count = executions.entry(key.into()).or_insert(0);
+            *count += 1;
+            stats.max_executions_per_key = stats.max_executions_per_key.max(*count);
+        }
+    }
+
+    fn service_time(&self, request: &web::Request, mode: &Mode) -> Duration {
+        let base = match request.uri().path().starts_with("/heavy") {
+            true => self.shape.heavy,
+            false => self.shape.light,
+        };
+        // Uniform in [0.5, 1.5) of the mean: enough spread for tails without a model.
+        let jitter = 0.5 + rand::random::<f64>();
+        let mut time = base.mul_f64(jitter) * mode.straggle_factor.max(1);
+        if self.started.elapsed() < self.shape.cold_start {
+            time += self.shape.cold_start;
+        }
+        time
+    }
+
+    fn load(&self) -> web::Response {
+        self.stats.borrow_mut().probes += 1;
+        let mut reported = self.reported.borrow_mut();
+        let mode = self.mode.borrow();
+        if reported.0.elapsed() >= self.shape.load_lag {
+            let in_flight = if mode.lie { 0 } else { self.in_flight.get() };
+            *reported = (
+                Instant::now(),
+                Load { in_flight, slots: self.shape.slots as u64, draining: false },
+            );
+        }
+        // Draining is said at once: it is the one signal that must not lag.
+        let load = Load { draining: mode.draining, ..reported.1.clone() };
+        encode(&load)
+    }
+}
+
+impl web::Handler for Upstream {
+    async fn handle(&self, request: web::Request, _peer: std::net::SocketAddr) -> web::Response {
+        match (request.method(), request.uri().path()) {
+            (&http::Method::GET, "/load") => self.load(),
+            (&http::Method::GET, "/admin/stats") => {
+                let stats = Stats { slots: self.shape.slots as u64, ..self.stats.borrow().clone() };
+                encode(&stats)
+            }
+            (&http::Method::GET, "/admin/executions") => encode(&*self.executions.borrow()),
+            (&http::Method::POST, "/admin/mode") => match serde_json::from_slice(request.body()) {
+                Ok(mode) => {
+                    *self.mode.borrow_mut() = mode;
+                    web::reply(StatusCode::OK, "")
+                }
+                Err(err) => web::reply(StatusCode::BAD_REQUEST, format!("bad mode: {err}\n")),
+            },
+            _ => self.work(&request).await,
+        }
+    }
+}
+
+/// Answers that the request was not run, and when to come back.
+fn shed(reason: &str) -> web::Response {
+    let mut response = web::reply(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n"));
+    response.headers_mut().insert(http::header::RETRY_AFTER, http::HeaderValue::from_static("1"));
+    response
+}
+
+fn encode<T: Serialize>(value: &T) -> web::Response {
+    web::json(StatusCode::OK, serde_json::to_vec(value).expect("encodes"))
+}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,71 @@
+//! `oatcove-load`: drives calls through entry nodes and prints tail latency and probe cost.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+/// Open-loop load through oatcove entry nodes.
+#[derive(Bpaf, Debug)]
+#[bpaf(options, version)]
+struct Args {
+    /// Any entry node, asked for the entry list
+    #[bpaf(long("entry"), argument("ADDR"))]
+    entry: SocketAddr,
+    /// Service to call
+    #[bpaf(long("service"), argument("NAME"))]
+    service: String,
+    /// Zone of the callers
+    #[bpaf(long("zone"), argument("ZONE"))]
+    zone: String,
+    /// Team named on each call
+    #[bpaf(long("team"), argument("NAME"), optional)]
+    team: Option<String>,
+    /// Calls per second
+    #[bpaf(long("rate"), argument("PER_S"), fallback(500))]
+    rate: u64,
+    /// Length of the run, in seconds
+    #[bpaf(long("duration-s"), argument("S"), fallback(5))]
+    duration_s: u64,
+    /// Share of heavy calls, in percent
+    #[bpaf(long("heavy-percent"), argument("P"), fallback(10))]
+    heavy_percent: u32,
+    /// Upstream stand-in whose counters are read (repeatable)
+    #[bpaf(long("upstream"), argument("ADDR"), many)]
+    upstreams: Vec<SocketAddr>,
+    /// Cost of one probe on an upstream, in ms of one slot
+    #[bpaf(long("probe-cost-ms"), argument("MS"), fallback(5.0))]
+    probe_cost_ms: f64,
+    /// Also write the report as JSON here
+    #[bpaf(long("json"), argument("FILE"), optional)]
+    json: Option<PathBuf>,
+}
+
+fn main() {
+    let args = args().run();
+    let plan = load::Plan {
+        seed: args.entry,
+        service: args.service.into(),
+        zone: args.zone.into(),
+        team: args.team.map(Into::into),
+        rate_per_s: args.rate,
+        duration: Duration::from_secs(args.duration_s),
+        heavy_percent: args.heavy_percent,
+        upstreams: args.upstreams,
+        probe_cost_ms: args.probe_cost_ms,
+    };
+    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("runtime starts");
+    let report = runtime.block_on(load::run(plan));
+    print!("{}", report.lines());
+    if let Some(path) = args.json {
+        let text = serde_json::to_string_pretty(&report).expect("report encodes");
+        if let Err(err) = std::fs::write(&path, text) {
+            eprintln!("error: {}: {err}", path.display());
+            std::process::exit(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,218 @@
+//! One load run.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use smol_str::SmolStr;
+
+use crate::report::{ClassReport, Report};
+
+/// Deadline of one call, as the caller sets it.
+const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Step of the arrival loop.
+const TICK: Duration = Duration::from_millis(1);
+
+/// Calls in flight beyond which new ones are counted as `overload-in-caller` instead of sent.
+const MAX_IN_FLIGHT: usize = 8_192;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Any entry node, asked for the entry list.
+    pub seed: SocketAddr,
+    /// Service called.
+    pub service: SmolStr,
+    /// Zone the callers are in.
+    pub zone: SmolStr,
+    /// Team named on each call.
+    pub team: Option<SmolStr>,
+    /// Calls per second.
+    pub rate_per_s: u64,
+    /// Length of the run.
+    pub duration: Duration,
+    /// Share of calls that are heavy reads, in percent.
+    pub heavy_percent: u32,
+    /// Upstream stand-ins whose probe counters are read before and after.
+    pub upstreams: Vec<SocketAddr>,
+    /// Cost of one probe on an upstream, in milliseconds of one slot.
+    pub probe_cost_ms: f64,
+}
+
+struct Tally {
+    light: Histogram<u64>,
+    heavy: Histogram<u64>,
+    errors: BTreeMap<String, u64>,
+    in_flight: usize,
+}
+
+/// Runs `plan` and returns its figures.
+///
+/// # Panics
+///
+/// Panics when the seed entry gives no entries: a run without a system is a setup error.
+pub async fn run(plan: Plan) -> Report {
+    let entries = discover(&plan).await;
+    assert!(!entries.is_empty(), "the seed entry {} listed no entries", plan.seed);
+    let before = upstream_stats(&plan.upstreams).await;
+    let tally = Rc::new(RefCell::new(Tally {
+        light: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds"),
+        heavy: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds"),
+        errors: BTreeMap::new(),
+        in_flight: 0,
+    }));
+    let idle: Rc<RefCell<Vec<web::Conn>>> = Rc::default();
+    let started = Instant::now();
+    let mut sent: u64 = 0;
+    let due_total = plan.rate_per_s * plan.duration.as_millis() as u64 / 1_000;
+    while sent < due_total {
+        let due_now = (started.elapsed().as_secs_f64() * plan.rate_per_s as f64) as u64;
+        while sent < due_now.min(due_total) {
+            let due_at = started + Duration::from_secs_f64(sent as f64 / plan.rate_per_s as f64);
+            let heavy = (sent * 7919 % 100) < u64::from(plan.heavy_percent);
+            let entry = entries[(sent as usize) % entries.len()];
+            sent += 1;
+            if tally.borrow().in_flight >= MAX_IN_FLIGHT {
+                *tally.borrow_mut().errors.entry("overload-in-caller".into()).or_default() += 1;
+                continue;
+            }
+            tally.borrow_mut().in_flight += 1;
+            let (tally, idle, plan) = (tally.clone(), idle.clone(), plan.clone());
+            monoio::spawn(async move {
+                let outcome = call(&plan, entry, heavy, sent, &idle).await;
+                let latency_us = due_at.elapsed().as_micros() as u64;
+                let mut t = tally.borrow_mut();
+                t.in_flight -= 1;
+                match outcome {
+                    Ok(()) if heavy => t.heavy.saturating_record(latency_us),
+                    Ok(()) => t.light.saturating_record(latency_us),
+                    Err(kind) => *t.errors.entry(kind).or_default() += 1,
+                }
+            });
+        }
+        monoio::time::sleep(TICK).await;
+    }
+    let elapsed = started.elapsed();
+    let drain_until = Instant::now() + CALL_TIMEOUT;
+    while tally.borrow().in_flight > 0 && Instant::now() < drain_until {
+        monoio::time::sleep(TICK * 10).await;
+    }
+    let after = upstream_stats(&plan.upstreams).await;
+    let t = tally.borrow();
+    let probes = after.probes.saturating_sub(before.probes) as f64;
+    let window_s = started.elapsed().as_secs_f64();
+    let probes_per_s = probes / window_s;
+    let capacity_ms_per_s = after.slots as f64 * 1_000.0;
+    Report {
+        due: due_total,
+        rate_per_s: sent as f64 / elapsed.as_secs_f64(),
+        light: class(&t.light),
+        heavy: class(&t.heavy),
+        errors: t.errors.clone(),
+        probes_per_s,
+        probe_share_percent: match capacity_ms_per_s > 0.0 {
+            true => 100.0 * probes_per_s * plan.probe_cost_ms / capacity_ms_per_s,
+            false => 0.0,
+        },
+        max_executions_per_key: after.max_executions_per_key,
+    }
+}
+
+fn class(h: &Histogram<u64>) -> ClassReport {
+    ClassReport {
+        ok: h.len(),
+        p50_us: h.value_at_quantile(0.5),
+        p99_us: h.value_at_quantile(0.99),
+        p999_us: h.value_at_quantile(0.999),
+        max_us: h.max(),
+    }
+}
+
+/// Sends one call to `entry` and sorts its outcome.
+async fn call(
+    plan: &Plan,
+    entry: SocketAddr,
+    heavy: bool,
+    seq: u64,
+    idle: &RefCell<Vec<web::Conn>>,
+) -> Result<(), String> {
+    let path = match heavy {
+        true => format!("/s/{}/heavy/report", plan.service),
+        false => format!("/s/{}/light/browse", plan.service),
+    };
+    let mut builder = http::Request::get(path)
+        .header(http::header::HOST, entry.to_string())
+        .header(oatcoved::REQUEST_ID, format!("load-{seq}"));
+    if let Some(team) = &plan.team {
+        builder = builder.header(oatcoved::TEAM, team.as_str());
+    }
+    let request = builder.body(Bytes::new()).expect("request builds");
+    let reused = {
+        let mut list = idle.borrow_mut();
+        let position = list.iter().position(|c| c.peer == entry);
+        position.map(|i| list.swap_remove(i))
+    };
+    let mut conn = match reused {
+        Some(conn) => conn,
+        None => web::Conn::connect(entry, CALL_TIMEOUT).await.map_err(|_| "connect".to_owned())?,
+    };
+    let response = conn.send(request, CALL_TIMEOUT).await.map_err(|err| match err {
+        web::Error::Timeout => "timeout".to_owned(),
+        _ => "transport".to_owned(),
+    })?;
+    idle.borrow_mut().push(conn);
+    let outcome =
+        response.headers().get(oatcoved::OUTCOME).and_then(|v| v.to_str().ok()).unwrap_or("none");
+    match response.status().is_success() {
+        true => Ok(()),
+        false => Err(format!("status-{}-{outcome}", response.status().as_u16())),
+    }
+}
+
+/// Asks the seed entry for the entries of the plan's zone, own zone first.
+async fn discover(plan: &Plan) -> Vec<SocketAddr> {
+    let path = format!("/v1/entries?service={}&zone={}", plan.service, plan.zone);
+    let Some(body) = get(plan.seed, &path).await else { return Vec::new() };
+    let Ok(answer) = serde_json::from_slice::<oatcoved::discovery::Entries>(&body) else {
+        return Vec::new();
+    };
+    let local: Vec<SocketAddr> =
+        answer.entries.iter().filter(|e| e.zone == plan.zone).map(|e| e.addr).collect();
+    match local.is_empty() {
+        true => answer.entries.iter().map(|e| e.addr).collect(),
+        false => local,
+    }
+}
+
+/// Sums the stand-in counters of `upstreams`.
+async fn upstream_stats(upstreams: &[SocketAddr]) -> emu::upstream::Stats {
+    let mut sum = emu::upstream::Stats::default();
+    for addr in upstreams {
+        let Some(body) = get(*addr, "/admin/stats").await else { continue };
+        if let Ok(stats) = serde_json::from_slice::<emu::upstream::Stats>(&body) {
+            sum.probes += stats.probes;
+            sum.slots += stats.slots;
+            sum.executed += stats.executed;
+            sum.shed += stats.shed;
+            sum.max_executions_per_key =
+                sum.max_executions_per_key.max(stats.max_executions_per_key);
+        }
+    }
+    sum
+}
+
+/// Sends one GET on a fresh connection and returns the body of a 200 answer.
+pub async fn get(addr: SocketAddr, path: &str) -> Option<Bytes> {
+    let mut conn = web::Conn::connect(addr, CALL_TIMEOUT).await.ok()?;
+    let request = http::Request::get(path)
+        .header(http::header::HOST, addr.to_string())
+        .body(Bytes::new())
+        .expect("request builds");
+    let response = conn.send(request, CALL_TIMEOUT).await.ok()?;
+    (response.status() == http::StatusCode::OK).then(|| response.into_body())
+}
--- /dev/null
+++ b/crates/oatcove/src/apply.rs
@@ -0,0 +1,189 @@
+//! Applying a template: checked, compared-and-swapped, audited, never doubled.
+
+use std::time::{Duration, SystemTime};
+
+use platform::{proto, Store, StoreError};
+use quick_error::quick_error;
+use smol_str::SmolStr;
+
+/// How long an apply keeps trying while the platform is unavailable or answers are lost.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Tries of each call.
+    pub tries: u32,
+    /// Wait after the first failed try; doubled after each.
+    pub first_backoff: Duration,
+}
+
+impl Default for Patience {
+    /// Eight tries from 100 ms: about 25 s in all, longer than a usual store hiccup.
+    fn default() -> Self {
+        Patience { tries: 8, first_backoff: Duration::from_millis(100) }
+    }
+}
+
+quick_error! {
+    /// Why a template was not applied.
+    #[derive(Debug)]
+    pub enum ApplyError {
+        /// The template has findings; nothing was written.
+        Invalid(findings: config::Findings) {
+            display("template rejected:\n{}", findings)
+        }
+        /// Another change landed after this one read the template; nothing was written.
+        Conflict(current_version: proto::Version) {
+            display("conflict: the template changed since it was read and is now at version {}; \
+                     read it again and re-apply", current_version)
+        }
+        /// The platform stayed unavailable; nothing was written.
+        Unavailable(err: StoreError) {
+            display("platform unavailable, nothing written: {}", err)
+        }
+        /// The outcome could not be learned: the change may or may not be in force.
+        Unknown(err: StoreError) {
+            display("outcome unknown: {}; `oatcove audit log` shows whether it landed", err)
+        }
+    }
+}
+
+/// What an apply did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// The change is in force at this version.
+    Written {
+        /// Version of the template row now.
+        version: proto::Version,
+        /// Id of the change, also on its audit record.
+        change_id: SmolStr,
+    },
+    /// The stored template is already this text; nothing was written.
+    Unchanged {
+        /// Version of the template row.
+        version: proto::Version,
+    },
+}
+
+/// Checks `text` as a template and writes it with its audit record.
+///
+/// The write is a transaction conditional on the version read, so of two
+/// operators racing on one template exactly one wins and the other gets
+/// [`ApplyError::Conflict`]. When the platform's answer is lost, the row is
+/// read back: it carries the change id of the commit that last wrote it, so
+/// the change is known to be in force, or known not to be and sent again.
+///
+/// # Errors
+///
+/// See [`ApplyError`]; in every case but `Unknown` nothing was written.
+pub async fn apply(
+    store: &Store,
+    text: &str,
+    actor: &str,
+    patience: Patience,
+) -> Result<Applied, ApplyError> {
+    let template = config::Template::parse(text).map_err(ApplyError::Invalid)?;
+    let service = template.service;
+    let current = with_retries(patience, || store.get(platform::TEMPLATES, &service)).await?;
+    let (version_before, old_text) = match &current {
+        Some(row) if row.value == text => return Ok(Applied::Unchanged { version: row.version }),
+        Some(row) => (row.version, row.value.as_str()),
+        None => (0, ""),
+    };
+    let change_id = new_change_id();
+    let record = audit::Record {
+        change_id: change_id.clone(),
+        service: service.clone(),
+        actor: actor.into(),
+        at_unix_ms: unix_ms(),
+        version_before,
+        diff: audit::diff(old_text, text),
+    };
+    let txn = proto::Txn {
+        change_id: change_id.clone(),
+        writes: vec![
+            proto::Write {
+                table: platform::TEMPLATES.into(),
+                key: service.clone(),
+                expected_version: version_before,
+                value: text.to_owned(),
+            },
+            proto::Write {
+                table: platform::AUDIT.into(),
+                key: smol_str::format_smolstr!("{service}/{change_id}"),
+                expected_version: 0,
+                value: record.to_json(),
+            },
+        ],
+    };
+    commit(store, &txn, &service, patience)
+        .await
+        .map(|version| Applied::Written { version, change_id })
+}
+
+/// Commits `txn`, resolving lost answers by reading back the change id.
+async fn commit(
+    store: &Store,
+    txn: &proto::Txn,
+    service: &str,
+    patience: Patience,
+) -> Result<proto::Version, ApplyError> {
+    let mut backoff = patience.first_backoff;
+    let mut last = StoreError::Unavailable("no try made".to_owned());
+    let mut maybe_written = false;
+    for _ in 0..patience.tries {
+        match store.commit(txn).await {
+            Ok(committed) => return Ok(committed.version),
+            Err(StoreError::Conflict(conflict)) => {
+                // A conflict after a lost answer may be our own earlier try: check before refusing.
+                match store.get(platform::TEMPLATES, service).await {
+                    Ok(Some(row)) if row.change_id == txn.change_id => return Ok(row.version),
+                    _ => return Err(ApplyError::Conflict(conflict.current_version)),
+                }
+            }
+            Err(err @ StoreError::Unknown(_)) => {
+                maybe_written = true;
+                // The write may have taken effect; the row's change id says whether it did.
+                match store.get(platform::TEMPLATES, service).await {
+                    Ok(Some(row)) if row.change_id == txn.change_id => return Ok(row.version),
+                    _ => last = err,
+                }
+            }
+            Err(err) => last = err,
+        }
+        monoio::time::sleep(backoff).await;
+        backoff *= 2;
+    }
+    match maybe_written {
+        true => Err(ApplyError::Unknown(last)),
+        false => Err(ApplyError::Unavailable(last)),
+    }
+}
+
+/// Runs a read, retrying while the platform is unavailable.
+async fn with_retries<T, F, Fut>(patience: Patience, mut read: F) -> Result<T, ApplyError>
+where
+    F: FnMut() -> Fut,
+    Fut: std::future::Future<Output = Result<T, StoreError>>,
+{
+    let mut backoff = patience.first_backoff;
+    let mut last = StoreError::Unavailable("no try made".to_owned());
+    for _ in 0..patience.tries {
+        match read().await {
+            Ok(value) => return Ok(value),
+            Err(err) => last = err,
+        }
+        monoio::time::sleep(backoff).await;
+        backoff *= 2;
+    }
+    Err(ApplyError::Unavailable(last))
+}
+
+fn new_change_id() -> SmolStr {
+    smol_str::format_smolstr!("{:016x}", rand::random::<u64>())
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/oatcove/src/apply/tests.rs
@@ -0,0 +1,109 @@
+use std::rc::Rc;
+
+use platform::proto;
+
+use std::time::Duration;
+
+use crate::apply::{self, Applied, ApplyError, Patience};
+
+const QUICK: Patience = Patience { tries: 3, first_backoff: Duration::from_millis(5) };
+
+async fn apply(store: &platform::Store, text: &str, actor: &str) -> Result<Applied, ApplyError> {
+    apply::apply(store, text, actor, QUICK).await
+}
+
+const V1: &str = "service: swap-desk\ndefaults:\n  timeout_ms: 800\n";
+const V2: &str = "service: swap-desk\ndefaults:\n  timeout_ms: 400\n";
+
+fn runtime() -> monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>> {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().expect("runtime")
+}
+
+/// Starts a platform stand-in on a free loopback port.
+fn start_platform() -> (Rc<emu::table::Table>, platform::Store) {
+    let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let addr = listener.local_addr().expect("addr");
+    let table = Rc::new(emu::table::Table::default());
+    monoio::spawn(web::serve(listener, table.clone()));
+    (table, platform::Store::new(addr))
+}
+
+/// Symptom: a change applied once shows twice in the audit trail, or the CLI
+/// reports failure for a change that is in force.
+/// Sequence: the platform commits the transaction and its answer is lost.
+/// Cause: treating a lost answer as a failure and blindly writing again.
+#[test]
+fn lost_ack_is_resolved_by_reading_back_the_change_id() {
+    runtime().block_on(async {
+        let (table, store) = start_platform();
+        table.set(proto::Faults { lose_acks: 1, ..Default::default() });
+        let applied = apply(&store, V1, "ana").await.expect("applied");
+        let Applied::Written { version, change_id } = applied else {
+            panic!("not written: {applied:?}")
+        };
+        let rows = table.rows(platform::TEMPLATES);
+        assert_eq!(rows.len(), 1);
+        assert_eq!((rows[0].version, rows[0].change_id.clone()), (version, change_id));
+        assert_eq!(table.rows(platform::AUDIT).len(), 1);
+    });
+}
+
+/// Symptom: two operators both believe their change won; one silently vanished.
+/// Sequence: both read the same version of one template and commit.
+/// Cause: a blind write instead of compare-and-swap on the version read.
+#[test]
+fn racing_operators_one_wins_the_other_sees_a_conflict() {
+    runtime().block_on(async {
+        let (table, store) = start_platform();
+        let base = apply(&store, V1, "ana").await.expect("first");
+        let Applied::Written { version, .. } = base else { panic!("{base:?}") };
+        let write = |text: &str, id: &str| proto::Txn {
+            change_id: id.into(),
+            writes: vec![proto::Write {
+                table: platform::TEMPLATES.into(),
+                key: "swap-desk".into(),
+                expected_version: version,
+                value: text.to_owned(),
+            }],
+        };
+        let first = store.commit(&write(V2, "a")).await;
+        let second = store.commit(&write("service: swap-desk\n", "b")).await;
+        assert!(first.is_ok());
+        assert!(matches!(second, Err(platform::StoreError::Conflict(_))), "{second:?}");
+        assert_eq!(table.rows(platform::TEMPLATES)[0].value, V2);
+    });
+}
+
+/// Symptom: the CLI hangs or claims success while the platform is down.
+/// Sequence: the platform is in an outage for the whole apply.
+/// Cause: not telling "nothing written" apart from "outcome unknown".
+#[test]
+fn outage_reports_nothing_written() {
+    runtime().block_on(async {
+        let (table, store) = start_platform();
+        table.set(proto::Faults { outage: true, ..Default::default() });
+        let result = apply(&store, V1, "ana").await;
+        assert!(matches!(result, Err(ApplyError::Unavailable(_))), "{result:?}");
+        assert!(table.rows(platform::TEMPLATES).is_empty());
+    });
+}
+
+#[test]
+fn invalid_template_writes_nothing() {
+    runtime().block_on(async {
+        let (table, store) = start_platform();
+        let result = apply(&store, "service: a\ndefaults:\n  timeout: 3\n", "ana").await;
+        assert!(matches!(result, Err(ApplyError::Invalid(_))), "{result:?}");
+        assert!(table.rows(platform::TEMPLATES).is_empty());
+    });
+}
+
+#[test]
+fn same_text_again_is_unchanged() {
+    runtime().block_on(async {
+        let (_table, store) = start_platform();
+        apply(&store, V1, "ana").await.expect("first");
+        let again = apply(&store, V1, "ana").await.expect("second");
+        assert!(matches!(again, Applied::Unchanged { .. }), "{again:?}");
+    });
+}
--- /dev/null
+++ b/crates/oatcove/src/lib.rs
@@ -0,0 +1,6 @@
+//! The operator's side of oatcove: applying templates through the platform.
+//!
+//! [`apply::apply`] is the one way a template changes: compare-and-swap on
+//! the version read, with its audit record in the same transaction.
+
+pub mod apply;
--- /dev/null
+++ b/crates/oatcoved/src/lib.rs
@@ -0,0 +1,27 @@
+//! The oatcove entry node.
+//!
+//! One process per entry VM. It answers callers which entry addresses to use
+//! ([`discovery`]), forwards their HTTP calls to upstreams ([`proxy`]), and
+//! follows the config and the VM list kept by the platform ([`follow`]). All
+//! of its tasks run on one monoio thread and share one [`view::View`].
+
+pub mod discovery;
+pub mod follow;
+pub mod proxy;
+pub mod view;
+
+/// Response header telling the caller what became of its call.
+///
+/// `done`: an upstream answered. `not-run`: no upstream ran the call, so it
+/// is safe to send again. `unknown`: the call may have run; sending it again
+/// may run it twice.
+pub const OUTCOME: &str = "x-oatcove-outcome";
+
+/// Request header naming the caller's team, which selects template parameters.
+pub const TEAM: &str = "x-oatcove-team";
+
+/// Request header with the caller's remaining time budget, in milliseconds.
+pub const TIMEOUT_MS: &str = "x-oatcove-timeout-ms";
+
+/// Header carrying the request id end to end.
+pub const REQUEST_ID: &str = "x-request-id";
--- /dev/null
+++ b/crates/platform/src/store.rs
@@ -0,0 +1,162 @@
+//! The client of the platform's table service and VM list.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quick_error::quick_error;
+
+use crate::proto;
+
+/// Deadline of one call to the platform.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// Why a call to the platform failed.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum StoreError {
+        /// The platform could not be reached or said it is unavailable; nothing was written.
+        Unavailable(message: String) {
+            display("platform unavailable: {}", message)
+        }
+        /// A transaction was refused: a row changed since it was read.
+        Conflict(conflict: proto::Conflict) {
+            display("conflict: {}/{} is now at version {}", conflict.table, conflict.key, conflict.current_version)
+        }
+        /// The request was sent but no answer came: the write may or may not have taken effect.
+        Unknown(message: String) {
+            display("outcome unknown: {}", message)
+        }
+        /// The platform answered something this client cannot read.
+        BadAnswer(message: String) {
+            display("bad answer from platform: {}", message)
+        }
+    }
+}
+
+/// A client of the platform at one address, keeping one connection open.
+pub struct Store {
+    addr: SocketAddr,
+    conn: RefCell<Option<web::Conn>>,
+}
+
+impl Store {
+    /// Creates a client for the platform at `addr`; connects lazily.
+    pub fn new(addr: SocketAddr) -> Store {
+        Store { addr, conn: RefCell::new(None) }
+    }
+
+    /// Reads one row; `None` when it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] or [`StoreError::BadAnswer`].
+    pub async fn get(&self, table: &str, key: &str) -> Result<Option<proto::Row>, StoreError> {
+        let response =
+            self.call(http::Method::GET, &format!("/v1/rows/{table}/{key}"), Bytes::new()).await;
+        let response = response.map_err(read_error)?;
+        match response.status() {
+            http::StatusCode::NOT_FOUND => Ok(None),
+            http::StatusCode::OK => decode(response.body()).map(Some),
+            status => Err(status_error(status, response.body())),
+        }
+    }
+
+    /// Reads every row of `table` written after commit `since`, with the service's head.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] or [`StoreError::BadAnswer`].
+    pub async fn since(
+        &self,
+        table: &str,
+        since: proto::Version,
+    ) -> Result<proto::Rows, StoreError> {
+        let path = format!("/v1/rows/{table}?since={since}");
+        let response =
+            self.call(http::Method::GET, &path, Bytes::new()).await.map_err(read_error)?;
+        match response.status() {
+            http::StatusCode::OK => decode(response.body()),
+            status => Err(status_error(status, response.body())),
+        }
+    }
+
+    /// Commits `txn`, all writes or none.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Conflict`] when a row moved on; [`StoreError::Unknown`]
+    /// when the answer was lost after sending, so the caller must read back
+    /// the change id to learn the outcome; [`StoreError::Unavailable`] when
+    /// nothing was sent or the platform refused before writing.
+    pub async fn commit(&self, txn: &proto::Txn) -> Result<proto::Committed, StoreError> {
+        let body = Bytes::from(serde_json::to_vec(txn).expect("txn encodes"));
+        let response = match self.call(http::Method::POST, "/v1/txn", body).await {
+            Ok(response) => response,
+            Err(web::Error::Connect(message)) => return Err(StoreError::Unavailable(message)),
+            Err(other) => return Err(StoreError::Unknown(other.to_string())),
+        };
+        match response.status() {
+            http::StatusCode::OK => decode(response.body()),
+            http::StatusCode::CONFLICT => Err(StoreError::Conflict(decode(response.body())?)),
+            status => Err(status_error(status, response.body())),
+        }
+    }
+
+    /// Reads the VM list, which may lag the truth.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] or [`StoreError::BadAnswer`].
+    pub async fn vms(&self) -> Result<Vec<proto::Vm>, StoreError> {
+        let response =
+            self.call(http::Method::GET, "/v1/vms", Bytes::new()).await.map_err(read_error)?;
+        match response.status() {
+            http::StatusCode::OK => decode(response.body()),
+            status => Err(status_error(status, response.body())),
+        }
+    }
+
+    /// Sends one request on the kept connection, opening it first when needed.
+    ///
+    /// A failed exchange drops the connection: its stream may be mid-message.
+    async fn call(
+        &self,
+        method: http::Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<web::Response, web::Error> {
+        // The borrow ends here: a second call made while this one awaits must not find it held.
+        let kept = self.conn.borrow_mut().take();
+        let mut conn = match kept {
+            Some(conn) => conn,
+            None => web::Conn::connect(self.addr, CALL_TIMEOUT).await?,
+        };
+        let request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, self.addr.to_string())
+            .body(body)
+            .expect("request builds");
+        let response = conn.send(request, CALL_TIMEOUT).await?;
+        *self.conn.borrow_mut() = Some(conn);
+        Ok(response)
+    }
+}
+
+fn read_error(err: web::Error) -> StoreError {
+    StoreError::Unavailable(err.to_string())
+}
+
+fn status_error(status: http::StatusCode, body: &Bytes) -> StoreError {
+    let text = String::from_utf8_lossy(body);
+    match status {
+        http::StatusCode::SERVICE_UNAVAILABLE => StoreError::Unavailable(text.into_owned()),
+        _ => StoreError::BadAnswer(format!("status {status}: {text}")),
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(body: &Bytes) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|err| StoreError::BadAnswer(err.to_string()))
+}
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,73 @@
+//! The accept loop and per-connection loop of an HTTP/1.1 server.
+
+use std::future::Future;
+use std::rc::Rc;
+
+use monoio::io::sink::SinkExt;
+use monoio::io::stream::Stream;
+use monoio::net::{TcpListener, TcpStream};
+use monoio_http::h1::codec::decoder::FillPayload;
+use monoio_http::h1::codec::ServerCodec;
+
+use crate::{Request, Response};
+
+/// Answers requests; one value serves every connection of a server.
+pub trait Handler: 'static {
+    /// Returns the whole response to `request`; `peer` is the caller's address.
+    fn handle(
+        &self,
+        request: Request,
+        peer: std::net::SocketAddr,
+    ) -> impl Future<Output = Response>;
+}
+
+/// Accepts connections on `listener` forever, each served by its own task.
+pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let _ = stream.set_nodelay(true);
+                monoio::spawn(connection(stream, peer, handler.clone()));
+            }
+            Err(err) => {
+                // Running out of file descriptors shows here; back off instead of spinning.
+                log::warn!("accept failed: {err}");
+                monoio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    }
+}
+
+async fn connection<H: Handler>(stream: TcpStream, peer: std::net::SocketAddr, handler: Rc<H>) {
+    let mut codec = ServerCodec::new(stream);
+    loop {
+        let request = match codec.next().await {
+            Some(Ok(request)) => request,
+            Some(Err(err)) => {
+                log::debug!("bad request from {peer}: {err}");
+                let bad = crate::reply(http::StatusCode::BAD_REQUEST, "malformed HTTP request\n");
+                let _ = send(&mut codec, bad).await;
+                return;
+            }
+            None => return,
+        };
+        if codec.fill_payload().await.is_err() {
+            return;
+        }
+        let (parts, payload) = request.into_parts();
+        let Ok(body) = crate::read_payload(payload).await else { return };
+        let response = handler.handle(http::Request::from_parts(parts, body), peer).await;
+        if response.extensions().get::<crate::DropConnection>().is_some() {
+            return;
+        }
+        if send(&mut codec, response).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn send(codec: &mut ServerCodec<TcpStream>, response: Response) -> Result<(), ()> {
+    let (parts, body) = response.into_parts();
+    let response = http::Response::from_parts(parts, crate::to_payload(body));
+    codec.send_and_flush(response).await.map_err(|_| ())
+}
--- /dev/null
+++ b/xtask/src/cluster.rs
@@ -0,0 +1,223 @@
+//! A small system of separate processes on loopback, for the demo and end-to-end tests.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use platform::proto;
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Service the upstreams serve.
+    pub service: String,
+    /// Zones; upstreams and entries are spread over them in turn.
+    pub zones: Vec<String>,
+    /// Upstream stand-ins per zone.
+    pub upstreams_per_zone: usize,
+    /// Entry nodes in all.
+    pub entries: usize,
+    /// Slots per upstream.
+    pub slots: usize,
+    /// Mean light service time, in ms.
+    pub light_ms: u64,
+    /// Mean heavy service time, in ms.
+    pub heavy_ms: u64,
+}
+
+/// A started process and the address it printed.
+pub struct Proc {
+    /// Address it listens on.
+    pub addr: SocketAddr,
+    /// Its zone, or empty for the platform.
+    pub zone: String,
+    child: Child,
+}
+
+/// The started system; every process is killed on drop.
+pub struct Cluster {
+    /// Directory holding the binaries.
+    pub bins: PathBuf,
+    /// Directory for settings files and logs.
+    pub dir: PathBuf,
+    /// The platform stand-in.
+    pub platform: Proc,
+    /// Upstream stand-ins.
+    pub upstreams: Vec<Proc>,
+    /// Entry nodes.
+    pub entries: Vec<Proc>,
+}
+
+impl Cluster {
+    /// Starts the system of `spec` from binaries in `bins`, writing files under `dir`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process does not start or does not say where it listens within 10 s.
+    pub fn start(bins: &Path, dir: &Path, spec: &Spec) -> Cluster {
+        std::fs::create_dir_all(dir).expect("work dir");
+        let platform =
+            spawn(bins, dir, "oatcove-platform", &["--listen", "127.0.0.1:0"], "", "platform");
+        let mut upstreams = Vec::new();
+        for round in 0..spec.upstreams_per_zone {
+            for zone in &spec.zones {
+                let name = format!("upstream-{zone}-{round}");
+                let args = [
+                    "--listen".to_owned(),
+                    "127.0.0.1:0".to_owned(),
+                    "--slots".to_owned(),
+                    spec.slots.to_string(),
+                    "--light-ms".to_owned(),
+                    spec.light_ms.to_string(),
+                    "--heavy-ms".to_owned(),
+                    spec.heavy_ms.to_string(),
+                ];
+                let args: Vec<&str> = args.iter().map(String::as_str).collect();
+                upstreams.push(spawn(bins, dir, "oatcove-upstream", &args, zone, &name));
+            }
+        }
+        let mut entries = Vec::new();
+        for index in 0..spec.entries {
+            let zone = &spec.zones[index % spec.zones.len()];
+            let settings = format!(
+                "node_id: entry-{index}\nzone: {zone}\nlisten_addr: 127.0.0.1:0\nplatform_addr: {}\nconfig_poll_ms: 200\nvm_poll_ms: 200\n",
+                platform.addr
+            );
+            let path = dir.join(format!("entry-{index}.yaml"));
+            std::fs::write(&path, settings).expect("settings written");
+            let path = path.to_string_lossy().into_owned();
+            entries.push(spawn(
+                bins,
+                dir,
+                "oatcoved",
+                &["--config", &path],
+                zone,
+                &format!("entry-{index}"),
+            ));
+        }
+        let cluster =
+            Cluster { bins: bins.to_owned(), dir: dir.to_owned(), platform, upstreams, entries };
+        cluster.register(spec);
+        cluster
+    }
+
+    fn register(&self, spec: &Spec) {
+        let upstreams =
+            self.upstreams.iter().map(|p| (p, proto::VmRole::Upstream, spec.service.as_str()));
+        let entries = self.entries.iter().map(|p| (p, proto::VmRole::Entry, ""));
+        for (proc_, role, service) in upstreams.chain(entries) {
+            let vm = proto::Vm {
+                addr: proc_.addr,
+                zone: proc_.zone.as_str().into(),
+                role,
+                service: service.into(),
+                state: proto::VmState::Live,
+            };
+            let body = serde_json::to_vec(&vm).expect("vm encodes");
+            let status =
+                call(self.platform.addr, http::Method::PUT, "/v1/vms", body).map(|r| r.status());
+            assert_eq!(status, Some(http::StatusCode::OK), "registering {}", proc_.addr);
+        }
+    }
+
+    /// Runs the `oatcove` CLI with `args`.
+    pub fn cli(&self, args: &[&str]) -> Output {
+        Command::new(self.bins.join("oatcove")).args(args).output().expect("oatcove runs")
+    }
+
+    /// Writes `text` as a template file and applies it with the CLI; returns the CLI's output.
+    pub fn apply(&self, name: &str, text: &str) -> Output {
+        let path = self.dir.join(name);
+        std::fs::write(&path, text).expect("template written");
+        let platform = self.platform.addr.to_string();
+        self.cli(&["apply", "--platform", &platform, "--actor", "demo", &path.to_string_lossy()])
+    }
+
+    /// Waits until every entry node holds `service` at `version` or newer; returns how long it took.
+    pub fn wait_for_version(
+        &self,
+        service: &str,
+        version: u64,
+        limit: Duration,
+    ) -> Option<Duration> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            let all = self.entries.iter().all(|entry| {
+                call(entry.addr, http::Method::GET, "/v1/status", Vec::new())
+                    .and_then(|r| serde_json::from_slice::<serde_json::Value>(r.body()).ok())
+                    .and_then(|v| v["templates"][service].as_u64())
+                    .is_some_and(|held| held >= version)
+            });
+            if all {
+                return Some(started.elapsed());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Upstream addresses, for the load tool's probe counters.
+    pub fn upstream_addrs(&self) -> Vec<SocketAddr> {
+        self.upstreams.iter().map(|p| p.addr).collect()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for proc_ in
+            self.entries.iter_mut().chain(self.upstreams.iter_mut()).chain([&mut self.platform])
+        {
+            let _ = proc_.child.kill();
+            let _ = proc_.child.wait();
+        }
+    }
+}
+
+/// Starts `bin` and reads the `listening on ADDR` line it prints first.
+fn spawn(bins: &Path, dir: &Path, bin: &str, args: &[&str], zone: &str, name: &str) -> Proc {
+    let log = std::fs::File::create(dir.join(format!("{name}.log"))).expect("log file");
+    let mut child = Command::new(bins.join(bin))
+        .args(args)
+        .stdout(Stdio::piped())
+        .stderr(log)
+        .spawn()
+        .unwrap_or_else(|err| panic!("cannot start {bin}: {err}"));
+    let stdout = child.stdout.take().expect("stdout piped");
+    let (tx, rx) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        let _ = BufReader::new(stdout).read_line(&mut line);
+        let _ = tx.send(line);
+    });
+    let line = rx.recv_timeout(Duration::from_secs(10)).unwrap_or_default();
+    let addr = line
+        .trim()
+        .strip_prefix("listening on ")
+        .and_then(|a| a.parse().ok())
+        .unwrap_or_else(|| panic!("{name} did not say where it listens: {line:?}"));
+    Proc { addr, zone: zone.to_owned(), child }
+}
+
+/// Sends one request on a fresh connection from a throwaway runtime.
+pub fn call(
+    addr: SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<web::Response> {
+    let mut runtime =
+        monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().ok()?;
+    runtime.block_on(async move {
+        let mut conn = web::Conn::connect(addr, Duration::from_secs(2)).await.ok()?;
+        let request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, addr.to_string())
+            .body(Bytes::from(body))
+            .expect("request builds");
+        conn.send(request, Duration::from_secs(5)).await.ok()
+    })
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,141 @@
+//! `cargo xtask`: development tasks.
+//!
+//! - `cargo xtask demo`: builds the release binaries, starts the platform
+//!   stand-in, upstream stand-ins and entry nodes as separate processes on
+//!   loopback, drives load through them, applies a config change mid-run and
+//!   prints the figures and the audit trail.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use xtask::cluster::{Cluster, Spec};
+
+/// Development tasks.
+#[derive(Bpaf, Debug)]
+#[bpaf(options)]
+enum Task {
+    /// Runs the whole path on loopback and prints its figures
+    #[bpaf(command("demo"))]
+    Demo {
+        /// Calls per second
+        #[bpaf(long("rate"), argument("PER_S"), fallback(2_000))]
+        rate: u64,
+        /// Length of the load, in seconds
+        #[bpaf(long("duration-s"), argument("S"), fallback(6))]
+        duration_s: u64,
+        /// Write the load report as JSON here
+        #[bpaf(long("json"), argument("FILE"), optional)]
+        json: Option<PathBuf>,
+    },
+}
+
+const TEMPLATE_V1: &str = "\
+service: swap-desk
+defaults:
+  timeout_ms: 800
+  max_attempts: 2
+teams:
+  garden-north:
+    timeout_ms: 500
+";
+
+const TEMPLATE_V2: &str = "\
+service: swap-desk
+defaults:
+  timeout_ms: 600
+  max_attempts: 2
+teams:
+  garden-north:
+    timeout_ms: 400
+";
+
+fn main() {
+    match task().run() {
+        Task::Demo { rate, duration_s, json } => demo(rate, duration_s, json),
+    }
+}
+
+fn workspace_root() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).parent().expect("workspace root").to_owned()
+}
+
+fn demo(rate: u64, duration_s: u64, json: Option<PathBuf>) {
+    let root = workspace_root();
+    let status = Command::new(env!("CARGO"))
+        .args(["build", "--release", "--quiet", "--workspace", "--bins"])
+        .current_dir(&root)
+        .status()
+        .expect("cargo runs");
+    assert!(status.success(), "release build failed");
+    let bins = root.join("target/release");
+    let dir = root.join("target/demo");
+    let spec = Spec {
+        service: "swap-desk".into(),
+        zones: vec!["attiki-a".into(), "attiki-b".into(), "attiki-c".into()],
+        upstreams_per_zone: 7,
+        entries: 3,
+        slots: 6,
+        light_ms: 2,
+        heavy_ms: 40,
+    };
+    println!(
+        "starting 1 platform stand-in, {} upstreams, {} entry nodes",
+        spec.zones.len() * spec.upstreams_per_zone,
+        spec.entries
+    );
+    let cluster = Cluster::start(&bins, &dir, &spec);
+    let applied = cluster.apply("swap-desk-v1.yaml", TEMPLATE_V1);
+    print!("oatcove apply v1: {}", String::from_utf8_lossy(&applied.stdout));
+    let v1 = cluster
+        .wait_for_version("swap-desk", 1, Duration::from_secs(10))
+        .expect("v1 reaches every entry");
+    println!("v1 in force on every entry node after {:.0} ms", v1.as_secs_f64() * 1e3);
+
+    let json_path = json.unwrap_or_else(|| dir.join("load.json"));
+    let mut load = Command::new(bins.join("oatcove-load"));
+    load.args([
+        "--entry",
+        &cluster.entries[0].addr.to_string(),
+        "--service",
+        "swap-desk",
+        "--zone",
+        "attiki-a",
+    ])
+    .args([
+        "--team",
+        "garden-north",
+        "--rate",
+        &rate.to_string(),
+        "--duration-s",
+        &duration_s.to_string(),
+    ])
+    .args(["--json", &json_path.to_string_lossy()]);
+    for addr in cluster.upstream_addrs() {
+        load.args(["--upstream", &addr.to_string()]);
+    }
+    let load = load.stdout(std::process::Stdio::piped()).spawn().expect("load starts");
+    std::thread::sleep(Duration::from_secs(duration_s) / 2);
+    let applied = cluster.apply("swap-desk-v2.yaml", TEMPLATE_V2);
+    let text = String::from_utf8_lossy(&applied.stdout).into_owned();
+    print!("oatcove apply v2 during load: {text}");
+    let version: u64 = text
+        .split_whitespace()
+        .nth(2)
+        .and_then(|v| v.trim_end_matches(',').parse().ok())
+        .unwrap_or(2);
+    match cluster.wait_for_version("swap-desk", version, Duration::from_secs(10)) {
+        Some(took) => {
+            println!("v2 in force on every entry node after {:.0} ms", took.as_secs_f64() * 1e3)
+        }
+        None => println!("v2 NOT in force on every entry node after 10 s"),
+    }
+    let output = load.wait_with_output().expect("load finishes");
+    assert!(output.status.success(), "load tool failed");
+    println!("oatcove audit log:");
+    let platform = cluster.platform.addr.to_string();
+    print!("{}", String::from_utf8_lossy(&cluster.cli(&["audit", "--platform", &platform]).stdout));
+    println!("load report (also in {}):", json_path.display());
+    print!("{}", String::from_utf8_lossy(&output.stdout));
+}
