--- a/crates/emu/src/table.rs
+++ b/crates/emu/src/table.rs
@@ -65,7 +65,10 @@
                 self.since(table, since.unwrap_or(0))
             }
             (&Method::POST, ["v1", "txn"]) => self.commit(request.body()),
-            (&Method::GET, ["v1", "vms"]) => self.vms(),
+            (&Method::GET, ["v1", "vms"]) => match web::query(request.uri(), "since") {
+                Some(since) => self.vm_changes(since.parse().unwrap_or(0)),
+                None => self.vms(),
+            },
             (&Method::PUT, ["v1", "vms"]) => self.put_vm(request.body()),
             _ => web::reply(StatusCode::NOT_FOUND, "no such route\n"),
         }
@@ -127,18 +130,36 @@
         response
     }
 
-    fn vms(&self) -> web::Response {
-        let state = self.state.borrow();
+    /// Returns how many changes of the VM log are visible under the lag fault.
+    fn visible_vm_changes(state: &State) -> usize {
         let lag = Duration::from_millis(state.faults.vm_lag_ms);
         let cutoff = Instant::now().checked_sub(lag).unwrap_or_else(Instant::now);
-        let mut current: BTreeMap<std::net::SocketAddr, proto::Vm> = BTreeMap::new();
-        for (_, vm) in state.vm_log.iter().filter(|(at, _)| *at <= cutoff) {
-            current.insert(vm.addr, vm.clone());
-        }
-        let list: Vec<proto::Vm> = current.into_values().collect();
+        state.vm_log.partition_point(|(at, _)| *at <= cutoff)
+    }
+
+    /// Folds `changes` into the latest state per VM.
+    fn fold(changes: &[(Instant, proto::Vm)]) -> BTreeMap<std::net::SocketAddr, proto::Vm> {
+        changes.iter().map(|(_, vm)| (vm.addr, vm.clone())).collect()
+    }
+
+    fn vms(&self) -> web::Response {
+        let state = self.state.borrow();
+        let visible = Self::visible_vm_changes(&state);
+        let list: Vec<proto::Vm> = Self::fold(&state.vm_log[..visible])
+            .into_values()
+            .filter(|vm| vm.state != proto::VmState::Gone)
+            .collect();
         encode(StatusCode::OK, &list)
     }
 
+    fn vm_changes(&self, since: proto::Version) -> web::Response {
+        let state = self.state.borrow();
+        let visible = Self::visible_vm_changes(&state);
+        let from = (since as usize).min(visible);
+        let vms = Self::fold(&state.vm_log[from..visible]).into_values().collect();
+        encode(StatusCode::OK, &proto::VmChanges { head: visible as proto::Version, vms })
+    }
+
     fn put_vm(&self, body: &bytes::Bytes) -> web::Response {
         match serde_json::from_slice::<proto::Vm>(body) {
             Ok(vm) => {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -37,6 +37,9 @@
     /// Cost of one probe on an upstream, in ms of one slot
     #[bpaf(long("probe-cost-ms"), argument("MS"), fallback(5.0))]
     probe_cost_ms: f64,
+    /// Call --entry directly, without discovery (baseline against an upstream)
+    #[bpaf(long("direct"), switch)]
+    direct: bool,
     /// Also write the report as JSON here
     #[bpaf(long("json"), argument("FILE"), optional)]
     json: Option<PathBuf>,
@@ -54,6 +57,7 @@
         heavy_percent: args.heavy_percent,
         upstreams: args.upstreams,
         probe_cost_ms: args.probe_cost_ms,
+        direct: args.direct,
     };
     let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
         .enable_timer()
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -42,6 +42,10 @@
     pub upstreams: Vec<SocketAddr>,
     /// Cost of one probe on an upstream, in milliseconds of one slot.
     pub probe_cost_ms: f64,
+    /// Sends every call to `seed` without asking it for entries: with an
+    /// upstream stand-in as seed, this measures the upstream alone, the
+    /// baseline from which an entry node's added latency is read.
+    pub direct: bool,
 }
 
 struct Tally {
@@ -57,7 +61,10 @@
 ///
 /// Panics when the seed entry gives no entries: a run without a system is a setup error.
 pub async fn run(plan: Plan) -> Report {
-    let entries = discover(&plan).await;
+    let entries = match plan.direct {
+        true => vec![plan.seed],
+        false => discover(&plan).await,
+    };
     assert!(!entries.is_empty(), "the seed entry {} listed no entries", plan.seed);
     let before = upstream_stats(&plan.upstreams).await;
     let tally = Rc::new(RefCell::new(Tally {
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -59,24 +59,60 @@
     view.config_head = view.config_head.max(rows.head);
 }
 
-/// Polls the VM list, forever.
+/// Polls the VM list for changes after the version held, forever.
 pub async fn vms(store: Rc<platform::Store>, view: Rc<RefCell<View>>, every: Duration) {
     loop {
-        match store.vms().await {
-            Ok(vms) => apply_vms(&mut view.borrow_mut(), &vms),
+        let since = view.borrow().vm_head;
+        match store.vm_changes(since).await {
+            Ok(changes) => apply_vm_changes(&mut view.borrow_mut(), since, changes),
             Err(err) => log::warn!("VM list poll failed, keeping pools: {err}"),
         }
         monoio::time::sleep(every).await;
     }
 }
 
+/// Applies the VM-list changes read after version `since`.
+///
+/// An answer to `since == 0` is the whole list and replaces what is held. A
+/// head below the one held means the platform's change log was reset (a
+/// restarted or restored service): the held list can no longer be patched,
+/// so the next poll reads the whole list again, while the pools held keep
+/// serving until it arrives.
+pub fn apply_vm_changes(view: &mut View, since: proto::Version, changes: proto::VmChanges) {
+    match () {
+        _ if changes.head < since => {
+            log::warn!(
+                "VM list version went back from {since} to {}; reading it whole",
+                changes.head
+            );
+            view.vm_head = 0;
+            return;
+        }
+        _ if since == 0 => view.vms.clear(),
+        _ if changes.vms.is_empty() => {
+            view.vm_head = changes.head;
+            return;
+        }
+        _ => {}
+    }
+    for vm in changes.vms {
+        match vm.state {
+            proto::VmState::Gone => view.vms.remove(&vm.addr),
+            _ => view.vms.insert(vm.addr, vm),
+        };
+    }
+    view.vm_head = changes.head;
+    let vms: Vec<proto::Vm> = view.vms.values().cloned().collect();
+    apply_vms(view, &vms);
+}
+
 /// Rebuilds upstream pools and the entry list from the VM list.
 pub fn apply_vms(view: &mut View, vms: &[proto::Vm]) {
     let mut members: std::collections::HashMap<smol_str::SmolStr, Vec<_>> = Default::default();
     for vm in vms.iter().filter(|vm| vm.role == proto::VmRole::Upstream) {
         let standing = match vm.state {
             proto::VmState::Live => balance::Standing::Live,
-            proto::VmState::Leaving => balance::Standing::Leaving,
+            proto::VmState::Leaving | proto::VmState::Gone => balance::Standing::Leaving,
         };
         members.entry(vm.service.clone()).or_default().push((vm.addr, vm.zone.clone(), standing));
     }
@@ -90,3 +126,6 @@
         .cloned()
         .collect();
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -0,0 +1,107 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use platform::proto;
+
+use crate::follow::{apply_templates, apply_vm_changes};
+use crate::view::View;
+
+fn view() -> View {
+    let settings = config::NodeSettings {
+        node_id: "entry-0".into(),
+        zone: "z-0".into(),
+        listen_addr: "127.0.0.1:7100".parse().unwrap(),
+        platform_addr: "127.0.0.1:7000".parse().unwrap(),
+        config_poll: Duration::from_millis(100),
+        vm_poll: Duration::from_millis(100),
+        entries_ttl: Duration::from_secs(30),
+    };
+    View::new(settings)
+}
+
+fn row(version: u64, timeout_ms: u64) -> proto::Row {
+    proto::Row {
+        key: "swap-desk".into(),
+        version,
+        value: format!("service: swap-desk\ndefaults:\n  timeout_ms: {timeout_ms}\n"),
+        change_id: format!("c{version}").into(),
+    }
+}
+
+fn upstream(port: u16, state: proto::VmState) -> proto::Vm {
+    proto::Vm {
+        addr: SocketAddr::from(([127, 0, 0, 1], port)),
+        zone: "z-0".into(),
+        role: proto::VmRole::Upstream,
+        service: "swap-desk".into(),
+        state,
+    }
+}
+
+/// Symptom: an accepted change is undone on one node.
+/// Sequence: the node applies version 5, then a late answer brings version 3.
+/// Cause: applying whatever arrives instead of only newer versions.
+#[test]
+fn an_older_template_never_replaces_a_newer_one() {
+    let mut view = view();
+    apply_templates(&mut view, proto::Rows { head: 5, rows: vec![row(5, 400)] });
+    apply_templates(&mut view, proto::Rows { head: 3, rows: vec![row(3, 900)] });
+    let held = &view.templates["swap-desk"];
+    assert_eq!((held.version, held.template.defaults.timeout_ms), (5, 400));
+    assert_eq!(view.config_head, 5);
+    assert_eq!(view.counters.config_stale_ignored, 1);
+}
+
+/// Symptom: a node serves with no config after a bad row.
+/// Sequence: a good version is held, then a row that does not parse arrives.
+/// Cause: replacing the held template before checking the new one.
+#[test]
+fn a_bad_row_keeps_the_last_good_template() {
+    let mut view = view();
+    apply_templates(&mut view, proto::Rows { head: 1, rows: vec![row(1, 400)] });
+    let bad = proto::Row { value: "service: [".into(), ..row(2, 0) };
+    apply_templates(&mut view, proto::Rows { head: 2, rows: vec![bad] });
+    assert_eq!(view.templates["swap-desk"].version, 1);
+}
+
+/// Symptom: calls keep going to an upstream the platform removed.
+/// Sequence: an upstream is listed, then reported gone in a change feed.
+/// Cause: a follower that only adds and updates.
+#[test]
+fn a_gone_upstream_leaves_the_pool() {
+    let mut view = view();
+    let both = vec![upstream(9001, proto::VmState::Live), upstream(9002, proto::VmState::Live)];
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 2, vms: both });
+    assert_eq!(view.pools["swap-desk"].upstreams.len(), 2);
+    let gone = vec![upstream(9001, proto::VmState::Gone)];
+    apply_vm_changes(&mut view, 2, proto::VmChanges { head: 3, vms: gone });
+    let pool = &view.pools["swap-desk"];
+    assert_eq!(pool.upstreams.iter().map(|u| u.addr.port()).collect::<Vec<_>>(), [9002]);
+    assert_eq!(view.vm_head, 3);
+}
+
+/// Symptom: after the platform's change log is reset, a node patches a list
+/// that no longer matches and keeps removed upstreams forever.
+/// Sequence: the node holds head 10; the platform answers with head 2.
+/// Cause: trusting a head that went backwards; the node must read the whole list again.
+#[test]
+fn a_head_that_goes_back_forces_a_whole_read_and_keeps_serving() {
+    let mut view = view();
+    apply_vm_changes(
+        &mut view,
+        0,
+        proto::VmChanges { head: 10, vms: vec![upstream(9001, proto::VmState::Live)] },
+    );
+    apply_vm_changes(&mut view, 10, proto::VmChanges { head: 2, vms: vec![] });
+    assert_eq!(view.vm_head, 0, "next poll reads the whole list");
+    assert_eq!(view.pools["swap-desk"].upstreams.len(), 1, "pools keep serving meanwhile");
+    apply_vm_changes(
+        &mut view,
+        0,
+        proto::VmChanges { head: 2, vms: vec![upstream(9003, proto::VmState::Live)] },
+    );
+    assert_eq!(
+        view.pools["swap-desk"].upstreams.iter().map(|u| u.addr.port()).collect::<Vec<_>>(),
+        [9003]
+    );
+}
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -47,6 +47,10 @@
     pub pools: HashMap<SmolStr, balance::Pool>,
     /// Live entry VMs, from the VM list.
     pub entries: Vec<proto::Vm>,
+    /// The VM list as held, by address.
+    pub vms: std::collections::BTreeMap<std::net::SocketAddr, proto::Vm>,
+    /// Version of the newest VM-list change held.
+    pub vm_head: proto::Version,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -60,6 +64,8 @@
             config_head: 0,
             pools: HashMap::new(),
             entries: Vec::new(),
+            vms: Default::default(),
+            vm_head: 0,
             counters: Counters::default(),
         }
     }
--- a/crates/platform/src/proto.rs
+++ b/crates/platform/src/proto.rs
@@ -79,6 +79,8 @@
     Live,
     /// Planned to stop; should get no new work.
     Leaving,
+    /// No longer in the list; appears only in change feeds, so followers drop it.
+    Gone,
 }
 
 /// What a VM is for.
@@ -107,6 +109,15 @@
     pub state: VmState,
 }
 
+/// Changes of the VM list after a given version, from `GET /v1/vms?since=V`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmChanges {
+    /// Version of the newest change included; ask with it next time.
+    pub head: Version,
+    /// The latest state of every VM that changed, `Gone` for those removed.
+    pub vms: Vec<Vm>,
+}
+
 /// Faults the platform stand-in injects, set through `POST /v1/faults`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -118,6 +118,24 @@
         }
     }
 
+    /// Reads the changes of the VM list after version `since`; 0 reads the whole list.
+    ///
+    /// An empty answer costs a few hundred bytes whatever the size of the
+    /// list, where a whole-list read costs about 105 B per VM (docs/CAPACITY.md).
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] or [`StoreError::BadAnswer`].
+    pub async fn vm_changes(&self, since: proto::Version) -> Result<proto::VmChanges, StoreError> {
+        let path = format!("/v1/vms?since={since}");
+        let response =
+            self.call(http::Method::GET, &path, Bytes::new()).await.map_err(read_error)?;
+        match response.status() {
+            http::StatusCode::OK => decode(response.body()),
+            status => Err(status_error(status, response.body())),
+        }
+    }
+
     /// Sends one request on the kept connection, opening it first when needed.
     ///
     /// A failed exchange drops the connection: its stream may be mid-message.
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -37,6 +37,28 @@
     child: Child,
 }
 
+impl Proc {
+    /// Processor time the process has used so far, from `/proc/PID/schedstat`.
+    pub fn cpu(&self) -> Duration {
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))
+            .unwrap_or_default();
+        let ns = text.split_whitespace().next().and_then(|v| v.parse().ok()).unwrap_or(0);
+        Duration::from_nanos(ns)
+    }
+
+    /// Resident memory of the process now, in bytes, from `/proc/PID/status`.
+    pub fn rss_bytes(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
+            .unwrap_or_default();
+        let kb = text
+            .lines()
+            .find_map(|l| l.strip_prefix("VmRSS:"))
+            .and_then(|v| v.trim().trim_end_matches("kB").trim().parse::<u64>().ok())
+            .unwrap_or(0);
+        kb * 1024
+    }
+}
+
 /// The started system; every process is killed on drop.
 pub struct Cluster {
     /// Directory holding the binaries.
@@ -108,19 +130,43 @@
         let upstreams =
             self.upstreams.iter().map(|p| (p, proto::VmRole::Upstream, spec.service.as_str()));
         let entries = self.entries.iter().map(|p| (p, proto::VmRole::Entry, ""));
-        for (proc_, role, service) in upstreams.chain(entries) {
-            let vm = proto::Vm {
+        let vms: Vec<proto::Vm> = upstreams
+            .chain(entries)
+            .map(|(proc_, role, service)| proto::Vm {
                 addr: proc_.addr,
                 zone: proc_.zone.as_str().into(),
                 role,
                 service: service.into(),
                 state: proto::VmState::Live,
-            };
-            let body = serde_json::to_vec(&vm).expect("vm encodes");
-            let status =
-                call(self.platform.addr, http::Method::PUT, "/v1/vms", body).map(|r| r.status());
-            assert_eq!(status, Some(http::StatusCode::OK), "registering {}", proc_.addr);
-        }
+            })
+            .collect();
+        self.put_vms(&vms);
+    }
+
+    /// Adds or changes VMs in the platform stand-in's VM list, over one connection.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the stand-in refuses one.
+    pub fn put_vms(&self, vms: &[proto::Vm]) {
+        let addr = self.platform.addr;
+        let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+            .enable_timer()
+            .build()
+            .expect("runtime");
+        runtime.block_on(async move {
+            let mut conn =
+                web::Conn::connect(addr, Duration::from_secs(2)).await.expect("platform reachable");
+            for vm in vms {
+                let request = http::Request::put("/v1/vms")
+                    .header(http::header::HOST, addr.to_string())
+                    .body(Bytes::from(serde_json::to_vec(vm).expect("vm encodes")))
+                    .expect("request builds");
+                let response =
+                    conn.send(request, Duration::from_secs(5)).await.expect("platform answers");
+                assert_eq!(response.status(), http::StatusCode::OK, "registering {}", vm.addr);
+            }
+        });
     }
 
     /// Runs the `oatcove` CLI with `args`.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -12,6 +12,8 @@
 use bpaf::Bpaf;
 use xtask::cluster::{Cluster, Spec};
 
+mod slopes;
+
 /// Development tasks.
 #[derive(Bpaf, Debug)]
 #[bpaf(options)]
@@ -29,6 +31,13 @@
         #[bpaf(long("json"), argument("FILE"), optional)]
         json: Option<PathBuf>,
     },
+    /// Measures the per-unit costs docs/CAPACITY.md is worked from
+    #[bpaf(command("slopes"))]
+    Slopes {
+        /// Write the figures here
+        #[bpaf(long("json"), argument("FILE"), fallback("docs/bench/slopes.json".into()))]
+        json: PathBuf,
+    },
 }
 
 const TEMPLATE_V1: &str = "\
@@ -54,6 +63,15 @@
 fn main() {
     match task().run() {
         Task::Demo { rate, duration_s, json } => demo(rate, duration_s, json),
+        Task::Slopes { json } => {
+            let root = workspace_root();
+            build_release(&root);
+            slopes::run(
+                &root.join("target/release"),
+                &root.join("target/slopes"),
+                &root.join(json),
+            );
+        }
     }
 }
 
@@ -61,14 +79,18 @@
     PathBuf::from(env!("CARGO_MANIFEST_DIR")).parent().expect("workspace root").to_owned()
 }
 
-fn demo(rate: u64, duration_s: u64, json: Option<PathBuf>) {
-    let root = workspace_root();
+fn build_release(root: &std::path::Path) {
     let status = Command::new(env!("CARGO"))
         .args(["build", "--release", "--quiet", "--workspace", "--bins"])
-        .current_dir(&root)
+        .current_dir(root)
         .status()
         .expect("cargo runs");
     assert!(status.success(), "release build failed");
+}
+
+fn demo(rate: u64, duration_s: u64, json: Option<PathBuf>) {
+    let root = workspace_root();
+    build_release(&root);
     let bins = root.join("target/release");
     let dir = root.join("target/demo");
     let spec = Spec {
