--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -96,6 +96,10 @@
                 Some(index) => self.upstreams.swap_remove(index),
                 None => Upstream::new(*addr, zone.clone()),
             };
+            // An address can come back on a new VM in another zone after a
+            // replacement; keeping the old zone would send zone-local calls
+            // across zones and no test of latency would say why.
+            upstream.zone = zone.clone();
             upstream.standing = *standing;
             next.push(upstream);
         }
@@ -189,3 +193,6 @@
 
 #[cfg(test)]
 mod tests;
+
+#[cfg(test)]
+mod model_tests;
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -113,6 +113,16 @@
         }
     }
 
+    /// Changes the mode, as `POST /admin/mode` does.
+    pub fn set_mode(&self, mode: Mode) {
+        *self.mode.borrow_mut() = mode;
+    }
+
+    /// Returns how many times requests with `key` were executed.
+    pub fn executions(&self, key: &str) -> u64 {
+        self.executions.borrow().get(key).copied().unwrap_or(0)
+    }
+
     async fn work(&self, request: &web::Request) -> web::Response {
         let mode = self.mode.borrow().clone();
         let refusal = match () {
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -323,3 +323,6 @@
 ) -> web::Response {
     with_outcome(web::reply(status, text.to_owned()), outcome, request_id)
 }
+
+#[cfg(test)]
+mod tests;
