oatcove drain: planned stops of upstreams, read with the config

Change: 'oatcove drain [--wait] UPSTREAM' writes a drain row with its audit record in one transaction (lost answers resolved by reading back the change id, as for templates).

Ruled out: marking the VM leaving in the platform's list (it is the platform's, and it lags); a separate poll loop (same cost, one more task).

--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -114,16 +114,69 @@
             },
         ],
     };
-    commit(store, &txn, &service, patience)
+    commit(store, &txn, (platform::TEMPLATES, &service), patience)
         .await
         .map(|version| Applied::Written { version, change_id })
 }
 
-/// Commits `txn`, resolving lost answers by reading back the change id.
+/// Marks the upstream at `upstream` drained, with its audit record.
+///
+/// Every entry node stops sending it new calls once it reads the drain
+/// (within one `config_poll_ms`), whatever the lagging VM list says.
+///
+/// # Errors
+///
+/// As [`apply`]; an upstream already drained is [`Applied::Unchanged`].
+pub async fn drain(
+    store: &Store,
+    upstream: std::net::SocketAddr,
+    actor: &str,
+    patience: Patience,
+) -> Result<Applied, ApplyError> {
+    let key = smol_str::format_smolstr!("{upstream}");
+    if let Some(row) = with_retries(patience, || store.get(platform::DRAINS, &key)).await? {
+        return Ok(Applied::Unchanged { version: row.version });
+    }
+    let change_id = new_change_id();
+    let record = audit::Record {
+        change_id: change_id.clone(),
+        service: "drains".into(),
+        actor: actor.into(),
+        at_unix_ms: unix_ms(),
+        version_before: 0,
+        diff: format!("+drain {upstream}\n"),
+    };
+    let txn = proto::Txn {
+        change_id: change_id.clone(),
+        writes: vec![
+            proto::Write {
+                table: platform::DRAINS.into(),
+                key: key.clone(),
+                expected_version: 0,
+                value: record.to_json(),
+            },
+            proto::Write {
+                table: platform::AUDIT.into(),
+                key: smol_str::format_smolstr!("drains/{change_id}"),
+                expected_version: 0,
+                value: record.to_json(),
+            },
+        ],
+    };
+    match commit(store, &txn, (platform::DRAINS, &key), patience).await {
+        Ok(version) => Ok(Applied::Written { version, change_id }),
+        // Another operator drained it between our read and our write: the drain holds.
+        Err(ApplyError::Conflict(version)) => Ok(Applied::Unchanged { version }),
+        Err(err) => Err(err),
+    }
+}
+
+/// Commits `txn`, resolving lost answers by reading back the change id of
+/// the row at `read_back` (table, key).
 async fn commit(
     store: &Store,
     txn: &proto::Txn,
-    service: &str,
+    read_back: (&str, &str),
     patience: Patience,
 ) -> Result<proto::Version, ApplyError> {
     let mut backoff = patience.first_backoff;
@@ -134,7 +187,7 @@
             Ok(committed) => return Ok(committed.version),
             Err(StoreError::Conflict(conflict)) => {
                 // A conflict after a lost answer may be our own earlier try: check before refusing.
-                match store.get(platform::TEMPLATES, service).await {
+                match store.get(read_back.0, read_back.1).await {
                     Ok(Some(row)) if row.change_id == txn.change_id => return Ok(row.version),
                     _ => return Err(ApplyError::Conflict(conflict.current_version)),
                 }
@@ -142,7 +195,7 @@
             Err(err @ StoreError::Unknown(_)) => {
                 maybe_written = true;
                 // The write may have taken effect; the row's change id says whether it did.
-                match store.get(platform::TEMPLATES, service).await {
+                match store.get(read_back.0, read_back.1).await {
                     Ok(Some(row)) if row.change_id == txn.change_id => return Ok(row.version),
                     _ => last = err,
                 }
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -39,6 +39,22 @@
         #[bpaf(long("service"), argument("NAME"), optional)]
         service: Option<String>,
     },
+    /// Marks an upstream drained: no entry node sends it new calls
+    #[bpaf(command("drain"))]
+    Drain {
+        /// Platform address, ip:port
+        #[bpaf(long("platform"), argument("ADDR"), fallback("127.0.0.1:7000".parse().unwrap()))]
+        platform: SocketAddr,
+        /// Name recorded as the author of the change
+        #[bpaf(long("actor"), argument("NAME"), fallback(std::env::var("USER").unwrap_or_else(|_| "unknown".into())))]
+        actor: String,
+        /// Wait until every entry node holds no call to it, then say it may stop
+        #[bpaf(long("wait"), switch)]
+        wait: bool,
+        /// Upstream address, ip:port
+        #[bpaf(positional("UPSTREAM"))]
+        upstream: SocketAddr,
+    },
     /// Prints an entry node's status as JSON
     #[bpaf(command("status"))]
     Status {
@@ -110,6 +126,25 @@
             }
         }
         Command::Audit { platform, service } => audit_log(platform, service.as_deref()).await,
+        Command::Drain { platform, actor, wait, upstream } => {
+            let store = platform::Store::new(platform);
+            match oatcove::apply::drain(&store, upstream, &actor, Default::default()).await {
+                Ok(oatcove::apply::Applied::Written { version, change_id }) => {
+                    println!("drained: {upstream} at version {version}, change {change_id}");
+                }
+                Ok(oatcove::apply::Applied::Unchanged { version }) => {
+                    println!("unchanged: {upstream} already drained at version {version}");
+                }
+                Err(err) => {
+                    eprintln!("error: {err}");
+                    return exit::UNAVAILABLE;
+                }
+            }
+            match wait {
+                true => wait_drained(&store, upstream).await,
+                false => 0,
+            }
+        }
         Command::Status { entry } => status(entry).await,
     }
 }
@@ -151,6 +186,64 @@
     0
 }
 
+/// How long `drain --wait` waits for every entry node to let go of an upstream.
+const DRAIN_WAIT: std::time::Duration = std::time::Duration::from_secs(60);
+
+/// Waits until every live entry node reports `upstream` leaving with no call outstanding.
+async fn wait_drained(store: &platform::Store, upstream: SocketAddr) -> i32 {
+    let started = std::time::Instant::now();
+    while started.elapsed() < DRAIN_WAIT {
+        let entries: Vec<SocketAddr> = match store.vms().await {
+            Ok(vms) => vms
+                .into_iter()
+                .filter(|vm| {
+                    vm.role == platform::proto::VmRole::Entry
+                        && vm.state == platform::proto::VmState::Live
+                })
+                .map(|vm| vm.addr)
+                .collect(),
+            Err(_) => Vec::new(),
+        };
+        let mut all = !entries.is_empty();
+        for entry in entries {
+            all &= match fetch_status(entry).await {
+                Some(status) => holds_none(&status, upstream),
+                None => false,
+            };
+        }
+        if all {
+            println!(
+                "every entry node has {upstream} leaving with no call in flight after {} ms; it may stop",
+                started.elapsed().as_millis()
+            );
+            return 0;
+        }
+        monoio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    eprintln!("error: entry nodes still hold calls to {upstream} after {} s", DRAIN_WAIT.as_secs());
+    exit::UNAVAILABLE
+}
+
+/// Returns true when `status` lists `upstream` as leaving with nothing outstanding, or not at all.
+fn holds_none(status: &serde_json::Value, upstream: SocketAddr) -> bool {
+    let text = upstream.to_string();
+    let Some(pools) = status["upstreams"].as_object() else { return false };
+    pools.values().flat_map(|list| list.as_array().into_iter().flatten()).all(|u| {
+        u["addr"].as_str() != Some(text.as_str())
+            || (u["leaving"].as_bool() == Some(true) && u["outstanding"].as_u64() == Some(0))
+    })
+}
+
+async fn fetch_status(entry: SocketAddr) -> Option<serde_json::Value> {
+    let mut conn = web::Conn::connect(entry, std::time::Duration::from_secs(2)).await.ok()?;
+    let request = http::Request::get("/v1/status")
+        .header(http::header::HOST, entry.to_string())
+        .body(bytes::Bytes::new())
+        .expect("request builds");
+    let response = conn.send(request, std::time::Duration::from_secs(2)).await.ok()?;
+    serde_json::from_slice(response.body()).ok()
+}
+
 async fn status(entry: SocketAddr) -> i32 {
     let mut conn = match web::Conn::connect(entry, std::time::Duration::from_secs(2)).await {
         Ok(conn) => conn,
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -19,10 +19,40 @@
             Ok(rows) => apply_templates(&mut view.borrow_mut(), rows),
             Err(err) => log::warn!("config poll failed, keeping config at {since}: {err}"),
         }
+        let since = view.borrow().drain_head;
+        match store.since(platform::DRAINS, since).await {
+            Ok(rows) => apply_drains(&mut view.borrow_mut(), rows),
+            Err(err) => log::warn!("drain poll failed, keeping drains at {since}: {err}"),
+        }
         monoio::time::sleep(every).await;
     }
 }
 
+/// Applies drain rows: each names an upstream address that gets no new calls.
+///
+/// Drains are kept apart from the VM list, which lags and would otherwise
+/// mark a drained upstream live again at its next rebuild; [`apply_vms`]
+/// consults them on every rebuild.
+pub fn apply_drains(view: &mut View, rows: proto::Rows) {
+    for row in rows.rows {
+        let Ok(addr) = row.key.parse::<std::net::SocketAddr>() else {
+            log::error!("drain row {:?} is not an address; ignored", row.key);
+            continue;
+        };
+        if view.drained.insert(addr) {
+            log::info!(
+                "node={} zone={} upstream={addr} drained",
+                view.settings.node_id,
+                view.settings.zone
+            );
+        }
+        for pool in view.pools.values_mut() {
+            pool.mark_leaving(addr);
+        }
+    }
+    view.drain_head = view.drain_head.max(rows.head);
+}
+
 /// Applies template rows read from the table service.
 ///
 /// A row not newer than the held version of its service is ignored: answers
@@ -111,6 +141,7 @@
     let mut members: std::collections::HashMap<smol_str::SmolStr, Vec<_>> = Default::default();
     for vm in vms.iter().filter(|vm| vm.role == proto::VmRole::Upstream) {
         let standing = match vm.state {
+            _ if view.drained.contains(&vm.addr) => balance::Standing::Leaving,
             proto::VmState::Live => balance::Standing::Live,
             proto::VmState::Leaving | proto::VmState::Gone => balance::Standing::Leaving,
         };
--- a/crates/oatcoved/src/follow/tests.rs
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -3,7 +3,7 @@
 
 use platform::proto;
 
-use crate::follow::{apply_templates, apply_vm_changes};
+use crate::follow::{apply_drains, apply_templates, apply_vm_changes};
 use crate::view::View;
 
 fn view() -> View {
@@ -105,3 +105,28 @@
         [9003]
     );
 }
+
+/// Symptom: a drained upstream gets calls again a moment after the drain.
+/// Sequence: an operator drains an upstream; the lagging VM list still says
+/// live, and the next VM-list change rebuilds the pools.
+/// Cause: a rebuild from the VM list alone forgets the drain.
+#[test]
+fn a_drain_outlives_a_lagging_vm_list() {
+    let mut view = view();
+    let both = vec![upstream(9001, proto::VmState::Live), upstream(9002, proto::VmState::Live)];
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 2, vms: both });
+    let drain = proto::Row {
+        key: "127.0.0.1:9001".into(),
+        version: 7,
+        value: "{}".into(),
+        change_id: "d".into(),
+    };
+    apply_drains(&mut view, proto::Rows { head: 7, rows: vec![drain] });
+    let changed = vec![upstream(9002, proto::VmState::Live)];
+    apply_vm_changes(&mut view, 2, proto::VmChanges { head: 3, vms: changed });
+    let pool = &view.pools["swap-desk"];
+    let standing =
+        |port: u16| pool.upstreams.iter().find(|u| u.addr.port() == port).map(|u| u.standing);
+    assert_eq!(standing(9001), Some(balance::Standing::Leaving));
+    assert_eq!(standing(9002), Some(balance::Standing::Live));
+}
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -51,6 +51,10 @@
     pub vms: std::collections::BTreeMap<std::net::SocketAddr, proto::Vm>,
     /// Version of the newest VM-list change held.
     pub vm_head: proto::Version,
+    /// Upstreams an operator drained; they stay leaving whatever the VM list says.
+    pub drained: std::collections::BTreeSet<std::net::SocketAddr>,
+    /// Highest table commit whose drain rows have all been read.
+    pub drain_head: proto::Version,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -66,6 +70,8 @@
             entries: Vec::new(),
             vms: Default::default(),
             vm_head: 0,
+            drained: Default::default(),
+            drain_head: 0,
             counters: Counters::default(),
         }
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,3 +14,6 @@
 
 /// Table holding one audit record per accepted change, keyed `service/change_id`.
 pub const AUDIT: &str = "audit";
+
+/// Table holding one row per upstream an operator drained, keyed by its address.
+pub const DRAINS: &str = "drains";
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -102,3 +102,54 @@
     drop(cluster);
     let _ = std::fs::remove_dir_all(&dir);
 }
+
+fn executed(addr: std::net::SocketAddr) -> u64 {
+    let response =
+        xtask::cluster::call(addr, http::Method::GET, "/admin/stats", Vec::new()).expect("stats");
+    let stats: serde_json::Value = serde_json::from_slice(response.body()).expect("json");
+    stats["executed"].as_u64().expect("executed")
+}
+
+/// Symptom: an upstream being stopped still receives calls, or calls in
+/// flight to it are cut.
+/// Sequence: under load, an operator drains one upstream and waits until
+/// every entry node holds no call to it; the load goes on.
+/// Cause: following only the lagging VM list, or cutting calls on drain.
+#[test]
+fn a_drained_upstream_gets_no_new_calls_and_no_call_is_cut() {
+    let dir = std::env::temp_dir().join(format!("oatcove-e2e-drain-{}", std::process::id()));
+    let cluster = Cluster::start(&bins(), &dir, &spec());
+    let applied = cluster.apply("v1.yaml", "service: swap-desk\n");
+    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
+    assert!(cluster.wait_for_version("swap-desk", 1, PROPAGATION_BOUND).is_some());
+
+    let json = dir.join("load.json");
+    let mut load = Command::new(cluster.bins.join("oatcove-load"));
+    load.args(["--entry", &cluster.entries[0].addr.to_string(), "--service", "swap-desk"])
+        .args([
+            "--zone",
+            "attiki-a",
+            "--rate",
+            "200",
+            "--duration-s",
+            "3",
+            "--json",
+            &json.to_string_lossy(),
+        ])
+        .stdout(std::process::Stdio::null());
+    let load = load.spawn().expect("load starts");
+    std::thread::sleep(Duration::from_secs(1));
+    let drained = cluster.upstreams[0].addr;
+    let platform = cluster.platform.addr.to_string();
+    let output = cluster.cli(&["drain", "--platform", &platform, "--wait", &drained.to_string()]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let at_drain = executed(drained);
+    let output = load.wait_with_output().expect("load finishes");
+    assert!(output.status.success());
+    assert_eq!(executed(drained), at_drain, "calls reached the drained upstream after the drain");
+    let report: serde_json::Value =
+        serde_json::from_slice(&std::fs::read(&json).expect("report")).expect("json");
+    assert_eq!(report["errors"], serde_json::json!({}), "{report}");
+    drop(cluster);
+    let _ = std::fs::remove_dir_all(&dir);
+}
