--- a/crates/emu/src/bin/platform.rs
+++ b/crates/emu/src/bin/platform.rs
@@ -17,10 +17,7 @@
 fn main() {
     let args = args().run();
     emu_log();
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime starts");
+    let mut runtime = web::runtime();
     runtime.block_on(async move {
         let listener = monoio::net::TcpListener::bind(args.listen).expect("binds");
         println!("listening on {}", listener.local_addr().expect("addr"));
--- a/crates/emu/src/bin/upstream.rs
+++ b/crates/emu/src/bin/upstream.rs
@@ -48,10 +48,7 @@
         cold_start: Duration::from_millis(args.cold_start_ms),
         load_lag: Duration::from_millis(args.load_lag_ms),
     };
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime starts");
+    let mut runtime = web::runtime();
     runtime.block_on(async move {
         let listener = monoio::net::TcpListener::bind(args.listen).expect("binds");
         println!("listening on {}", listener.local_addr().expect("addr"));
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -59,10 +59,7 @@
         probe_cost_ms: args.probe_cost_ms,
         direct: args.direct,
     };
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime starts");
+    let mut runtime = web::runtime();
     let report = runtime.block_on(load::run(plan));
     print!("{}", report.lines());
     if let Some(path) = args.json {
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -215,11 +215,7 @@
 
 /// Sends one GET on a fresh connection and returns the body of a 200 answer.
 pub async fn get(addr: SocketAddr, path: &str) -> Option<Bytes> {
-    let mut conn = web::Conn::connect(addr, CALL_TIMEOUT).await.ok()?;
-    let request = http::Request::get(path)
-        .header(http::header::HOST, addr.to_string())
-        .body(Bytes::new())
-        .expect("request builds");
-    let response = conn.send(request, CALL_TIMEOUT).await.ok()?;
+    let response =
+        web::fetch(addr, http::Method::GET, path, Bytes::new(), CALL_TIMEOUT).await.ok()?;
     (response.status() == http::StatusCode::OK).then(|| response.into_body())
 }
--- a/crates/oatcove/src/apply/tests.rs
+++ b/crates/oatcove/src/apply/tests.rs
@@ -15,10 +15,6 @@
 const V1: &str = "service: swap-desk\ndefaults:\n  timeout_ms: 800\n";
 const V2: &str = "service: swap-desk\ndefaults:\n  timeout_ms: 400\n";
 
-fn runtime() -> monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>> {
-    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().expect("runtime")
-}
-
 /// Starts a platform stand-in on a free loopback port.
 fn start_platform() -> (Rc<emu::table::Table>, platform::Store) {
     let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -34,7 +30,7 @@
 /// Cause: treating a lost answer as a failure and blindly writing again.
 #[test]
 fn lost_ack_is_resolved_by_reading_back_the_change_id() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (table, store) = start_platform();
         table.set(proto::Faults { lose_acks: 1, ..Default::default() });
         let applied = apply(&store, V1, "ana").await.expect("applied");
@@ -53,7 +49,7 @@
 /// Cause: a blind write instead of compare-and-swap on the version read.
 #[test]
 fn racing_operators_one_wins_the_other_sees_a_conflict() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (table, store) = start_platform();
         let base = apply(&store, V1, "ana").await.expect("first");
         let Applied::Written { version, .. } = base else { panic!("{base:?}") };
@@ -79,7 +75,7 @@
 /// Cause: not telling "nothing written" apart from "outcome unknown".
 #[test]
 fn outage_reports_nothing_written() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (table, store) = start_platform();
         table.set(proto::Faults { outage: true, ..Default::default() });
         let result = apply(&store, V1, "ana").await;
@@ -90,7 +86,7 @@
 
 #[test]
 fn invalid_template_writes_nothing() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (table, store) = start_platform();
         let result = apply(&store, "service: a\ndefaults:\n  timeout: 3\n", "ana").await;
         assert!(matches!(result, Err(ApplyError::Invalid(_))), "{result:?}");
@@ -100,7 +96,7 @@
 
 #[test]
 fn same_text_again_is_unchanged() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (_table, store) = start_platform();
         apply(&store, V1, "ana").await.expect("first");
         let again = apply(&store, V1, "ana").await.expect("second");
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -74,10 +74,7 @@
 
 fn main() {
     let command = command().run();
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime starts");
+    let mut runtime = web::runtime();
     let code = runtime.block_on(run(command));
     std::process::exit(code);
 }
@@ -235,28 +232,19 @@
 }
 
 async fn fetch_status(entry: SocketAddr) -> Option<serde_json::Value> {
-    let mut conn = web::Conn::connect(entry, std::time::Duration::from_secs(2)).await.ok()?;
-    let request = http::Request::get("/v1/status")
-        .header(http::header::HOST, entry.to_string())
-        .body(bytes::Bytes::new())
-        .expect("request builds");
-    let response = conn.send(request, std::time::Duration::from_secs(2)).await.ok()?;
+    let response = get(entry, "/v1/status").await.ok()?;
     serde_json::from_slice(response.body()).ok()
 }
 
+/// Deadline of one request to an entry node.
+const ENTRY_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
+
+async fn get(entry: SocketAddr, path: &str) -> Result<web::Response, web::Error> {
+    web::fetch(entry, http::Method::GET, path, bytes::Bytes::new(), ENTRY_TIMEOUT).await
+}
+
 async fn status(entry: SocketAddr) -> i32 {
-    let mut conn = match web::Conn::connect(entry, std::time::Duration::from_secs(2)).await {
-        Ok(conn) => conn,
-        Err(err) => {
-            eprintln!("error: {entry}: {err}");
-            return exit::UNAVAILABLE;
-        }
-    };
-    let request = http::Request::get("/v1/status")
-        .header(http::header::HOST, entry.to_string())
-        .body(bytes::Bytes::new())
-        .expect("request builds");
-    match conn.send(request, std::time::Duration::from_secs(2)).await {
+    match get(entry, "/v1/status").await {
         Ok(response) => {
             println!("{}", String::from_utf8_lossy(response.body()));
             0
--- a/crates/oatcoved/src/follow/tests.rs
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -1,23 +1,9 @@
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use platform::proto;
 
 use crate::follow::{apply_drains, apply_templates, apply_vm_changes};
-use crate::view::View;
-
-fn view() -> View {
-    let settings = config::NodeSettings {
-        node_id: "entry-0".into(),
-        zone: "z-0".into(),
-        listen_addr: "127.0.0.1:7100".parse().unwrap(),
-        platform_addr: "127.0.0.1:7000".parse().unwrap(),
-        config_poll: Duration::from_millis(100),
-        vm_poll: Duration::from_millis(100),
-        entries_ttl: Duration::from_secs(30),
-    };
-    View::new(settings)
-}
+use crate::test_support::view;
 
 fn row(version: u64, timeout_ms: u64) -> proto::Row {
     proto::Row {
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -10,6 +10,9 @@
 pub mod proxy;
 pub mod view;
 
+#[cfg(test)]
+mod test_support;
+
 /// Response header telling the caller what became of its call.
 ///
 /// `done`: an upstream answered. `not-run`: no upstream ran the call, so it
--- a/crates/oatcoved/src/main.rs
+++ b/crates/oatcoved/src/main.rs
@@ -43,11 +43,7 @@
         simplelog::Config::default(),
         std::io::stderr(),
     );
-    // The brief forbids io_uring: the legacy (epoll) driver only.
-    let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-        .enable_timer()
-        .build()
-        .expect("runtime starts");
+    let mut runtime = web::runtime();
     runtime.block_on(run(settings));
 }
 
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -9,11 +9,6 @@
 use web::Handler;
 
 use crate::proxy::Node;
-use crate::view::View;
-
-fn runtime() -> monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>> {
-    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().expect("runtime")
-}
 
 fn shape(light_ms: u64, queue_limit: usize) -> Shape {
     Shape {
@@ -37,16 +32,7 @@
 
 /// Builds an entry node holding `template` and a pool of `upstreams`, without sockets of its own.
 fn node(template: &str, upstreams: &[SocketAddr]) -> Node {
-    let settings = config::NodeSettings {
-        node_id: "entry-0".into(),
-        zone: "z-0".into(),
-        listen_addr: "127.0.0.1:7100".parse().unwrap(),
-        platform_addr: "127.0.0.1:7000".parse().unwrap(),
-        config_poll: Duration::from_millis(100),
-        vm_poll: Duration::from_millis(100),
-        entries_ttl: Duration::from_secs(30),
-    };
-    let mut view = View::new(settings);
+    let mut view = crate::test_support::view();
     let row = proto::Row {
         key: "svc".into(),
         version: 1,
@@ -90,7 +76,7 @@
 /// be told `unknown`, and the claim must run once in all.
 #[test]
 fn a_timed_out_claim_is_not_sent_again_and_is_reported_unknown() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (a, up_a) = upstream(shape(300, 100));
         let (b, up_b) = upstream(shape(300, 100));
         let node = node("service: svc\ndefaults:\n  timeout_ms: 100\n  max_attempts: 3\n", &[a, b]);
@@ -110,7 +96,7 @@
 /// any method again after a refusal, and the refusing upstream ran nothing.
 #[test]
 fn a_shed_claim_goes_to_another_upstream_and_runs_once() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (a, up_a) = upstream(shape(1, 0));
         let (b, up_b) = upstream(shape(1, 100));
         let node = node("service: svc\ndefaults:\n  max_attempts: 2\n", &[a, b]);
@@ -130,7 +116,7 @@
 /// Cause: not telling "not run" apart from "unknown".
 #[test]
 fn when_no_upstream_runs_it_the_caller_is_told_not_run_with_retry_after() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (a, up_a) = upstream(shape(1, 0));
         let closed = {
             let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -154,7 +140,7 @@
 /// late answer would then be read as the next caller's.
 #[test]
 fn every_caller_gets_its_own_answer_when_answers_come_late() {
-    runtime().block_on(async {
+    web::runtime().block_on(async {
         let (a, up_a) = upstream(shape(2, 1_000));
         let (b, _) = upstream(shape(2, 1_000));
         let node = Rc::new(node(
--- /dev/null
+++ b/crates/oatcoved/src/test_support.rs
@@ -0,0 +1,19 @@
+//! Values the unit tests of this crate share.
+
+use std::time::Duration;
+
+use crate::view::View;
+
+/// Returns an empty view of node `entry-0` in zone `z-0`, with 100 ms polling.
+pub(crate) fn view() -> View {
+    let settings = config::NodeSettings {
+        node_id: "entry-0".into(),
+        zone: "z-0".into(),
+        listen_addr: "127.0.0.1:7100".parse().expect("address"),
+        platform_addr: "127.0.0.1:7000".parse().expect("address"),
+        config_poll: Duration::from_millis(100),
+        vm_poll: Duration::from_millis(100),
+        entries_ttl: Duration::from_secs(30),
+    };
+    View::new(settings)
+}
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -73,13 +73,7 @@
         table: &str,
         since: proto::Version,
     ) -> Result<proto::Rows, StoreError> {
-        let path = format!("/v1/rows/{table}?since={since}");
-        let response =
-            self.call(http::Method::GET, &path, Bytes::new()).await.map_err(read_error)?;
-        match response.status() {
-            http::StatusCode::OK => decode(response.body()),
-            status => Err(status_error(status, response.body())),
-        }
+        self.read(&format!("/v1/rows/{table}?since={since}")).await
     }
 
     /// Commits `txn`, all writes or none.
@@ -110,12 +104,7 @@
     ///
     /// [`StoreError::Unavailable`] or [`StoreError::BadAnswer`].
     pub async fn vms(&self) -> Result<Vec<proto::Vm>, StoreError> {
-        let response =
-            self.call(http::Method::GET, "/v1/vms", Bytes::new()).await.map_err(read_error)?;
-        match response.status() {
-            http::StatusCode::OK => decode(response.body()),
-            status => Err(status_error(status, response.body())),
-        }
+        self.read("/v1/vms").await
     }
 
     /// Reads the changes of the VM list after version `since`; 0 reads the whole list.
@@ -127,9 +116,13 @@
     ///
     /// [`StoreError::Unavailable`] or [`StoreError::BadAnswer`].
     pub async fn vm_changes(&self, since: proto::Version) -> Result<proto::VmChanges, StoreError> {
-        let path = format!("/v1/vms?since={since}");
+        self.read(&format!("/v1/vms?since={since}")).await
+    }
+
+    /// Reads `path` and decodes a 200 answer.
+    async fn read<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, StoreError> {
         let response =
-            self.call(http::Method::GET, &path, Bytes::new()).await.map_err(read_error)?;
+            self.call(http::Method::GET, path, Bytes::new()).await.map_err(read_error)?;
         match response.status() {
             http::StatusCode::OK => decode(response.body()),
             status => Err(status_error(status, response.body())),
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -19,6 +19,46 @@
 /// A response with its whole body.
 pub type Response = http::Response<Bytes>;
 
+/// The runtime every process of oatcove runs on: one thread, timers on.
+pub type Runtime = monoio::Runtime<monoio::time::TimeDriver<monoio::LegacyDriver>>;
+
+/// Builds the runtime of one process or test.
+///
+/// The brief forbids io_uring, so this is the one place a runtime is made,
+/// and it is always monoio's legacy (epoll) driver.
+///
+/// # Panics
+///
+/// Panics when the operating system refuses an epoll instance.
+pub fn runtime() -> Runtime {
+    monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
+        .enable_timer()
+        .build()
+        .expect("epoll runtime starts")
+}
+
+/// Sends one request on a fresh connection to `addr` and returns the whole response.
+///
+/// # Errors
+///
+/// As [`Conn::connect`] and [`Conn::send`], each bounded by `timeout`.
+pub async fn fetch(
+    addr: std::net::SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: Bytes,
+    timeout: std::time::Duration,
+) -> Result<Response, Error> {
+    let mut conn = Conn::connect(addr, timeout).await?;
+    let request = http::Request::builder()
+        .method(method)
+        .uri(path)
+        .header(http::header::HOST, addr.to_string())
+        .body(body)
+        .expect("method and path form a request");
+    conn.send(request, timeout).await
+}
+
 /// Marks a response that must not be sent: the server closes the connection instead.
 ///
 /// Stand-ins use it to lose an answer after the work took effect, the way a
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -150,10 +150,7 @@
     /// Panics when the stand-in refuses one.
     pub fn put_vms(&self, vms: &[proto::Vm]) {
         let addr = self.platform.addr;
-        let mut runtime = monoio::RuntimeBuilder::<monoio::LegacyDriver>::new()
-            .enable_timer()
-            .build()
-            .expect("runtime");
+        let mut runtime = web::runtime();
         runtime.block_on(async move {
             let mut conn =
                 web::Conn::connect(addr, Duration::from_secs(2)).await.expect("platform reachable");
@@ -254,16 +251,6 @@
     path: &str,
     body: Vec<u8>,
 ) -> Option<web::Response> {
-    let mut runtime =
-        monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().ok()?;
-    runtime.block_on(async move {
-        let mut conn = web::Conn::connect(addr, Duration::from_secs(2)).await.ok()?;
-        let request = http::Request::builder()
-            .method(method)
-            .uri(path)
-            .header(http::header::HOST, addr.to_string())
-            .body(Bytes::from(body))
-            .expect("request builds");
-        conn.send(request, Duration::from_secs(5)).await.ok()
-    })
+    let timeout = Duration::from_secs(5);
+    web::runtime().block_on(web::fetch(addr, method, path, Bytes::from(body), timeout)).ok()
 }
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -63,8 +63,7 @@
 
 fn commit_templates(cluster: &Cluster, count: usize) -> usize {
     let addr = cluster.platform.addr;
-    let mut runtime =
-        monoio::RuntimeBuilder::<monoio::LegacyDriver>::new().enable_timer().build().expect("rt");
+    let mut runtime = web::runtime();
     runtime.block_on(async move {
         let store = platform::Store::new(addr);
         let mut bytes = 0;
