member, wire, watch: membership of entry nodes and a probe budget for the whole fleet (logic)

Change: crates/wire (postcard datagrams, hand-written visitors for the two hot types), crates/member (SWIM-style failure detector and note spreading, no sockets, no clock), crates/watch (assignment by rendezvous hashing over the platform's list; the list read is a lease; raised rates settle first).

Ruled out: assigning watchers over the live membership (two halves of a partition would each probe everything, twice the budget); a lease row per prober in the table service (560 services renewing each 10 s is 56 writes/s of several hundred); dividing the budget per node (nodes that watch nothing of a service leave its share unused).

--- /dev/null
+++ b/crates/member/src/queue.rs
@@ -0,0 +1,99 @@
+//! News waiting to be spread, and how often each item has been sent.
+//!
+//! An item is sent a few times the logarithm of the fleet's size and then
+//! dropped: by then it has reached every reachable node with high
+//! probability, as an epidemic does. Newer news of the same subject replaces
+//! older. What a packet may carry is bounded by its size, so a burst of news
+//! takes longer to spread but never sends more bytes.
+
+use std::net::SocketAddr;
+
+use wire::{MemberUpdate, Note, Packet, Sender, MAX_PACKET_BYTES};
+
+/// An item is sent this many times the logarithm of the fleet's size.
+const REPEATS_PER_LOG: u32 = 3;
+
+#[derive(Clone, Debug)]
+struct Item<T> {
+    value: T,
+    sent: u32,
+    bytes: usize,
+}
+
+/// News waiting to be spread.
+#[derive(Default)]
+pub(crate) struct Queue {
+    members: Vec<Item<MemberUpdate>>,
+    notes: Vec<Item<Note>>,
+}
+
+impl Queue {
+    /// Queues news of a member in place of older news of it.
+    pub(crate) fn push_member(&mut self, update: MemberUpdate) {
+        self.members.retain(|item| item.value.addr != update.addr);
+        let bytes = wire::encoded_bytes(&update);
+        self.members.push(Item { value: update, sent: 0, bytes });
+    }
+
+    /// Queues a note in place of the same watcher's older note on the upstream.
+    pub(crate) fn push_note(&mut self, note: Note) {
+        let subject = |n: &Note| -> (SocketAddr, SocketAddr) { (n.upstream, n.watcher) };
+        self.notes.retain(|item| subject(&item.value) != subject(&note));
+        let bytes = wire::encoded_bytes(&note);
+        self.notes.push(Item { value: note, sent: 0, bytes });
+    }
+
+    /// Adds to `packet` what fits, least-sent first, and drops what was sent often enough.
+    pub(crate) fn fill(&mut self, packet: &mut Packet, peers: usize) {
+        let repeats = REPEATS_PER_LOG * (usize::BITS - peers.leading_zeros() + 1);
+        // One byte for the protocol version; list lengths grow by at most two bytes each.
+        let mut left = MAX_PACKET_BYTES.saturating_sub(wire::encoded_bytes(packet) + 5);
+        // A suspect ping adds one update of its own after this.
+        left = left.saturating_sub(128);
+        packet.members = take(&mut self.members, &mut left, repeats);
+        packet.notes = take(&mut self.notes, &mut left, repeats);
+    }
+}
+
+/// Takes from `items` what fits into `left` bytes.
+fn take<T: Clone>(items: &mut Vec<Item<T>>, left: &mut usize, repeats: u32) -> Vec<T> {
+    items.sort_by_key(|item| item.sent);
+    let mut taken = Vec::new();
+    for item in items.iter_mut() {
+        if item.bytes > *left {
+            break;
+        }
+        *left -= item.bytes;
+        item.sent += 1;
+        taken.push(item.value.clone());
+    }
+    items.retain(|item| item.sent < repeats);
+    taken
+}
+
+/// Splits a full state into the parts of packets from `sender`.
+pub(crate) fn split(
+    sender: &Sender,
+    members: Vec<MemberUpdate>,
+    notes: Vec<Note>,
+) -> Vec<(Vec<MemberUpdate>, Vec<Note>)> {
+    let room = MAX_PACKET_BYTES.saturating_sub(wire::encoded_bytes(sender) + 32);
+    let mut parts = vec![(Vec::new(), Vec::new())];
+    let mut left = room;
+    let mut make_room = |bytes: usize, parts: &mut Vec<(Vec<MemberUpdate>, Vec<Note>)>| {
+        if bytes > left {
+            parts.push((Vec::new(), Vec::new()));
+            left = room;
+        }
+        left = left.saturating_sub(bytes);
+    };
+    for member in members {
+        make_room(wire::encoded_bytes(&member), &mut parts);
+        parts.last_mut().expect("never empty").0.push(member);
+    }
+    for note in notes {
+        make_room(wire::encoded_bytes(&note), &mut parts);
+        parts.last_mut().expect("never empty").1.push(note);
+    }
+    parts
+}
