--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -48,6 +48,18 @@
     Leaving,
 }
 
+/// What watchers say of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Report {
+    /// Nothing bad.
+    #[default]
+    Good,
+    /// It does not answer their probes, or answers with errors.
+    Failing,
+    /// It says itself that it is leaving.
+    Draining,
+}
+
 /// What the pool knows of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -65,6 +77,8 @@
     pub failures: u32,
     /// Ejected until this instant, after repeated failures.
     pub ejected_until: Option<Instant>,
+    /// What watchers say of it.
+    pub report: Report,
 }
 
 impl Upstream {
@@ -78,11 +92,14 @@
             latency_ewma_us: INITIAL_LATENCY_US,
             failures: 0,
             ejected_until: None,
+            report: Report::Good,
         }
     }
 
     fn eligible(&self, now: Instant) -> bool {
-        self.standing == Standing::Live && self.ejected_until.is_none_or(|until| until <= now)
+        self.standing == Standing::Live
+            && self.report == Report::Good
+            && self.ejected_until.is_none_or(|until| until <= now)
     }
 
     /// Expected wait of one more call: latency times the queue it would join.
@@ -128,6 +145,13 @@
         }
     }
 
+    /// Records what watchers say of the upstream at `addr`.
+    pub fn set_report(&mut self, addr: SocketAddr, report: Report) {
+        if let Some(upstream) = self.upstreams.iter_mut().find(|u| u.addr == addr) {
+            upstream.report = report;
+        }
+    }
+
     /// Picks an upstream for a call from `zone`, skipping those in `tried`.
     ///
     /// With `zone_affinity`, only upstreams of `zone` are considered while any
--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -12,6 +12,16 @@
 use crate::findings::Findings;
 use crate::walk::{self, Fields};
 
+/// Default of `entries_ttl_s`: short, so that a planned stop of an entry node is soon over.
+const DEFAULT_ENTRIES_TTL_S: u64 = 5;
+
+/// Default of `probe_cap_per_s`: at about 250 bytes a probe, 5 of the 7 KB/s
+/// of control traffic that letter 1 allows a node.
+const DEFAULT_PROBE_CAP_PER_S: u64 = 20;
+
+/// Default of `stop_grace_ms`: the default TTL and as much again for calls in flight.
+const DEFAULT_STOP_GRACE_MS: u64 = 10_000;
+
 /// Settings of one `oatcoved` process.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeSettings {
@@ -29,6 +39,12 @@
     pub vm_poll: Duration,
     /// How long callers may keep a discovery answer.
     pub entries_ttl: Duration,
+    /// Probes per second this node sends at most, over all services.
+    pub probe_cap_per_s: u32,
+    /// How long a stopping node waits for callers and calls in flight at most.
+    pub stop_grace: Duration,
+    /// Entry nodes to ask for config when the platform does not answer at start.
+    pub seed_addrs: Vec<SocketAddr>,
 }
 
 impl NodeSettings {
@@ -57,6 +73,9 @@
     let config_poll_ms = fields.uint("config_poll_ms", 50..=60_000, findings);
     let vm_poll_ms = fields.uint("vm_poll_ms", 50..=60_000, findings);
     let entries_ttl_s = fields.uint("entries_ttl_s", 1..=3_600, findings);
+    let probe_cap_per_s = fields.uint("probe_cap_per_s", 1..=10_000, findings);
+    let stop_grace_ms = fields.uint("stop_grace_ms", 0..=600_000, findings);
+    let seed_addrs = addresses(&mut fields, "seed_addrs", findings);
     fields.finish(findings);
     Some(NodeSettings {
         node_id: node_id?,
@@ -65,7 +84,10 @@
         platform_addr: platform_addr?,
         config_poll: Duration::from_millis(config_poll_ms?.unwrap_or(500)),
         vm_poll: Duration::from_millis(vm_poll_ms?.unwrap_or(1_000)),
-        entries_ttl: Duration::from_secs(entries_ttl_s?.unwrap_or(30)),
+        entries_ttl: Duration::from_secs(entries_ttl_s?.unwrap_or(DEFAULT_ENTRIES_TTL_S)),
+        probe_cap_per_s: probe_cap_per_s?.unwrap_or(DEFAULT_PROBE_CAP_PER_S) as u32,
+        stop_grace: Duration::from_millis(stop_grace_ms?.unwrap_or(DEFAULT_STOP_GRACE_MS)),
+        seed_addrs: seed_addrs?,
     })
 }
 
@@ -75,14 +97,32 @@
     findings: &mut Findings,
 ) -> Option<SocketAddr> {
     let text = fields.string(key, findings)?;
-    match text.parse() {
-        Ok(addr) => Some(addr),
-        Err(_) => {
-            findings.error(
-                &walk::join(fields.path(), key),
-                format!("{text:?} is not an address of the form ip:port"),
-            );
-            None
-        }
+    parse_address(&text, &walk::join(fields.path(), key), findings)
+}
+
+/// Reads an optional list of addresses; absent means none.
+fn addresses(
+    fields: &mut Fields<'_>,
+    key: &'static str,
+    findings: &mut Findings,
+) -> Option<Vec<SocketAddr>> {
+    let texts = fields.strings(key, findings)?.unwrap_or_default();
+    let path = walk::join(fields.path(), key);
+    let parsed: Vec<Option<SocketAddr>> = texts
+        .iter()
+        .enumerate()
+        .map(|(index, text)| parse_address(text, &format!("{path}[{index}]"), findings))
+        .collect();
+    parsed.into_iter().collect()
+}
+
+fn parse_address(text: &str, path: &str, findings: &mut Findings) -> Option<SocketAddr> {
+    let parsed = text.parse().ok();
+    if parsed.is_none() {
+        findings.error(path, format!("{text:?} is not an address of the form ip:port"));
     }
+    parsed
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/config/src/template.rs
+++ b/crates/config/src/template.rs
@@ -33,6 +33,8 @@
     pub retry_budget_percent: u64,
     /// Probes per second to this service's upstreams, for all entry nodes together.
     pub probe_budget_per_s: u64,
+    /// Path of the request that asks an upstream whether it is well; read from `defaults` only.
+    pub probe_path: SmolStr,
     /// Whether upstreams in the entry node's own zone are preferred.
     pub zone_affinity: bool,
     /// HTTP methods safe to retry; every other method is sent at most once.
@@ -46,6 +48,7 @@
             max_attempts: 2,
             retry_budget_percent: 10,
             probe_budget_per_s: 10,
+            probe_path: "/load".into(),
             zone_affinity: true,
             idempotent_methods: vec!["GET".into(), "HEAD".into()],
         }
@@ -133,6 +136,14 @@
     let max_attempts = fields.uint("max_attempts", 1..=5, findings);
     let retry_budget_percent = fields.uint("retry_budget_percent", 0..=100, findings);
     let probe_budget_per_s = fields.uint("probe_budget_per_s", 0..=10_000, findings);
+    let probe_path = fields.optional_string("probe_path", findings);
+    match &probe_path {
+        Some(Some(path)) if !is_path(path) => findings.error(
+            &walk::join(fields.path(), "probe_path"),
+            format!("{path:?} is not a path: it must start with / and hold no spaces"),
+        ),
+        _ => {}
+    }
     let zone_affinity = fields.boolean("zone_affinity", findings);
     let methods = fields.strings("idempotent_methods", findings);
     if let Some(Some(list)) = &methods {
@@ -151,11 +162,16 @@
         max_attempts: max_attempts?.unwrap_or(base.max_attempts),
         retry_budget_percent: retry_budget_percent?.unwrap_or(base.retry_budget_percent),
         probe_budget_per_s: probe_budget_per_s?.unwrap_or(base.probe_budget_per_s),
+        probe_path: probe_path?.unwrap_or_else(|| base.probe_path.clone()),
         zone_affinity: zone_affinity?.unwrap_or(base.zone_affinity),
         idempotent_methods: methods?.unwrap_or_else(|| base.idempotent_methods.clone()),
     })
 }
 
+fn is_path(text: &str) -> bool {
+    text.starts_with('/') && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
 /// Checks that a name is short lowercase ASCII with dashes, fit for paths and keys.
 fn check_name(path: &str, name: &str, findings: &mut Findings) {
     let valid = !name.is_empty()
--- a/crates/config/src/walk.rs
+++ b/crates/config/src/walk.rs
@@ -75,6 +75,18 @@
         }
     }
 
+    /// Takes an optional non-empty string.
+    pub(crate) fn optional_string(
+        &mut self,
+        key: &'static str,
+        findings: &mut Findings,
+    ) -> Option<Option<SmolStr>> {
+        match self.raw(key) {
+            None => Some(None),
+            Some(_) => self.string(key, findings).map(Some),
+        }
+    }
+
     /// Takes an optional whole number within `range`.
     pub(crate) fn uint(
         &mut self,
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -15,6 +15,12 @@
 /// Deadline of one call, as the caller sets it.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Deadline of connecting to one entry before the next is tried.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// When the entries are asked for again for the first time.
+const REFRESH_AT_FIRST: Duration = Duration::from_secs(1);
+
 /// Step of the arrival loop.
 const TICK: Duration = Duration::from_millis(1);
 
@@ -63,9 +69,15 @@
 pub async fn run(plan: Plan) -> Report {
     let entries = match plan.direct {
         true => vec![plan.seed],
-        false => discover(&plan).await,
+        false => {
+            discover(&plan, &[plan.seed]).await.map(|(entries, _)| entries).unwrap_or_default()
+        }
     };
     assert!(!entries.is_empty(), "the seed entry {} listed no entries", plan.seed);
+    let entries = Rc::new(RefCell::new(entries));
+    if !plan.direct {
+        monoio::spawn(refresh(plan.clone(), entries.clone()));
+    }
     let before = upstream_stats(&plan.upstreams).await;
     let tally = Rc::new(RefCell::new(Tally {
         light: Histogram::new_with_bounds(1, 60_000_000, 3).expect("bounds"),
@@ -82,7 +94,12 @@
         while sent < due_now.min(due_total) {
             let due_at = started + Duration::from_secs_f64(sent as f64 / plan.rate_per_s as f64);
             let heavy = (sent * 7919 % 100) < u64::from(plan.heavy_percent);
-            let entry = entries[(sent as usize) % entries.len()];
+            // Another entry of the list takes the call when the first cannot be connected to.
+            let order: Vec<SocketAddr> = {
+                let entries = entries.borrow();
+                let first = sent as usize % entries.len();
+                entries.iter().cycle().skip(first).take(entries.len()).copied().collect()
+            };
             sent += 1;
             if tally.borrow().in_flight >= MAX_IN_FLIGHT {
                 *tally.borrow_mut().errors.entry("overload-in-caller".into()).or_default() += 1;
@@ -91,7 +108,7 @@
             tally.borrow_mut().in_flight += 1;
             let (tally, idle, plan) = (tally.clone(), idle.clone(), plan.clone());
             monoio::spawn(async move {
-                let outcome = call(&plan, entry, heavy, sent, &idle).await;
+                let outcome = call(&plan, &order, heavy, sent, &idle).await;
                 let latency_us = due_at.elapsed().as_micros() as u64;
                 let mut t = tally.borrow_mut();
                 t.in_flight -= 1;
@@ -140,10 +157,10 @@
     }
 }
 
-/// Sends one call to `entry` and sorts its outcome.
+/// Sends one call to the first of `entries` that can be connected to and sorts its outcome.
 async fn call(
     plan: &Plan,
-    entry: SocketAddr,
+    entries: &[SocketAddr],
     heavy: bool,
     seq: u64,
     idle: &RefCell<Vec<web::Conn>>,
@@ -152,27 +169,21 @@
         true => format!("/s/{}/heavy/report", plan.service),
         false => format!("/s/{}/light/browse", plan.service),
     };
+    let mut conn = connect(entries, idle).await.ok_or("connect")?;
     let mut builder = http::Request::get(path)
-        .header(http::header::HOST, entry.to_string())
+        .header(http::header::HOST, conn.peer.to_string())
         .header(oatcoved::REQUEST_ID, format!("load-{seq}"));
     if let Some(team) = &plan.team {
         builder = builder.header(oatcoved::TEAM, team.as_str());
     }
     let request = builder.body(Bytes::new()).expect("request builds");
-    let reused = {
-        let mut list = idle.borrow_mut();
-        let position = list.iter().position(|c| c.peer == entry);
-        position.map(|i| list.swap_remove(i))
-    };
-    let mut conn = match reused {
-        Some(conn) => conn,
-        None => web::Conn::connect(entry, CALL_TIMEOUT).await.map_err(|_| "connect".to_owned())?,
-    };
     let response = conn.send(request, CALL_TIMEOUT).await.map_err(|err| match err {
         web::Error::Timeout => "timeout".to_owned(),
         _ => "transport".to_owned(),
     })?;
-    idle.borrow_mut().push(conn);
+    if !web::closes(response.headers()) {
+        idle.borrow_mut().push(conn);
+    }
     let outcome =
         response.headers().get(oatcoved::OUTCOME).and_then(|v| v.to_str().ok()).unwrap_or("none");
     match response.status().is_success() {
@@ -181,19 +192,58 @@
     }
 }
 
-/// Asks the seed entry for the entries of the plan's zone, own zone first.
-async fn discover(plan: &Plan) -> Vec<SocketAddr> {
+/// Returns a kept or fresh connection to the first of `entries` that takes one.
+async fn connect(entries: &[SocketAddr], idle: &RefCell<Vec<web::Conn>>) -> Option<web::Conn> {
+    for entry in entries {
+        let kept = {
+            let mut list = idle.borrow_mut();
+            let position = list.iter().position(|c| c.peer == *entry);
+            position.map(|i| list.swap_remove(i))
+        };
+        match kept {
+            Some(conn) => return Some(conn),
+            None => match web::Conn::connect(*entry, CONNECT_TIMEOUT).await {
+                Ok(conn) => return Some(conn),
+                Err(_) => continue,
+            },
+        }
+    }
+    None
+}
+
+/// Asks for the entries anew whenever the last answer's time to live is over, as callers do.
+async fn refresh(plan: Plan, entries: Rc<RefCell<Vec<SocketAddr>>>) {
+    let mut ttl = REFRESH_AT_FIRST;
+    loop {
+        monoio::time::sleep(ttl).await;
+        let ask: Vec<SocketAddr> = entries.borrow().iter().copied().chain([plan.seed]).collect();
+        if let Some((fresh, fresh_ttl)) = discover(&plan, &ask).await {
+            ttl = fresh_ttl;
+            *entries.borrow_mut() = fresh;
+        }
+    }
+}
+
+/// Asks the first of `ask` that answers for the entries of the plan's zone, and how long to keep them.
+///
+/// Entries of other zones are used only when the answer names none of the plan's own.
+async fn discover(plan: &Plan, ask: &[SocketAddr]) -> Option<(Vec<SocketAddr>, Duration)> {
     let path = format!("/v1/entries?service={}&zone={}", plan.service, plan.zone);
-    let Some(body) = get(plan.seed, &path).await else { return Vec::new() };
-    let Ok(answer) = serde_json::from_slice::<oatcoved::discovery::Entries>(&body) else {
-        return Vec::new();
-    };
-    let local: Vec<SocketAddr> =
-        answer.entries.iter().filter(|e| e.zone == plan.zone).map(|e| e.addr).collect();
-    match local.is_empty() {
-        true => answer.entries.iter().map(|e| e.addr).collect(),
-        false => local,
+    for entry in ask {
+        let Some(body) = get(*entry, &path).await else { continue };
+        let Ok(answer) = serde_json::from_slice::<oatcoved::discovery::Entries>(&body) else {
+            continue;
+        };
+        let local = answer.entries.iter().filter(|e| e.zone == plan.zone);
+        let local: Vec<SocketAddr> = local.map(|e| e.addr).collect();
+        let ttl = Duration::from_secs(answer.ttl_s);
+        match local.is_empty() {
+            true if answer.entries.is_empty() => continue,
+            true => return Some((answer.entries.iter().map(|e| e.addr).collect(), ttl)),
+            false => return Some((local, ttl)),
+        }
     }
+    None
 }
 
 /// Sums the stand-in counters of `upstreams`.
--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -41,7 +41,7 @@
         }
         /// The outcome could not be learned: the change may or may not be in force.
         Unknown(err: StoreError) {
-            display("outcome unknown: {}; `oatcove audit log` shows whether it landed", err)
+            display("outcome unknown: {}; `oatcove audit` shows whether it landed", err)
         }
     }
 }
@@ -119,32 +119,45 @@
         .map(|version| Applied::Written { version, change_id })
 }
 
-/// Marks the upstream at `upstream` drained, with its audit record.
+/// Marks the upstream VM `vm_id` at `upstream` drained, or with `lift` takes that back,
+/// with its audit record.
 ///
 /// Every entry node stops sending it new calls once it reads the drain
-/// (within one `config_poll_ms`), whatever the lagging VM list says.
+/// (within one `config_poll_ms`), whatever the lagging VM list says. The drain
+/// holds for that VM only: another VM that comes to the address gets work.
 ///
 /// # Errors
 ///
-/// As [`apply`]; an upstream already drained is [`Applied::Unchanged`].
+/// As [`apply`]; a drain already as asked for is [`Applied::Unchanged`].
 pub async fn drain(
     store: &Store,
     upstream: std::net::SocketAddr,
+    vm_id: &str,
+    lift: bool,
     actor: &str,
     patience: Patience,
 ) -> Result<Applied, ApplyError> {
     let key = smol_str::format_smolstr!("{upstream}");
-    if let Some(row) = with_retries(patience, || store.get(platform::DRAINS, &key)).await? {
-        return Ok(Applied::Unchanged { version: row.version });
-    }
+    let wanted = proto::Drain { vm_id: vm_id.into(), lifted: lift };
+    let wanted_text = serde_json::to_string(&wanted).expect("drain encodes");
+    let current = with_retries(patience, || store.get(platform::DRAINS, &key)).await?;
+    let version_before = match &current {
+        Some(row) if row.value == wanted_text => {
+            return Ok(Applied::Unchanged { version: row.version })
+        }
+        Some(row) => row.version,
+        None if lift => return Ok(Applied::Unchanged { version: 0 }),
+        None => 0,
+    };
     let change_id = new_change_id();
+    let verb = if lift { "-drain" } else { "+drain" };
     let record = audit::Record {
         change_id: change_id.clone(),
         service: "drains".into(),
         actor: actor.into(),
         at_unix_ms: unix_ms(),
-        version_before: 0,
-        diff: format!("+drain {upstream}\n"),
+        version_before,
+        diff: format!("{verb} {upstream} vm_id {vm_id}\n"),
     };
     let txn = proto::Txn {
         change_id: change_id.clone(),
@@ -152,8 +165,8 @@
             proto::Write {
                 table: platform::DRAINS.into(),
                 key: key.clone(),
-                expected_version: 0,
-                value: record.to_json(),
+                expected_version: version_before,
+                value: wanted_text.clone(),
             },
             proto::Write {
                 table: platform::AUDIT.into(),
@@ -165,8 +178,15 @@
     };
     match commit(store, &txn, (platform::DRAINS, &key), patience).await {
         Ok(version) => Ok(Applied::Written { version, change_id }),
-        // Another operator drained it between our read and our write: the drain holds.
-        Err(ApplyError::Conflict(version)) => Ok(Applied::Unchanged { version }),
+        Err(ApplyError::Conflict(version)) => {
+            // Another operator may have asked for the very same: then it holds.
+            match store.get(platform::DRAINS, &key).await {
+                Ok(Some(row)) if row.value == wanted_text => {
+                    Ok(Applied::Unchanged { version: row.version })
+                }
+                _ => Err(ApplyError::Conflict(version)),
+            }
+        }
         Err(err) => Err(err),
     }
 }
--- a/crates/oatcove/src/lib.rs
+++ b/crates/oatcove/src/lib.rs
@@ -4,3 +4,4 @@
 //! the version read, with its audit record in the same transaction.
 
 pub mod apply;
+pub mod drain;
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -51,6 +51,9 @@
         /// Wait until every entry node holds no call to it, then say it may stop
         #[bpaf(long("wait"), switch)]
         wait: bool,
+        /// Take the drain back: the upstream gets calls again
+        #[bpaf(long("lift"), switch)]
+        lift: bool,
         /// Upstream address, ip:port
         #[bpaf(positional("UPSTREAM"))]
         upstream: SocketAddr,
@@ -113,34 +116,13 @@
                 }
                 Err(err) => {
                     eprintln!("{}: {err}", file.display());
-                    match err {
-                        oatcove::apply::ApplyError::Invalid(_) => exit::INVALID,
-                        oatcove::apply::ApplyError::Conflict(_) => exit::CONFLICT,
-                        oatcove::apply::ApplyError::Unavailable(_) => exit::UNAVAILABLE,
-                        oatcove::apply::ApplyError::Unknown(_) => exit::UNKNOWN,
-                    }
+                    apply_exit(&err)
                 }
             }
         }
         Command::Audit { platform, service } => audit_log(platform, service.as_deref()).await,
-        Command::Drain { platform, actor, wait, upstream } => {
-            let store = platform::Store::new(platform);
-            match oatcove::apply::drain(&store, upstream, &actor, Default::default()).await {
-                Ok(oatcove::apply::Applied::Written { version, change_id }) => {
-                    println!("drained: {upstream} at version {version}, change {change_id}");
-                }
-                Ok(oatcove::apply::Applied::Unchanged { version }) => {
-                    println!("unchanged: {upstream} already drained at version {version}");
-                }
-                Err(err) => {
-                    eprintln!("error: {err}");
-                    return exit::UNAVAILABLE;
-                }
-            }
-            match wait {
-                true => wait_drained(&store, upstream).await,
-                false => 0,
-            }
+        Command::Drain { platform, actor, wait, lift, upstream } => {
+            drain(&platform::Store::new(platform), upstream, &actor, wait, lift).await
         }
         Command::Status { entry } => status(entry).await,
     }
@@ -183,70 +165,77 @@
     0
 }
 
-/// How long `drain --wait` waits for every entry node to let go of an upstream.
-const DRAIN_WAIT: std::time::Duration = std::time::Duration::from_secs(60);
+async fn drain(
+    store: &platform::Store,
+    upstream: SocketAddr,
+    actor: &str,
+    wait: bool,
+    lift: bool,
+) -> i32 {
+    let vm_id = match store.vms().await {
+        Ok(vms) => vms.into_iter().find(|vm| vm.addr == upstream).map(|vm| vm.id),
+        Err(err) => {
+            eprintln!("error: {err}");
+            return exit::UNAVAILABLE;
+        }
+    };
+    let Some(vm_id) = vm_id else {
+        eprintln!("error: the platform's VM list has no {upstream}; nothing written");
+        return exit::INVALID;
+    };
+    let done = if lift { "drain lifted" } else { "drained" };
+    match oatcove::apply::drain(store, upstream, &vm_id, lift, actor, Default::default()).await {
+        Ok(oatcove::apply::Applied::Written { version, change_id }) => {
+            println!("{done}: {upstream} at version {version}, change {change_id}");
+        }
+        Ok(oatcove::apply::Applied::Unchanged { version }) => {
+            println!("unchanged: {upstream} already {done} at version {version}");
+        }
+        Err(err) => {
+            eprintln!("error: {err}");
+            return apply_exit(&err);
+        }
+    }
+    match wait && !lift {
+        true => wait_drained(store, upstream).await,
+        false => 0,
+    }
+}
 
-/// Waits until every live entry node reports `upstream` leaving with no call outstanding.
 async fn wait_drained(store: &platform::Store, upstream: SocketAddr) -> i32 {
-    let started = std::time::Instant::now();
-    while started.elapsed() < DRAIN_WAIT {
-        let entries: Vec<SocketAddr> = match store.vms().await {
-            Ok(vms) => vms
-                .into_iter()
-                .filter(|vm| {
-                    vm.role == platform::proto::VmRole::Entry
-                        && vm.state == platform::proto::VmState::Live
-                })
-                .map(|vm| vm.addr)
-                .collect(),
-            Err(_) => Vec::new(),
-        };
-        let mut all = !entries.is_empty();
-        for entry in entries {
-            all &= match fetch_status(entry).await {
-                Some(status) => holds_none(&status, upstream),
-                None => false,
-            };
-        }
-        if all {
+    match oatcove::drain::wait(store, upstream).await {
+        Ok(took) => {
             println!(
                 "every entry node has {upstream} leaving with no call in flight after {} ms; it may stop",
-                started.elapsed().as_millis()
+                took.as_millis()
+            );
+            0
+        }
+        Err(holding) => {
+            let nodes: Vec<String> = holding.iter().map(SocketAddr::to_string).collect();
+            eprintln!(
+                "error: after {} s these entry nodes still hold calls to {upstream} or do not answer: {}",
+                oatcove::drain::WAIT.as_secs(),
+                nodes.join(", ")
             );
-            return 0;
+            exit::UNAVAILABLE
         }
-        monoio::time::sleep(std::time::Duration::from_millis(50)).await;
     }
-    eprintln!("error: entry nodes still hold calls to {upstream} after {} s", DRAIN_WAIT.as_secs());
-    exit::UNAVAILABLE
-}
-
-/// Returns true when `status` lists `upstream` as leaving with nothing outstanding, or not at all.
-fn holds_none(status: &serde_json::Value, upstream: SocketAddr) -> bool {
-    let text = upstream.to_string();
-    let Some(pools) = status["upstreams"].as_object() else { return false };
-    pools.values().flat_map(|list| list.as_array().into_iter().flatten()).all(|u| {
-        u["addr"].as_str() != Some(text.as_str())
-            || (u["leaving"].as_bool() == Some(true) && u["outstanding"].as_u64() == Some(0))
-    })
 }
 
-async fn fetch_status(entry: SocketAddr) -> Option<serde_json::Value> {
-    let response = get(entry, "/v1/status").await.ok()?;
-    serde_json::from_slice(response.body()).ok()
-}
-
-/// Deadline of one request to an entry node.
-const ENTRY_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(2);
-
-async fn get(entry: SocketAddr, path: &str) -> Result<web::Response, web::Error> {
-    web::fetch(entry, http::Method::GET, path, bytes::Bytes::new(), ENTRY_TIMEOUT).await
+fn apply_exit(err: &oatcove::apply::ApplyError) -> i32 {
+    match err {
+        oatcove::apply::ApplyError::Invalid(_) => exit::INVALID,
+        oatcove::apply::ApplyError::Conflict(_) => exit::CONFLICT,
+        oatcove::apply::ApplyError::Unavailable(_) => exit::UNAVAILABLE,
+        oatcove::apply::ApplyError::Unknown(_) => exit::UNKNOWN,
+    }
 }
 
 async fn status(entry: SocketAddr) -> i32 {
-    match get(entry, "/v1/status").await {
-        Ok(response) => {
-            println!("{}", String::from_utf8_lossy(response.body()));
+    match oatcove::drain::fetch_status(entry).await {
+        Ok(body) => {
+            println!("{}", String::from_utf8_lossy(&body));
             0
         }
         Err(err) => {
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -4,53 +4,103 @@
 //! outage must not empty a node's config or pools.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use local_sync::mpsc::unbounded::Tx;
 use platform::proto;
 
 use crate::view::{Held, View};
+use crate::{gossip, probe};
 
-/// Polls the table service for template rows newer than those held, forever.
-pub async fn config(store: Rc<platform::Store>, view: Rc<RefCell<View>>, every: Duration) {
+/// Channels to the tasks that act on what the followers read.
+#[derive(Clone)]
+pub struct Links {
+    /// The membership task.
+    pub gossip: Tx<gossip::Input>,
+    /// The watching task.
+    pub probe: Tx<probe::Input>,
+}
+
+/// Polls the table service for config rows newer than those held, forever.
+///
+/// While the platform does not answer, newer rows come from a peer that holds
+/// them ([`crate::relay`]).
+pub async fn config(
+    store: Rc<platform::Store>,
+    view: Rc<RefCell<View>>,
+    every: Duration,
+    links: Links,
+) {
     loop {
-        let since = view.borrow().config_head;
-        match store.since(platform::TEMPLATES, since).await {
-            Ok(rows) => apply_templates(&mut view.borrow_mut(), rows),
-            Err(err) => log::warn!("config poll failed, keeping config at {since}: {err}"),
+        let held = view.borrow().held_head();
+        if let Err(err) = read_config(&store, &view).await {
+            log::warn!("config poll failed, keeping config at {held}: {err}");
+            let source = crate::relay::config_source(&view.borrow(), &mut rand::rng());
+            if let Some(peer) = source {
+                match read_config(&platform::Store::new(peer), &view).await {
+                    Ok(()) => view.borrow_mut().counters.relayed_reads += 1,
+                    Err(err) => log::warn!("peer={peer} could not relay the config: {err}"),
+                }
+            }
         }
-        let since = view.borrow().drain_head;
-        match store.since(platform::DRAINS, since).await {
-            Ok(rows) => apply_drains(&mut view.borrow_mut(), rows),
-            Err(err) => log::warn!("drain poll failed, keeping drains at {since}: {err}"),
+        let now_held = view.borrow().held_head();
+        if now_held != held {
+            let _ = links.gossip.send(gossip::Input::ConfigHead(now_held));
+            let _ = links.probe.send(probe::Input::Changed(None));
         }
         monoio::time::sleep(every).await;
     }
 }
 
-/// Applies drain rows: each names an upstream address that gets no new calls.
+/// Reads and applies what is newer than held from the platform, or from a peer that relays it.
+async fn read_config(
+    store: &platform::Store,
+    view: &RefCell<View>,
+) -> Result<(), platform::StoreError> {
+    let since = view.borrow().config_head;
+    let rows = store.since(platform::TEMPLATES, since).await?;
+    apply_templates(&mut view.borrow_mut(), rows);
+    let since = view.borrow().drain_head;
+    let rows = store.since(platform::DRAINS, since).await?;
+    apply_drains(&mut view.borrow_mut(), rows);
+    Ok(())
+}
+
+/// Applies drain rows: each names an upstream that gets no new calls.
 ///
 /// Drains are kept apart from the VM list, which lags and would otherwise
 /// mark a drained upstream live again at its next rebuild; [`apply_vms`]
-/// consults them on every rebuild.
+/// consults them on every rebuild. As with templates, an older row never
+/// replaces a newer one.
 pub fn apply_drains(view: &mut View, rows: proto::Rows) {
+    let mut changed = false;
     for row in rows.rows {
-        let Ok(addr) = row.key.parse::<std::net::SocketAddr>() else {
-            log::error!("drain row {:?} is not an address; ignored", row.key);
-            continue;
-        };
-        if view.drained.insert(addr) {
-            log::info!(
-                "node={} zone={} upstream={addr} drained",
-                view.settings.node_id,
-                view.settings.zone
-            );
-        }
-        for pool in view.pools.values_mut() {
-            pool.mark_leaving(addr);
+        let addr = row.key.parse::<SocketAddr>();
+        let drain = serde_json::from_str::<proto::Drain>(&row.value);
+        match (addr, drain) {
+            (Ok(addr), _)
+                if view.drains.get(&addr).is_some_and(|(_, r)| r.version >= row.version) => {}
+            (Ok(addr), Ok(drain)) => {
+                log::info!(
+                    "node={} zone={} upstream={addr} vm_id={} drain {}",
+                    view.settings.node_id,
+                    view.settings.zone,
+                    drain.vm_id,
+                    if drain.lifted { "lifted" } else { "in force" }
+                );
+                view.drains.insert(addr, (drain, row));
+                changed = true;
+            }
+            (Err(_), _) => log::error!("drain row {:?} is not an address; ignored", row.key),
+            (_, Err(err)) => log::error!("drain row {:?} is unreadable: {err}; ignored", row.key),
         }
     }
     view.drain_head = view.drain_head.max(rows.head);
+    if changed {
+        rebuild(view);
+    }
 }
 
 /// Applies template rows read from the table service.
@@ -74,8 +124,10 @@
                     row.change_id
                 );
                 view.counters.config_applied += 1;
-                view.templates
-                    .insert(row.key, Held { version: row.version, template: Rc::new(template) });
+                view.templates.insert(
+                    row.key.clone(),
+                    Held { version: row.version, template: Rc::new(template), row },
+                );
             }
             Err(findings) => {
                 log::error!(
@@ -90,25 +142,77 @@
 }
 
 /// Polls the VM list for changes after the version held, forever.
-pub async fn vms(store: Rc<platform::Store>, view: Rc<RefCell<View>>, every: Duration) {
+///
+/// Each successful read renews the right to probe (crate `watch`), counted
+/// from when it was asked for. A list relayed by a peer does not: how old it
+/// was when the peer read it is not known.
+pub async fn vms(
+    store: Rc<platform::Store>,
+    view: Rc<RefCell<View>>,
+    every: Duration,
+    links: Links,
+) {
     loop {
         let since = view.borrow().vm_head;
+        let asked_at = Instant::now();
         match store.vm_changes(since).await {
-            Ok(changes) => apply_vm_changes(&mut view.borrow_mut(), since, changes),
-            Err(err) => log::warn!("VM list poll failed, keeping pools: {err}"),
+            Ok(changes) => {
+                let changed = apply_vm_changes(&mut view.borrow_mut(), since, changes);
+                let input = match changed {
+                    true => probe::Input::Changed(Some(asked_at)),
+                    false => probe::Input::Confirmed(asked_at),
+                };
+                let _ = links.probe.send(input);
+                if changed {
+                    tell_listed(&view, &links);
+                }
+            }
+            Err(err) => {
+                log::warn!("VM list poll failed, keeping pools: {err}");
+                relay_vms(&view, &links).await;
+            }
         }
         monoio::time::sleep(every).await;
     }
 }
 
+/// Takes the VM list from a peer while this node has none and the platform does not answer.
+///
+/// Without it, a node started during an outage would have no upstreams and
+/// refuse every call until the platform is back.
+async fn relay_vms(view: &Rc<RefCell<View>>, links: &Links) {
+    if view.borrow().vm_head > 0 {
+        return;
+    }
+    let Some(peer) = crate::relay::any_source(&view.borrow(), &mut rand::rng()) else { return };
+    match platform::Store::new(peer).vms().await {
+        Ok(vms) if !vms.is_empty() => {
+            {
+                let mut view = view.borrow_mut();
+                view.counters.relayed_reads += 1;
+                view.vms = vms.into_iter().map(|vm| (vm.addr, vm)).collect();
+                rebuild(&mut view);
+            }
+            tell_listed(view, links);
+        }
+        Ok(_) => {}
+        Err(err) => log::warn!("peer={peer} could not relay the VM list: {err}"),
+    }
+}
+
+fn tell_listed(view: &RefCell<View>, links: &Links) {
+    let listed = view.borrow().entries.iter().map(|vm| (vm.addr, vm.zone.clone())).collect();
+    let _ = links.gossip.send(gossip::Input::Listed(listed));
+}
+
 /// Applies the VM-list changes read after version `since`.
 ///
 /// An answer to `since == 0` is the whole list and replaces what is held. A
 /// head below the one held means the platform's change log was reset (a
 /// restarted or restored service): the held list can no longer be patched,
 /// so the next poll reads the whole list again, while the pools held keep
-/// serving until it arrives.
-pub fn apply_vm_changes(view: &mut View, since: proto::Version, changes: proto::VmChanges) {
+/// serving until it arrives. Returns true when the list held changed.
+pub fn apply_vm_changes(view: &mut View, since: proto::Version, changes: proto::VmChanges) -> bool {
     match () {
         _ if changes.head < since => {
             log::warn!(
@@ -116,22 +220,35 @@
                 changes.head
             );
             view.vm_head = 0;
-            return;
+            return false;
         }
         _ if since == 0 => view.vms.clear(),
         _ if changes.vms.is_empty() => {
             view.vm_head = changes.head;
-            return;
+            return false;
         }
         _ => {}
     }
     for vm in changes.vms {
+        let another = view
+            .vms
+            .get(&vm.addr)
+            .is_some_and(|held| (&held.id, &held.service) != (&vm.id, &vm.service));
+        if another || vm.state == proto::VmState::Gone {
+            view.forget_reports(vm.addr);
+        }
         match vm.state {
             proto::VmState::Gone => view.vms.remove(&vm.addr),
             _ => view.vms.insert(vm.addr, vm),
         };
     }
     view.vm_head = changes.head;
+    rebuild(view);
+    true
+}
+
+/// Rebuilds what follows from the VM list held.
+fn rebuild(view: &mut View) {
     let vms: Vec<proto::Vm> = view.vms.values().cloned().collect();
     apply_vms(view, &vms);
 }
@@ -141,7 +258,7 @@
     let mut members: std::collections::HashMap<smol_str::SmolStr, Vec<_>> = Default::default();
     for vm in vms.iter().filter(|vm| vm.role == proto::VmRole::Upstream) {
         let standing = match vm.state {
-            _ if view.drained.contains(&vm.addr) => balance::Standing::Leaving,
+            _ if view.is_drained(vm) => balance::Standing::Leaving,
             proto::VmState::Live => balance::Standing::Live,
             proto::VmState::Leaving | proto::VmState::Gone => balance::Standing::Leaving,
         };
@@ -151,6 +268,7 @@
     for (service, list) in members {
         view.pools.entry(service).or_default().set_members(&list);
     }
+    view.apply_reports();
     view.entries = vms
         .iter()
         .filter(|vm| vm.role == proto::VmRole::Entry && vm.state == proto::VmState::Live)
--- a/crates/oatcoved/src/follow/tests.rs
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -21,6 +21,7 @@
         role: proto::VmRole::Upstream,
         service: "swap-desk".into(),
         state,
+        id: Default::default(),
     }
 }
 
@@ -116,3 +117,85 @@
     assert_eq!(standing(9001), Some(balance::Standing::Leaving));
     assert_eq!(standing(9002), Some(balance::Standing::Live));
 }
+
+/// Symptom: a new VM at a reused address never gets a call.
+/// Sequence: an upstream is drained and goes; later another VM is listed at
+/// its address.
+/// Cause: a drain that names only the address. It names the VM.
+#[test]
+fn a_drain_does_not_hold_for_the_next_vm_at_the_address() {
+    let mut view = view();
+    let old = proto::Vm { id: "vm-1".into(), ..upstream(9001, proto::VmState::Live) };
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 1, vms: vec![old] });
+    let drain = proto::Row {
+        key: "127.0.0.1:9001".into(),
+        version: 7,
+        value: r#"{"vm_id":"vm-1"}"#.into(),
+        change_id: "d".into(),
+    };
+    apply_drains(&mut view, proto::Rows { head: 7, rows: vec![drain] });
+    let standing = |view: &crate::view::View| view.pools["swap-desk"].upstreams[0].standing;
+    assert_eq!(standing(&view), balance::Standing::Leaving);
+    let next = proto::Vm { id: "vm-2".into(), ..upstream(9001, proto::VmState::Live) };
+    apply_vm_changes(&mut view, 1, proto::VmChanges { head: 2, vms: vec![next] });
+    assert_eq!(standing(&view), balance::Standing::Live);
+}
+
+/// Symptom: an operator lifts a drain and the upstream stays out of work, or
+/// a late answer drains it again.
+/// Sequence: drain at version 7, lifted at 8, then 7 is read once more.
+/// Cause: drains that only ever add up, or an older row replacing a newer one.
+#[test]
+fn a_lifted_drain_stays_lifted() {
+    let mut view = view();
+    let live = vec![upstream(9001, proto::VmState::Live)];
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 1, vms: live });
+    let row = |version, value: &str| proto::Row {
+        key: "127.0.0.1:9001".into(),
+        version,
+        value: value.into(),
+        change_id: "d".into(),
+    };
+    let (drain, lift) = (row(7, "{}"), row(8, r#"{"lifted":true}"#));
+    apply_drains(&mut view, proto::Rows { head: 7, rows: vec![drain.clone()] });
+    apply_drains(&mut view, proto::Rows { head: 8, rows: vec![lift] });
+    apply_drains(&mut view, proto::Rows { head: 7, rows: vec![drain] });
+    assert_eq!(view.pools["swap-desk"].upstreams[0].standing, balance::Standing::Live);
+}
+
+/// Symptom: a new upstream is shunned for what its predecessor at the address did.
+/// Sequence: watchers say an upstream drains; it is gone; another VM comes to its address.
+/// Cause: reports kept by address across VMs.
+#[test]
+fn reports_do_not_outlive_the_vm() {
+    let mut view = view();
+    let vm = |id: &str, state| proto::Vm { id: id.into(), ..upstream(9001, state) };
+    let live = proto::VmState::Live;
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 1, vms: vec![vm("vm-1", live)] });
+    let (up, watcher) = (vm("vm-1", live).addr, "127.0.0.1:7101".parse().expect("address"));
+    view.report(up, watcher, wire::Verdict::Draining);
+    let report = |view: &crate::view::View| view.pools["swap-desk"].upstreams[0].report;
+    assert_eq!(report(&view), balance::Report::Draining);
+    apply_vm_changes(&mut view, 1, proto::VmChanges { head: 2, vms: vec![vm("vm-2", live)] });
+    assert_eq!(report(&view), balance::Report::Good);
+}
+
+/// Symptom: one mistaken watcher clears or hides what another saw.
+/// Sequence: two watchers disagree on an upstream; one withdraws.
+/// Cause: keeping only the last word. The worst of each watcher's last word counts.
+#[test]
+fn the_worst_of_the_watchers_words_counts() {
+    let mut view = view();
+    let live = vec![upstream(9001, proto::VmState::Live)];
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 1, vms: live });
+    let up = upstream(9001, proto::VmState::Live).addr;
+    let watcher = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let report = |view: &crate::view::View| view.pools["swap-desk"].upstreams[0].report;
+    view.report(up, watcher(1), wire::Verdict::Draining);
+    view.report(up, watcher(2), wire::Verdict::Failing);
+    assert_eq!(report(&view), balance::Report::Draining);
+    view.report(up, watcher(1), wire::Verdict::Healthy);
+    assert_eq!(report(&view), balance::Report::Failing);
+    view.report(up, watcher(2), wire::Verdict::Healthy);
+    assert_eq!(report(&view), balance::Report::Good);
+}
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -2,12 +2,20 @@
 //!
 //! One process per entry VM. It answers callers which entry addresses to use
 //! ([`discovery`]), forwards their HTTP calls to upstreams ([`proxy`]), and
-//! follows the config and the VM list kept by the platform ([`follow`]). All
-//! of its tasks run on one monoio thread and share one [`view::View`].
+//! follows the config and the VM list kept by the platform ([`follow`], with
+//! [`relay`] from peers while it does not answer), knows its peers
+//! ([`gossip`]), watches upstreams within the fleet's budget ([`probe`]) and
+//! stops without cutting calls ([`stop`]). All of its tasks run on one monoio
+//! thread; each owns its sockets, they talk by messages, and what the request
+//! path reads is one [`view::View`].
 
 pub mod discovery;
 pub mod follow;
+pub mod gossip;
+pub mod probe;
 pub mod proxy;
+pub mod relay;
+pub mod stop;
 pub mod view;
 
 #[cfg(test)]
--- a/crates/oatcoved/src/main.rs
+++ b/crates/oatcoved/src/main.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use bpaf::Bpaf;
+use local_sync::mpsc::unbounded;
 
 /// The oatcove entry node.
 #[derive(Bpaf, Debug)]
@@ -50,12 +51,19 @@
 async fn run(mut settings: config::NodeSettings) {
     let listener = match monoio::net::TcpListener::bind(settings.listen_addr) {
         Ok(listener) => listener,
+        Err(err) => fail(format_args!("cannot listen on {}: {err}", settings.listen_addr)),
+    };
+    settings.listen_addr = listener.local_addr().expect("bound address");
+    let socket = match oatcoved::gossip::bind(settings.listen_addr) {
+        Ok(socket) => socket,
         Err(err) => {
-            eprintln!("error: cannot listen on {}: {err}", settings.listen_addr);
-            std::process::exit(1);
+            fail(format_args!("cannot listen for peers on udp {}: {err}", settings.listen_addr))
         }
     };
-    settings.listen_addr = listener.local_addr().expect("bound address");
+    let stop_flag = match oatcoved::stop::on_signal() {
+        Ok(flag) => flag,
+        Err(err) => fail(format_args!("cannot handle signals: {err}")),
+    };
     println!("listening on {}", settings.listen_addr);
     log::info!(
         "node={} zone={} listening on {}",
@@ -67,7 +75,18 @@
     let vm_store = Rc::new(platform::Store::new(settings.platform_addr));
     let (config_poll, vm_poll) = (settings.config_poll, settings.vm_poll);
     let view = Rc::new(RefCell::new(oatcoved::view::View::new(settings)));
-    monoio::spawn(oatcoved::follow::config(store, view.clone(), config_poll));
-    monoio::spawn(oatcoved::follow::vms(vm_store, view.clone(), vm_poll));
-    web::serve(listener, Rc::new(oatcoved::proxy::Node::new(view))).await;
+    let (gossip, gossip_inputs) = unbounded::channel();
+    let (probe, probe_inputs) = unbounded::channel();
+    let links = oatcoved::follow::Links { gossip: gossip.clone(), probe: probe.clone() };
+    monoio::spawn(oatcoved::gossip::run(socket, view.clone(), gossip.clone(), gossip_inputs));
+    monoio::spawn(oatcoved::probe::run(view.clone(), probe, probe_inputs, gossip.clone()));
+    monoio::spawn(oatcoved::follow::config(store, view.clone(), config_poll, links.clone()));
+    monoio::spawn(oatcoved::follow::vms(vm_store, view.clone(), vm_poll, links));
+    monoio::spawn(web::serve(listener, Rc::new(oatcoved::proxy::Node::new(view.clone()))));
+    oatcoved::stop::wait(stop_flag, view, gossip).await;
+}
+
+fn fail(message: std::fmt::Arguments<'_>) -> ! {
+    eprintln!("error: {message}");
+    std::process::exit(1);
 }
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -241,10 +241,7 @@
 
     /// Keeps a connection whose last response was read whole, unless either side asked to close.
     fn keep_idle(&self, addr: SocketAddr, conn: web::Conn, response: &web::Response) {
-        let closing = response
-            .headers()
-            .get(http::header::CONNECTION)
-            .is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+        let closing = web::closes(response.headers());
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(addr).or_default();
         if !closing && list.len() < IDLE_PER_UPSTREAM {
@@ -273,6 +270,18 @@
 
 impl web::Handler for Node {
     async fn handle(&self, request: web::Request, _peer: SocketAddr) -> web::Response {
+        let mut response = self.route(request).await;
+        if self.view.borrow().stopping {
+            // The caller's next call must go to another entry node.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(http::header::CONNECTION, close);
+        }
+        response
+    }
+}
+
+impl Node {
+    async fn route(&self, request: web::Request) -> web::Response {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&http::Method::GET, "/v1/entries") => {
@@ -291,6 +300,19 @@
                     ),
                 }
             }
+            (&http::Method::GET, "/v1/vms") => {
+                let vms: Vec<_> = self.view.borrow().vms.values().cloned().collect();
+                web::json(StatusCode::OK, serde_json::to_vec(&vms).expect("encodes"))
+            }
+            (&http::Method::GET, p) if p.starts_with("/v1/rows/") => {
+                let since = web::query(request.uri(), "since").and_then(|v| v.parse().ok());
+                match crate::relay::rows(&self.view.borrow(), &p[9..], since.unwrap_or(0)) {
+                    Some(rows) => {
+                        web::json(StatusCode::OK, serde_json::to_vec(&rows).expect("encodes"))
+                    }
+                    None => web::reply(StatusCode::NOT_FOUND, "no such table is relayed\n"),
+                }
+            }
             (&http::Method::GET, "/v1/status") => {
                 let status = self.view.borrow().status();
                 web::json(StatusCode::OK, serde_json::to_vec(&status).expect("encodes"))
@@ -303,7 +325,10 @@
                     None => format!("/{tail}"),
                 };
                 let service = service.to_owned();
-                self.forward(request, &service, &tail).await
+                self.view.borrow_mut().in_flight += 1;
+                let response = self.forward(request, &service, &tail).await;
+                self.view.borrow_mut().in_flight -= 1;
+                response
             }
             _ => web::reply(StatusCode::NOT_FOUND, "no such route; calls go to /s/{service}/...\n"),
         }
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -48,6 +48,7 @@
             role: proto::VmRole::Upstream,
             service: "svc".into(),
             state: proto::VmState::Live,
+            id: Default::default(),
         })
         .collect();
     crate::follow::apply_vms(&mut view, &vms);
--- a/crates/oatcoved/src/test_support.rs
+++ b/crates/oatcoved/src/test_support.rs
@@ -14,6 +14,9 @@
         config_poll: Duration::from_millis(100),
         vm_poll: Duration::from_millis(100),
         entries_ttl: Duration::from_secs(30),
+        probe_cap_per_s: 20,
+        stop_grace: Duration::from_secs(10),
+        seed_addrs: Vec::new(),
     };
     View::new(settings)
 }
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -1,6 +1,7 @@
 //! What one entry node currently believes: templates, upstream pools, peers.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use platform::proto;
@@ -24,6 +25,29 @@
     pub config_applied: u64,
     /// Config rows ignored because they were not newer than what is held.
     pub config_stale_ignored: u64,
+    /// Config or VM-list reads answered by a peer while the platform did not answer.
+    pub relayed_reads: u64,
+    /// Probes sent to upstreams.
+    pub probes_sent: u64,
+    /// Membership packets sent to peers.
+    pub peer_packets_sent: u64,
+    /// Bytes of membership packets sent.
+    pub peer_bytes_sent: u64,
+    /// Bytes of membership packets received.
+    pub peer_bytes_received: u64,
+    /// Datagrams refused because they could not be read.
+    pub peer_packets_refused: u64,
+}
+
+/// What is known of another entry node.
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// What membership believes of it; `None` before it was heard of.
+    pub standing: Option<wire::Standing>,
+    /// Highest commit of the config it holds.
+    pub config_head: proto::Version,
 }
 
 /// One template as held, with the table version it came from.
@@ -31,6 +55,8 @@
 pub struct Held {
     /// Version of the template row.
     pub version: proto::Version,
+    /// The row as read, passed on to peers that cannot reach the platform.
+    pub row: proto::Row,
     /// The checked template.
     pub template: Rc<config::Template>,
 }
@@ -48,13 +74,21 @@
     /// Live entry VMs, from the VM list.
     pub entries: Vec<proto::Vm>,
     /// The VM list as held, by address.
-    pub vms: std::collections::BTreeMap<std::net::SocketAddr, proto::Vm>,
+    pub vms: BTreeMap<SocketAddr, proto::Vm>,
     /// Version of the newest VM-list change held.
     pub vm_head: proto::Version,
-    /// Upstreams an operator drained; they stay leaving whatever the VM list says.
-    pub drained: std::collections::BTreeSet<std::net::SocketAddr>,
+    /// Drain rows by upstream address; see [`View::is_drained`].
+    pub drains: BTreeMap<SocketAddr, (proto::Drain, proto::Row)>,
     /// Highest table commit whose drain rows have all been read.
     pub drain_head: proto::Version,
+    /// Other entry nodes, as membership knows them.
+    pub peers: BTreeMap<SocketAddr, Peer>,
+    /// Bad verdicts on upstreams, by upstream and watcher.
+    pub reports: BTreeMap<SocketAddr, BTreeMap<SocketAddr, wire::Verdict>>,
+    /// Calls being forwarded.
+    pub in_flight: u64,
+    /// Set once the node is stopping.
+    pub stopping: bool,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -70,8 +104,12 @@
             entries: Vec::new(),
             vms: Default::default(),
             vm_head: 0,
-            drained: Default::default(),
+            drains: Default::default(),
             drain_head: 0,
+            peers: Default::default(),
+            reports: Default::default(),
+            in_flight: 0,
+            stopping: false,
             counters: Counters::default(),
         }
     }
@@ -88,6 +126,10 @@
     pub config_head: proto::Version,
     /// Template version per service.
     pub templates: HashMap<SmolStr, proto::Version>,
+    /// Other entry nodes by address: what membership believes of them.
+    pub peers: BTreeMap<SocketAddr, String>,
+    /// Calls being forwarded now.
+    pub in_flight: u64,
     /// Upstreams per service: address, standing, outstanding calls, latency EWMA in ms.
     pub upstreams: HashMap<SmolStr, Vec<UpstreamStatus>>,
     /// Counters since start.
@@ -98,11 +140,13 @@
 #[derive(Debug, Serialize)]
 pub struct UpstreamStatus {
     /// Address.
-    pub addr: std::net::SocketAddr,
+    pub addr: SocketAddr,
     /// Zone.
     pub zone: SmolStr,
-    /// `live` or `leaving`.
+    /// Whether it is leaving: by the VM list, a drain, or its own word to a watcher.
     pub leaving: bool,
+    /// Whether a watcher holds it to be failing.
+    pub failing: bool,
     /// Calls outstanding from this node.
     pub outstanding: u32,
     /// Latency EWMA, in milliseconds.
@@ -110,6 +154,58 @@
 }
 
 impl View {
+    /// Returns the highest commit up to which every config table has been read.
+    pub fn held_head(&self) -> proto::Version {
+        self.config_head.min(self.drain_head)
+    }
+
+    /// Returns true when an operator drained this very VM.
+    ///
+    /// A drain names the VM's id: an address can come back on a new VM, which
+    /// must get work although its predecessor at the address was drained.
+    pub fn is_drained(&self, vm: &proto::Vm) -> bool {
+        self.drains.get(&vm.addr).is_some_and(|(drain, _)| drain.holds_for(vm))
+    }
+
+    /// Takes what `watcher` says of `upstream` and applies the worst that any watcher says.
+    pub fn report(&mut self, upstream: SocketAddr, watcher: SocketAddr, verdict: wire::Verdict) {
+        let by_watcher = self.reports.entry(upstream).or_default();
+        match verdict {
+            wire::Verdict::Healthy => by_watcher.remove(&watcher),
+            bad => by_watcher.insert(watcher, bad),
+        };
+        if by_watcher.is_empty() {
+            self.reports.remove(&upstream);
+        }
+        self.apply_report(upstream);
+    }
+
+    /// Drops what was said of `upstream`: another VM is at its address now.
+    pub fn forget_reports(&mut self, upstream: SocketAddr) {
+        if self.reports.remove(&upstream).is_some() {
+            self.apply_report(upstream);
+        }
+    }
+
+    /// Applies every report to the pools, after they were rebuilt.
+    pub fn apply_reports(&mut self) {
+        let reported: Vec<SocketAddr> = self.reports.keys().copied().collect();
+        reported.into_iter().for_each(|upstream| self.apply_report(upstream));
+    }
+
+    fn apply_report(&mut self, upstream: SocketAddr) {
+        let worst = self.reports.get(&upstream).and_then(|by| by.values().max());
+        let report = match worst {
+            Some(wire::Verdict::Draining) => balance::Report::Draining,
+            Some(wire::Verdict::Failing) => balance::Report::Failing,
+            Some(wire::Verdict::Healthy) | None => balance::Report::Good,
+        };
+        let service = self.vms.get(&upstream).map(|vm| vm.service.clone());
+        if let Some(pool) = service.and_then(|service| self.pools.get_mut(&service)) {
+            pool.set_report(upstream, report);
+        }
+    }
+
     /// Returns the node's status report.
     pub fn status(&self) -> Status {
         let upstreams = self
@@ -122,7 +218,9 @@
                     .map(|u| UpstreamStatus {
                         addr: u.addr,
                         zone: u.zone.clone(),
-                        leaving: u.standing == balance::Standing::Leaving,
+                        leaving: u.standing == balance::Standing::Leaving
+                            || u.report == balance::Report::Draining,
+                        failing: u.report == balance::Report::Failing,
                         outstanding: u.outstanding,
                         latency_ewma_ms: u.latency_ewma_us / 1_000.0,
                     })
@@ -135,6 +233,15 @@
             zone: self.settings.zone.clone(),
             config_head: self.config_head,
             templates: self.templates.iter().map(|(s, h)| (s.clone(), h.version)).collect(),
+            peers: self
+                .peers
+                .iter()
+                .map(|(addr, peer)| {
+                    let standing = peer.standing.map_or("Unknown".to_owned(), |s| format!("{s:?}"));
+                    (*addr, standing)
+                })
+                .collect(),
+            in_flight: self.in_flight,
             upstreams,
             counters: self.counters.clone(),
         }
--- a/crates/platform/src/proto.rs
+++ b/crates/platform/src/proto.rs
@@ -107,6 +107,27 @@
     pub service: SmolStr,
     /// Live or leaving.
     pub state: VmState,
+    /// Id of this VM, new for each VM; empty where the platform gives none.
+    #[serde(default)]
+    pub id: SmolStr,
+}
+
+/// Value of a row of the drains table, whose key is the upstream's address.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    /// Id of the VM drained; empty when the VM list gave none, and in rows of before ids.
+    #[serde(default)]
+    pub vm_id: SmolStr,
+    /// Whether an operator took the drain back.
+    #[serde(default)]
+    pub lifted: bool,
+}
+
+impl Drain {
+    /// Returns true when the drain is in force for `vm`.
+    pub fn holds_for(&self, vm: &Vm) -> bool {
+        !self.lifted && (self.vm_id.is_empty() || vm.id.is_empty() || self.vm_id == vm.id)
+    }
 }
 
 /// Changes of the VM list after a given version, from `GET /v1/vms?since=V`.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -66,6 +66,12 @@
 #[derive(Clone, Copy, Debug)]
 pub struct DropConnection;
 
+/// Returns true when the sender of `headers` ends the connection after this message.
+pub fn closes(headers: &http::HeaderMap) -> bool {
+    let connection = headers.get(http::header::CONNECTION);
+    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 /// Builds a response with `status` and a body.
 pub fn reply(status: http::StatusCode, body: impl Into<Bytes>) -> Response {
     let mut response = http::Response::new(body.into());
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -54,13 +54,15 @@
         if codec.fill_payload().await.is_err() {
             return;
         }
+        let caller_closes = crate::closes(request.headers());
         let (parts, payload) = request.into_parts();
         let Ok(body) = crate::read_payload(payload).await else { return };
         let response = handler.handle(http::Request::from_parts(parts, body), peer).await;
         if response.extensions().get::<crate::DropConnection>().is_some() {
             return;
         }
-        if send(&mut codec, response).await.is_err() {
+        let closing = caller_closes || crate::closes(response.headers());
+        if send(&mut codec, response).await.is_err() || closing {
             return;
         }
     }
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -46,6 +46,25 @@
         Duration::from_nanos(ns)
     }
 
+    /// Sends the process a signal.
+    pub fn signal(&self, signal: rustix::process::Signal) {
+        let pid = rustix::process::Pid::from_child(&self.child);
+        rustix::process::kill_process(pid, signal).expect("the process is ours");
+    }
+
+    /// Waits for the process to end by itself; returns whether it exited with success,
+    /// or `None` when it still runs after `limit`.
+    pub fn wait_exit(&mut self, limit: Duration) -> Option<bool> {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.success());
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
     /// Resident memory of the process now, in bytes, from `/proc/PID/status`.
     pub fn rss_bytes(&self) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
@@ -101,44 +120,89 @@
                 upstreams.push(spawn(bins, dir, "oatcove-upstream", &args, zone, &name));
             }
         }
-        let mut entries = Vec::new();
+        let (bins, dir) = (bins.to_owned(), dir.to_owned());
+        let mut cluster = Cluster { bins, dir, platform, upstreams, entries: Vec::new() };
         for index in 0..spec.entries {
-            let zone = &spec.zones[index % spec.zones.len()];
-            let settings = format!(
-                "node_id: entry-{index}\nzone: {zone}\nlisten_addr: 127.0.0.1:0\nplatform_addr: {}\nconfig_poll_ms: 200\nvm_poll_ms: 200\n",
-                platform.addr
-            );
-            let path = dir.join(format!("entry-{index}.yaml"));
-            std::fs::write(&path, settings).expect("settings written");
-            let path = path.to_string_lossy().into_owned();
-            entries.push(spawn(
-                bins,
-                dir,
-                "oatcoved",
-                &["--config", &path],
-                zone,
-                &format!("entry-{index}"),
-            ));
+            cluster.start_entry(&spec.zones[index % spec.zones.len()], &[]);
         }
-        let cluster =
-            Cluster { bins: bins.to_owned(), dir: dir.to_owned(), platform, upstreams, entries };
         cluster.register(spec);
         cluster
     }
 
+    /// Starts one more entry node in `zone`, with `settings` in place of the launcher's own.
+    ///
+    /// The VM list is left as it is.
+    ///
+    /// # Panics
+    ///
+    /// As [`Cluster::start`].
+    pub fn start_entry(&mut self, zone: &str, settings: &[(&str, String)]) {
+        let index = self.entries.len();
+        let mut merged: std::collections::BTreeMap<&str, String> = [
+            ("node_id", format!("entry-{index}")),
+            ("zone", zone.to_owned()),
+            ("listen_addr", "127.0.0.1:0".to_owned()),
+            ("platform_addr", self.platform.addr.to_string()),
+            ("config_poll_ms", "200".to_owned()),
+            ("vm_poll_ms", "200".to_owned()),
+        ]
+        .into();
+        merged.extend(settings.iter().cloned());
+        let text: String = merged.iter().map(|(key, value)| format!("{key}: {value}\n")).collect();
+        let path = self.dir.join(format!("entry-{index}.yaml"));
+        std::fs::write(&path, text).expect("settings written");
+        let path = path.to_string_lossy().into_owned();
+        let (args, name) = (["--config", &path], format!("entry-{index}"));
+        let entry = spawn(&self.bins, &self.dir, "oatcoved", &args, zone, &name);
+        self.entries.push(entry);
+    }
+
+    /// Returns the JSON that entry node `index` answers at `path`; null when it does not answer.
+    pub fn ask_entry(&self, index: usize, path: &str) -> serde_json::Value {
+        call(self.entries[index].addr, http::Method::GET, path, Vec::new())
+            .and_then(|response| serde_json::from_slice(response.body()).ok())
+            .unwrap_or_default()
+    }
+
+    /// Waits until `condition` holds for entry node `index`'s status.
+    pub fn wait_for_status(
+        &self,
+        index: usize,
+        limit: Duration,
+        condition: impl Fn(&serde_json::Value) -> bool,
+    ) -> bool {
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if condition(&self.ask_entry(index, "/v1/status")) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    /// Sets the faults of the platform stand-in.
+    pub fn set_platform_faults(&self, faults: &proto::Faults) {
+        let body = serde_json::to_vec(faults).expect("faults encode");
+        let answer = call(self.platform.addr, http::Method::POST, "/v1/faults", body);
+        assert!(answer.is_some_and(|a| a.status().is_success()), "faults not set");
+    }
+
+    /// Sets the mode of upstream stand-in `index`, as JSON.
+    pub fn set_upstream_mode(&self, index: usize, mode: &serde_json::Value) {
+        let body = serde_json::to_vec(mode).expect("mode encodes");
+        let addr = self.upstreams[index].addr;
+        let answer = call(addr, http::Method::POST, "/admin/mode", body);
+        assert!(answer.is_some_and(|a| a.status().is_success()), "mode not set");
+    }
+
     fn register(&self, spec: &Spec) {
         let upstreams =
             self.upstreams.iter().map(|p| (p, proto::VmRole::Upstream, spec.service.as_str()));
         let entries = self.entries.iter().map(|p| (p, proto::VmRole::Entry, ""));
         let vms: Vec<proto::Vm> = upstreams
             .chain(entries)
-            .map(|(proc_, role, service)| proto::Vm {
-                addr: proc_.addr,
-                zone: proc_.zone.as_str().into(),
-                role,
-                service: service.into(),
-                state: proto::VmState::Live,
-            })
+            .map(|(proc_, role, service)| vm(proc_, role, service))
             .collect();
         self.put_vms(&vms);
     }
@@ -219,6 +283,18 @@
     }
 }
 
+/// Returns the VM-list entry of a process, live.
+pub fn vm(proc_: &Proc, role: proto::VmRole, service: &str) -> proto::Vm {
+    proto::Vm {
+        addr: proc_.addr,
+        zone: proc_.zone.as_str().into(),
+        role,
+        service: service.into(),
+        state: proto::VmState::Live,
+        id: format!("vm-{}", proc_.child.id()).into(),
+    }
+}
+
 /// Starts `bin` and reads the `listening on ADDR` line it prints first.
 fn spawn(bins: &Path, dir: &Path, bin: &str, args: &[&str], zone: &str, name: &str) -> Proc {
     let log = std::fs::File::create(dir.join(format!("{name}.log"))).expect("log file");
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -98,6 +98,7 @@
             role: proto::VmRole::Upstream,
             service: format!("svc-{:04}", 1 + index % SERVICES).into(),
             state: proto::VmState::Live,
+            id: Default::default(),
         })
         .collect()
 }
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -4,7 +4,9 @@
 use std::process::Command;
 use std::time::Duration;
 
-use xtask::cluster::{Cluster, Spec};
+use platform::proto;
+use rustix::process::Signal;
+use xtask::cluster::{vm, Cluster, Spec};
 
 /// Directory of the binaries cargo built beside this test.
 fn bins() -> PathBuf {
@@ -27,6 +29,201 @@
 /// Bound on a config change reaching every entry node; the letter asks for 6 s.
 const PROPAGATION_BOUND: Duration = Duration::from_secs(6);
 
+/// Bound on things that take a few seconds; generous, for busy machines.
+const SOON: Duration = Duration::from_secs(30);
+
+/// Starts a system in a directory of its own named after the test, with a template in force.
+fn start(name: &str, spec: &Spec, template: &str) -> Cluster {
+    let dir = std::env::temp_dir().join(format!("oatcove-e2e-{name}-{}", std::process::id()));
+    let cluster = Cluster::start(&bins(), &dir, spec);
+    let applied = cluster.apply("v1.yaml", template);
+    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
+    assert!(cluster.wait_for_version("swap-desk", 1, PROPAGATION_BOUND).is_some());
+    cluster
+}
+
+/// Starts the load tool against entry node 0 for `seconds`, writing its report to the returned path.
+fn start_load(cluster: &Cluster, rate: u32, seconds: u32) -> (std::process::Child, PathBuf) {
+    let json = cluster.dir.join("load.json");
+    let mut load = Command::new(cluster.bins.join("oatcove-load"));
+    load.args(["--entry", &cluster.entries[0].addr.to_string(), "--service", "swap-desk"])
+        .args(["--zone", "attiki-a", "--rate", &rate.to_string()])
+        .args(["--duration-s", &seconds.to_string(), "--json", &json.to_string_lossy()])
+        .stdout(std::process::Stdio::null());
+    for addr in cluster.upstream_addrs() {
+        load.args(["--upstream", &addr.to_string()]);
+    }
+    (load.spawn().expect("load starts"), json)
+}
+
+fn report(json: &PathBuf) -> serde_json::Value {
+    serde_json::from_slice(&std::fs::read(json).expect("report")).expect("json")
+}
+
+/// Returns whether every entry in a status lists `addr` as leaving.
+fn leaving(status: &serde_json::Value, addr: std::net::SocketAddr) -> bool {
+    let text = addr.to_string();
+    let pools = status["upstreams"].as_object().map(|pools| pools.values());
+    pools
+        .into_iter()
+        .flatten()
+        .flat_map(|list| list.as_array().into_iter().flatten())
+        .any(|u| u["addr"].as_str() == Some(text.as_str()) && u["leaving"].as_bool() == Some(true))
+}
+
+fn peer_standing(status: &serde_json::Value, addr: std::net::SocketAddr) -> String {
+    status["peers"][addr.to_string()].as_str().unwrap_or("none").to_owned()
+}
+
+/// Symptom: an upstream that drains without warning gets calls until the VM list says so.
+/// Sequence: one upstream starts to drain by itself; the VM list still says live.
+/// Cause: nobody asks the upstream, or only the node that asked knows.
+#[test]
+fn a_drain_without_warning_reaches_every_entry_node() {
+    let spec = Spec { entries: 3, ..spec() };
+    let cluster =
+        start("selfdrain", &spec, "service: swap-desk\ndefaults:\n  probe_budget_per_s: 20\n");
+    cluster.set_upstream_mode(0, &serde_json::json!({"draining": true}));
+    let drained = cluster.upstreams[0].addr;
+    for index in 0..3 {
+        let seen = cluster.wait_for_status(index, SOON, |status| leaving(status, drained));
+        assert!(seen, "entry {index} still sends calls to a draining upstream");
+    }
+    cluster.set_upstream_mode(0, &serde_json::json!({}));
+    for index in 0..3 {
+        let back = cluster.wait_for_status(index, SOON, |status| {
+            !status["upstreams"].is_null() && !leaving(status, drained)
+        });
+        assert!(back, "entry {index} never sends calls again");
+    }
+}
+
+/// Symptom: callers are sent to an entry node that is gone, or to one that is only paused for good.
+/// Sequence: of three entry nodes one is killed and one paused past its suspicion; it resumes.
+/// Cause: answering from the platform's lagging list alone, or no way to refute a death.
+#[test]
+fn killed_and_paused_entry_nodes_leave_the_discovery_answers() {
+    let mut cluster = start("kill", &Spec { entries: 3, ..spec() }, "service: swap-desk\n");
+    let (killed, paused) = (cluster.entries[1].addr, cluster.entries[2].addr);
+    for addr in [killed, paused] {
+        assert!(cluster.wait_for_status(0, SOON, |s| peer_standing(s, addr) == "Alive"));
+    }
+    cluster.entries[1].signal(Signal::KILL);
+    cluster.entries[1].wait_exit(SOON);
+    assert!(cluster.wait_for_status(0, SOON, |s| peer_standing(s, killed) == "Dead"));
+    let named = cluster.ask_entry(0, "/v1/entries?service=swap-desk&zone=attiki-a").to_string();
+    assert!(!named.contains(&killed.to_string()), "{named}");
+    assert!(named.contains(&paused.to_string()), "{named}");
+    cluster.entries[2].signal(Signal::STOP);
+    assert!(cluster.wait_for_status(0, SOON, |s| peer_standing(s, paused) == "Dead"));
+    cluster.entries[2].signal(Signal::CONT);
+    assert!(cluster.wait_for_status(0, SOON, |s| peer_standing(s, paused) == "Alive"));
+}
+
+/// Symptom: calls are cut when an entry node is stopped as planned.
+/// Sequence: under load, the entry node that serves the callers gets SIGTERM.
+/// Cause: exiting at once instead of leaving first and finishing what it holds.
+#[test]
+fn a_stopping_entry_node_cuts_no_call() {
+    let mut cluster = start("term", &Spec { entries: 3, ..spec() }, "service: swap-desk\n");
+    let (stopped, other) = (cluster.entries[0].addr, 1);
+    assert!(cluster.wait_for_status(other, SOON, |s| peer_standing(s, stopped) == "Alive"));
+    let (mut load, json) = start_load(&cluster, 200, 4);
+    std::thread::sleep(Duration::from_secs(1));
+    cluster.entries[0].signal(Signal::TERM);
+    assert!(cluster.wait_for_status(other, SOON, |s| peer_standing(s, stopped) == "Left"));
+    assert_eq!(cluster.entries[0].wait_exit(SOON), Some(true), "exits by itself with success");
+    assert!(load.wait().expect("load ends").success());
+    let report = report(&json);
+    assert_eq!(report["errors"], serde_json::json!({}), "{report}");
+    let named = cluster.ask_entry(other, "/v1/entries?service=swap-desk").to_string();
+    assert!(!named.contains(&stopped.to_string()), "{named}");
+}
+
+/// Symptom: an entry node replaced during an outage of the platform refuses every call.
+/// Sequence: the platform is down; a new entry node starts with a seed address.
+/// Cause: config and VM list read from the platform only, on VMs that keep nothing.
+#[test]
+fn a_node_started_during_an_outage_serves_from_what_its_peers_hold() {
+    let mut cluster = start("outage", &spec(), "service: swap-desk\n");
+    cluster.set_platform_faults(&proto::Faults { outage: true, ..Default::default() });
+    let seeds = format!("[\"{}\"]", cluster.entries[0].addr);
+    cluster.start_entry("attiki-a", &[("seed_addrs", seeds)]);
+    let ready = cluster.wait_for_status(2, SOON, |status| {
+        status["templates"]["swap-desk"] == 1
+            && status["upstreams"]["swap-desk"].as_array().is_some_and(|list| list.len() == 4)
+    });
+    assert!(ready, "{}", cluster.ask_entry(2, "/v1/status"));
+    let addr = cluster.entries[2].addr;
+    let answer = xtask::cluster::call(addr, http::Method::GET, "/s/swap-desk/light", Vec::new());
+    assert_eq!(answer.expect("an answer").status(), http::StatusCode::OK);
+}
+
+/// Symptom: an accepted change is in force everywhere but on one node.
+/// Sequence: one node cannot reach the platform while the others and the
+/// operators can; a change and a drain are accepted.
+/// Cause: nodes that learn config from the platform only.
+#[test]
+fn a_node_cut_off_from_the_platform_follows_changes_through_its_peers() {
+    let mut cluster = start("cutoff", &spec(), "service: swap-desk\n");
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("bind").local_addr();
+    let nowhere = closed.expect("address").to_string();
+    let seeds = format!("[\"{}\"]", cluster.entries[0].addr);
+    cluster.start_entry("attiki-a", &[("platform_addr", nowhere), ("seed_addrs", seeds)]);
+    assert!(cluster.wait_for_status(2, SOON, |s| s["templates"]["swap-desk"] == 1));
+    let entry = vm(&cluster.entries[2], proto::VmRole::Entry, "");
+    cluster.put_vms(&[entry]);
+    let applied = cluster.apply("v2.yaml", "service: swap-desk\ndefaults:\n  timeout_ms: 700\n");
+    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
+    assert!(
+        cluster.wait_for_version("swap-desk", 2, PROPAGATION_BOUND).is_some(),
+        "v2 not in force on every node within the bound"
+    );
+    let (drained, platform) =
+        (cluster.upstreams[0].addr.to_string(), cluster.platform.addr.to_string());
+    let output = cluster.cli(&["drain", "--platform", &platform, "--wait", &drained]);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    assert!(leaving(&cluster.ask_entry(2, "/v1/status"), cluster.upstreams[0].addr));
+}
+
+/// Symptom: upstreams are probed more than their service's budget allows.
+/// Sequence: three entry nodes watch four upstreams through start, the kill
+/// of one node and the start of another, under load.
+/// Cause: each node probing at the whole budget, or two nodes holding the same duty.
+#[test]
+fn probes_of_the_whole_fleet_stay_within_the_budget() {
+    let budget = 8;
+    let template = format!("service: swap-desk\ndefaults:\n  probe_budget_per_s: {budget}\n");
+    let mut cluster = start("budget", &Spec { entries: 3, ..spec() }, &template);
+    let (mut load, _) = start_load(&cluster, 300, 16);
+    let probes = |cluster: &Cluster| -> u64 {
+        cluster.upstreams.iter().map(|u| stats(u.addr)["probes"].as_u64().expect("probes")).sum()
+    };
+    // The budget counts from the first probe on: what was not used before is not saved up.
+    let started = std::time::Instant::now();
+    while probes(&cluster) == 0 && started.elapsed() < SOON {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let first_probe = std::time::Instant::now();
+    std::thread::sleep(Duration::from_secs(4));
+    cluster.entries[2].signal(Signal::KILL);
+    cluster.start_entry("attiki-b", &[]);
+    let joined = vm(&cluster.entries[3], proto::VmRole::Entry, "");
+    let gone = proto::Vm {
+        state: proto::VmState::Gone,
+        ..vm(&cluster.entries[2], proto::VmRole::Entry, "")
+    };
+    cluster.put_vms(&[joined, gone]);
+    std::thread::sleep(Duration::from_secs(6));
+    assert!(load.wait().expect("load ends").success());
+    let probes = probes(&cluster);
+    // One first probe of each watcher of each upstream may come at any moment.
+    let pairs = 2 * cluster.upstreams.len() as u64;
+    let allowed = budget * (first_probe.elapsed().as_secs() + 1) + pairs;
+    assert!(probes <= allowed, "{probes} probes, {allowed} allowed");
+    assert!(probes > 0, "nobody watches");
+}
+
 #[test]
 fn calls_flow_and_a_config_change_reaches_every_entry_node() {
     let dir = std::env::temp_dir().join(format!("oatcove-e2e-{}", std::process::id()));
@@ -103,11 +300,14 @@
     let _ = std::fs::remove_dir_all(&dir);
 }
 
-fn executed(addr: std::net::SocketAddr) -> u64 {
+fn stats(addr: std::net::SocketAddr) -> serde_json::Value {
     let response =
         xtask::cluster::call(addr, http::Method::GET, "/admin/stats", Vec::new()).expect("stats");
-    let stats: serde_json::Value = serde_json::from_slice(response.body()).expect("json");
-    stats["executed"].as_u64().expect("executed")
+    serde_json::from_slice(response.body()).expect("json")
+}
+
+fn executed(addr: std::net::SocketAddr) -> u64 {
+    stats(addr)["executed"].as_u64().expect("executed")
 }
 
 /// Symptom: an upstream being stopped still receives calls, or calls in
