--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -1,12 +1,11 @@
 //! Choice of upstream for one call.
 //!
 //! [`Pool`] holds what one entry node knows of one service's upstreams and
-//! picks one by the power of two choices: of two sampled upstreams, the one
-//! with the lower expected [`cost`](Upstream::cost). What it goes by, best
-//! first: calls it has outstanding (exact), how slow answers were compared
-//! with the same kind of call elsewhere (its own observation), and the load
-//! the upstream reported with its last answers (stale at once, so its weight
-//! fades within a fraction of a second).
+//! picks the one with the lowest expected [`cost`](Upstream::cost) of a
+//! sample: calls it has outstanding there (exact) times how slow the
+//! upstream's answers were compared with the same kind of call elsewhere (its
+//! own observation). Load that upstreams report is not used: it is stale when
+//! it arrives, and going by it made tails longer (docs/design/choice-of-upstream.md).
 //!
 //! Whether an upstream may be picked at all is its [`Tier`]: refusals,
 //! watchers' reports and repeated failures move it down, and a lower tier is
@@ -16,53 +15,66 @@
 mod pick;
 mod upstream;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
 pub use pick::{Ask, Policy};
-pub use upstream::{Load, Report, Standing, Tier, Upstream};
+pub use upstream::{Report, Standing, Tier, Upstream};
 
 /// Weight of the newest answer in the mean latency of its kind of call.
 const KIND_WEIGHT: f64 = 0.05;
 
-/// Kinds of call told apart; kinds that share a number share a mean.
-pub const KINDS: usize = 32;
+/// Kinds of call told apart per service; those that come later share one mean.
+///
+/// A first version kept 32 means and took kinds modulo that: two kinds that
+/// shared a number made every upstream with heavy calls look slow, and all
+/// heavy calls were hedged (docs/bench/policy.md).
+const KINDS_MOST: usize = 256;
+
+/// The kind that kinds beyond [`KINDS_MOST`] are counted as.
+const OTHER_KINDS: Kind = 0;
 
 /// Index of an upstream within its pool.
 pub type UpstreamIndex = usize;
 
-/// Number of a kind of call, such as one path of one service; taken modulo [`KINDS`].
-pub type Kind = usize;
+/// Number of a kind of call, such as a hash of its method and path; equal numbers are one kind.
+pub type Kind = u64;
 
 /// How a call to an upstream ended.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Finished {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum How {
     /// A whole answer came.
-    Answered {
-        /// How long it took.
-        latency: Duration,
-        /// What kind of call it was.
-        kind: Kind,
-        /// The load the upstream reported with it.
-        load: Option<Load>,
-    },
+    Answered,
     /// The upstream refused it before running it: it is full or leaving, not broken.
     Refused,
     /// No whole answer came, or one that says the upstream is broken.
     Failed,
-    /// The call was given up for reasons of its own; this says nothing of the upstream.
+    /// The call was given up before the upstream answered: another upstream
+    /// was quicker, or the caller went away.
     GivenUp,
 }
 
+/// The end of a call to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finished {
+    /// How it ended.
+    pub how: How,
+    /// How long it took until then.
+    pub took: Duration,
+    /// What kind of call it was.
+    pub kind: Kind,
+}
+
 /// The upstreams of one service, as one entry node sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     /// Upstreams in a stable order; indexes stay valid until [`Pool::set_members`].
     pub upstreams: Vec<Upstream>,
-    /// Mean latency per kind of call over all upstreams, in microseconds; zero before the first.
-    kind_mean_us: [f64; KINDS],
+    /// Mean latency per kind of call over all upstreams, in microseconds.
+    kind_mean_us: HashMap<Kind, f64>,
     /// Next upstream in turn, for [`Policy::RoundRobin`].
     turn: usize,
 }
@@ -114,8 +126,17 @@
 
     /// Returns the mean latency of calls of `kind` over all upstreams, once one was answered.
     pub fn kind_mean(&self, kind: Kind) -> Option<Duration> {
-        let mean_us = self.kind_mean_us[kind % KINDS];
-        (mean_us > 0.0).then(|| Duration::from_secs_f64(mean_us / 1e6))
+        let mean_us = self.kind_mean_us.get(&self.known_kind(kind))?;
+        Some(Duration::from_secs_f64(mean_us / 1e6))
+    }
+
+    /// Returns `kind`, or the shared one when there are too many to tell apart.
+    fn known_kind(&self, kind: Kind) -> Kind {
+        let full = self.kind_mean_us.len() >= KINDS_MOST;
+        match full && !self.kind_mean_us.contains_key(&kind) {
+            true => OTHER_KINDS,
+            false => kind,
+        }
     }
 
     /// Records that a call was sent to `index`.
@@ -126,21 +147,25 @@
     /// Records the end of a call to `index`.
     pub fn finish(&mut self, index: UpstreamIndex, finished: Finished, now: Instant) {
         let may_eject = self.may_eject(index, now);
+        let kind = self.known_kind(finished.kind);
         let upstream = &mut self.upstreams[index];
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
-        match finished {
-            Finished::Answered { latency, kind, load } => {
-                let mean_us = &mut self.kind_mean_us[kind % KINDS];
-                let sample_us = (latency.as_secs_f64() * 1e6).max(1.0);
-                *mean_us = match *mean_us > 0.0 {
-                    true => *mean_us + KIND_WEIGHT * (sample_us - *mean_us),
-                    false => sample_us,
-                };
-                upstream.answered(sample_us, sample_us / *mean_us, load, now);
+        let took_us = (finished.took.as_secs_f64() * 1e6).max(1.0);
+        match finished.how {
+            How::Answered => {
+                let mean_us = self.kind_mean_us.entry(kind).or_insert(took_us);
+                *mean_us += KIND_WEIGHT * (took_us - *mean_us);
+                upstream.answered(took_us, took_us / *mean_us, now);
+            }
+            How::Refused => upstream.refused(now),
+            How::Failed | How::GivenUp => {
+                if let Some(mean_us) = self.kind_mean_us.get(&kind) {
+                    upstream.took_at_least(took_us / mean_us, now);
+                }
+                if finished.how == How::Failed {
+                    upstream.failed(may_eject, now);
+                }
             }
-            Finished::Refused => upstream.refused(now),
-            Finished::Failed => upstream.failed(may_eject, now),
-            Finished::GivenUp => {}
         }
     }
 
--- a/crates/balance/src/pick.rs
+++ b/crates/balance/src/pick.rs
@@ -11,16 +11,14 @@
 /// costs less than one part in this of it: what crosses zones is paid for.
 pub(crate) const SPILL_RATIO: f64 = 2.0;
 
-/// Of two sampled upstreams the second is taken only when the first costs
-/// more than this many times as much. Averages of a few answers differ by
-/// less than that by chance; going by such differences would send all calls
-/// of a quiet moment to the one upstream that happened to be quickest.
-const CLEARLY: f64 = 1.25;
+/// Upstreams compared for one call at most, from a random one on: what a
+/// call costs the entry node must not grow with the size of a service.
+const SCAN_MOST: usize = 32;
 
 /// How an upstream is picked.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
-    /// The better of two sampled upstreams by expected cost.
+    /// The least expected cost of up to 32 sampled upstreams.
     #[default]
     Adaptive,
     /// Each in turn; a baseline to measure against.
@@ -109,22 +107,18 @@
         rng: &mut R,
     ) -> Option<UpstreamIndex> {
         let count = self.group(ask, group, now).count();
-        if count < 2 {
-            return self.group(ask, group, now).next();
-        }
-        let first = rng.random_range(0..count);
-        if ask.policy == Policy::LeastOutstanding {
-            // Starting anywhere, so that ties do not all go to the first.
-            let ordered = self.group(ask, group, now).skip(first);
-            let ordered = ordered.chain(self.group(ask, group, now).take(first));
-            return ordered.min_by_key(|&index| self.upstreams[index].outstanding);
-        }
-        let second = (first + rng.random_range(1..count)) % count;
-        let a = self.group(ask, group, now).nth(first)?;
-        let b = self.group(ask, group, now).nth(second)?;
-        match self.upstreams[b].cost(now) * CLEARLY < self.upstreams[a].cost(now) {
-            true => Some(b),
-            false => Some(a),
+        // Starting anywhere, so that ties do not all go to the first.
+        let first = if count < 2 { 0 } else { rng.random_range(0..count) };
+        let from_first = self.group(ask, group, now).skip(first);
+        let around = from_first.chain(self.group(ask, group, now).take(first)).take(SCAN_MOST);
+        match ask.policy {
+            Policy::LeastOutstanding => {
+                around.min_by_key(|&index| self.upstreams[index].outstanding)
+            }
+            Policy::Adaptive | Policy::RoundRobin => around
+                .map(|index| (index, self.upstreams[index].cost(now)))
+                .min_by(|(_, a), (_, b)| a.total_cmp(b))
+                .map(|(index, _)| index),
         }
     }
 
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -14,10 +14,7 @@
 /// Time in which a slowness no longer confirmed fades by half towards normal.
 /// Without it, an upstream that was slow once is never picked again, so no
 /// answer ever shows that it recovered.
-const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(2);
-
-/// Time in which a reported load loses half its weight.
-const LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// Failures in a row after which an upstream is ejected.
 const EJECT_AFTER_FAILURES: u32 = 3;
@@ -68,15 +65,6 @@
     Ejected,
 }
 
-/// The load an upstream reported with an answer.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Load {
-    /// Requests it was running or holding in its queue.
-    pub in_flight: f64,
-    /// Requests it runs at once.
-    pub slots: f64,
-}
-
 /// What the pool knows of one upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
@@ -94,10 +82,10 @@
     pub latency_ewma_us: f64,
     /// Average of its answers' latency over the mean of their kind; 1 is normal.
     slowness: f64,
+    /// When the slowness was last sampled.
+    sampled_at: Option<Instant>,
     /// When it last answered.
     answered_at: Option<Instant>,
-    /// The last load it reported and when.
-    load: Option<(Load, Instant)>,
     /// Failures in a row, reset by an answer.
     pub failures: u32,
     /// Ejections in a row, reset by an answer.
@@ -118,8 +106,8 @@
             outstanding: 0,
             latency_ewma_us: 0.0,
             slowness: 1.0,
+            sampled_at: None,
             answered_at: None,
-            load: None,
             failures: 0,
             ejections: 0,
             ejected_until: None,
@@ -143,50 +131,46 @@
         }
     }
 
-    /// Returns the expected time of one more call, in units of a normal call's service time.
-    ///
-    /// A call waits while all slots are taken and then runs as slowly as its
-    /// upstream is. Where slots are not known, each call outstanding is
-    /// counted as one to wait for.
+    /// Returns the expected time of one more call, in units of a normal call's service time:
+    /// each call outstanding is one to wait for, as slow as its upstream is.
     pub fn cost(&self, now: Instant) -> f64 {
-        let outstanding = f64::from(self.outstanding);
-        let fades = |since: Instant, half_life: Duration| {
-            0.5f64.powf(now.duration_since(since).as_secs_f64() / half_life.as_secs_f64())
-        };
-        let slowness = match self.answered_at {
-            Some(at) => 1.0 + (self.slowness - 1.0) * fades(at, SLOWNESS_HALF_LIFE),
-            None => 1.0,
-        };
-        match self.load {
-            Some((Load { in_flight, slots }, at)) if slots >= 1.0 => {
-                let busy = outstanding.max(in_flight * fades(at, LOAD_HALF_LIFE));
-                let waits = (busy + 1.0 - slots).max(0.0) / slots;
-                slowness * (1.0 + waits + busy / slots)
-            }
-            _ => slowness * (1.0 + outstanding),
-        }
+        self.slowness_at(now) * (1.0 + f64::from(self.outstanding))
     }
 
-    pub(crate) fn answered(
-        &mut self,
-        sample_us: f64,
-        slowness: f64,
-        load: Option<Load>,
-        now: Instant,
-    ) {
+    fn slowness_at(&self, now: Instant) -> f64 {
+        let Some(at) = self.sampled_at else { return 1.0 };
+        let age = now.duration_since(at).as_secs_f64();
+        1.0 + (self.slowness - 1.0) * 0.5f64.powf(age / SLOWNESS_HALF_LIFE.as_secs_f64())
+    }
+
+    fn sample_slowness(&mut self, sample: f64, now: Instant) {
+        let sample = sample.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        self.slowness += SAMPLE_WEIGHT * (sample - self.slowness);
+        self.sampled_at = Some(now);
+    }
+
+    pub(crate) fn answered(&mut self, took_us: f64, slowness: f64, now: Instant) {
         self.latency_ewma_us = match self.answered_at {
-            Some(_) => self.latency_ewma_us + SAMPLE_WEIGHT * (sample_us - self.latency_ewma_us),
-            None => sample_us,
+            Some(_) => self.latency_ewma_us + SAMPLE_WEIGHT * (took_us - self.latency_ewma_us),
+            None => took_us,
         };
-        let slowness = slowness.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-        self.slowness += SAMPLE_WEIGHT * (slowness - self.slowness);
+        self.sample_slowness(slowness, now);
         self.answered_at = Some(now);
-        self.load = load.map(|load| (load, now)).or(self.load);
         self.failures = 0;
         self.ejections = 0;
         self.ejected_until = None;
     }
 
+    /// Records that a call had not been answered after `slowness` times the usual time.
+    ///
+    /// Without it a straggler whose calls are all overtaken by hedges never
+    /// shows how slow it is: none of its answers is waited for.
+    pub(crate) fn took_at_least(&mut self, slowness: f64, now: Instant) {
+        if slowness > self.slowness_at(now).max(1.0) {
+            self.sample_slowness(slowness, now);
+        }
+    }
+
     /// A refusal neither adds to the failures in a row nor ends them: counted
     /// as failures, the refusals of a busy moment would eject every upstream
     /// at once and turn a full service into one that is down.
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod discovery;
 pub mod follow;
 pub mod gossip;
+pub mod metrics;
 pub mod probe;
 pub mod proxy;
 pub mod relay;
@@ -38,8 +39,5 @@
 /// `Retry-After`, which is in whole seconds.
 pub const RETRY_AFTER_MS: &str = "x-oatcove-retry-after-ms";
 
-/// Header of an upstream's answers with its load: `in_flight,slots`.
-pub const LOAD: &str = "x-oatcove-load";
-
 /// Header carrying the request id end to end.
 pub const REQUEST_ID: &str = "x-request-id";
--- a/crates/oatcoved/src/main.rs
+++ b/crates/oatcoved/src/main.rs
@@ -64,6 +64,10 @@
         Ok(flag) => flag,
         Err(err) => fail(format_args!("cannot handle signals: {err}")),
     };
+    let metrics = match oatcoved::metrics::Metrics::new() {
+        Ok(metrics) => metrics,
+        Err(err) => fail(format_args!("{err}")),
+    };
     println!("listening on {}", settings.listen_addr);
     log::info!(
         "node={} zone={} listening on {}",
@@ -82,7 +86,8 @@
     monoio::spawn(oatcoved::probe::run(view.clone(), probe, probe_inputs, gossip.clone()));
     monoio::spawn(oatcoved::follow::config(store, view.clone(), config_poll, links.clone()));
     monoio::spawn(oatcoved::follow::vms(vm_store, view.clone(), vm_poll, links));
-    monoio::spawn(web::serve(listener, Rc::new(oatcoved::proxy::Node::new(view.clone()))));
+    let node = Rc::new(oatcoved::proxy::Node::new(view.clone(), metrics));
+    monoio::spawn(web::serve(listener, node));
     oatcoved::stop::wait(stop_flag, view, gossip).await;
 }
 
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -24,6 +24,7 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
+use crate::metrics::Metrics;
 use crate::view::View;
 
 /// What this node takes on for one service.
@@ -40,17 +41,19 @@
     intakes: RefCell<HashMap<SmolStr, Intake>>,
     rng: RefCell<rand::rngs::SmallRng>,
     next_id: Cell<u64>,
+    metrics: Metrics,
 }
 
 impl Node {
-    /// Creates the handler over `view`.
-    pub fn new(view: Rc<RefCell<View>>) -> Node {
+    /// Creates the handler over `view`, recording in `metrics`.
+    pub fn new(view: Rc<RefCell<View>>, metrics: Metrics) -> Node {
         Node {
             view,
             idle: attempt::IdleConns::default(),
             intakes: RefCell::new(HashMap::new()),
             rng: RefCell::new(rand::rngs::SmallRng::from_os_rng()),
             next_id: Cell::new(0),
+            metrics,
         }
     }
 
@@ -70,6 +73,7 @@
                     None => web::reply(StatusCode::NOT_FOUND, "no such table is relayed\n"),
                 }
             }
+            (&http::Method::GET, "/metrics") => self.scrape(),
             (&http::Method::GET, "/v1/status") => json(&self.view.borrow().status()),
             (_, p) if p.starts_with("/s/") => {
                 let rest = &p[3..];
@@ -85,6 +89,16 @@
         }
     }
 
+    fn scrape(&self) -> web::Response {
+        match self.metrics.scrape(&self.view.borrow()) {
+            Ok(text) => web::reply(StatusCode::OK, text),
+            Err(err) => {
+                log::error!("{err}");
+                web::reply(StatusCode::INTERNAL_SERVER_ERROR, format!("{err}\n"))
+            }
+        }
+    }
+
     fn entries(&self, service: Option<&str>, zone: Option<&str>) -> web::Response {
         let view = self.view.borrow();
         match service {
--- a/crates/oatcoved/src/proxy/answer.rs
+++ b/crates/oatcoved/src/proxy/answer.rs
@@ -16,6 +16,15 @@
     "upgrade",
 ];
 
+/// Outcome of a call that an upstream answered.
+pub(super) const DONE: &str = "done";
+
+/// Outcome of a call that no upstream ran.
+pub(super) const NOT_RUN: &str = "not-run";
+
+/// Outcome of a call that may have run.
+pub(super) const UNKNOWN: &str = "unknown";
+
 /// Shortest and longest time after which a refused caller is told to come back.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
@@ -43,28 +52,19 @@
         .expect("request builds")
 }
 
-/// Reads the load an upstream reports with its answer: `in_flight,slots`.
-pub(super) fn load(response: &web::Response) -> Option<balance::Load> {
-    let text = response.headers().get(crate::LOAD)?.to_str().ok()?;
-    let (in_flight, slots) = text.split_once(',')?;
-    let (in_flight, slots): (f64, f64) = (in_flight.parse().ok()?, slots.parse().ok()?);
-    let sane = in_flight.is_finite() && in_flight >= 0.0 && slots.is_finite();
-    sane.then_some(balance::Load { in_flight, slots })
-}
-
 /// Hands an upstream's answer on.
 pub(super) fn done(response: web::Response, request_id: &HeaderValue) -> web::Response {
-    with_outcome(response, "done", request_id)
+    with_outcome(response, DONE, request_id)
 }
 
 /// Tells the caller that its call may have run.
 pub(super) fn unknown(status: StatusCode, text: &str, id: &HeaderValue) -> web::Response {
-    with_outcome(web::reply(status, text.to_owned()), "unknown", id)
+    with_outcome(web::reply(status, text.to_owned()), UNKNOWN, id)
 }
 
 /// Tells the caller that nothing ran its call and why, with no time to come back.
 pub(super) fn not_run(status: StatusCode, text: &'static str, id: &HeaderValue) -> web::Response {
-    with_outcome(web::reply(status, text), "not-run", id)
+    with_outcome(web::reply(status, text), NOT_RUN, id)
 }
 
 /// Tells the caller that nothing ran its call and when to come back.
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -102,22 +102,39 @@
     view: Rc<RefCell<View>>,
     service: SmolStr,
     addr: SocketAddr,
-    finished: bool,
+    kind: balance::Kind,
+    sent_at: Instant,
+    how: balance::How,
 }
 
 impl Outstanding {
     /// Counts a call to `addr` as outstanding.
-    pub(super) fn start(view: &Rc<RefCell<View>>, service: &SmolStr, addr: SocketAddr) -> Self {
-        let call =
-            Outstanding { view: view.clone(), service: service.clone(), addr, finished: false };
+    pub(super) fn start(
+        view: &Rc<RefCell<View>>,
+        service: &SmolStr,
+        addr: SocketAddr,
+        kind: balance::Kind,
+    ) -> Self {
+        let call = Outstanding {
+            view: view.clone(),
+            service: service.clone(),
+            addr,
+            kind,
+            sent_at: Instant::now(),
+            how: balance::How::GivenUp,
+        };
         call.with_pool(|pool, index| pool.start(index));
         call
     }
 
+    /// Returns how long ago it was sent.
+    pub(super) fn took(&self) -> Duration {
+        self.sent_at.elapsed()
+    }
+
     /// Records how it ended.
-    pub(super) fn finish(mut self, finished: balance::Finished) {
-        self.finished = true;
-        self.with_pool(|pool, index| pool.finish(index, finished, Instant::now()));
+    pub(super) fn finish(mut self, how: balance::How) {
+        self.how = how;
     }
 
     fn with_pool(&self, act: impl FnOnce(&mut balance::Pool, balance::UpstreamIndex)) {
@@ -132,9 +149,7 @@
 
 impl Drop for Outstanding {
     fn drop(&mut self) {
-        if !self.finished {
-            let given_up = balance::Finished::GivenUp;
-            self.with_pool(|pool, index| pool.finish(index, given_up, Instant::now()));
-        }
+        let finished = balance::Finished { how: self.how, took: self.took(), kind: self.kind };
+        self.with_pool(|pool, index| pool.finish(index, finished, Instant::now()));
     }
 }
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -85,18 +85,34 @@
         service: &str,
         path: &str,
     ) -> web::Response {
+        let arrived = Instant::now();
         self.view.borrow_mut().counters.calls += 1;
+        let (response, outcome) = self.take_to_answer(request, service, path).await;
+        self.metrics.call(arrived.elapsed(), outcome);
+        response
+    }
+
+    /// Takes the call to its answer; also returns what the caller is told of it.
+    async fn take_to_answer(
+        &self,
+        request: web::Request,
+        service: &str,
+        path: &str,
+    ) -> (web::Response, &'static str) {
         let request_id = self.request_id(&request);
         let Some(call) = self.call(&request, &request_id, service, path) else {
             self.view.borrow_mut().counters.not_run += 1;
-            return answer::not_run(StatusCode::NOT_FOUND, "unknown service\n", &request_id);
+            let answer = answer::not_run(StatusCode::NOT_FOUND, "unknown service\n", &request_id);
+            return (answer, answer::NOT_RUN);
         };
         let Some(taken_in) = self.begin(&call) else {
             let mut view = self.view.borrow_mut();
             view.counters.not_run += 1;
             view.counters.shed += 1;
             drop(view);
-            return answer::refused("this entry node is full\n", self.busy_for(&call), &request_id);
+            let busy_for = self.busy_for(&call);
+            let answer = answer::refused("this entry node is full\n", busy_for, &request_id);
+            return (answer, answer::NOT_RUN);
         };
         let ended = self.attempts(&call).await;
         taken_in.end(match &ended {
@@ -108,13 +124,14 @@
         match ended {
             Ended::Answered(response) => {
                 view.counters.done += 1;
-                answer::done(response, &request_id)
+                (answer::done(response, &request_id), answer::DONE)
             }
             Ended::NotRun { .. } => {
                 view.counters.not_run += 1;
                 drop(view);
                 let busy_for = self.busy_for(&call);
-                answer::refused("no upstream could take the call\n", busy_for, &request_id)
+                let text = "no upstream could take the call\n";
+                (answer::refused(text, busy_for, &request_id), answer::NOT_RUN)
             }
             Ended::Unknown(cause) => {
                 view.counters.unknown += 1;
@@ -125,7 +142,7 @@
                     Some(err) => (StatusCode::BAD_GATEWAY, err.to_string()),
                 };
                 let text = format!("{cause}; the call may have run\n");
-                answer::unknown(status, &text, &request_id)
+                (answer::unknown(status, &text, &request_id), answer::UNKNOWN)
             }
         }
     }
@@ -259,26 +276,21 @@
         let remaining = call.remaining();
         let request =
             answer::upstream_request(call.request, call.path, addr, &call.request_id, remaining);
-        let outstanding = Outstanding::start(&self.view, &call.service, addr);
-        let sent_at = Instant::now();
+        let outstanding = Outstanding::start(&self.view, &call.service, addr, call.kind);
         let result = self.idle.send(addr, request, remaining).await;
-        let took = sent_at.elapsed();
+        let took = outstanding.took();
         outstanding.finish(match &result {
-            Attempt::Answered(response) if is_broken(response) => balance::Finished::Failed,
-            Attempt::Answered(response) => balance::Finished::Answered {
-                latency: took,
-                kind: call.kind,
-                load: answer::load(response),
-            },
-            Attempt::Refused => balance::Finished::Refused,
+            Attempt::Answered(response) if is_broken(response) => balance::How::Failed,
+            Attempt::Answered(_) => balance::How::Answered,
+            Attempt::Refused => balance::How::Refused,
             // A caller that waits only briefly says nothing of the upstream: counted as
             // failures, its time-outs would eject upstreams that serve everyone else.
             Attempt::Lost(web::Error::Timeout)
                 if 2 * took < Duration::from_millis(call.params.timeout_ms) =>
             {
-                balance::Finished::GivenUp
+                balance::How::GivenUp
             }
-            Attempt::NotSent | Attempt::Lost(_) => balance::Finished::Failed,
+            Attempt::NotSent | Attempt::Lost(_) => balance::How::Failed,
         });
         log::debug!(
             "service={} request_id={} upstream={addr} took_us={}",
@@ -374,5 +386,5 @@
     let first = path.trim_start_matches('/').split('/').next().unwrap_or_default();
     let mut hasher = siphasher::sip::SipHasher13::new();
     (method.as_str(), first).hash(&mut hasher);
-    (hasher.finish() % balance::KINDS as u64) as balance::Kind
+    hasher.finish()
 }
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -52,7 +52,7 @@
         })
         .collect();
     crate::follow::apply_vms(&mut view, &vms);
-    Node::new(Rc::new(RefCell::new(view)))
+    Node::new(Rc::new(RefCell::new(view)), crate::metrics::Metrics::new().expect("metrics"))
 }
 
 fn request(method: http::Method, path: &str, key: &str) -> web::Request {
@@ -467,3 +467,25 @@
         assert_eq!(outcome(&answer), "done");
     });
 }
+
+/// The counters and the histogram of a scrape say what happened, and go on from there.
+#[test]
+fn a_scrape_says_what_happened() {
+    web::runtime().block_on(async {
+        let (a, _) = upstream(shape(1, 100));
+        let node = node("service: svc\n", &[a]);
+        let scrape = || async {
+            let request = http::Request::get("/metrics").body(Bytes::new()).expect("request");
+            let answer = node.handle(request, PEER).await;
+            String::from_utf8(answer.body().to_vec()).expect("text")
+        };
+        send_many(&node, http::Method::GET, 3).await;
+        let text = scrape().await;
+        assert!(text.contains("oatcove_calls_done_total 3"), "{text}");
+        assert!(text.contains("oatcove_call_seconds_count{outcome=\"done\"} 3"), "{text}");
+        send_many(&node, http::Method::GET, 2).await;
+        let text = scrape().await;
+        assert!(text.contains("oatcove_calls_done_total 5"), "{text}");
+        assert!(text.contains("oatcove_calls_not_run_total 0"), "{text}");
+    });
+}
--- a/xtask/src/policy.rs
+++ b/xtask/src/policy.rs
@@ -138,6 +138,12 @@
     serde_json::from_slice(&std::fs::read(json).expect("report")).expect("json")
 }
 
+/// Sums the second sends of all entry nodes so far, hedges included.
+fn second_sends(cluster: &Cluster) -> u64 {
+    let retries = |index| cluster.ask_entry(index, "/v1/status")["counters"]["retries"].as_u64();
+    (0..cluster.entries.len()).filter_map(retries).sum()
+}
+
 fn line(what: &str, way: &str, report: &Value) -> String {
     let ms = |class: &str, quantile: &str| {
         report[class][quantile].as_u64().map_or(f64::NAN, |us| us as f64 / 1e3)
@@ -145,12 +151,13 @@
     let errors: u64 =
         report["errors"].as_object().into_iter().flatten().filter_map(|(_, n)| n.as_u64()).sum();
     format!(
-        "| {what} | {way} | {:.0} | {:.0} | {:.0} | {:.0} | {errors} of {} | {:.2}% |",
+        "| {what} | {way} | {:.0} | {:.0} | {:.0} | {:.0} | {errors} of {} | {} | {:.2}% |",
         ms("light", "p50_us"),
         ms("light", "p99_us"),
         ms("light", "p999_us"),
         ms("heavy", "p99_us"),
         report["due"],
+        report["second_sends"],
         report["probe_share_percent"].as_f64().unwrap_or(f64::NAN),
     )
 }
@@ -164,9 +171,9 @@
         let cluster = start(user, bins, dir);
         println!("\n{}: {} calls/s, {}% heavy", user.name, user.rate_per_s, user.heavy_percent);
         println!(
-            "| scenario | way | light p50 ms | p99 | p99.9 | heavy p99 | errors | probe cost |"
+            "| scenario | way | light p50 ms | p99 | p99.9 | heavy p99 | errors | second sends | probe cost |"
         );
-        println!("|---|---|---|---|---|---|---|---|");
+        println!("|---|---|---|---|---|---|---|---|---|");
         for (scenario, mode) in SCENARIOS {
             let mode: Value = serde_json::from_str(mode).expect("mode");
             cluster.set_upstream_mode(0, &mode);
@@ -183,7 +190,9 @@
                     rate_per_s: user.rate_per_s,
                     heavy_percent: user.heavy_percent,
                 };
-                let report = finish(spawn_load(&cluster, user, &offered));
+                let before = second_sends(&cluster);
+                let mut report = finish(spawn_load(&cluster, user, &offered));
+                report["second_sends"] = (second_sends(&cluster) - before).into();
                 println!("{}", line(scenario, way, &report));
                 figures.push(
                     json!({"user": user.name, "scenario": scenario, "way": way, "report": report}),
@@ -223,9 +232,9 @@
             user.name
         );
         println!(
-            "| scenario | team | light p50 ms | p99 | p99.9 | heavy p99 | errors | probe cost |"
+            "| scenario | team | light p50 ms | p99 | p99.9 | heavy p99 | errors | second sends | probe cost |"
         );
-        println!("|---|---|---|---|---|---|---|---|");
+        println!("|---|---|---|---|---|---|---|---|---|");
         println!("{}", line("alone", "quiet", &finish(spawn_load(&cluster, user, &quiet))));
         let burst = spawn_load(&cluster, user, &noisy);
         let beside = finish(spawn_load(&cluster, user, &quiet));
