limit: waits shrink the bound too; slow start

Change: a call that took over four times what its kind takes when nothing waits counts as slow; when 30% of calls are, the bound is cut. Calls let in before a cut do not cut again (this replaces the pause between cuts). The bound starts at 16 and grows by one per served call until the first cut.

Ruled out: a queue at the entry (waiting the caller cannot see). Left: the quiet team still waits behind what the burst put into the upstreams' queues; upstreams with short queues (the users' have few places) bound that.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -68,6 +68,32 @@
     pub kind: Kind,
 }
 
+/// A latency that follows lower samples quickly and forgets them slowly.
+#[derive(Clone, Copy, Debug)]
+struct Floor {
+    us: f64,
+    at: Instant,
+}
+
+impl Floor {
+    /// The floor doubles in this time when no sample confirms it.
+    const DOUBLES_IN: Duration = Duration::from_secs(60);
+
+    /// Weight of a sample below the floor.
+    const WEIGHT: f64 = 0.1;
+
+    fn at(&self, now: Instant) -> f64 {
+        let age = now.duration_since(self.at).as_secs_f64();
+        self.us * 2f64.powf(age / Self::DOUBLES_IN.as_secs_f64())
+    }
+
+    fn sample(&mut self, took_us: f64, now: Instant) {
+        let floor = self.at(now);
+        self.us = floor + Self::WEIGHT * (took_us.min(floor) - floor);
+        self.at = now;
+    }
+}
+
 /// The upstreams of one service, as one entry node sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
@@ -75,6 +101,8 @@
     pub upstreams: Vec<Upstream>,
     /// Mean latency per kind of call over all upstreams, in microseconds.
     kind_mean_us: HashMap<Kind, f64>,
+    /// Latency per kind of call when nothing waits: falls fast, rises slowly.
+    kind_floor_us: HashMap<Kind, Floor>,
     /// Next upstream in turn, for [`Policy::RoundRobin`].
     turn: usize,
 }
@@ -130,6 +158,12 @@
         Some(Duration::from_secs_f64(mean_us / 1e6))
     }
 
+    /// Returns how long calls of `kind` take when nothing waits, once one was answered.
+    pub fn kind_floor(&self, kind: Kind, now: Instant) -> Option<Duration> {
+        let floor = self.kind_floor_us.get(&self.known_kind(kind))?;
+        Some(Duration::from_secs_f64(floor.at(now) / 1e6))
+    }
+
     /// Returns `kind`, or the shared one when there are too many to tell apart.
     fn known_kind(&self, kind: Kind) -> Kind {
         let full = self.kind_mean_us.len() >= KINDS_MOST;
@@ -155,6 +189,8 @@
             How::Answered => {
                 let mean_us = self.kind_mean_us.entry(kind).or_insert(took_us);
                 *mean_us += KIND_WEIGHT * (took_us - *mean_us);
+                let floor = self.kind_floor_us.entry(kind);
+                floor.or_insert(Floor { us: took_us, at: now }).sample(took_us, now);
                 upstream.answered(took_us, took_us / *mean_us, now);
             }
             How::Refused => upstream.refused(now),
--- a/crates/limit/src/limiter.rs
+++ b/crates/limit/src/limiter.rs
@@ -5,8 +5,10 @@
 
 use smol_str::SmolStr;
 
-/// Bound before anything is known of the upstreams.
-const INITIAL_LIMIT: f64 = 64.0;
+/// Bound before anything is known of the upstreams. While it is used it grows
+/// by one per served call until the first cut, so a low start costs little,
+/// while a high one fills the upstreams' queues before anything is learned.
+const INITIAL_LIMIT: f64 = 16.0;
 
 /// The bound never falls below this: a trickle must go on to find out that
 /// the upstreams take calls again.
@@ -18,8 +20,12 @@
 /// Factor on the bound when the upstreams refused a call.
 const CUT: f64 = 0.8;
 
-/// Pause between two cuts: refusals of one busy moment are one sign, not many.
-const CUT_PAUSE: Duration = Duration::from_millis(200);
+/// Share of slow calls from which on the upstreams are taken for full. One
+/// straggler among many must not be.
+const SLOW_SHARE: f64 = 0.3;
+
+/// Weight of the newest call in the share of slow calls.
+const SLOW_WEIGHT: f64 = 0.05;
 
 /// Share of the bound from which on it is considered used and may grow.
 const USED: f64 = 0.8;
@@ -42,8 +48,11 @@
 /// How a call that was let in ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
-    /// An upstream answered it.
+    /// An upstream answered it in about the usual time.
     Served,
+    /// An upstream answered it, but after several times the usual time: it
+    /// waited in a queue, or its upstream is slow.
+    Slow,
     /// Every upstream tried refused it: there is no room.
     Refused,
     /// Anything else; says nothing of the room there is.
@@ -59,8 +68,8 @@
 /// A bound on calls in flight, learned from refusals and shared between teams.
 ///
 /// The bound grows by one per bound's worth of served calls while it is used,
-/// more slowly near where upstreams last refused, and shrinks when they
-/// refuse (additive increase, multiplicative decrease), so entry nodes that know nothing of each other settle on shares
+/// more slowly near where it was last cut, and shrinks when they refuse or
+/// when many calls wait several times the usual time (additive increase, multiplicative decrease), so entry nodes that know nothing of each other settle on shares
 /// of the upstreams' room. A team may use whatever is free; when room is
 /// short, a team below its fair share is let in before one above it.
 ///
@@ -73,6 +82,8 @@
     in_flight: u32,
     teams: HashMap<SmolStr, Team>,
     last_cut: Option<Instant>,
+    /// Share of slow calls among those let in since the last cut.
+    slow_share: f64,
     /// Calls in flight when the upstreams last refused one.
     refused_at: Option<f64>,
 }
@@ -84,6 +95,7 @@
             in_flight: 0,
             teams: HashMap::new(),
             last_cut: None,
+            slow_share: 0.0,
             refused_at: None,
         }
     }
@@ -116,20 +128,24 @@
         room
     }
 
-    /// Records how a call of `team` that was let in ended.
-    pub fn end(&mut self, team: &str, ended: Ended, now: Instant) {
+    /// Records how a call of `team` that was let in at `began` ended.
+    pub fn end(&mut self, team: &str, ended: Ended, began: Instant, now: Instant) {
         let used = f64::from(self.in_flight) >= self.limit * USED;
+        // Calls let in before the last cut met the room as it was then: what they say was
+        // answered by that cut, and counting it again would cut the bound to nothing.
+        let counts = self.last_cut.is_none_or(|cut| began > cut);
+        if counts {
+            let slow = match ended {
+                Ended::Slow => 1.0,
+                Ended::Served => 0.0,
+                Ended::Refused | Ended::Other => self.slow_share,
+            };
+            self.slow_share += SLOW_WEIGHT * (slow - self.slow_share);
+        }
         match ended {
             Ended::Served if used => self.grow(),
-            Ended::Refused
-                if self.last_cut.is_none_or(|at| now.duration_since(at) >= CUT_PAUSE) =>
-            {
-                // From what is in flight, not from a bound that was never used.
-                let from = self.limit.min(f64::from(self.in_flight.max(1)));
-                self.refused_at = Some(from);
-                self.limit = (from * CUT).max(MIN_LIMIT);
-                self.last_cut = Some(now);
-            }
+            Ended::Refused if counts => self.cut(now),
+            Ended::Slow if counts && self.slow_share >= SLOW_SHARE => self.cut(now),
             _ => {}
         }
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -138,6 +154,15 @@
         }
     }
 
+    fn cut(&mut self, now: Instant) {
+        // From what is in flight, not from a bound that was never used.
+        let from = self.limit.min(f64::from(self.in_flight.max(1)));
+        self.refused_at = Some(from);
+        self.limit = (from * CUT).max(MIN_LIMIT);
+        self.last_cut = Some(now);
+        self.slow_share = 0.0;
+    }
+
     fn grow(&mut self) {
         let step = match self.refused_at {
             Some(level) if self.limit > level * CAUTIOUS_BETWEEN.1 => {
@@ -145,6 +170,7 @@
                 1.0
             }
             Some(level) if self.limit > level * CAUTIOUS_BETWEEN.0 => CAUTION,
+            None if self.last_cut.is_none() => self.limit,
             _ => 1.0,
         };
         self.limit = (self.limit + step / self.limit).min(MAX_LIMIT);
--- a/crates/limit/src/limiter/tests.rs
+++ b/crates/limit/src/limiter/tests.rs
@@ -22,8 +22,9 @@
         round.let_in.iter().flat_map(|(team, count)| (0..*count).map(move |_| team)).collect();
     let (served, refused) = teams.split_at(teams.len().min(room as usize));
     round.refused = refused.len() as u32;
-    refused.iter().for_each(|team| limiter.end(team, Ended::Refused, now));
-    served.iter().for_each(|team| limiter.end(team, Ended::Served, now));
+    let later = now + Duration::from_millis(1);
+    refused.iter().for_each(|team| limiter.end(team, Ended::Refused, now, later));
+    served.iter().for_each(|team| limiter.end(team, Ended::Served, now, later));
     round
 }
 
@@ -76,8 +77,9 @@
 #[test]
 fn one_team_alone_may_use_all_the_room() {
     let (mut limiter, now) = (Limiter::default(), Instant::now());
-    let let_in = (0..64).filter(|_| limiter.begin("only", now)).count();
-    assert_eq!(let_in, 64);
+    let bound = limiter.limit() as usize;
+    let let_in = (0..bound).filter(|_| limiter.begin("only", now)).count();
+    assert_eq!(let_in, bound);
     assert!(!limiter.begin("only", now), "its share is the whole bound, and that is used");
 }
 
@@ -99,6 +101,67 @@
     assert!(limiter.limit() >= 15, "bound {}", limiter.limit());
 }
 
+/// Lets calls in until refused and ends them all as `ended`; returns how many.
+fn fill(limiter: &mut Limiter, ended: impl Fn(u32) -> Ended, now: Instant) -> u32 {
+    let count = (0..1_000).take_while(|_| limiter.begin("a", now)).count() as u32;
+    let later = now + Duration::from_millis(1);
+    (0..count).for_each(|nth| limiter.end("a", ended(nth), now, later));
+    count
+}
+
+/// Serves all that is let in a few times over.
+fn grow(limiter: &mut Limiter, now: Instant) {
+    for _ in 0..12 {
+        fill(limiter, |_| Ended::Served, now);
+    }
+}
+
+/// Symptom: upstreams with long queues never refuse, and every call waits seconds.
+/// Sequence: nearly all calls come back after several times the usual time.
+/// Cause: learning from refusals only.
+#[test]
+fn long_waits_shrink_the_bound() {
+    let (mut limiter, mut now) = (Limiter::default(), Instant::now());
+    grow(&mut limiter, now);
+    let before = fill(&mut limiter, |_| Ended::Slow, now);
+    assert!(before >= 64, "grows quickly until the first cut, got to {before}");
+    for _ in 0..10 {
+        now += Duration::from_millis(10);
+        fill(&mut limiter, |_| Ended::Slow, now);
+    }
+    assert!(limiter.limit() < before / 4, "bound {}", limiter.limit());
+}
+
+/// Symptom: one straggler among many upstreams makes the node refuse calls.
+/// Sequence: one call in eight is slow.
+/// Cause: cutting the bound for any slow call.
+#[test]
+fn a_straggler_does_not_shrink_the_bound() {
+    let (mut limiter, mut now) = (Limiter::default(), Instant::now());
+    let one_in_eight = |nth: u32| if nth.is_multiple_of(8) { Ended::Slow } else { Ended::Served };
+    for _ in 0..50 {
+        now += Duration::from_millis(10);
+        fill(&mut limiter, one_in_eight, now);
+    }
+    assert!(limiter.limit() >= 64, "bound {}", limiter.limit());
+}
+
+/// Symptom: one busy moment cuts the bound to nothing.
+/// Sequence: calls let in before a cut come back refused, one after the other.
+/// Cause: each counted as a new sign.
+#[test]
+fn calls_of_before_a_cut_do_not_cut_again() {
+    let (mut limiter, now) = (Limiter::default(), Instant::now());
+    let began = now;
+    grow(&mut limiter, now);
+    let count = (0..1_000).take_while(|_| limiter.begin("a", now)).count();
+    for nth in 0..count {
+        let later = now + Duration::from_millis(10 * nth as u64 + 1);
+        limiter.end("a", Ended::Refused, began, later);
+    }
+    assert!(limiter.limit() >= 50, "bound {}", limiter.limit());
+}
+
 #[derive(Clone, Debug)]
 enum Op {
     Begin(usize),
@@ -123,7 +186,7 @@
     #[test]
     fn counts_agree_with_a_plain_count(ops in prop::collection::vec(prop_oneof![
         (0..TEAMS.len()).prop_map(Op::Begin),
-        (0..TEAMS.len(), 0u8..3).prop_map(|(t, how)| Op::End(t, how)),
+        (0..TEAMS.len(), 0u8..4).prop_map(|(t, how)| Op::End(t, how)),
         (0u64..1_500).prop_map(Op::Wait),
     ], 1..400)) {
         let (mut limiter, mut now) = (Limiter::default(), Instant::now());
@@ -135,9 +198,9 @@
                     prop_assert!(let_in || count[t] > 0, "a team with nothing in flight was refused");
                     count[t] += u32::from(let_in);
                 }
-                Op::End(t, how) if count[t] > 0 => {
-                    let how = [Ended::Served, Ended::Refused, Ended::Other][usize::from(how)];
-                    limiter.end(TEAMS[t], how, now);
+                Op::End(t, how_index) if count[t] > 0 => {
+                    let how = [Ended::Served, Ended::Slow, Ended::Refused, Ended::Other];
+                    limiter.end(TEAMS[t], how[usize::from(how_index)], now, now);
                     count[t] -= 1;
                 }
                 Op::End(..) => {}
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -18,6 +18,10 @@
 /// A hedge is never sent sooner than this after the call.
 const HEDGE_AFTER_LEAST: Duration = Duration::from_millis(5);
 
+/// A call is slow when it took more than this many times what its kind takes
+/// when nothing waits.
+const SLOW_FROM: f64 = 4.0;
+
 /// One call on its way.
 struct Call<'a> {
     request: &'a web::Request,
@@ -60,6 +64,7 @@
     node: &'a Node,
     service: &'a SmolStr,
     team: &'a SmolStr,
+    began: Instant,
     ended: limit::Ended,
 }
 
@@ -72,7 +77,7 @@
 impl Drop for TakenIn<'_> {
     fn drop(&mut self) {
         if let Some(intake) = self.node.intakes.borrow_mut().get_mut(self.service) {
-            intake.limiter.end(self.team, self.ended, Instant::now());
+            intake.limiter.end(self.team, self.ended, self.began, Instant::now());
         }
     }
 }
@@ -115,7 +120,9 @@
             return (answer, answer::NOT_RUN);
         };
         let ended = self.attempts(&call).await;
+        let took = taken_in.began.elapsed();
         taken_in.end(match &ended {
+            Ended::Answered(_) if self.was_slow(&call, took) => limit::Ended::Slow,
             Ended::Answered(_) => limit::Ended::Served,
             Ended::NotRun { refused: true } => limit::Ended::Refused,
             Ended::NotRun { refused: false } | Ended::Unknown(_) => limit::Ended::Other,
@@ -194,7 +201,8 @@
     fn begin<'a>(&'a self, call: &'a Call<'_>) -> Option<TakenIn<'a>> {
         let mut intakes = self.intakes.borrow_mut();
         let intake = intakes.entry(call.service.clone()).or_default();
-        if !intake.limiter.begin(&call.team, Instant::now()) {
+        let began = Instant::now();
+        if !intake.limiter.begin(&call.team, began) {
             return None;
         }
         intake.retries.first_send(call.params.retry_budget_percent);
@@ -202,6 +210,7 @@
             node: self,
             service: &call.service,
             team: &call.team,
+            began,
             ended: limit::Ended::Other,
         })
     }
@@ -343,6 +352,14 @@
         (after < call.remaining()).then_some(after)
     }
 
+    /// Returns true when a call took several times what its kind takes when nothing waits.
+    fn was_slow(&self, call: &Call<'_>, took: Duration) -> bool {
+        let view = self.view.borrow();
+        let pool = view.pools.get(&call.service);
+        let floor = pool.and_then(|pool| pool.kind_floor(call.kind, Instant::now()));
+        floor.is_some_and(|floor| took > floor.mul_f64(SLOW_FROM))
+    }
+
     /// Returns how long the service is likely to stay busy: about one call's time.
     fn busy_for(&self, call: &Call<'_>) -> Duration {
         let view = self.view.borrow();
