--- a/crates/config/src/node.rs
+++ b/crates/config/src/node.rs
@@ -15,6 +15,10 @@
 /// Default of `entries_ttl_s`: short, so that a planned stop of an entry node is soon over.
 const DEFAULT_ENTRIES_TTL_S: u64 = 5;
 
+/// Longest `vm_poll_ms`: a node that has not read the VM list for 5 s does not
+/// probe, and one failed read must not be enough for that.
+const MAX_VM_POLL_MS: u64 = 2_000;
+
 /// Default of `probe_cap_per_s`: at about 250 bytes a probe, 5 of the 7 KB/s
 /// of control traffic that letter 1 allows a node.
 const DEFAULT_PROBE_CAP_PER_S: u64 = 20;
@@ -69,9 +73,13 @@
     let node_id = fields.string("node_id", findings);
     let zone = fields.string("zone", findings);
     let listen_addr = address(&mut fields, "listen_addr", findings);
+    if listen_addr.is_some_and(|addr| addr.ip().is_unspecified()) {
+        findings
+            .error("listen_addr", "must be the address that callers and other entry nodes reach");
+    }
     let platform_addr = address(&mut fields, "platform_addr", findings);
     let config_poll_ms = fields.uint("config_poll_ms", 50..=60_000, findings);
-    let vm_poll_ms = fields.uint("vm_poll_ms", 50..=60_000, findings);
+    let vm_poll_ms = fields.uint("vm_poll_ms", 50..=MAX_VM_POLL_MS, findings);
     let entries_ttl_s = fields.uint("entries_ttl_s", 1..=3_600, findings);
     let probe_cap_per_s = fields.uint("probe_cap_per_s", 1..=10_000, findings);
     let stop_grace_ms = fields.uint("stop_grace_ms", 0..=600_000, findings);
--- a/crates/config/src/node/tests.rs
+++ b/crates/config/src/node/tests.rs
@@ -32,3 +32,16 @@
     paths.sort_unstable();
     assert_eq!(paths, ["listen_addr", "seed_addrs[1]", "stop_grace", "zone"]);
 }
+
+/// Symptom: callers are told to connect to 0.0.0.0, peers never answer, nothing is probed.
+/// Sequence: a node listens on every address, or reads the VM list too rarely to probe.
+/// Cause: accepting settings that cannot work.
+#[test]
+fn settings_that_cannot_work_are_refused() {
+    let everywhere = LEAST.replace("10.0.0.1", "0.0.0.0");
+    let findings = NodeSettings::parse(&everywhere).expect_err("rejected");
+    assert_eq!(findings.0[0].path, "listen_addr");
+    let rarely = format!("{LEAST}vm_poll_ms: 30000\n");
+    let findings = NodeSettings::parse(&rarely).expect_err("rejected");
+    assert_eq!(findings.0[0].path, "vm_poll_ms");
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -89,6 +89,11 @@
         /// What is believed of it now.
         standing: Standing,
     },
+    /// A peer that died or left long ago is no longer kept.
+    Forgotten {
+        /// Address it had.
+        addr: SocketAddr,
+    },
     /// A peer holds config up to this commit.
     ConfigHead {
         /// Address of the peer.
@@ -430,11 +435,20 @@
 
     fn forget(&mut self, now: Instant) {
         let (listed, after) = (&self.listed, self.timing.forget_after);
-        self.peers.retain(|addr, p| {
-            p.standing < Standing::Dead
-                || listed.contains_key(addr)
-                || now.duration_since(p.since) < after
-        });
+        let forgotten: Vec<SocketAddr> = self
+            .peers
+            .iter()
+            .filter(|(addr, peer)| {
+                peer.standing >= Standing::Dead
+                    && !listed.contains_key(addr)
+                    && now.duration_since(peer.since) >= after
+            })
+            .map(|(addr, _)| *addr)
+            .collect();
+        for addr in forgotten {
+            self.peers.remove(&addr);
+            self.events.push(Event::Forgotten { addr });
+        }
     }
 
     /// Suspects the target of the last ping if it never answered.
--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -305,6 +305,25 @@
     }
 }
 
+/// Symptom: what a node keeps of its peers grows with every VM ever replaced.
+/// Sequence: a node leaves, the platform's list drops it, time passes.
+/// Cause: peers kept for good, or dropped without telling who else keeps them.
+#[test]
+fn a_node_long_gone_is_forgotten() {
+    let mut net = Net::new(3, 11);
+    net.run(Duration::from_secs(6));
+    let out = net.nodes[2].members.leave();
+    net.send(2, out);
+    net.nodes[2].running = false;
+    net.nodes[0].members.set_listed([(addr(1), "z".into())]);
+    net.run(Duration::from_secs(1));
+    assert_eq!(net.view(0, 2), Some(Standing::Left));
+    net.now += Duration::from_secs(601);
+    net.run(Duration::from_secs(1));
+    assert_eq!(net.view(0, 2), None);
+    assert!(net.nodes[0].heard.contains(&Event::Forgotten { addr: addr(2) }));
+}
+
 #[derive(Clone, Debug)]
 enum Fault {
     Kill(usize),
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -129,6 +129,7 @@
             peer.zone = zone;
             peer.standing = Some(standing);
         }
+        member::Event::Forgotten { addr } => drop(view.peers.remove(&addr)),
         member::Event::ConfigHead { addr, config_head } => {
             view.peers.entry(addr).or_default().config_head = config_head;
         }
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -17,7 +17,7 @@
 use crate::view::View;
 
 /// How often duties are checked.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 
 /// Deadline of one probe, connecting included.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of a call at one upstream, and the connections kept for it.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +17,13 @@
 /// Idle connections kept per upstream.
 const IDLE_PER_UPSTREAM: usize = 64;
 
+/// An idle connection is used again for this long. Upstreams close idle
+/// connections too, and a claim sent on one just closed ends as `unknown`.
+const IDLE_FOR: Duration = Duration::from_secs(5);
+
+/// How often connections idle for too long are looked for.
+const PURGE_EVERY: Duration = Duration::from_secs(10);
+
 /// What happened to one attempt.
 pub(super) enum Attempt {
     /// The upstream answered.
@@ -29,10 +36,22 @@
     Lost(web::Error),
 }
 
-/// Connections whose last answer was read whole, by upstream.
-#[derive(Default)]
+/// A connection whose last answer was read whole, and when that was.
+struct Idle {
+    conn: web::Conn,
+    since: Instant,
+}
+
+/// Idle connections by upstream, the longest idle first.
 pub(super) struct IdleConns {
-    by_upstream: RefCell<HashMap<SocketAddr, Vec<web::Conn>>>,
+    by_upstream: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    purged_at: Cell<Instant>,
+}
+
+impl Default for IdleConns {
+    fn default() -> Self {
+        IdleConns { by_upstream: RefCell::default(), purged_at: Cell::new(Instant::now()) }
+    }
 }
 
 impl IdleConns {
@@ -43,8 +62,7 @@
         request: web::Request,
         remaining: Duration,
     ) -> Attempt {
-        let idle = self.by_upstream.borrow_mut().get_mut(&addr).and_then(Vec::pop);
-        let mut conn = match idle {
+        let mut conn = match self.take(addr, Instant::now()) {
             Some(conn) => conn,
             None => match web::Conn::connect(addr, CONNECT_TIMEOUT.min(remaining)).await {
                 Ok(conn) => conn,
@@ -69,7 +87,9 @@
             Ok(response) => {
                 let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
                     && response.headers().contains_key(http::header::RETRY_AFTER);
-                self.keep(addr, conn, &response);
+                if !web::closes(response.headers()) {
+                    self.keep(addr, conn, Instant::now());
+                }
                 match refused {
                     true => Attempt::Refused,
                     false => Attempt::Answered(response),
@@ -83,14 +103,42 @@
         }
     }
 
-    /// Keeps a connection whose last response was read whole, unless the upstream closes it.
-    fn keep(&self, addr: SocketAddr, conn: web::Conn, response: &web::Response) {
+    /// Takes the connection to `addr` that was used last, if it is fresh enough.
+    fn take(&self, addr: SocketAddr, now: Instant) -> Option<web::Conn> {
+        let last = self.by_upstream.borrow_mut().get_mut(&addr).and_then(Vec::pop)?;
+        (now.duration_since(last.since) < IDLE_FOR).then_some(last.conn)
+    }
+
+    /// Keeps a connection whose last answer was read whole.
+    fn keep(&self, addr: SocketAddr, conn: web::Conn, now: Instant) {
+        if now.duration_since(self.purged_at.get()) >= PURGE_EVERY {
+            self.purge(now);
+        }
         let mut idle = self.by_upstream.borrow_mut();
         let list = idle.entry(addr).or_default();
-        if !web::closes(response.headers()) && list.len() < IDLE_PER_UPSTREAM {
-            list.push(conn);
+        if list.len() < IDLE_PER_UPSTREAM {
+            list.push(Idle { conn, since: now });
         }
     }
+
+    /// Closes connections idle for too long.
+    ///
+    /// Upstreams that are gone are never picked again, so nothing else would
+    /// close their connections; 1,300 VMs replaced a day use up the
+    /// descriptors, and accepts fail with "too many open files".
+    pub(super) fn purge(&self, now: Instant) {
+        self.purged_at.set(now);
+        self.by_upstream.borrow_mut().retain(|_, list| {
+            list.retain(|idle| now.duration_since(idle.since) < IDLE_FOR);
+            !list.is_empty()
+        });
+    }
+
+    /// Returns how many connections are kept.
+    #[cfg(test)]
+    pub(super) fn len(&self) -> usize {
+        self.by_upstream.borrow().values().map(Vec::len).sum()
+    }
 }
 
 /// A call counted as outstanding at an upstream until it is finished or dropped.
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -489,3 +489,19 @@
         assert!(text.contains("oatcove_calls_not_run_total 0"), "{text}");
     });
 }
+
+/// Symptom: after days the entry node cannot open connections any more.
+/// Sequence: upstreams come and go; connections to those that are gone stay open.
+/// Cause: idle connections closed only when their upstream is picked again.
+#[test]
+fn connections_to_upstreams_that_are_gone_are_closed() {
+    web::runtime().block_on(async {
+        let upstreams = [upstream(shape(1, 100)).0, upstream(shape(1, 100)).0];
+        let node = node("service: svc\n", &upstreams);
+        send_many(&node, http::Method::GET, 20).await;
+        assert!(node.idle.len() >= 1);
+        crate::follow::apply_vms(&mut node.view.borrow_mut(), &[]);
+        node.idle.purge(std::time::Instant::now() + Duration::from_secs(6));
+        assert_eq!(node.idle.len(), 0);
+    });
+}
--- a/crates/oatcoved/src/stop.rs
+++ b/crates/oatcoved/src/stop.rs
@@ -18,7 +18,7 @@
 use crate::view::View;
 
 /// How often the signal and the calls in flight are looked at.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(250);
 
 /// Returns a flag that SIGTERM and SIGINT set.
 ///
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -103,6 +103,109 @@
         .collect()
 }
 
+/// Sizes of the fleets of entry nodes measured.
+const FLEETS: [usize; 3] = [1, 8, 32];
+
+/// Time for a fleet's membership to settle.
+const JOIN: Duration = Duration::from_secs(8);
+
+/// Probes per second and budget of the probing measurement.
+const PROBES_PER_S: u64 = 200;
+
+fn counter(cluster: &Cluster, name: &str) -> f64 {
+    cluster.ask_entry(0, "/v1/status")["counters"][name].as_f64().unwrap_or(f64::NAN)
+}
+
+/// Measures what an idle entry node spends by the size of the fleet.
+fn membership(bins: &Path, dir: &Path) -> Vec<serde_json::Value> {
+    let measure = |entries: usize| {
+        let spec = Spec {
+            service: "swap-desk".into(),
+            zones: vec!["z-0".into()],
+            upstreams_per_zone: 1,
+            entries,
+            slots: 4,
+            light_ms: 1,
+            heavy_ms: 1,
+        };
+        let cluster = Cluster::start(bins, dir, &spec);
+        std::thread::sleep(JOIN);
+        let names = ["peer_packets_sent", "peer_bytes_sent", "peer_bytes_received"];
+        let before = names.map(|name| counter(&cluster, name));
+        let cpu_us_per_s = cpu_rate_us_per_s(&cluster, WINDOW);
+        let rates: Vec<f64> = names
+            .iter()
+            .zip(before)
+            .map(|(name, before)| (counter(&cluster, name) - before) / WINDOW.as_secs_f64())
+            .collect();
+        let alive = cluster.ask_entry(0, "/v1/status")["peers"].as_object().map_or(0, |p| p.len());
+        println!("fleet of {entries}: {cpu_us_per_s:.0} us/s of CPU, {:.1} packets/s, {:.0} B/s sent, {:.0} B/s received, {alive} peers", rates[0], rates[1], rates[2]);
+        json!({
+            "entries": entries, "peers": alive, "cpu_us_per_s": cpu_us_per_s,
+            "packets_sent_per_s": rates[0], "bytes_sent_per_s": rates[1],
+            "bytes_received_per_s": rates[2], "rss_bytes": cluster.entries[0].rss_bytes(),
+        })
+    };
+    FLEETS.into_iter().map(measure).collect()
+}
+
+/// Poll period of the second idle measurement.
+const SLOW_POLL: Duration = Duration::from_secs(2);
+
+/// Reads per poll period: templates, drains and the VM list.
+const READS_PER_POLL: f64 = 3.0;
+
+/// Measures an idle node that polls a tenth as often; returns its CPU in us/s.
+fn idle_polling_slowly(bins: &Path, dir: &Path) -> f64 {
+    let spec = Spec {
+        service: "swap-desk".into(),
+        zones: vec!["z-0".into()],
+        upstreams_per_zone: 1,
+        entries: 0,
+        slots: 4,
+        light_ms: 1,
+        heavy_ms: 1,
+    };
+    let mut cluster = Cluster::start(bins, dir, &spec);
+    let period = SLOW_POLL.as_millis().to_string();
+    cluster.start_entry("z-0", &[("config_poll_ms", period.clone()), ("vm_poll_ms", period)]);
+    std::thread::sleep(JOIN);
+    cpu_rate_us_per_s(&cluster, WINDOW * 2)
+}
+
+/// Measures what one probe costs the entry node that sends it.
+fn probing(bins: &Path, dir: &Path) -> serde_json::Value {
+    let spec = Spec {
+        service: "swap-desk".into(),
+        zones: vec!["z-0".into()],
+        upstreams_per_zone: 8,
+        entries: 0,
+        slots: 4,
+        light_ms: 1,
+        heavy_ms: 1,
+    };
+    let mut cluster = Cluster::start(bins, dir, &spec);
+    cluster.start_entry("z-0", &[("probe_cap_per_s", PROBES_PER_S.to_string())]);
+    let listed = xtask::cluster::vm(&cluster.entries[0], proto::VmRole::Entry, "");
+    cluster.put_vms(&[listed]);
+    std::thread::sleep(JOIN);
+    let idle_us_per_s = cpu_rate_us_per_s(&cluster, WINDOW);
+    let template = format!("service: swap-desk\ndefaults:\n  probe_budget_per_s: {PROBES_PER_S}\n");
+    assert!(cluster.apply("probed.yaml", &template).status.success());
+    // Until the duties have settled.
+    std::thread::sleep(JOIN + Duration::from_secs(3));
+    let before = counter(&cluster, "probes_sent");
+    let cpu_us_per_s = cpu_rate_us_per_s(&cluster, WINDOW);
+    let sent = counter(&cluster, "probes_sent") - before;
+    let per_s = sent / WINDOW.as_secs_f64();
+    let probe_us = (cpu_us_per_s - idle_us_per_s) / per_s;
+    println!("probe: {probe_us:.0} us of entry CPU each, at {per_s:.0} probes/s");
+    json!({
+        "probes_per_s": per_s, "idle_cpu_us_per_s": idle_us_per_s,
+        "cpu_us_per_s": cpu_us_per_s, "cpu_us_per_probe": probe_us,
+    })
+}
+
 /// Runs every measurement and writes the figures to `out` as JSON.
 pub fn run(bins: &Path, dir: &Path, out: &Path) {
     let spec = Spec {
@@ -123,8 +226,7 @@
     let base_rss = cluster.entries[0].rss_bytes();
 
     let idle_us_per_s = cpu_rate_us_per_s(&cluster, WINDOW);
-    let polls_per_s = 2.0 / POLL.as_secs_f64();
-    println!("idle: {idle_us_per_s:.0} us/s of CPU, {polls_per_s:.0} polls/s");
+    println!("idle: {idle_us_per_s:.0} us/s of CPU, polling each {} ms", POLL.as_millis());
 
     let (low_rate, high_rate) = (1_000u64, 4_000u64);
     let (low_cpu, low_report) = load(&cluster, low_rate);
@@ -172,12 +274,23 @@
     let empty_delta_body_bytes = delta.body().len();
     println!("vm: {vm_poll_ns_per_vm:.0} ns CPU per VM per poll, {vm_rss:.0} B held, {vm_bytes:.0} B per VM in a whole list, {empty_delta_body_bytes} B body of an empty change poll");
 
+    drop(cluster);
+    let membership = membership(bins, &dir.join("membership"));
+    let probing = probing(bins, &dir.join("probing"));
+    let slow_us_per_s = idle_polling_slowly(bins, &dir.join("slow-poll"));
+    let reads_per_s = |period: Duration| READS_PER_POLL / period.as_secs_f64();
+    let read_us = (idle_us_per_s - slow_us_per_s) / (reads_per_s(POLL) - reads_per_s(SLOW_POLL));
+    let timers_us_per_s = slow_us_per_s - read_us * reads_per_s(SLOW_POLL);
+    println!("platform read: {read_us:.0} us each; timers: {timers_us_per_s:.0} us/s");
     let figures = json!({
+        "read_cpu_us": read_us,
+        "timers_cpu_us_per_s": timers_us_per_s,
+        "membership": membership,
+        "probing": probing,
         "window_s": WINDOW.as_secs(),
         "poll_ms": POLL.as_millis() as u64,
         "entry_base_rss_bytes": base_rss,
         "idle_cpu_us_per_s": idle_us_per_s,
-        "poll_cpu_us": idle_us_per_s / polls_per_s,
         "call": {
             "low_rate_per_s": low_rate, "low_cpu_us": low_cpu, "low_report": low_report,
             "high_rate_per_s": high_rate, "high_cpu_us": high_cpu, "high_report": high_report,
