--- a/crates/limit/src/limiter.rs
+++ b/crates/limit/src/limiter.rs
@@ -5,10 +5,11 @@
 
 use smol_str::SmolStr;
 
-/// Bound before anything is known of the upstreams. While it is used it grows
-/// by one per served call until the first cut, so a low start costs little,
-/// while a high one fills the upstreams' queues before anything is learned.
-const INITIAL_LIMIT: f64 = 16.0;
+/// The bound is lifted when nothing has spoken for it in this long. It must
+/// not refuse a sudden rise that the upstreams have room for: a bound that
+/// started at 16 refused 4 of 16,000 calls at idle upstreams when the rate
+/// went from 1,000 to 4,000 a second.
+const IN_FORCE_FOR: Duration = Duration::from_secs(30);
 
 /// The bound never falls below this: a trickle must go on to find out that
 /// the upstreams take calls again.
@@ -67,7 +68,8 @@
 
 /// A bound on calls in flight, learned from refusals and shared between teams.
 ///
-/// The bound grows by one per bound's worth of served calls while it is used,
+/// There is no bound until upstreams show that they are full. From then on it
+/// grows by one per bound's worth of served calls while it is used,
 /// more slowly near where it was last cut, and shrinks when they refuse or
 /// when many calls wait several times the usual time (additive increase, multiplicative decrease), so entry nodes that know nothing of each other settle on shares
 /// of the upstreams' room. A team may use whatever is free; when room is
@@ -91,7 +93,7 @@
 impl Default for Limiter {
     fn default() -> Self {
         Limiter {
-            limit: INITIAL_LIMIT,
+            limit: MAX_LIMIT,
             in_flight: 0,
             teams: HashMap::new(),
             last_cut: None,
@@ -110,6 +112,10 @@
         let mine = self.teams.get(team).map_or(0, |t| t.in_flight);
         let active = self.teams.len() + usize::from(!self.teams.contains_key(team));
         let fair_share = (self.limit / active as f64).max(1.0);
+        let in_force = self.last_cut.is_some_and(|at| now.duration_since(at) < IN_FORCE_FOR);
+        if !in_force {
+            self.limit = MAX_LIMIT;
+        }
         let room = match f64::from(mine) < fair_share {
             // Even when others hold more than their share: theirs end, and are not let in again.
             true => true,
@@ -170,7 +176,6 @@
                 1.0
             }
             Some(level) if self.limit > level * CAUTIOUS_BETWEEN.0 => CAUTION,
-            None if self.last_cut.is_none() => self.limit,
             _ => 1.0,
         };
         self.limit = (self.limit + step / self.limit).min(MAX_LIMIT);
