--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -41,7 +41,7 @@
         }
         /// The outcome could not be learned: the change may or may not be in force.
         Unknown(err: StoreError) {
-            display("outcome unknown: {}; `oatcove audit` shows whether it landed", err)
+            display("outcome unknown: {}; `oatcove audit log` shows whether it landed", err)
         }
     }
 }
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -5,10 +5,31 @@
 
 use bpaf::Bpaf;
 
-/// Checks and applies templates, reads the audit trail, shows entry node status.
+/// Checks and applies templates, reads the audit trail, drains upstreams, shows entry node status.
 #[derive(Bpaf, Debug)]
 #[bpaf(options, version)]
 enum Command {
+    /// Checks and applies service templates
+    #[bpaf(command("template"))]
+    Template(#[bpaf(external(template_command))] TemplateCommand),
+    /// Reads the audit trail
+    #[bpaf(command("audit"))]
+    Audit(#[bpaf(external(audit_command))] AuditCommand),
+    /// Prepares upstreams for planned stops
+    #[bpaf(command("upstream"))]
+    Upstream(#[bpaf(external(upstream_command))] UpstreamCommand),
+    /// Prints an entry node's status as JSON
+    #[bpaf(command("status"))]
+    Status {
+        /// Entry node address, ip:port
+        #[bpaf(positional("ADDR"))]
+        entry: SocketAddr,
+    },
+}
+
+/// Checks and applies service templates.
+#[derive(Bpaf, Debug)]
+enum TemplateCommand {
     /// Checks a template file and prints every finding
     #[bpaf(command("check"))]
     Check {
@@ -29,9 +50,14 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
-    /// Prints the audit trail of accepted changes, oldest first
-    #[bpaf(command("audit"))]
-    Audit {
+}
+
+/// Reads the audit trail.
+#[derive(Bpaf, Debug)]
+enum AuditCommand {
+    /// Prints accepted changes, oldest first
+    #[bpaf(command("log"))]
+    Log {
         /// Platform address, ip:port
         #[bpaf(long("platform"), argument("ADDR"), fallback("127.0.0.1:7000".parse().unwrap()))]
         platform: SocketAddr,
@@ -39,6 +65,11 @@
         #[bpaf(long("service"), argument("NAME"), optional)]
         service: Option<String>,
     },
+}
+
+/// Prepares upstreams for planned stops.
+#[derive(Bpaf, Debug)]
+enum UpstreamCommand {
     /// Marks an upstream drained: no entry node sends it new calls
     #[bpaf(command("drain"))]
     Drain {
@@ -58,13 +89,6 @@
         #[bpaf(positional("UPSTREAM"))]
         upstream: SocketAddr,
     },
-    /// Prints an entry node's status as JSON
-    #[bpaf(command("status"))]
-    Status {
-        /// Entry node address, ip:port
-        #[bpaf(positional("ADDR"))]
-        entry: SocketAddr,
-    },
 }
 
 /// Exit codes, so scripts can tell outcomes apart.
@@ -84,50 +108,56 @@
 
 async fn run(command: Command) -> i32 {
     match command {
-        Command::Check { file } => match read(&file).map(|text| config::Template::parse(&text)) {
-            Ok(Ok(template)) => {
-                println!(
-                    "ok: template for service {} with {} teams",
-                    template.service,
-                    template.teams.len()
-                );
-                0
-            }
-            Ok(Err(findings)) => {
-                eprint!("{}:\n{findings}", file.display());
-                exit::INVALID
-            }
-            Err(code) => code,
-        },
-        Command::Apply { platform, actor, file } => {
-            let text = match read(&file) {
-                Ok(text) => text,
-                Err(code) => return code,
-            };
-            let store = platform::Store::new(platform);
-            match oatcove::apply::apply(&store, &text, &actor, Default::default()).await {
-                Ok(oatcove::apply::Applied::Written { version, change_id }) => {
-                    println!("applied: version {version}, change {change_id}");
-                    0
-                }
-                Ok(oatcove::apply::Applied::Unchanged { version }) => {
-                    println!("unchanged: already in force at version {version}");
-                    0
-                }
-                Err(err) => {
-                    eprintln!("{}: {err}", file.display());
-                    apply_exit(&err)
-                }
-            }
+        Command::Template(TemplateCommand::Check { file }) => check(&file),
+        Command::Template(TemplateCommand::Apply { platform, actor, file }) => {
+            apply(&platform::Store::new(platform), &actor, &file).await
+        }
+        Command::Audit(AuditCommand::Log { platform, service }) => {
+            audit_log(platform, service.as_deref()).await
         }
-        Command::Audit { platform, service } => audit_log(platform, service.as_deref()).await,
-        Command::Drain { platform, actor, wait, lift, upstream } => {
+        Command::Upstream(UpstreamCommand::Drain { platform, actor, wait, lift, upstream }) => {
             drain(&platform::Store::new(platform), upstream, &actor, wait, lift).await
         }
         Command::Status { entry } => status(entry).await,
     }
 }
 
+fn check(file: &PathBuf) -> i32 {
+    match read(file).map(|text| config::Template::parse(&text)) {
+        Ok(Ok(template)) => {
+            let (service, teams) = (&template.service, template.teams.len());
+            println!("ok: template for service {service} with {teams} teams");
+            0
+        }
+        Ok(Err(findings)) => {
+            eprint!("{}:\n{findings}", file.display());
+            exit::INVALID
+        }
+        Err(code) => code,
+    }
+}
+
+async fn apply(store: &platform::Store, actor: &str, file: &PathBuf) -> i32 {
+    let text = match read(file) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    match oatcove::apply::apply(store, &text, actor, Default::default()).await {
+        Ok(oatcove::apply::Applied::Written { version, change_id }) => {
+            println!("applied: version {version}, change {change_id}");
+            0
+        }
+        Ok(oatcove::apply::Applied::Unchanged { version }) => {
+            println!("unchanged: already in force at version {version}");
+            0
+        }
+        Err(err) => {
+            eprintln!("{}: {err}", file.display());
+            apply_exit(&err)
+        }
+    }
+}
+
 fn read(file: &PathBuf) -> Result<String, i32> {
     std::fs::read_to_string(file).map_err(|err| {
         eprintln!("error: {}: {err}", file.display());
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -240,7 +240,15 @@
         let path = self.dir.join(name);
         std::fs::write(&path, text).expect("template written");
         let platform = self.platform.addr.to_string();
-        self.cli(&["apply", "--platform", &platform, "--actor", "demo", &path.to_string_lossy()])
+        self.cli(&[
+            "template",
+            "apply",
+            "--platform",
+            &platform,
+            "--actor",
+            "demo",
+            &path.to_string_lossy(),
+        ])
     }
 
     /// Waits until every entry node holds `service` at `version` or newer; returns how long it took.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -140,7 +140,7 @@
     );
     let cluster = Cluster::start(&bins, &dir, &spec);
     let applied = cluster.apply("swap-desk-v1.yaml", TEMPLATE_V1);
-    print!("oatcove apply v1: {}", String::from_utf8_lossy(&applied.stdout));
+    print!("oatcove template apply v1: {}", String::from_utf8_lossy(&applied.stdout));
     let v1 = cluster
         .wait_for_version("swap-desk", 1, Duration::from_secs(10))
         .expect("v1 reaches every entry");
@@ -172,7 +172,7 @@
     std::thread::sleep(Duration::from_secs(duration_s) / 2);
     let applied = cluster.apply("swap-desk-v2.yaml", TEMPLATE_V2);
     let text = String::from_utf8_lossy(&applied.stdout).into_owned();
-    print!("oatcove apply v2 during load: {text}");
+    print!("oatcove template apply v2 during load: {text}");
     let version: u64 = text
         .split_whitespace()
         .nth(2)
@@ -186,13 +186,27 @@
     }
     let drained = cluster.upstreams[0].addr.to_string();
     let platform = cluster.platform.addr.to_string();
-    let output =
-        cluster.cli(&["drain", "--platform", &platform, "--actor", "demo", "--wait", &drained]);
-    print!("oatcove drain --wait during load: {}", String::from_utf8_lossy(&output.stdout));
+    let output = cluster.cli(&[
+        "upstream",
+        "drain",
+        "--platform",
+        &platform,
+        "--actor",
+        "demo",
+        "--wait",
+        &drained,
+    ]);
+    print!(
+        "oatcove upstream drain --wait during load: {}",
+        String::from_utf8_lossy(&output.stdout)
+    );
     let output = load.wait_with_output().expect("load finishes");
     assert!(output.status.success(), "load tool failed");
     println!("oatcove audit log:");
-    print!("{}", String::from_utf8_lossy(&cluster.cli(&["audit", "--platform", &platform]).stdout));
+    print!(
+        "{}",
+        String::from_utf8_lossy(&cluster.cli(&["audit", "log", "--platform", &platform]).stdout)
+    );
     println!("load report (also in {}):", json_path.display());
     print!("{}", String::from_utf8_lossy(&output.stdout));
 }
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -181,7 +181,7 @@
     );
     let (drained, platform) =
         (cluster.upstreams[0].addr.to_string(), cluster.platform.addr.to_string());
-    let output = cluster.cli(&["drain", "--platform", &platform, "--wait", &drained]);
+    let output = cluster.cli(&["upstream", "drain", "--platform", &platform, "--wait", &drained]);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     assert!(leaving(&cluster.ask_entry(2, "/v1/status"), cluster.upstreams[0].addr));
 }
@@ -315,7 +315,7 @@
     );
 
     let platform = cluster.platform.addr.to_string();
-    let audit = cluster.cli(&["audit", "--platform", &platform, "--service", "swap-desk"]);
+    let audit = cluster.cli(&["audit", "log", "--platform", &platform, "--service", "swap-desk"]);
     let text = String::from_utf8_lossy(&audit.stdout);
     assert_eq!(text.lines().filter(|l| l.starts_with("version ")).count(), 2, "{text}");
     assert!(text.contains("-  timeout_ms: 800") && text.contains("+  timeout_ms: 500"), "{text}");
@@ -340,7 +340,7 @@
         "{stderr}"
     );
     let platform = cluster.platform.addr.to_string();
-    let audit = cluster.cli(&["audit", "--platform", &platform]);
+    let audit = cluster.cli(&["audit", "log", "--platform", &platform]);
     assert!(audit.stdout.is_empty(), "{}", String::from_utf8_lossy(&audit.stdout));
     drop(cluster);
     let _ = std::fs::remove_dir_all(&dir);
@@ -387,7 +387,14 @@
     std::thread::sleep(Duration::from_secs(1));
     let drained = cluster.upstreams[0].addr;
     let platform = cluster.platform.addr.to_string();
-    let output = cluster.cli(&["drain", "--platform", &platform, "--wait", &drained.to_string()]);
+    let output = cluster.cli(&[
+        "upstream",
+        "drain",
+        "--platform",
+        &platform,
+        "--wait",
+        &drained.to_string(),
+    ]);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let at_drain = executed(drained);
     let output = load.wait_with_output().expect("load finishes");
