Entry nodes keep to their share of an upstream's connections

A reset call may have run.

Change: connections_per_upstream (template, 240) over the listed entry nodes bounds a node's outstanding calls per upstream, and with it its connections; beyond, other upstreams or not-run at once. The upstream stand-in closes connections beyond its own bound (260).

Ruled out: an exact count over the fleet (needs agreement per connection).

--- a/crates/balance/src/model_tests.rs
+++ b/crates/balance/src/model_tests.rs
@@ -19,6 +19,9 @@
 
 /// Few addresses, so that sequences reach ejections, trials and what comes after.
 const PORTS: std::ops::Range<u16> = 1..5;
+/// Calls outstanding at one upstream at most.
+const MOST_OUTSTANDING: u32 = 3;
+
 const ZONES: [&str; 2] = ["a", "b"];
 
 #[derive(Clone, Debug)]
@@ -242,14 +245,20 @@
             Op::Report(p, report) => real.pool.set_report(addr(p), report),
             Op::Pick { zone, affinity, policy, tried, seed } => {
                 let tried_addrs: Vec<SocketAddr> = tried.iter().map(|p| addr(*p)).collect();
-                let ask =
-                    Ask { policy, zone: ZONES[zone], zone_affinity: affinity, tried: &tried_addrs };
+                let ask = Ask {
+                    policy,
+                    zone: ZONES[zone],
+                    zone_affinity: affinity,
+                    tried: &tried_addrs,
+                    most_outstanding: MOST_OUTSTANDING,
+                };
                 let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
                 let picked = real.pool.pick(ask, now, &mut rng);
                 let tiers: BTreeMap<u16, Tier> = state
                     .members
                     .keys()
                     .filter(|p| !tried.contains(p))
+                    .filter(|p| state.members[p].outstanding < MOST_OUTSTANDING)
                     .filter_map(|p| state.tier(*p).map(|tier| (*p, tier)))
                     .collect();
                 let best = tiers.values().min();
--- a/crates/balance/src/pick.rs
+++ b/crates/balance/src/pick.rs
@@ -38,6 +38,8 @@
     pub zone_affinity: bool,
     /// Upstreams that were tried for this call already.
     pub tried: &'a [SocketAddr],
+    /// Upstreams with this many calls outstanding from this node get no more.
+    pub most_outstanding: u32,
 }
 
 /// The upstreams a choice is made from: one tier, in or out of one zone.
@@ -60,7 +62,7 @@
         now: Instant,
         rng: &mut R,
     ) -> Option<UpstreamIndex> {
-        let tier = self.candidates(ask.tried).filter_map(|i| self.upstreams[i].tier(now)).min()?;
+        let tier = self.candidates(ask).filter_map(|i| self.upstreams[i].tier(now)).min()?;
         let all = Group { tier, zone: None };
         if ask.policy == Policy::RoundRobin {
             return self.next_in_turn(ask, all, now);
@@ -78,12 +80,11 @@
         }
     }
 
-    fn candidates<'a>(
-        &'a self,
-        tried: &'a [SocketAddr],
-    ) -> impl Iterator<Item = UpstreamIndex> + 'a {
-        let untried = |index: &UpstreamIndex| !tried.contains(&self.upstreams[*index].addr);
-        (0..self.upstreams.len()).filter(untried)
+    fn candidates<'a>(&'a self, ask: Ask<'a>) -> impl Iterator<Item = UpstreamIndex> + 'a {
+        (0..self.upstreams.len()).filter(move |&index| {
+            let upstream = &self.upstreams[index];
+            upstream.outstanding < ask.most_outstanding && !ask.tried.contains(&upstream.addr)
+        })
     }
 
     fn group<'a>(
@@ -92,7 +93,7 @@
         group: Group<'a>,
         now: Instant,
     ) -> impl Iterator<Item = UpstreamIndex> + 'a {
-        self.candidates(ask.tried).filter(move |index| {
+        self.candidates(ask).filter(move |index| {
             let upstream = &self.upstreams[*index];
             upstream.tier(now) == Some(group.tier)
                 && group.zone.is_none_or(|(zone, inside)| (upstream.zone == zone) == inside)
--- a/crates/balance/src/tests.rs
+++ b/crates/balance/src/tests.rs
@@ -21,7 +21,7 @@
 
 /// What a call from zone `a` asks, with affinity.
 fn ask(tried: &[SocketAddr]) -> Ask<'_> {
-    Ask { policy: Policy::Adaptive, zone: "a", zone_affinity: true, tried }
+    Ask { policy: Policy::Adaptive, zone: "a", zone_affinity: true, tried, most_outstanding: 1_000 }
 }
 
 fn answered(took_ms: u64, kind: u64) -> Finished {
@@ -267,6 +267,20 @@
     assert!(shares(&mut pool, ask(&[]), now)[0] > 400);
 }
 
+/// Symptom: an upstream resets connections because it has too many.
+/// Sequence: this node has its share of connections in use there.
+/// Cause: picking by cost alone. Others are picked, or none.
+#[test]
+fn an_upstream_with_its_share_outstanding_gets_no_more() {
+    let mut pool = pool(&["a", "a"]);
+    let now = Instant::now();
+    let two_at_most = Ask { most_outstanding: 2, ..ask(&[]) };
+    (0..2).for_each(|_| pool.start(0));
+    assert_eq!(shares(&mut pool, two_at_most, now), [0, 1_000]);
+    (0..2).for_each(|_| pool.start(1));
+    assert_eq!(shares(&mut pool, two_at_most, now), [0, 0]);
+}
+
 #[test]
 fn baselines_pick_as_they_say() {
     let mut pool = pool(&["a", "b", "a"]);
--- a/crates/config/src/template.rs
+++ b/crates/config/src/template.rs
@@ -58,6 +58,8 @@
     pub retry_budget_percent: u64,
     /// Probes per second to this service's upstreams, for all entry nodes together.
     pub probe_budget_per_s: u64,
+    /// Connections an upstream takes from all entry nodes together; each node keeps to its share.
+    pub connections_per_upstream: u64,
     /// Path of the request that asks an upstream whether it is well; read from `defaults` only.
     pub probe_path: SmolStr,
     /// Whether upstreams in the entry node's own zone are preferred.
@@ -77,6 +79,7 @@
             max_attempts: 2,
             retry_budget_percent: 10,
             probe_budget_per_s: 10,
+            connections_per_upstream: 240,
             probe_path: "/load".into(),
             zone_affinity: true,
             balance: Balance::Adaptive,
@@ -167,6 +170,7 @@
     let max_attempts = fields.uint("max_attempts", 1..=5, findings);
     let retry_budget_percent = fields.uint("retry_budget_percent", 0..=100, findings);
     let probe_budget_per_s = fields.uint("probe_budget_per_s", 0..=10_000, findings);
+    let connections_per_upstream = fields.uint("connections_per_upstream", 1..=1_000_000, findings);
     let probe_path = fields.optional_string("probe_path", findings);
     match &probe_path {
         Some(Some(path)) if !is_path(path) => findings.error(
@@ -195,6 +199,8 @@
         max_attempts: max_attempts?.unwrap_or(base.max_attempts),
         retry_budget_percent: retry_budget_percent?.unwrap_or(base.retry_budget_percent),
         probe_budget_per_s: probe_budget_per_s?.unwrap_or(base.probe_budget_per_s),
+        connections_per_upstream: connections_per_upstream?
+            .unwrap_or(base.connections_per_upstream),
         probe_path: probe_path?.unwrap_or_else(|| base.probe_path.clone()),
         zone_affinity: zone_affinity?.unwrap_or(base.zone_affinity),
         balance: balance?.unwrap_or(base.balance),
--- a/crates/emu/src/bin/upstream.rs
+++ b/crates/emu/src/bin/upstream.rs
@@ -16,6 +16,9 @@
     /// Requests run at once
     #[bpaf(long("slots"), argument("N"), fallback(6))]
     slots: usize,
+    /// Connections taken from all callers together
+    #[bpaf(long("connections"), argument("N"), fallback(260))]
+    connections: usize,
     /// Requests queued for a slot before shedding
     #[bpaf(long("queue-limit"), argument("N"), fallback(250))]
     queue_limit: usize,
@@ -42,6 +45,7 @@
     );
     let shape = emu::upstream::Shape {
         slots: args.slots,
+        connections: args.connections,
         queue_limit: args.queue_limit,
         light: Duration::from_millis(args.light_ms),
         heavy: Duration::from_millis(args.heavy_ms),
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -31,6 +31,8 @@
 pub struct Shape {
     /// Requests run at once.
     pub slots: usize,
+    /// Connections taken from all callers together; further ones are closed.
+    pub connections: usize,
     /// Requests waiting for a slot before shedding starts.
     pub queue_limit: usize,
     /// Mean service time of a light request.
@@ -211,6 +213,10 @@
 }
 
 impl web::Handler for Upstream {
+    fn max_connections(&self) -> usize {
+        self.shape.connections
+    }
+
     async fn handle(&self, request: web::Request, _peer: std::net::SocketAddr) -> web::Response {
         match (request.method(), request.uri().path()) {
             (&http::Method::GET, "/load") => self.load(),
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -14,9 +14,6 @@
 /// Deadline of opening one connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Idle connections kept per upstream.
-const IDLE_PER_UPSTREAM: usize = 64;
-
 /// An idle connection is used again for this long. Upstreams close idle
 /// connections too, and a claim sent on one just closed ends as `unknown`.
 const IDLE_FOR: Duration = Duration::from_secs(5);
@@ -56,11 +53,14 @@
 
 impl IdleConns {
     /// Sends `request` to `addr` and waits for the answer at most `remaining`.
+    ///
+    /// The connection is kept afterwards unless `most` are already.
     pub(super) async fn send(
         &self,
         addr: SocketAddr,
         request: web::Request,
         remaining: Duration,
+        most: u32,
     ) -> Attempt {
         let mut conn = match self.take(addr, Instant::now()) {
             Some(conn) => conn,
@@ -88,7 +88,7 @@
                 let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
                     && response.headers().contains_key(http::header::RETRY_AFTER);
                 if !web::closes(response.headers()) {
-                    self.keep(addr, conn, Instant::now());
+                    self.keep(addr, conn, most, Instant::now());
                 }
                 match refused {
                     true => Attempt::Refused,
@@ -110,13 +110,13 @@
     }
 
     /// Keeps a connection whose last answer was read whole.
-    fn keep(&self, addr: SocketAddr, conn: web::Conn, now: Instant) {
+    fn keep(&self, addr: SocketAddr, conn: web::Conn, most: u32, now: Instant) {
         if now.duration_since(self.purged_at.get()) >= PURGE_EVERY {
             self.purge(now);
         }
         let mut idle = self.by_upstream.borrow_mut();
         let list = idle.entry(addr).or_default();
-        if list.len() < IDLE_PER_UPSTREAM {
+        if list.len() < most as usize {
             list.push(Idle { conn, since: now });
         }
     }
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -33,6 +33,8 @@
     /// Team whose share of the intake it counts against; empty for callers of no listed team.
     team: SmolStr,
     deadline: Instant,
+    /// Connections this node may have to one upstream.
+    connection_share: u32,
     idempotent: bool,
     kind: balance::Kind,
 }
@@ -191,6 +193,7 @@
             zone: view.settings.zone.clone(),
             team: listed.unwrap_or_default().into(),
             deadline: Instant::now() + Duration::from_millis(budget_ms),
+            connection_share: connection_share(&params, view.entries.len()),
             idempotent: params.idempotent_methods.iter().any(|m| m == request.method().as_str()),
             kind: kind(request.method(), path),
             params,
@@ -263,6 +266,7 @@
             zone: &call.zone,
             zone_affinity: call.params.zone_affinity,
             tried,
+            most_outstanding: call.connection_share,
         };
         let index = pool.pick(ask, Instant::now(), &mut *self.rng.borrow_mut())?;
         Some(pool.upstreams[index].addr)
@@ -286,7 +290,7 @@
         let request =
             answer::upstream_request(call.request, call.path, addr, &call.request_id, remaining);
         let outstanding = Outstanding::start(&self.view, &call.service, addr, call.kind);
-        let result = self.idle.send(addr, request, remaining).await;
+        let result = self.idle.send(addr, request, remaining, call.connection_share).await;
         let took = outstanding.took();
         outstanding.finish(match &result {
             Attempt::Answered(response) if is_broken(response) => balance::How::Failed,
@@ -368,6 +372,16 @@
     }
 }
 
+/// Returns how many connections one of `entries` entry nodes may have to an upstream.
+///
+/// Upstreams reset connections beyond what they take from all callers
+/// together; a call cut that way may have run. A connection is opened only
+/// when none is idle, so a bound on calls outstanding bounds connections too.
+fn connection_share(params: &config::Params, entries: usize) -> u32 {
+    let share = params.connections_per_upstream / entries.max(1) as u64;
+    u32::try_from(share.max(1)).unwrap_or(u32::MAX)
+}
+
 /// Returns the attempt that tells the caller more: an answer, then a possible run, then a refusal.
 fn better(a: Attempt, b: Attempt) -> Attempt {
     let rank = |attempt: &Attempt| match attempt {
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -13,6 +13,7 @@
 fn shape(light_ms: u64, queue_limit: usize) -> Shape {
     Shape {
         slots: 4,
+        connections: 1_000,
         queue_limit,
         light: Duration::from_millis(light_ms),
         heavy: Duration::from_millis(light_ms),
@@ -505,3 +506,30 @@
         assert_eq!(node.idle.len(), 0);
     });
 }
+
+/// Symptom: claims end as `unknown` although no upstream is overloaded.
+/// Sequence: twelve claims come at once; the upstream takes four connections
+/// from all callers and closes further ones.
+/// Cause: opening a connection for every call. This node keeps to its share
+/// (four, of one entry node) and tells the others to come back.
+#[test]
+fn a_node_keeps_to_its_share_of_connections() {
+    web::runtime().block_on(async {
+        let (a, up) = upstream(Shape { connections: 4, ..shape(20, 100) });
+        let template = "service: svc\ndefaults:\n  connections_per_upstream: 4\n";
+        let node = Rc::new(node(template, &[a]));
+        let claims: Vec<_> = (0..12)
+            .map(|index| {
+                let node = node.clone();
+                let claim = request(http::Method::POST, "/s/svc/claim", &format!("c-{index}"));
+                monoio::spawn(async move { node.handle(claim, PEER).await })
+            })
+            .collect();
+        let mut told = std::collections::BTreeMap::new();
+        for claim in claims {
+            *told.entry(outcome(&claim.await).to_owned()).or_insert(0) += 1;
+        }
+        assert_eq!(told, [("done".to_owned(), 4), ("not-run".to_owned(), 8)].into());
+        assert_eq!(up.executions_total(), 4);
+    });
+}
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -22,15 +22,26 @@
         request: Request,
         peer: std::net::SocketAddr,
     ) -> impl Future<Output = Response>;
+
+    /// Returns how many connections are served at once; further ones are closed at once.
+    fn max_connections(&self) -> usize {
+        usize::MAX
+    }
 }
 
 /// Accepts connections on `listener` forever, each served by its own task.
 pub async fn serve<H: Handler>(listener: TcpListener, handler: Rc<H>) {
+    let open = Rc::new(());
     loop {
         match listener.accept().await {
+            Ok(_) if Rc::strong_count(&open) > handler.max_connections() => {}
             Ok((stream, peer)) => {
                 let _ = stream.set_nodelay(true);
-                monoio::spawn(connection(stream, peer, handler.clone()));
+                let (handler, open) = (handler.clone(), open.clone());
+                monoio::spawn(async move {
+                    connection(stream, peer, handler).await;
+                    drop(open);
+                });
             }
             Err(err) => {
                 // Running out of file descriptors shows here; back off instead of spinning.
