--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -180,7 +180,7 @@
 
     /// Records the end of a call to `index`.
     pub fn finish(&mut self, index: UpstreamIndex, finished: Finished, now: Instant) {
-        let may_eject = self.may_eject(index, now);
+        let may_eject = finished.how == How::Failed && self.may_eject(index, now);
         let kind = self.known_kind(finished.kind);
         let upstream = &mut self.upstreams[index];
         upstream.outstanding = upstream.outstanding.saturating_sub(1);
--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -96,25 +96,13 @@
         version_before,
         diff: audit::diff(old_text, text),
     };
-    let audit_key = smol_str::format_smolstr!("{service}/{change_id}");
-    let txn = proto::Txn {
-        change_id: change_id.clone(),
-        writes: vec![
-            proto::Write {
-                table: platform::TEMPLATES.into(),
-                key: service.clone(),
-                expected_version: version_before,
-                value: text.to_owned(),
-            },
-            proto::Write {
-                table: platform::AUDIT.into(),
-                key: audit_key.clone(),
-                expected_version: 0,
-                value: record.to_json(),
-            },
-        ],
+    let write = proto::Write {
+        table: platform::TEMPLATES.into(),
+        key: service,
+        expected_version: version_before,
+        value: text.to_owned(),
     };
-    commit(store, &txn, &audit_key, patience)
+    commit(store, write, &record, patience)
         .await
         .map(|version| Applied::Written { version, change_id })
 }
@@ -159,25 +147,13 @@
         version_before,
         diff: format!("{verb} {upstream} vm_id {vm_id}\n"),
     };
-    let audit_key = smol_str::format_smolstr!("drains/{change_id}");
-    let txn = proto::Txn {
-        change_id: change_id.clone(),
-        writes: vec![
-            proto::Write {
-                table: platform::DRAINS.into(),
-                key: key.clone(),
-                expected_version: version_before,
-                value: wanted_text.clone(),
-            },
-            proto::Write {
-                table: platform::AUDIT.into(),
-                key: audit_key.clone(),
-                expected_version: 0,
-                value: record.to_json(),
-            },
-        ],
+    let write = proto::Write {
+        table: platform::DRAINS.into(),
+        key: key.clone(),
+        expected_version: version_before,
+        value: wanted_text.clone(),
     };
-    match commit(store, &txn, &audit_key, patience).await {
+    match commit(store, write, &record, patience).await {
         Ok(version) => Ok(Applied::Written { version, change_id }),
         Err(ApplyError::Conflict(version)) => {
             // Another operator may have asked for the very same: then it holds.
@@ -192,7 +168,7 @@
     }
 }
 
-/// Commits `txn`, resolving lost answers by its audit record, whose key is `audit_key`.
+/// Commits `write` with its audit record in one transaction, resolving lost answers by the record.
 ///
 /// The audit record is what tells whether the change landed: its key holds
 /// the change id and nothing ever writes it again. The changed row does not
@@ -200,15 +176,23 @@
 /// would be reported as refused.
 async fn commit(
     store: &Store,
-    txn: &proto::Txn,
-    audit_key: &str,
+    write: proto::Write,
+    record: &audit::Record,
     patience: Patience,
 ) -> Result<proto::Version, ApplyError> {
+    let audit_key = smol_str::format_smolstr!("{}/{}", record.service, record.change_id);
+    let audit_write = proto::Write {
+        table: platform::AUDIT.into(),
+        key: audit_key.clone(),
+        expected_version: 0,
+        value: record.to_json(),
+    };
+    let txn = proto::Txn { change_id: record.change_id.clone(), writes: vec![write, audit_write] };
     let mut backoff = patience.first_backoff;
     let mut last = StoreError::Unavailable("no try made".to_owned());
     let mut maybe_written = false;
     for _ in 0..patience.tries {
-        match try_commit(store, txn, audit_key, &mut maybe_written).await {
+        match try_commit(store, &txn, &audit_key, &mut maybe_written).await {
             Ok(version) => return Ok(version),
             Err(Failed::ForGood(err)) => return Err(err),
             Err(Failed::ThisTime(err)) => last = err,
@@ -230,6 +214,12 @@
     ForGood(ApplyError),
 }
 
+/// Returns the version at which the change of the audit record at `audit_key` landed, if it did.
+async fn landed(store: &Store, audit_key: &str) -> Result<Option<proto::Version>, Failed> {
+    let record = store.get(platform::AUDIT, audit_key).await.map_err(Failed::ThisTime)?;
+    Ok(record.map(|row| row.version))
+}
+
 /// Tries `txn` once; `maybe_written` says, before and after, whether a try may have landed unseen.
 ///
 /// Sending again is safe: the audit record must not exist yet, so at most one
@@ -241,21 +231,16 @@
     maybe_written: &mut bool,
 ) -> Result<proto::Version, Failed> {
     if *maybe_written {
-        match store.get(platform::AUDIT, audit_key).await {
-            Ok(Some(record)) => return Ok(record.version),
-            Ok(None) => {}
-            Err(err) => return Err(Failed::ThisTime(err)),
+        if let Some(version) = landed(store, audit_key).await? {
+            return Ok(version);
         }
     }
     match store.commit(txn).await {
         Ok(committed) => Ok(committed.version),
         Err(StoreError::Conflict(conflict)) if *maybe_written => {
             // The row moved on, so no earlier try can land any more; one may have landed, though.
-            match store.get(platform::AUDIT, audit_key).await {
-                Ok(Some(record)) => Ok(record.version),
-                Ok(None) => Err(Failed::ForGood(ApplyError::Conflict(conflict.current_version))),
-                Err(err) => Err(Failed::ThisTime(err)),
-            }
+            let conflict = Failed::ForGood(ApplyError::Conflict(conflict.current_version));
+            landed(store, audit_key).await?.ok_or(conflict)
         }
         Err(StoreError::Conflict(conflict)) => {
             Err(Failed::ForGood(ApplyError::Conflict(conflict.current_version)))
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -251,6 +251,14 @@
         ])
     }
 
+    /// Drains `upstream` with the CLI and waits until no entry node holds a call to it.
+    pub fn drain(&self, upstream: SocketAddr) -> Output {
+        let (platform, upstream) = (self.platform.addr.to_string(), upstream.to_string());
+        let args =
+            ["upstream", "drain", "--platform", &platform, "--actor", "demo", "--wait", &upstream];
+        self.cli(&args)
+    }
+
     /// Waits until every entry node holds `service` at `version` or newer; returns how long it took.
     pub fn wait_for_version(
         &self,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -184,24 +184,14 @@
         }
         None => println!("v2 NOT in force on every entry node after 10 s"),
     }
-    let drained = cluster.upstreams[0].addr.to_string();
-    let platform = cluster.platform.addr.to_string();
-    let output = cluster.cli(&[
-        "upstream",
-        "drain",
-        "--platform",
-        &platform,
-        "--actor",
-        "demo",
-        "--wait",
-        &drained,
-    ]);
+    let output = cluster.drain(cluster.upstreams[0].addr);
     print!(
         "oatcove upstream drain --wait during load: {}",
         String::from_utf8_lossy(&output.stdout)
     );
     let output = load.wait_with_output().expect("load finishes");
     assert!(output.status.success(), "load tool failed");
+    let platform = cluster.platform.addr.to_string();
     println!("oatcove audit log:");
     print!(
         "{}",
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -112,6 +112,19 @@
 /// Probes per second and budget of the probing measurement.
 const PROBES_PER_S: u64 = 200;
 
+/// A system in one zone with quick upstreams.
+fn one_zone(upstreams_per_zone: usize, entries: usize) -> Spec {
+    Spec {
+        service: "swap-desk".into(),
+        zones: vec!["z-0".into()],
+        upstreams_per_zone,
+        entries,
+        slots: 4,
+        light_ms: 1,
+        heavy_ms: 1,
+    }
+}
+
 fn counter(cluster: &Cluster, name: &str) -> f64 {
     cluster.ask_entry(0, "/v1/status")["counters"][name].as_f64().unwrap_or(f64::NAN)
 }
@@ -119,16 +132,7 @@
 /// Measures what an idle entry node spends by the size of the fleet.
 fn membership(bins: &Path, dir: &Path) -> Vec<serde_json::Value> {
     let measure = |entries: usize| {
-        let spec = Spec {
-            service: "swap-desk".into(),
-            zones: vec!["z-0".into()],
-            upstreams_per_zone: 1,
-            entries,
-            slots: 4,
-            light_ms: 1,
-            heavy_ms: 1,
-        };
-        let cluster = Cluster::start(bins, dir, &spec);
+        let cluster = Cluster::start(bins, dir, &one_zone(1, entries));
         std::thread::sleep(JOIN);
         let names = ["peer_packets_sent", "peer_bytes_sent", "peer_bytes_received"];
         let before = names.map(|name| counter(&cluster, name));
@@ -157,16 +161,7 @@
 
 /// Measures an idle node that polls a tenth as often; returns its CPU in us/s.
 fn idle_polling_slowly(bins: &Path, dir: &Path) -> f64 {
-    let spec = Spec {
-        service: "swap-desk".into(),
-        zones: vec!["z-0".into()],
-        upstreams_per_zone: 1,
-        entries: 0,
-        slots: 4,
-        light_ms: 1,
-        heavy_ms: 1,
-    };
-    let mut cluster = Cluster::start(bins, dir, &spec);
+    let mut cluster = Cluster::start(bins, dir, &one_zone(1, 0));
     let period = SLOW_POLL.as_millis().to_string();
     cluster.start_entry("z-0", &[("config_poll_ms", period.clone()), ("vm_poll_ms", period)]);
     std::thread::sleep(JOIN);
@@ -175,16 +170,7 @@
 
 /// Measures what one probe costs the entry node that sends it.
 fn probing(bins: &Path, dir: &Path) -> serde_json::Value {
-    let spec = Spec {
-        service: "swap-desk".into(),
-        zones: vec!["z-0".into()],
-        upstreams_per_zone: 8,
-        entries: 0,
-        slots: 4,
-        light_ms: 1,
-        heavy_ms: 1,
-    };
-    let mut cluster = Cluster::start(bins, dir, &spec);
+    let mut cluster = Cluster::start(bins, dir, &one_zone(8, 0));
     cluster.start_entry("z-0", &[("probe_cap_per_s", PROBES_PER_S.to_string())]);
     let listed = xtask::cluster::vm(&cluster.entries[0], proto::VmRole::Entry, "");
     cluster.put_vms(&[listed]);
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -179,9 +179,7 @@
         cluster.wait_for_version("swap-desk", 2, PROPAGATION_BOUND).is_some(),
         "v2 not in force on every node within the bound"
     );
-    let (drained, platform) =
-        (cluster.upstreams[0].addr.to_string(), cluster.platform.addr.to_string());
-    let output = cluster.cli(&["upstream", "drain", "--platform", &platform, "--wait", &drained]);
+    let output = cluster.drain(cluster.upstreams[0].addr);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     assert!(leaving(&cluster.ask_entry(2, "/v1/status"), cluster.upstreams[0].addr));
 }
@@ -363,46 +361,16 @@
 /// Cause: following only the lagging VM list, or cutting calls on drain.
 #[test]
 fn a_drained_upstream_gets_no_new_calls_and_no_call_is_cut() {
-    let dir = std::env::temp_dir().join(format!("oatcove-e2e-drain-{}", std::process::id()));
-    let cluster = Cluster::start(&bins(), &dir, &spec());
-    let applied = cluster.apply("v1.yaml", "service: swap-desk\n");
-    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
-    assert!(cluster.wait_for_version("swap-desk", 1, PROPAGATION_BOUND).is_some());
-
-    let json = dir.join("load.json");
-    let mut load = Command::new(cluster.bins.join("oatcove-load"));
-    load.args(["--entry", &cluster.entries[0].addr.to_string(), "--service", "swap-desk"])
-        .args([
-            "--zone",
-            "attiki-a",
-            "--rate",
-            "200",
-            "--duration-s",
-            "3",
-            "--json",
-            &json.to_string_lossy(),
-        ])
-        .stdout(std::process::Stdio::null());
-    let load = load.spawn().expect("load starts");
+    let cluster = start("drain", &spec(), "service: swap-desk\n");
+    let (load, json) = start_load(&cluster, 200, 3);
     std::thread::sleep(Duration::from_secs(1));
     let drained = cluster.upstreams[0].addr;
-    let platform = cluster.platform.addr.to_string();
-    let output = cluster.cli(&[
-        "upstream",
-        "drain",
-        "--platform",
-        &platform,
-        "--wait",
-        &drained.to_string(),
-    ]);
+    let output = cluster.drain(drained);
     assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
     let at_drain = executed(drained);
     let output = load.wait_with_output().expect("load finishes");
     assert!(output.status.success());
     assert_eq!(executed(drained), at_drain, "calls reached the drained upstream after the drain");
-    let report: serde_json::Value =
-        serde_json::from_slice(&std::fs::read(&json).expect("report")).expect("json");
+    let report = report(&json);
     assert_eq!(report["errors"], serde_json::json!({}), "{report}");
-    drop(cluster);
-    let _ = std::fs::remove_dir_all(&dir);
 }
