--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,312 @@
+//! Keeps the node's beliefs in step with the platform.
+//!
+//! The platform is whatever implements [`Source`]. A failed read keeps what is
+//! held: an outage of the platform must not empty a node's configuration or
+//! its pools. A node whose place in the history was lost reads everything again.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use quick_error::quick_error;
+use rand::Rng;
+
+use crate::forward::Node;
+
+/// Longest time that one wait for changes lasts: an answer that holds nothing
+/// is paid for like any other.
+const WAIT: Duration = Duration::from_secs(25);
+
+/// Pause after a change before the next wait begins. Changes come in series,
+/// and each wait ends with the first one: without a pause a series of forty
+/// costs forty calls, with it the rest is taken in one.
+const PAUSE_CONFIG: Duration = Duration::from_millis(400);
+const PAUSE_UPSTREAMS: Duration = Duration::from_millis(250);
+
+/// Pauses after failed reads: the first, and the longest. A node that was cut
+/// off must be in step again three seconds after the cut heals, and what
+/// vanished meanwhile is kept for two of them.
+const RETRY: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(700));
+
+/// Times the pause can double.
+const RETRY_DOUBLINGS: u32 = 4;
+
+/// While the platform does not answer one follower, the others wait for it
+/// this long before they try too: each call is paid for, refused ones too.
+const WAIT_FOR_OTHER: Duration = Duration::from_secs(3);
+
+/// How often a follower looks whether it has fallen behind.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// A peer that has seen more for this long shows that the own wait for changes
+/// is dead: usually all nodes hear of a change within a few milliseconds.
+const BEHIND_FOR: Duration = Duration::from_millis(400);
+
+/// What can be followed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Topic {
+    /// The configuration.
+    Config,
+    /// The list of upstreams.
+    Upstreams,
+}
+
+impl Topic {
+    fn name(self) -> &'static str {
+        match self {
+            Topic::Config => "config",
+            Topic::Upstreams => "upstreams",
+        }
+    }
+
+    fn pause(self) -> Duration {
+        match self {
+            Topic::Config => PAUSE_CONFIG,
+            Topic::Upstreams => PAUSE_UPSTREAMS,
+        }
+    }
+}
+
+/// Place in the platform's history.
+pub type Cursor = u64;
+
+/// One thing that was read.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The configuration as it is now.
+    Config(route::Table),
+    /// Something about one upstream.
+    Upstream(place::Event),
+}
+
+/// What one read returned.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// What was read, in order.
+    pub events: Vec<Event>,
+    /// Where to go on from.
+    pub cursor: Cursor,
+    /// The newest change among the events; 0 when there is none.
+    pub newest: Cursor,
+}
+
+quick_error! {
+    /// Why a read failed.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum SourceError {
+        /// The platform cannot be reached, is too busy, or did not answer in time.
+        Unavailable(message: String) {
+            display("unavailable: {}", message)
+        }
+        /// The wait for changes was given up: others have seen changes that it did not tell.
+        Behind {
+            display("behind other entry nodes")
+        }
+        /// The history asked for is no longer kept.
+        HistoryGone {
+            display("history no longer kept")
+        }
+        /// The answer cannot be read.
+        BadAnswer(message: String) {
+            display("bad answer: {}", message)
+        }
+    }
+}
+
+/// The platform as the node reads it.
+pub trait Source: 'static {
+    /// Reads all there is of a topic.
+    fn snapshot(&self, topic: Topic) -> impl Future<Output = Result<Batch, SourceError>>;
+
+    /// Waits up to `wait` for what changed after `cursor`; nothing changed if the batch is empty.
+    fn changes(
+        &self,
+        topic: Topic,
+        cursor: Cursor,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch, SourceError>>;
+}
+
+/// Follows one topic forever.
+pub async fn run<S: Source>(source: S, topic: Topic, node: Rc<Node>) {
+    let mut cursor: Option<Cursor> = None;
+    let mut failures = 0;
+    loop {
+        let asked_at = Instant::now();
+        let read = match cursor {
+            None => source.snapshot(topic).await,
+            // Nothing is kept waiting after a failure: the answer shows at once what was missed.
+            Some(after) if failures > 0 => source.changes(topic, after, Duration::ZERO).await,
+            Some(after) => monoio::select! {
+                read = source.changes(topic, after, WAIT) => read,
+                () = behind(&node, topic) => Err(SourceError::Behind),
+            },
+        };
+        let pause = match read {
+            Ok(batch) => {
+                regained(&node, topic, failures);
+                let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
+                failures = 0;
+                apply(&node, topic, batch.events, cursor.is_none());
+                cursor = Some(batch.cursor);
+                seen(&node, topic, batch.cursor, batch.newest);
+                if changed {
+                    topic.pause()
+                } else {
+                    Duration::ZERO
+                }
+            }
+            Err(SourceError::Behind) => {
+                trace::Line::new("behind_peers")
+                    .field("topic", topic.name())
+                    .field("cursor", cursor)
+                    .log();
+                failures += 1;
+                Duration::ZERO
+            }
+            Err(SourceError::HistoryGone) => {
+                let line = trace::Line::new("history_gone").field("topic", topic.name());
+                line.field("cursor", cursor).log();
+                cursor = None;
+                jittered(RETRY.0)
+            }
+            Err(err) => {
+                lost(&node, topic, failures, asked_at, &err);
+                failures += 1;
+                let doubled = RETRY.0 * (1 << failures.min(RETRY_DOUBLINGS));
+                jittered(doubled.min(RETRY.1))
+            }
+        };
+        monoio::time::sleep(pause).await;
+        if failures > 0 && topic == Topic::Config {
+            wait_for_other(&node).await;
+        }
+    }
+}
+
+/// Waits while the platform does not answer the follower of the upstreams either.
+async fn wait_for_other(node: &Node) {
+    let since = Instant::now();
+    while node.state.borrow().roster.store_is_away() && since.elapsed() < WAIT_FOR_OTHER {
+        monoio::time::sleep(LOOK).await;
+    }
+}
+
+/// Ends once a peer has seen changes of the topic that this node has not, for a while.
+///
+/// A connection can go silent without an error, or its answer be stuck in the
+/// retransmission timer of a cut that has healed. The wait for changes then
+/// lasts many seconds while the node serves by an old configuration.
+async fn behind(node: &Node, topic: Topic) {
+    let mut since: Option<Instant> = None;
+    loop {
+        monoio::time::sleep(LOOK).await;
+        let is_behind = node.state.borrow().is_behind(topic);
+        since = match since {
+            _ if !is_behind => None,
+            Some(since) if since.elapsed() >= BEHIND_FOR => return,
+            Some(since) => Some(since),
+            None => Some(Instant::now()),
+        };
+    }
+}
+
+fn seen(node: &Node, topic: Topic, up_to: Cursor, newest: Cursor) {
+    let mut state = node.state.borrow_mut();
+    let seen = state.seen_mut(topic);
+    seen.up_to = up_to;
+    seen.newest = seen.newest.max(newest);
+}
+
+/// Spreads the calls of many nodes that failed at the same moment.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.6..1.2))
+}
+
+fn lost(node: &Node, topic: Topic, failures: u32, asked_at: Instant, err: &SourceError) {
+    if topic == Topic::Upstreams {
+        node.state.borrow_mut().roster.store_lost(asked_at);
+    }
+    if failures == 0 {
+        trace::Line::new("store_lost")
+            .field("topic", topic.name())
+            .field("error", err.to_string())
+            .log();
+    }
+}
+
+fn regained(node: &Node, topic: Topic, failures: u32) {
+    if topic == Topic::Upstreams {
+        node.state.borrow_mut().roster.store_answers(Instant::now());
+    }
+    if failures > 0 {
+        trace::Line::new("store_regained")
+            .field("topic", topic.name())
+            .field("failures", failures)
+            .log();
+    }
+}
+
+fn apply(node: &Node, topic: Topic, events: Vec<Event>, whole: bool) {
+    let now = Instant::now();
+    let mut entries = Vec::new();
+    for event in events {
+        match event {
+            Event::Config(table) => apply_table(node, table),
+            Event::Upstream(event) => entries.push(event),
+        }
+    }
+    let changes = {
+        let roster = &mut node.state.borrow_mut().roster;
+        match topic {
+            Topic::Upstreams if whole => {
+                let listed = entries.into_iter().filter_map(|event| match event {
+                    place::Event::Put(entry) => Some(entry),
+                    place::Event::Gone(_) => None,
+                });
+                roster.whole(listed.collect(), now)
+            }
+            _ => roster.apply(entries, now),
+        }
+    };
+    apply_changes(node, &changes, now);
+}
+
+fn apply_table(node: &Node, table: route::Table) {
+    let (version, routes) = (table.version, table.route_count());
+    let held = node.state.borrow().config_version();
+    let applied = node.state.borrow_mut().apply_table(table);
+    trace::Line::new(if applied { "config_applied" } else { "config_not_newer" })
+        .field("version", version)
+        .field("held", held)
+        .field("routes", routes)
+        .log();
+}
+
+fn apply_changes(node: &Node, changes: &[place::Change], now: Instant) {
+    for change in changes {
+        node.state.borrow_mut().apply_change(change, now);
+        match change {
+            place::Change::Put(entry) => trace::Line::new("upstream_listed")
+                .field("upstream", entry.id.as_str())
+                .field("service", entry.service.as_str())
+                .field("addr", entry.addr)
+                .log(),
+            place::Change::Drop { id, service, addr, why } => {
+                node.conns.close(id);
+                trace::Line::new("upstream_dropped")
+                    .field("upstream", id.as_str())
+                    .field("service", service.as_str())
+                    .field("addr", addr)
+                    .field("reason", why)
+                    .log();
+            }
+        }
+    }
+}
+
+/// Lets go of upstreams that were kept through an outage and did not come back.
+pub fn expire(node: &Node, now: Instant) {
+    let changes = node.state.borrow_mut().roster.expire(now);
+    apply_changes(node, &changes, now);
+}
--- /dev/null
+++ b/crates/edge/src/forward.rs
@@ -0,0 +1,612 @@
+//! Takes one request to its answer: route, choice, admission, sends, hedges, outcome.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use place::{Candidate, End, UpstreamId, Verdict};
+use route::{Repeat, Route, ServiceName, Table};
+use smol_str::SmolStr;
+use web::h1;
+
+use crate::conns::{Conn, Conns};
+use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
+use crate::probe;
+use crate::reply::{self, Own};
+use crate::state::{Outstanding, Shared};
+
+/// A request is hedged once it has taken this many times its prediction: below,
+/// the ordinary spread of the work would use the budget up.
+const HEDGE_FROM: f64 = 1.4;
+
+/// A request whose objective no hedge can save is hedged only after this many
+/// times its prediction: its upstream has likely gone silent.
+const HEDGE_LOST_FROM: f64 = 4.0;
+
+/// Upstreams asked for their load at once, and how often before one choice.
+const ASK_AT_ONCE: usize = 3;
+const ASK_ROUNDS: usize = 2;
+
+/// Longest time for a connection to an upstream to be made: a hundred times
+/// the round trip between zones; a lost opening packet takes seconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// An upstream is told a deadline that is earlier by this, so that its own
+/// answer at the deadline still reaches the caller.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
+/// When to come back after refusals by upstreams that say nothing of their queues.
+const COME_BACK: Duration = Duration::from_millis(80);
+
+/// When to come back to a node that has no configuration or no upstreams.
+const COME_BACK_NOT_READY: Duration = Duration::from_millis(300);
+
+/// Slowness up to which a machine counts as not slowed.
+const NOT_SLOWED: f64 = 1.1;
+
+/// The entry node's request path.
+pub struct Node {
+    /// What the node believes.
+    pub state: Shared,
+    /// Connections to upstreams.
+    pub conns: Conns,
+    probe_budgets: RefCell<HashMap<ServiceName, probe::Budget>>,
+}
+
+/// The body of a caller's request.
+pub enum Body<'a> {
+    /// All of it, short enough to be sent again.
+    Whole(Bytes),
+    /// Its beginning; the rest still comes from the caller.
+    Long {
+        /// What was received.
+        first: Bytes,
+        /// Where the rest comes from.
+        reader: &'a mut h1::Reader,
+        /// Takes the rest out of it.
+        decoder: &'a mut h1::Decoder,
+    },
+}
+
+/// What goes back to the caller.
+pub enum Reply {
+    /// An upstream's answer.
+    Upstream(Answer),
+    /// The node's own.
+    Own(Own),
+}
+
+/// One request on its way.
+struct Call<'a> {
+    head: &'a h1::RequestHead,
+    request_id: HeaderValue,
+    route: &'a Route,
+    service: ServiceName,
+    most_urgent: bool,
+    arrived: Instant,
+    deadline: Instant,
+}
+
+/// An upstream chosen for a request.
+struct Choice {
+    id: UpstreamId,
+    addr: SocketAddr,
+    predicted: Duration,
+    /// Whether it reported a moment ago that it is not slowed and has room.
+    unhindered: bool,
+}
+
+/// Why no upstream was chosen.
+enum NoChoice {
+    NoUpstream,
+    Refused(Duration),
+}
+
+impl Call<'_> {
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    fn objective_left(&self) -> Duration {
+        (self.arrived + self.route.objective).saturating_duration_since(Instant::now())
+    }
+
+    fn repeatable(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Begins a log line about the request.
+    fn line(&self, event: &'static str) -> trace::Line {
+        trace::Line::new(event)
+            .field("request", self.request_id.to_str().unwrap_or("?"))
+            .field("route", self.route.name.as_str())
+            .field("service", self.service.as_str())
+            .field("age_ms", self.arrived.elapsed().as_millis() as u64)
+            .field("left_ms", self.left().as_millis() as u64)
+    }
+}
+
+/// Returns true for an answer that is passed on even if the request could be sent again.
+fn is_final(outcome: &Outcome) -> bool {
+    matches!(outcome, Outcome::Answered(answer) if !answer.head.status.is_server_error())
+}
+
+impl Node {
+    /// Creates the request path over `state`.
+    pub fn new(state: Shared) -> Node {
+        Node { state, conns: Conns::default(), probe_budgets: RefCell::default() }
+    }
+
+    /// Returns a connection to an upstream, kept or new.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the socket says, or that `timeout` passed.
+    pub async fn connection(
+        &self,
+        id: &UpstreamId,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Conn> {
+        match self.conns.take(id).await {
+            Some(conn) => Ok(conn),
+            None => {
+                self.state.borrow_mut().counters.connects += 1;
+                Conn::open(addr, timeout).await
+            }
+        }
+    }
+
+    /// Takes what an upstream's answer says of its load.
+    pub fn take_load(&self, service: &ServiceName, id: &UpstreamId, headers: &HeaderMap) {
+        let mut state = self.state.borrow_mut();
+        let read = state.settings.read_load;
+        let value = headers.get(&state.settings.headers.load);
+        let load = value.and_then(|value| value.to_str().ok()).and_then(read);
+        if let Some(pool) = state.pools.get_mut(service) {
+            pool.take_report(id, load, Instant::now());
+        }
+    }
+
+    /// Takes a request to its answer.
+    pub async fn forward(self: &Rc<Node>, head: &h1::RequestHead, body: Body<'_>) -> Reply {
+        let arrived = Instant::now();
+        let (table, names) = {
+            let mut state = self.state.borrow_mut();
+            state.counters.requests += 1;
+            (state.table.clone(), state.settings.headers.clone())
+        };
+        let Some(table) = table else {
+            return Reply::Own(Own::not_run(COME_BACK_NOT_READY, "no configuration yet"));
+        };
+        let Some(route) = table.find(&head.host, head.path()) else {
+            return Reply::Own(Own::failed(StatusCode::NOT_FOUND, "no such route"));
+        };
+        let mut ids = head.headers.get_all(&names.request_id).iter();
+        let (Some(request_id), None) = (ids.next().cloned(), ids.next()) else {
+            let text = "exactly one request id is required";
+            return Reply::Own(Own::failed(StatusCode::BAD_REQUEST, text));
+        };
+        let stated = head.headers.get(&names.deadline_ms).and_then(|v| v.to_str().ok());
+        let stated = stated.and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+        let allowed = stated.map_or(route.timeout, |stated| stated.min(route.timeout));
+        let service = self.next_service(route);
+        let most_urgent = table.is_most_urgent(route, &service);
+        let deadline = arrived + allowed;
+        let call = Call { head, request_id, route, service, most_urgent, arrived, deadline };
+        let reply = match monoio::time::timeout(allowed, self.sends(&call, &table, body)).await {
+            Ok(reply) => reply,
+            Err(_) => {
+                call.line("timed_out").log();
+                Reply::Own(Own::failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
+            }
+        };
+        self.count(&reply);
+        reply
+    }
+
+    fn next_service(&self, route: &Route) -> ServiceName {
+        let state = &mut *self.state.borrow_mut();
+        let index = match route.targets.len() {
+            1 => 0,
+            _ => {
+                let turns = state.turns.entry(route.name.clone()).or_default();
+                turns.next(&route.targets, &mut state.rng)
+            }
+        };
+        route.targets[index].service.clone()
+    }
+
+    fn count(&self, reply: &Reply) {
+        let counters = &mut self.state.borrow_mut().counters;
+        match reply {
+            Reply::Upstream(_) => counters.answered += 1,
+            Reply::Own(own) if own.come_back.is_some() => counters.refused += 1,
+            Reply::Own(_) => counters.failed += 1,
+        }
+    }
+
+    /// Sends the request to upstreams until one answers or no further send is allowed.
+    async fn sends(self: &Rc<Node>, call: &Call<'_>, table: &Rc<Table>, body: Body<'_>) -> Reply {
+        let whole = match body {
+            Body::Whole(whole) => whole,
+            Body::Long { first, reader, decoder } => {
+                return self.send_long(call, table, first, reader, decoder).await
+            }
+        };
+        let mut tried: Vec<UpstreamId> = Vec::new();
+        let mut may_have_run = false;
+        loop {
+            let choice = match self.choose(call, &tried).await {
+                Ok(choice) => choice,
+                Err(why) => return self.no_choice(call, table, why, may_have_run),
+            };
+            if tried.is_empty() {
+                self.state.borrow_mut().first_send(&call.service);
+            } else if !self.state.borrow_mut().second_send(&call.service) {
+                call.line("second_send_over_budget").log();
+                return give_up(may_have_run, COME_BACK);
+            }
+            let outcome = self.send_hedged(call, choice, &mut tried, &whole).await;
+            let attempts_left = (tried.len() as u32) < call.route.attempts;
+            match outcome {
+                Outcome::Answered(answer) if is_final_status(answer.head.status) => {
+                    return Reply::Upstream(answer)
+                }
+                Outcome::Answered(answer) if !call.repeatable() || !attempts_left => {
+                    return Reply::Upstream(answer)
+                }
+                Outcome::Answered(_) => may_have_run = true,
+                Outcome::NotRun(..) if attempts_left => {}
+                Outcome::NotRun(..) => return give_up(may_have_run, COME_BACK),
+                Outcome::Lost(_) if call.repeatable() && attempts_left => may_have_run = true,
+                Outcome::Lost(_) => {
+                    let text = "no answer; the request may have run";
+                    return Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, text));
+                }
+            }
+        }
+    }
+
+    fn no_choice(
+        &self,
+        call: &Call<'_>,
+        table: &Table,
+        why: NoChoice,
+        may_have_run: bool,
+    ) -> Reply {
+        let (come_back, reason) = match why {
+            NoChoice::NoUpstream => (COME_BACK_NOT_READY, "no upstream"),
+            NoChoice::Refused(come_back) => (come_back, "would be too late"),
+        };
+        call.line("refused")
+            .field("reason", reason)
+            .field("come_back_ms", come_back.as_millis() as u64)
+            .field("config", table.version)
+            .log();
+        give_up(may_have_run, come_back)
+    }
+
+    /// Sends once, and once more beside it when the answer is overdue and the request repeatable.
+    async fn send_hedged(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        choice: Choice,
+        tried: &mut Vec<UpstreamId>,
+        body: &Bytes,
+    ) -> Outcome {
+        tried.push(choice.id.clone());
+        let mut first = pin!(self.send(call, &choice, body));
+        for factor in [HEDGE_FROM, HEDGE_LOST_FROM] {
+            let after = choice.predicted.mul_f64(factor);
+            let timer = (call.arrived + after).saturating_duration_since(Instant::now());
+            monoio::select! {
+                outcome = &mut first => return outcome,
+                () = monoio::time::sleep(timer) => {}
+            }
+            self.overdue(call, &choice, factor);
+            let hedgeable = call.repeatable() && (tried.len() as u32) < call.route.attempts;
+            let hopeless = factor < HEDGE_LOST_FROM && call.objective_left() < choice.predicted;
+            if !hedgeable || hopeless {
+                continue;
+            }
+            let Ok(other) = self.choose(call, tried).await else { continue };
+            if !self.state.borrow_mut().second_send(&call.service) {
+                continue;
+            }
+            self.state.borrow_mut().counters.hedges += 1;
+            call.line("hedged")
+                .field("upstream", choice.id.as_str())
+                .field("other", other.id.as_str())
+                .log();
+            tried.push(other.id.clone());
+            let mut second = pin!(self.send(call, &other, body));
+            return monoio::select! {
+                outcome = &mut first => match is_final(&outcome) {
+                    true => outcome,
+                    false => second.await,
+                },
+                outcome = &mut second => match is_final(&outcome) {
+                    true => outcome,
+                    false => first.await,
+                },
+            };
+        }
+        first.await
+    }
+
+    /// Records that an upstream has not answered for `factor` times what was predicted.
+    fn overdue(&self, call: &Call<'_>, choice: &Choice, factor: f64) {
+        if !choice.unhindered {
+            return;
+        }
+        if let Some(pool) = self.state.borrow_mut().pools.get_mut(&call.service) {
+            pool.took_ratio(&choice.id, factor, Instant::now());
+        }
+    }
+
+    /// Sends a request with a whole body to the chosen upstream.
+    async fn send(&self, call: &Call<'_>, choice: &Choice, body: &Bytes) -> Outcome {
+        let length = call.head.framing != h1::Framing::Empty;
+        let length = length.then(|| HeaderValue::from(body.len()));
+        let rest = async |_: &mut h1::Writer| Sent::All;
+        let framing = length.map(|length| (http::header::CONTENT_LENGTH, length));
+        self.send_with(call, choice, framing, body, rest).await
+    }
+
+    /// Sends a request whose body is still coming in; never a second time.
+    async fn send_long(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        table: &Rc<Table>,
+        first: Bytes,
+        reader: &mut h1::Reader,
+        decoder: &mut h1::Decoder,
+    ) -> Reply {
+        let choice = match self.choose(call, &[]).await {
+            Ok(choice) => choice,
+            Err(why) => return self.no_choice(call, table, why, false),
+        };
+        self.state.borrow_mut().first_send(&call.service);
+        let chunked = !matches!(call.head.framing, h1::Framing::Length(_));
+        let (framing, first) = match call.head.framing {
+            h1::Framing::Length(length) => {
+                ((http::header::CONTENT_LENGTH, HeaderValue::from(length)), first)
+            }
+            _ => {
+                let coding = HeaderValue::from_static("chunked");
+                ((http::header::TRANSFER_ENCODING, coding), h1::encode_chunk(&first).into())
+            }
+        };
+        let rest = async |writer: &mut h1::Writer| loop {
+            let bytes = match reader.body_piece(decoder).await {
+                Ok(Some(piece)) if chunked => h1::encode_chunk(&piece),
+                Ok(Some(piece)) => piece.to_vec(),
+                Ok(None) if chunked => {
+                    let last = writer.write(h1::LAST_CHUNK.to_vec()).await;
+                    return last.map_or(Sent::UpstreamBroke, |()| Sent::All);
+                }
+                Ok(None) => return Sent::All,
+                Err(_) => return Sent::CallerLeft,
+            };
+            if writer.write(bytes).await.is_err() {
+                return Sent::UpstreamBroke;
+            }
+        };
+        match self.send_with(call, &choice, Some(framing), &first, rest).await {
+            Outcome::Answered(answer) => Reply::Upstream(answer),
+            Outcome::NotRun(..) => give_up(false, COME_BACK),
+            Outcome::Lost(why) => Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, why)),
+        }
+    }
+
+    async fn send_with<F>(
+        &self,
+        call: &Call<'_>,
+        choice: &Choice,
+        framing: Option<(http::HeaderName, HeaderValue)>,
+        body: &Bytes,
+        rest: F,
+    ) -> Outcome
+    where
+        F: AsyncFnOnce(&mut h1::Writer) -> Sent,
+    {
+        let counted = Outstanding::start(&self.state, &call.service, &choice.id);
+        let sent_at = Instant::now();
+        let timeout = CONNECT_TIMEOUT.min(call.left());
+        let conn = match self.connection(&choice.id, choice.addr, timeout).await {
+            Ok(conn) => conn,
+            Err(err) => {
+                call.line("connect_failed")
+                    .field("upstream", choice.id.as_str())
+                    .field("error", err.to_string())
+                    .log();
+                counted.end(End::Failed);
+                return Outcome::NotRun(StatusCode::SERVICE_UNAVAILABLE, HeaderMap::new());
+            }
+        };
+        let names = self.state.borrow().settings.headers.clone();
+        let headers = upstream_headers(call, choice, &names, framing);
+        let mut bytes = h1::write_request(&call.head.method, &call.head.target, &headers);
+        bytes.extend_from_slice(body);
+        let (method, request_id) = (call.head.method.clone(), call.request_id.clone());
+        let outgoing = Outgoing { method, bytes, request_id };
+        let (outcome, conn) = exchange::run(conn, outgoing, &names, rest).await;
+        if let Some(conn) = conn {
+            self.conns.put(&choice.id, conn);
+        }
+        self.learn(call, choice, &outcome, sent_at.elapsed());
+        counted.end(match &outcome {
+            Outcome::Answered(answer) if answer.head.status.is_server_error() => End::Failed,
+            Outcome::Answered(_) => End::Answered,
+            Outcome::NotRun(..) => End::Refused,
+            Outcome::Lost(exchange::CALLER_LEFT) => End::GivenUp,
+            Outcome::Lost(_) => End::Failed,
+        });
+        outcome
+    }
+
+    /// Takes what the end of a send tells of the upstream.
+    fn learn(&self, call: &Call<'_>, choice: &Choice, outcome: &Outcome, took: Duration) {
+        let (id, service) = (&choice.id, &call.service);
+        match outcome {
+            Outcome::Answered(answer) => {
+                self.take_load(service, id, &answer.head.headers);
+                if !answer.head.status.is_server_error() {
+                    self.learn_time(call, choice, took);
+                    return;
+                }
+                call.line("upstream_error")
+                    .field("upstream", id.as_str())
+                    .field("status", answer.head.status.as_u16())
+                    .log();
+            }
+            Outcome::NotRun(status, headers) => {
+                self.take_load(service, id, headers);
+                call.line("not_run_by_upstream")
+                    .field("upstream", id.as_str())
+                    .field("status", status.as_u16())
+                    .log();
+                if *status == StatusCode::MISDIRECTED_REQUEST {
+                    // Another upstream has the address: this one is gone, listed or not.
+                    self.conns.close(id);
+                    if let Some(pool) = self.state.borrow_mut().pools.get_mut(service) {
+                        pool.remove(id);
+                    }
+                }
+            }
+            Outcome::Lost(why) => {
+                call.line("answer_lost")
+                    .field("upstream", id.as_str())
+                    .field("reason", why)
+                    .field("took_ms", took.as_millis() as u64)
+                    .log();
+            }
+        }
+    }
+
+    fn learn_time(&self, call: &Call<'_>, choice: &Choice, took: Duration) {
+        if !choice.unhindered {
+            return;
+        }
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        let Some(pool) = state.pools.get_mut(&call.service) else { return };
+        let still_unhindered = pool
+            .position(&choice.id)
+            .and_then(|index| pool.upstreams()[index].report(now))
+            .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED);
+        if still_unhindered {
+            let ratio = took.as_secs_f64() / choice.predicted.as_secs_f64().max(0.001);
+            pool.took_ratio(&choice.id, ratio, now);
+            state.works.sample(&call.route.name, call.route.objective, took);
+        }
+    }
+
+    /// Chooses the upstream for the next send, asking some for their load first where it helps.
+    async fn choose(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        tried: &[UpstreamId],
+    ) -> Result<Choice, NoChoice> {
+        let mut ranked = self.rank(call, tried);
+        for _ in 0..ASK_ROUNDS {
+            let ids = self.to_ask(call, &ranked);
+            if ids.is_empty() {
+                break;
+            }
+            probe::ask(self, &call.service, ids, call.route.objective).await;
+            ranked = self.rank(call, tried);
+        }
+        let state = &mut *self.state.borrow_mut();
+        let Some(pool) = state.pools.get(&call.service) else { return Err(NoChoice::NoUpstream) };
+        let Some(best) = ranked.first() else { return Err(NoChoice::NoUpstream) };
+        let room = place::Room {
+            deadline_left: call.left(),
+            objective_left: call.objective_left(),
+            most_urgent: call.most_urgent,
+        };
+        if let Verdict::Refuse { come_back } = place::admit(best, room, &mut state.rng) {
+            return Err(NoChoice::Refused(come_back));
+        }
+        let upstream = &pool.upstreams()[best.index];
+        let unhindered = best.fresh
+            && upstream
+                .report(Instant::now())
+                .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED && load.has_room());
+        let (id, addr) = (upstream.id.clone(), upstream.addr);
+        Ok(Choice { id, addr, predicted: best.prediction.took, unhindered })
+    }
+
+    fn rank(&self, call: &Call<'_>, tried: &[UpstreamId]) -> Vec<Candidate> {
+        let state = &mut *self.state.borrow_mut();
+        let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
+        let ask = place::Ask {
+            work: state.works.of(&call.route.name, call.route.objective),
+            objective_left: call.objective_left(),
+            zone: &state.settings.zone,
+            tried,
+            repeatable: call.repeatable(),
+        };
+        pool.rank(ask, |id| self.conns.has(id), Instant::now(), &mut state.rng)
+    }
+
+    /// Returns the upstreams to ask for their load, within the budget of probes.
+    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate]) -> Vec<UpstreamId> {
+        let ids: Vec<SmolStr> = {
+            let state = self.state.borrow();
+            match state.pools.get(&call.service) {
+                Some(pool) if pool.reports() != Some(false) => pool
+                    .to_ask(ranked, ASK_AT_ONCE)
+                    .into_iter()
+                    .map(|index| pool.upstreams()[index].id.clone())
+                    .collect(),
+                _ => Vec::new(),
+            }
+        };
+        let (per_s, most) = probe::allowance(self, &call.service);
+        let mut budgets = self.probe_budgets.borrow_mut();
+        let budget = budgets.entry(call.service.clone()).or_default();
+        let taken = budget.take(ids.len(), per_s, most, Instant::now());
+        ids.into_iter().take(taken).collect()
+    }
+}
+
+fn is_final_status(status: StatusCode) -> bool {
+    !status.is_server_error()
+}
+
+/// Ends a request that gets no further send.
+fn give_up(may_have_run: bool, come_back: Duration) -> Reply {
+    Reply::Own(match may_have_run {
+        true => Own::failed(StatusCode::BAD_GATEWAY, "no answer; the request may have run"),
+        false => Own::not_run(come_back, "not run; come back later"),
+    })
+}
+
+/// Returns the headers of a request as the upstream gets them.
+fn upstream_headers(
+    call: &Call<'_>,
+    choice: &Choice,
+    names: &crate::HeaderNames,
+    framing: Option<(http::HeaderName, HeaderValue)>,
+) -> HeaderMap {
+    let mut headers = call.head.headers.clone();
+    reply::strip_connection_headers(&mut headers);
+    let left_ms = call.left().saturating_sub(DEADLINE_MARGIN).as_millis().max(1) as u64;
+    headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
+    headers.insert(&names.request_id, call.request_id.clone());
+    match HeaderValue::from_str(&choice.id) {
+        Ok(id) => drop(headers.insert(&names.expect_upstream, id)),
+        Err(_) => drop(headers.remove(&names.expect_upstream)),
+    }
+    if let Some((name, value)) = framing {
+        headers.insert(name, value);
+    }
+    headers
+}
--- /dev/null
+++ b/crates/edge/src/gossip.rs
@@ -0,0 +1,130 @@
+//! The task that owns the membership socket and state.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use local_sync::mpsc::unbounded::{Rx, Tx};
+use monoio::net::udp::UdpSocket;
+use rand::SeedableRng;
+
+use crate::forward::Node;
+use crate::state::Peer;
+
+/// How often the membership state advances; well below its shortest timeout.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Longest datagram read; longer ones are cut and refused.
+const READ_BYTES: usize = 2_048;
+
+/// What other tasks tell the membership task.
+#[derive(Debug)]
+pub enum Input {
+    /// A datagram arrived.
+    Datagram(SocketAddr, Vec<u8>),
+    /// Time passed.
+    Tick,
+    /// This node is stopping.
+    Leave,
+}
+
+/// Runs the membership of this node until its inputs end.
+pub async fn run(socket: UdpSocket, node: Rc<Node>, tx: Tx<Input>, mut rx: Rx<Input>) {
+    let socket = Rc::new(socket);
+    monoio::spawn(read(socket.clone(), tx.clone()));
+    monoio::spawn(tick(tx));
+    let mut members = {
+        let settings = &node.state.borrow().settings;
+        let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let mut members = member::Members::new(
+            settings.peer_addr,
+            settings.zone.clone(),
+            incarnation.map_or(0, |since| since.as_millis() as u64),
+            member::Timing::default(),
+            rand::rngs::SmallRng::from_os_rng(),
+        );
+        let others = settings.seed_addrs.iter().filter(|addr| **addr != settings.peer_addr);
+        members.set_listed(others.map(|addr| (*addr, "".into())));
+        members
+    };
+    while let Some(input) = rx.recv().await {
+        {
+            let state = node.state.borrow();
+            let ready = state.is_ready();
+            members.set_config_head(if ready { state.config_seen.newest } else { 0 });
+            members.set_list_head(if ready { state.list_seen.newest } else { 0 });
+        }
+        let out = handle(&mut members, input, Instant::now());
+        for event in members.take_events() {
+            apply(&node, event);
+        }
+        for member::Outgoing { to, packet } in out {
+            // A datagram that cannot be sent is one that is lost: the protocol expects that.
+            let _ = socket.send_to(packet.encode(), to).await;
+        }
+    }
+}
+
+fn handle(members: &mut member::Members, input: Input, now: Instant) -> Vec<member::Outgoing> {
+    match input {
+        Input::Tick => members.tick(now),
+        Input::Datagram(from, bytes) => match wire::Packet::decode(&bytes) {
+            Ok(packet) => members.receive(from, packet, now),
+            Err(err) => {
+                trace::Line::new("peer_packet_refused")
+                    .field("peer", from)
+                    .field("error", err.to_string())
+                    .log();
+                Vec::new()
+            }
+        },
+        Input::Leave => members.leave(),
+    }
+}
+
+fn apply(node: &Node, event: member::Event) {
+    let peers = &mut node.state.borrow_mut().peers;
+    match event {
+        member::Event::Peer { addr, zone, standing } => {
+            trace::Line::new("peer")
+                .field("peer", addr)
+                .field("zone", zone.as_str())
+                .field("standing", format!("{standing:?}"))
+                .log();
+            let unknown = Peer { zone: zone.clone(), standing, config_head: 0, list_head: 0 };
+            let peer = peers.entry(addr).or_insert(unknown);
+            peer.zone = zone;
+            peer.standing = standing;
+        }
+        member::Event::Forgotten { addr } => drop(peers.remove(&addr)),
+        member::Event::Heads { addr, config_head, list_head } => {
+            if let Some(peer) = peers.get_mut(&addr) {
+                peer.config_head = config_head;
+                peer.list_head = list_head;
+            }
+        }
+        member::Event::Note(_) => {}
+    }
+}
+
+async fn read(socket: Rc<UdpSocket>, tx: Tx<Input>) {
+    loop {
+        let (result, mut buf) = socket.recv_from(vec![0; READ_BYTES]).await;
+        match result {
+            Ok((length, from)) => {
+                buf.truncate(length);
+                if tx.send(Input::Datagram(from, buf)).is_err() {
+                    return;
+                }
+            }
+            // An ICMP "port unreachable" of an earlier send shows here on some systems.
+            Err(_) => monoio::time::sleep(TICK).await,
+        }
+    }
+}
+
+async fn tick(tx: Tx<Input>) {
+    while tx.send(Input::Tick).is_ok() {
+        monoio::time::sleep(TICK).await;
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,77 @@
+//! The entry node where requests are routed by host and path.
+//!
+//! [`serve`] takes callers' requests and [`forward`] takes each to its answer,
+//! by the decisions of the crates `route`, `place` and `limit`; [`exchange`]
+//! sends one request to one upstream over a connection kept in [`conns`];
+//! [`probe`] asks upstreams for their load just before a choice. [`follow`]
+//! keeps the node's beliefs in step with the platform, whatever that platform
+//! is: it is reached through the trait [`follow::Source`] only. [`gossip`]
+//! knows the other entry nodes, [`directory`] tells callers which of them to
+//! use, [`stop`] ends the process without cutting a request.
+//!
+//! All tasks run on one thread. What the request path reads is one
+//! [`state::State`]; no borrow of it is held across an await.
+
+pub mod conns;
+pub mod directory;
+pub mod exchange;
+pub mod follow;
+pub mod forward;
+pub mod gossip;
+pub mod probe;
+pub mod reply;
+pub mod serve;
+pub mod state;
+pub mod stop;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::HeaderName;
+use smol_str::SmolStr;
+
+/// Names of the headers that the platform's callers and upstreams use.
+#[derive(Clone, Debug)]
+pub struct HeaderNames {
+    /// Id of one attempt of a caller, echoed by upstreams.
+    pub request_id: HeaderName,
+    /// Time left for a request, in whole milliseconds.
+    pub deadline_ms: HeaderName,
+    /// Proof that an upstream made the answer.
+    pub signature: HeaderName,
+    /// The one upstream start that may run a request.
+    pub expect_upstream: HeaderName,
+    /// Present when an upstream did not run a request.
+    pub not_run: HeaderName,
+    /// Load of the upstream that answers.
+    pub load: HeaderName,
+}
+
+/// What one entry node is told at start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the node.
+    pub node_id: SmolStr,
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// Where callers connect.
+    pub front_addr: SocketAddr,
+    /// Where other entry nodes reach it; its identity among them.
+    pub peer_addr: SocketAddr,
+    /// Other entry nodes to begin with, which may be gone.
+    pub seed_addrs: Vec<SocketAddr>,
+    /// Names of headers.
+    pub headers: HeaderNames,
+    /// Reads the load header of an upstream's answer.
+    pub read_load: fn(&str) -> Option<place::Load>,
+    /// How long callers may keep a directory answer.
+    pub directory_ttl: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub stop_grace: Duration,
+    /// Second sends allowed per first send, over the whole fleet.
+    pub retry_ratio: f64,
+    /// Second sends allowed beyond that ratio, over the whole fleet, per window.
+    pub retry_slack: f64,
+    /// Probes per second that one upstream may get from the whole fleet.
+    pub probes_per_upstream_s: f64,
+}
--- /dev/null
+++ b/crates/edge/src/state.rs
@@ -0,0 +1,251 @@
+//! What one entry node currently believes.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+use place::{End, UpstreamId};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use route::{RouteName, ServiceName};
+use smol_str::SmolStr;
+
+use crate::follow::{Cursor, Topic};
+use crate::Settings;
+
+/// The state, shared by the tasks of the node's one thread.
+pub type Shared = Rc<RefCell<State>>;
+
+/// Part of the allowed ratio of second sends that a node uses: nodes that
+/// start or stop midway through a window must not add up to more than it.
+const RETRY_RATIO_PART: f64 = 0.8;
+
+/// Part of the fleet's slack that all nodes together use.
+const RETRY_SLACK_PART: f64 = 0.5;
+
+/// Most second sends that a node may save up.
+const RETRY_BURST_MOST: f64 = 4.0;
+
+/// Second sends that a node begins with: it doesn't know yet how many others there are.
+const RETRY_BURST_FIRST: f64 = 1.0;
+
+/// What is known of another entry node.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its availability zone.
+    pub zone: SmolStr,
+    /// What membership believes of it.
+    pub standing: wire::Standing,
+    /// Newest change of the configuration that it has seen; 0 when it cannot serve yet.
+    pub config_head: Cursor,
+    /// Newest change of the list of upstreams that it has seen.
+    pub list_head: Cursor,
+}
+
+/// How much of a topic's history a node has seen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Seen {
+    /// Everything up to here was read.
+    pub up_to: Cursor,
+    /// The newest change among it.
+    pub newest: Cursor,
+}
+
+/// Counters since start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counters {
+    /// Requests received.
+    pub requests: u64,
+    /// Requests answered by an upstream.
+    pub answered: u64,
+    /// Requests refused because no upstream could serve them in time.
+    pub refused: u64,
+    /// Requests that may have run and got no answer.
+    pub failed: u64,
+    /// Requests whose caller left.
+    pub abandoned: u64,
+    /// Sends after the first of a request, hedges included.
+    pub second_sends: u64,
+    /// Second sends that the budget did not allow.
+    pub second_sends_over_budget: u64,
+    /// Hedges sent.
+    pub hedges: u64,
+    /// Probes sent.
+    pub probes: u64,
+    /// Connections opened to upstreams.
+    pub connects: u64,
+}
+
+/// The entry node's beliefs.
+pub struct State {
+    /// What it was told at start.
+    pub settings: Settings,
+    /// The configuration in force; `None` before the first.
+    pub table: Option<Rc<route::Table>>,
+    /// Which upstreams there are.
+    pub roster: place::Roster,
+    /// Upstreams by service, as they were found to be.
+    pub pools: HashMap<ServiceName, place::Pool>,
+    /// How long each kind of request takes.
+    pub works: place::Works,
+    /// Second sends allowed, by service.
+    budgets: HashMap<ServiceName, limit::RetryBudget>,
+    /// Whose turn it is at each split route.
+    pub turns: HashMap<RouteName, route::Turns>,
+    /// How much of the configuration's history was seen.
+    pub config_seen: Seen,
+    /// How much of the list's history was seen.
+    pub list_seen: Seen,
+    /// Other entry nodes.
+    pub peers: BTreeMap<SocketAddr, Peer>,
+    /// Set once the node is stopping.
+    pub stopping: bool,
+    /// Requests read and not answered yet.
+    pub in_flight: u64,
+    /// Randomness of all decisions.
+    pub rng: SmallRng,
+    /// Counters since start.
+    pub counters: Counters,
+}
+
+impl State {
+    /// Creates the state of a node that knows nothing yet.
+    pub fn new(settings: Settings) -> State {
+        State {
+            settings,
+            table: None,
+            roster: place::Roster::default(),
+            pools: HashMap::new(),
+            works: place::Works::default(),
+            budgets: HashMap::new(),
+            turns: HashMap::new(),
+            config_seen: Seen::default(),
+            list_seen: Seen::default(),
+            peers: BTreeMap::new(),
+            stopping: false,
+            in_flight: 0,
+            rng: SmallRng::from_os_rng(),
+            counters: Counters::default(),
+        }
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub fn config_version(&self) -> route::Version {
+        self.table.as_ref().map_or(0, |table| table.version)
+    }
+
+    /// Returns true when the node can serve callers and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        self.table.is_some() && !self.roster.is_empty() && !self.stopping
+    }
+
+    /// Returns the number of entry nodes that are alive, this one included.
+    pub fn fleet_size(&self) -> usize {
+        1 + self.peers.values().filter(|p| p.standing <= wire::Standing::Suspect).count()
+    }
+
+    /// Returns what was seen of a topic.
+    pub fn seen_mut(&mut self, topic: Topic) -> &mut Seen {
+        match topic {
+            Topic::Config => &mut self.config_seen,
+            Topic::Upstreams => &mut self.list_seen,
+        }
+    }
+
+    /// Returns true when a peer has seen changes of a topic that this node has not.
+    pub fn is_behind(&self, topic: Topic) -> bool {
+        let (up_to, head): (Cursor, fn(&Peer) -> Cursor) = match topic {
+            Topic::Config => (self.config_seen.up_to, |peer| peer.config_head),
+            Topic::Upstreams => (self.list_seen.up_to, |peer| peer.list_head),
+        };
+        self.peers.values().any(|peer| head(peer) > up_to)
+    }
+
+    /// Puts `table` in force; false when it is not newer than the one held.
+    ///
+    /// Never goes back: a late answer or a lagging peer must not undo a
+    /// version that callers have already seen the effect of.
+    pub fn apply_table(&mut self, table: route::Table) -> bool {
+        if self.table.is_some() && table.version <= self.config_version() {
+            return false;
+        }
+        self.table = Some(Rc::new(table));
+        true
+    }
+
+    /// Takes what follows from a change of the roster to the pools.
+    pub fn apply_change(&mut self, change: &place::Change, now: Instant) {
+        match change {
+            place::Change::Put(entry) => {
+                self.pools.entry(entry.service.clone()).or_default().put(entry, now);
+            }
+            place::Change::Drop { id, service, .. } => {
+                if let Some(pool) = self.pools.get_mut(service) {
+                    pool.remove(id);
+                }
+            }
+        }
+    }
+
+    /// Counts the first send of a request to `service`.
+    pub fn first_send(&mut self, service: &ServiceName) {
+        let percent = self.settings.retry_ratio * RETRY_RATIO_PART * 100.0;
+        self.budget(service).first_send(percent as u64);
+    }
+
+    /// Takes one second send out of the budget; false when none is left.
+    pub fn second_send(&mut self, service: &ServiceName) -> bool {
+        let allowed = self.budget(service).second_send();
+        match allowed {
+            true => self.counters.second_sends += 1,
+            false => self.counters.second_sends_over_budget += 1,
+        }
+        allowed
+    }
+
+    fn budget(&mut self, service: &ServiceName) -> &mut limit::RetryBudget {
+        let share = self.settings.retry_slack * RETRY_SLACK_PART / self.fleet_size() as f64;
+        let burst = share.clamp(1.0, RETRY_BURST_MOST);
+        let fresh = || limit::RetryBudget::with_burst(RETRY_BURST_FIRST);
+        let budget = self.budgets.entry(service.clone()).or_insert_with(fresh);
+        budget.set_burst(burst);
+        budget
+    }
+}
+
+/// A request counted as outstanding at an upstream until it is ended or dropped.
+///
+/// A hedged request whose other send was quicker is dropped midway; a count
+/// that never came down would keep its upstream from being chosen.
+pub struct Outstanding {
+    state: Shared,
+    service: ServiceName,
+    id: UpstreamId,
+    end: End,
+}
+
+impl Outstanding {
+    /// Counts a request as sent.
+    pub fn start(state: &Shared, service: &ServiceName, id: &UpstreamId) -> Outstanding {
+        if let Some(pool) = state.borrow_mut().pools.get_mut(service) {
+            pool.sent(id);
+        }
+        let (service, id) = (service.clone(), id.clone());
+        Outstanding { state: state.clone(), service, id, end: End::GivenUp }
+    }
+
+    /// Records how it ended.
+    pub fn end(mut self, end: End) {
+        self.end = end;
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        if let Some(pool) = self.state.borrow_mut().pools.get_mut(&self.service) {
+            pool.ended(&self.id, self.end, Instant::now());
+        }
+    }
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -94,12 +94,14 @@
         /// Address it had.
         addr: SocketAddr,
     },
-    /// A peer holds config up to this commit.
-    ConfigHead {
+    /// A peer holds config and the list of upstreams up to these commits.
+    Heads {
         /// Address of the peer.
         addr: SocketAddr,
-        /// Highest commit it holds.
+        /// Highest commit of the config it holds.
         config_head: u64,
+        /// Highest commit of the list of upstreams it holds.
+        list_head: u64,
     },
     /// Another node's note on an upstream is new, changed or lapsed (then `Healthy`).
     Note(Note),
@@ -113,6 +115,7 @@
     /// When the standing last changed.
     since: Instant,
     config_head: u64,
+    list_head: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -165,7 +168,7 @@
         rng: SmallRng,
     ) -> Members {
         Members {
-            me: Sender { addr, incarnation, zone, config_head: 0 },
+            me: Sender { addr, incarnation, zone, config_head: 0, list_head: 0 },
             timing,
             rng,
             peers: BTreeMap::new(),
@@ -193,6 +196,11 @@
         self.me.config_head = head;
     }
 
+    /// Records up to which commit this node holds the list of upstreams.
+    pub fn set_list_head(&mut self, head: u64) {
+        self.me.list_head = head;
+    }
+
     /// Spreads what this node learned by watching an upstream.
     pub fn set_note(
         &mut self,
@@ -335,10 +343,18 @@
             now,
         );
         match self.peers.get_mut(&sender.addr) {
-            Some(peer) if newcomer || sender.config_head > peer.config_head => {
+            Some(peer)
+                if newcomer
+                    || sender.config_head > peer.config_head
+                    || sender.list_head > peer.list_head =>
+            {
                 peer.config_head = sender.config_head;
-                self.events
-                    .push(Event::ConfigHead { addr: sender.addr, config_head: sender.config_head });
+                peer.list_head = sender.list_head;
+                self.events.push(Event::Heads {
+                    addr: sender.addr,
+                    config_head: sender.config_head,
+                    list_head: sender.list_head,
+                });
             }
             _ => {}
         }
@@ -376,6 +392,7 @@
                         zone: update.zone.clone(),
                         since: now,
                         config_head: 0,
+                        list_head: 0,
                     },
                 );
                 true
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -130,7 +130,7 @@
             peer.standing = Some(standing);
         }
         member::Event::Forgotten { addr } => drop(view.peers.remove(&addr)),
-        member::Event::ConfigHead { addr, config_head } => {
+        member::Event::Heads { addr, config_head, list_head: _ } => {
             view.peers.entry(addr).or_default().config_head = config_head;
         }
         member::Event::Note(note) => view.report(note.upstream, note.watcher, note.verdict),
--- /dev/null
+++ b/crates/place/src/pool.rs
@@ -0,0 +1,261 @@
+//! The upstreams of one service, ranked for one request.
+
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+
+use crate::health::Standing;
+use crate::upstream::{Load, Prediction, Upstream};
+use crate::{End, Entry, UpstreamId};
+
+/// A report of this age or younger is not worth asking for again: the answer
+/// would come back about as old.
+const FRESH: Duration = Duration::from_millis(40);
+
+/// Part of the objective that a request may take without any risk of missing it.
+const SAFE_PART: f64 = 0.55;
+
+/// Part of the objective from which on a request is taken to miss it.
+const LOST_PART: f64 = 1.15;
+
+/// What crossing zones costs, as a share of a request's worth: bytes between
+/// zones are paid for.
+const CROSS_ZONE: f64 = 0.06;
+
+/// What a new connection costs, as a share of a request's worth.
+const NEW_CONNECTION: f64 = 0.06;
+
+/// What each recent failure of an upstream costs a request that can be sent again.
+const FAILURE: f64 = 0.15;
+
+/// The same for a request that cannot be: its failure is final.
+const FAILURE_FINAL: f64 = 0.5;
+
+/// What a full upstream costs beyond its prediction: evens the load out.
+const FULLNESS: f64 = 0.03;
+
+/// What it costs not to know how an upstream is: a mean hides that one in four is slow.
+const UNKNOWN: f64 = 0.05;
+
+/// Random part of a cost, so that entry nodes that see the same do not all go the same way.
+const CHANCE: f64 = 0.01;
+
+/// Weight of the newest report in the mean slowness.
+const SLOWNESS_WEIGHT: f64 = 0.02;
+
+/// Mean slowness before any report.
+const SLOWNESS_FIRST: f64 = 1.5;
+
+/// Upstreams compared for one request at most, from a random one on: what a
+/// request costs the entry node must not grow with the size of a service.
+const SCAN_MOST: usize = 48;
+
+/// What a request asks of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Work that it takes at an upstream that is not slowed.
+    pub work: Duration,
+    /// Time left within which its answer is worth most.
+    pub objective_left: Duration,
+    /// Zone of the entry node.
+    pub zone: &'a str,
+    /// Upstreams that were tried already.
+    pub tried: &'a [UpstreamId],
+    /// Whether a failure can be mended by sending it again.
+    pub repeatable: bool,
+}
+
+/// One upstream that a request could go to.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Index in the pool, until the pool changes.
+    pub index: usize,
+    /// Expected cost as a share of the request's worth; the least is best.
+    pub cost: f64,
+    /// How long the request would take.
+    pub prediction: Prediction,
+    /// Whether its report is recent.
+    pub fresh: bool,
+    standing: Standing,
+}
+
+/// The upstreams of one service.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    upstreams: Vec<Upstream>,
+    usual_slowness: f64,
+    /// Whether upstreams of this service report their load; `None` before any answered.
+    reports: Option<bool>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Pool { upstreams: Vec::new(), usual_slowness: SLOWNESS_FIRST, reports: None }
+    }
+}
+
+impl Pool {
+    /// Adds an upstream or takes what changed about it.
+    pub fn put(&mut self, entry: &Entry, now: Instant) {
+        let index = match self.position(&entry.id) {
+            Some(index) => index,
+            None => {
+                let (id, zone) = (entry.id.clone(), entry.zone.clone());
+                self.upstreams.push(Upstream::new(id, entry.addr, zone, entry.slots));
+                self.upstreams.len() - 1
+            }
+        };
+        let upstream = &mut self.upstreams[index];
+        upstream.addr = entry.addr;
+        upstream.cold_until = (!entry.cold_for.is_zero()).then(|| now + entry.cold_for);
+    }
+
+    /// Drops an upstream: it gets no further request.
+    pub fn remove(&mut self, id: &str) {
+        self.upstreams.retain(|u| u.id != id);
+    }
+
+    /// Returns where an upstream stands in the pool.
+    pub fn position(&self, id: &str) -> Option<usize> {
+        self.upstreams.iter().position(|u| u.id == id)
+    }
+
+    /// Returns the upstreams.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    /// Returns whether upstreams of this service report their load, once one answered.
+    pub fn reports(&self) -> Option<bool> {
+        self.reports
+    }
+
+    /// Returns how slow machines of this service are on average.
+    pub fn usual_slowness(&self) -> f64 {
+        self.usual_slowness
+    }
+
+    /// Takes an upstream's report of its load, or that its answer had none.
+    pub fn take_report(&mut self, id: &str, load: Option<Load>, now: Instant) {
+        let Some(load) = load else {
+            self.reports = self.reports.or(Some(false));
+            return;
+        };
+        self.reports = Some(true);
+        self.usual_slowness += SLOWNESS_WEIGHT * (load.slowness - self.usual_slowness);
+        if let Some(index) = self.position(id) {
+            self.upstreams[index].take_report(load, now);
+        }
+    }
+
+    /// Records that a request was sent.
+    pub fn sent(&mut self, id: &str) {
+        if let Some(index) = self.position(id) {
+            self.upstreams[index].sent();
+        }
+    }
+
+    /// Records how a request ended.
+    pub fn ended(&mut self, id: &str, end: End, now: Instant) {
+        let Some(index) = self.position(id) else { return };
+        let may_eject = end == End::Failed && self.may_eject(index, now);
+        let upstream = &mut self.upstreams[index];
+        upstream.ended();
+        match end {
+            End::Answered => upstream.health.answered(now),
+            End::Failed => upstream.health.failed(may_eject, now),
+            End::Refused => match upstream.report(now) {
+                Some((load, _)) if load.has_room() => upstream.health.refused_with_room(now),
+                _ => {}
+            },
+            End::GivenUp => {}
+        }
+    }
+
+    /// Records that a request took, or has taken so far, `ratio` times its prediction.
+    pub fn took_ratio(&mut self, id: &str, ratio: f64, now: Instant) {
+        if let Some(index) = self.position(id) {
+            self.upstreams[index].took_ratio(ratio, now);
+        }
+    }
+
+    /// Returns true when the others can carry the load without `index`.
+    ///
+    /// Without this bound an overload, in which every upstream fails requests,
+    /// would eject them all and turn a slow service into one that is down.
+    fn may_eject(&self, index: usize, now: Instant) -> bool {
+        let out = self
+            .upstreams
+            .iter()
+            .enumerate()
+            .filter(|(i, u)| *i != index && u.health.standing(now) != Standing::Good)
+            .count();
+        2 * (out + 1) <= self.upstreams.len()
+    }
+
+    /// Returns the upstreams that a request could go to, best first.
+    pub fn rank<R: Rng>(
+        &self,
+        ask: Ask<'_>,
+        has_connection: impl Fn(&UpstreamId) -> bool,
+        now: Instant,
+        rng: &mut R,
+    ) -> Vec<Candidate> {
+        let count = self.upstreams.len();
+        let from = if count > SCAN_MOST { rng.random_range(0..count) } else { 0 };
+        let mut ranked: Vec<Candidate> = (0..count.min(SCAN_MOST))
+            .map(|step| (from + step) % count)
+            .filter(|index| !ask.tried.contains(&self.upstreams[*index].id))
+            .map(|index| self.candidate(index, ask, &has_connection, now, rng))
+            .collect();
+        let sound = ranked.iter().map(|c| c.standing).min();
+        // An upstream on trial is as good as any, so that it gets its one request.
+        let worst = sound.map(|best| best.max(Standing::Trial));
+        ranked.retain(|c| Some(c.standing) <= worst);
+        ranked.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        ranked
+    }
+
+    fn candidate<R: Rng>(
+        &self,
+        index: usize,
+        ask: Ask<'_>,
+        has_connection: &impl Fn(&UpstreamId) -> bool,
+        now: Instant,
+        rng: &mut R,
+    ) -> Candidate {
+        let upstream = &self.upstreams[index];
+        let prediction = upstream.predict(ask.work, self.usual_slowness, now);
+        let standing = match upstream.health.standing(now) {
+            Standing::Trial if upstream.outstanding > 0 || !ask.repeatable => Standing::Ejected,
+            standing => standing,
+        };
+        let part = prediction.took.as_secs_f64() / ask.objective_left.as_secs_f64().max(0.001);
+        let miss = ((part - SAFE_PART) / (LOST_PART - SAFE_PART)).clamp(0.0, 1.0);
+        // Beyond the objective, later is still worse: it may miss the deadline too.
+        let late = (part - LOST_PART).max(0.0) * 0.1;
+        let failure = if ask.repeatable { FAILURE } else { FAILURE_FINAL };
+        let mut cost = miss + late + failure * upstream.health.score(now);
+        cost += FULLNESS * prediction.fullness + CHANCE * rng.random::<f64>();
+        cost += UNKNOWN * (1.0 - prediction.trust);
+        if upstream.zone != ask.zone {
+            cost += CROSS_ZONE;
+        }
+        if !has_connection(&upstream.id) {
+            cost += NEW_CONNECTION;
+        }
+        let fresh = upstream.report(now).is_some_and(|(_, age)| age <= FRESH);
+        Candidate { index, cost, prediction, fresh, standing }
+    }
+
+    /// Returns up to `most` of the best `ranked` upstreams whose report is too old to rely on.
+    ///
+    /// None when the best one's report is fresh and its cost as low as it gets:
+    /// asking others could not improve on it.
+    pub fn to_ask(&self, ranked: &[Candidate], most: usize) -> Vec<usize> {
+        match ranked.first() {
+            Some(best) if best.fresh && best.cost < CROSS_ZONE => Vec::new(),
+            _ => ranked.iter().filter(|c| !c.fresh).take(most).map(|c| c.index).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/place/src/roster.rs
@@ -0,0 +1,181 @@
+//! Which upstreams there are, through outages of the store that lists them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::UpstreamId;
+
+/// An upstream whose entry vanished with an outage of the store is kept for
+/// this long after the outage: those that live are listed again by then. The
+/// outage may have been of this node's path alone, and the upstream may have
+/// left long ago, so the time counts from the last call without an answer.
+const KEEP_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
+
+/// The same when many entries vanish at once and no outage was noticed. An
+/// upstream that really left must get no request two seconds later.
+const KEEP_AFTER_MASS_LOSS: Duration = Duration::from_millis(1_300);
+
+/// Entries that vanish together, as a share of all, from which on an unnoticed
+/// outage is the likelier cause than that many upstreams leaving unannounced.
+const MASS_LOSS: f64 = 0.3;
+
+/// One upstream as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Id of this start of it.
+    pub id: UpstreamId,
+    /// Service.
+    pub service: SmolStr,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// How much longer it is slow after its start.
+    pub cold_for: Duration,
+}
+
+/// What the store tells of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It is listed, or what is listed about it changed.
+    Put(Entry),
+    /// It is no longer listed.
+    Gone(UpstreamId),
+}
+
+/// What follows for the pools.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// It may get requests.
+    Put(Entry),
+    /// It must not get further requests.
+    Drop {
+        /// Which one.
+        id: UpstreamId,
+        /// Its service.
+        service: SmolStr,
+        /// Its address.
+        addr: SocketAddr,
+        /// Why: `leaving`, `unlisted`, or `not back` after an outage.
+        why: &'static str,
+    },
+}
+
+/// The upstreams listed, and those that may come back.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    entries: HashMap<UpstreamId, Entry>,
+    /// Upstreams that vanished, and until when they are kept.
+    vanished: HashMap<UpstreamId, Instant>,
+    /// When the newest call was made that the store did not answer.
+    store_away_at: Option<Instant>,
+    /// Since when the store may have been back, and since when it surely is.
+    store_back: Option<(Instant, Instant)>,
+}
+
+impl Roster {
+    /// Records that the store did not answer a call made at `asked_at`.
+    pub fn store_lost(&mut self, asked_at: Instant) {
+        self.store_away_at = Some(asked_at);
+    }
+
+    /// Records that the store answers.
+    pub fn store_answers(&mut self, now: Instant) {
+        if let Some(away_at) = self.store_away_at.take() {
+            self.store_back = Some((away_at, now));
+        }
+    }
+
+    /// Returns true when the store did not answer the newest call.
+    pub fn store_is_away(&self) -> bool {
+        self.store_away_at.is_some()
+    }
+
+    /// Returns how many upstreams are listed or kept.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true when no upstream is listed or kept.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Takes the whole list: what it does not hold is no longer listed.
+    pub fn whole(&mut self, listed: Vec<Entry>, now: Instant) -> Vec<Change> {
+        let gone: Vec<UpstreamId> = self
+            .entries
+            .keys()
+            .filter(|id| !listed.iter().any(|entry| entry.id == **id))
+            .cloned()
+            .collect();
+        let mut events: Vec<Event> = listed.into_iter().map(Event::Put).collect();
+        events.extend(gone.into_iter().map(Event::Gone));
+        self.apply(events, now)
+    }
+
+    /// Takes what changed.
+    pub fn apply(&mut self, events: Vec<Event>, now: Instant) -> Vec<Change> {
+        let gone = events.iter().filter(|event| matches!(event, Event::Gone(_))).count();
+        let mass_loss = gone >= 3 && gone as f64 >= MASS_LOSS * self.entries.len() as f64;
+        let keep_until = match self.store_back {
+            // Many are missing: most likely none has had the time to be listed again.
+            Some((_, surely)) if mass_loss && now < surely + KEEP_AFTER_OUTAGE => {
+                Some(surely + KEEP_AFTER_OUTAGE)
+            }
+            Some((may_be, _)) if now < may_be + KEEP_AFTER_OUTAGE => {
+                Some(may_be + KEEP_AFTER_OUTAGE)
+            }
+            _ if mass_loss => Some(now + KEEP_AFTER_MASS_LOSS),
+            _ => None,
+        };
+        events.into_iter().filter_map(|event| self.take(event, keep_until)).collect()
+    }
+
+    fn take(&mut self, event: Event, keep_until: Option<Instant>) -> Option<Change> {
+        match event {
+            Event::Put(entry) if entry.leaving => self.drop(&entry.id, "leaving"),
+            Event::Put(entry) => {
+                self.vanished.remove(&entry.id);
+                self.entries.insert(entry.id.clone(), entry.clone());
+                Some(Change::Put(entry))
+            }
+            Event::Gone(id) => match keep_until {
+                Some(until) if self.entries.contains_key(&id) => {
+                    self.vanished.entry(id).or_insert(until);
+                    None
+                }
+                _ => self.drop(&id, "unlisted"),
+            },
+        }
+    }
+
+    fn drop(&mut self, id: &str, why: &'static str) -> Option<Change> {
+        self.vanished.remove(id);
+        let entry = self.entries.remove(id)?;
+        Some(Change::Drop { id: entry.id, service: entry.service, addr: entry.addr, why })
+    }
+
+    /// Drops the upstreams that were kept and are still not listed.
+    pub fn expire(&mut self, now: Instant) -> Vec<Change> {
+        let due: Vec<UpstreamId> = self
+            .vanished
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.iter().filter_map(|id| self.drop(id, "not back")).collect()
+    }
+
+    /// Returns when [`Roster::expire`] has something to do next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.vanished.values().min().copied()
+    }
+}
--- /dev/null
+++ b/crates/place/src/upstream.rs
@@ -0,0 +1,179 @@
+//! One upstream as one entry node sees it, and how long a request would take there.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use smol_str::SmolStr;
+
+use crate::health::Health;
+use crate::UpstreamId;
+
+/// Time in which a report loses most of its worth. Machines that change speed
+/// every 300 ms were seen; a report of that age says little.
+const REPORT_FADES_IN: Duration = Duration::from_millis(300);
+
+/// Share of its slots from which on an upstream counts as nearly full.
+const NEARLY_FULL: f64 = 0.8;
+
+/// How much longer work takes at an upstream that is nearly full.
+const NEARLY_FULL_SLOWNESS: f64 = 1.5;
+
+/// How much longer work takes at an upstream that started a moment ago.
+const COLD_SLOWNESS: f64 = 2.0;
+
+/// Longest delay beyond its own report that an upstream is held to have, as a factor.
+const MAX_DRAG: f64 = 10.0;
+
+/// Weight of the newest answer in an upstream's drag.
+const DRAG_WEIGHT: f64 = 0.4;
+
+/// Drag halves in this time: an upstream that was slow gets requests again.
+const DRAG_HALF_LIFE: Duration = Duration::from_millis(1_500);
+
+/// Ratio of a request's time to its work from which on it speaks for drag;
+/// below, it is the ordinary spread of the work.
+const DRAG_FROM: f64 = 1.8;
+
+/// What an upstream says of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Requests it can work on at once.
+    pub slots: u32,
+    /// How long work takes on its machine now, as a factor of the usual.
+    pub slowness: f64,
+}
+
+impl Load {
+    /// Returns true when a further request would not wait.
+    pub fn has_room(&self) -> bool {
+        self.waiting == 0 && self.running < self.slots
+    }
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    /// Id.
+    pub id: UpstreamId,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: SmolStr,
+    /// Requests it can work on at once.
+    pub slots: u32,
+    /// Requests of this node that are not answered yet.
+    pub outstanding: u32,
+    /// Its record of answers.
+    pub(crate) health: Health,
+    pub(crate) cold_until: Option<Instant>,
+    report: Option<(Load, Instant)>,
+    /// Requests sent less those ended since the report.
+    since_report: i64,
+    drag: f64,
+    drag_at: Option<Instant>,
+}
+
+/// How long a request would take at an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prediction {
+    /// Time until its answer.
+    pub took: Duration,
+    /// Part of it before a slot is free.
+    pub wait: Duration,
+    /// Share of the slots in use, with this request; over 1 when it waits.
+    pub fullness: f64,
+    /// How far the upstream's report is relied on: 1 when it is of this moment, 0 when there is none.
+    pub trust: f64,
+}
+
+impl Upstream {
+    /// Creates an upstream of which nothing is known but its entry in the list.
+    pub fn new(id: UpstreamId, addr: SocketAddr, zone: SmolStr, slots: u32) -> Upstream {
+        Upstream {
+            id,
+            addr,
+            zone,
+            slots: slots.max(1),
+            outstanding: 0,
+            health: Health::default(),
+            cold_until: None,
+            report: None,
+            since_report: 0,
+            drag: 1.0,
+            drag_at: None,
+        }
+    }
+
+    /// Takes its own report.
+    pub fn take_report(&mut self, load: Load, now: Instant) {
+        self.slots = load.slots.max(1);
+        self.report = Some((load, now));
+        self.since_report = 0;
+    }
+
+    /// Returns its newest report and the report's age.
+    pub fn report(&self, now: Instant) -> Option<(Load, Duration)> {
+        self.report.map(|(load, at)| (load, now.saturating_duration_since(at)))
+    }
+
+    pub(crate) fn sent(&mut self) {
+        self.outstanding += 1;
+        self.since_report += 1;
+    }
+
+    pub(crate) fn ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        self.since_report -= 1;
+    }
+
+    fn drag(&self, now: Instant) -> f64 {
+        match self.drag_at {
+            Some(at) => {
+                let age = now.saturating_duration_since(at).as_secs_f64();
+                1.0 + (self.drag - 1.0) * 0.5f64.powf(age / DRAG_HALF_LIFE.as_secs_f64())
+            }
+            None => 1.0,
+        }
+    }
+
+    /// Records that a request took `ratio` times as long as predicted.
+    ///
+    /// An upstream can be slow for reasons that its report does not show; it
+    /// shows as requests that end late although the report was good.
+    pub(crate) fn took_ratio(&mut self, ratio: f64, now: Instant) {
+        let drag = self.drag(now);
+        let seen = if ratio >= DRAG_FROM { ratio.min(MAX_DRAG) } else { 1.0 };
+        self.drag = drag + DRAG_WEIGHT * (seen - drag);
+        self.drag_at = Some(now);
+    }
+
+    /// Predicts a request of `work`; `usual_slowness` is the mean over the upstreams of the service.
+    pub fn predict(&self, work: Duration, usual_slowness: f64, now: Instant) -> Prediction {
+        let (slowness, occupied, trust) = match self.report(now) {
+            Some((load, age)) => {
+                let trust = (-age.as_secs_f64() / REPORT_FADES_IN.as_secs_f64()).exp();
+                let slowness = trust * load.slowness + (1.0 - trust) * usual_slowness;
+                let reported = i64::from(load.running + load.waiting) + self.since_report;
+                (slowness, reported.max(i64::from(self.outstanding)) as f64, trust)
+            }
+            None => (usual_slowness, f64::from(self.outstanding), 0.0),
+        };
+        let slots = f64::from(self.slots);
+        let fullness = (occupied + 1.0) / slots;
+        let mut factor = slowness * self.drag(now);
+        if fullness > NEARLY_FULL {
+            factor *= NEARLY_FULL_SLOWNESS;
+        }
+        if self.cold_until.is_some_and(|until| until > now) {
+            factor *= COLD_SLOWNESS;
+        }
+        let own = work.mul_f64(factor);
+        let ahead = (occupied + 1.0 - slots).max(0.0) / slots;
+        let wait = own.mul_f64(ahead);
+        Prediction { took: own + wait, wait, fullness, trust }
+    }
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use monoio::io::sink::SinkExt;
-use monoio::io::stream::Stream;
-use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
+use bytes::BytesMut;
+use http::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use monoio::io::Splitable;
 use monoio::net::TcpStream;
-use monoio_http::h1::codec::decoder::{FillPayload, ResponseDecoder};
-use monoio_http::h1::codec::encoder::GenericEncoder;
 use quick_error::quick_error;
 
-use crate::{Request, Response};
+use crate::{h1, Request, Response, MAX_BODY_BYTES};
 
 quick_error! {
     /// Why an exchange on a connection failed.
@@ -36,10 +34,21 @@
     }
 }
 
+/// How the operating system asks the peer of a quiet connection whether it is still there.
+#[derive(Clone, Copy, Debug)]
+pub struct KeepAlive {
+    /// Time without a byte before the first question.
+    pub idle: Duration,
+    /// Time between two questions.
+    pub interval: Duration,
+    /// Questions without an answer after which the connection is broken.
+    pub probes: u32,
+}
+
 /// A connection that sends one request at a time and reads each response whole.
 pub struct Conn {
-    tx: GenericEncoder<OwnedWriteHalf<TcpStream>>,
-    rx: ResponseDecoder<OwnedReadHalf<TcpStream>>,
+    writer: h1::Writer,
+    reader: h1::Reader,
     /// Where this connection goes.
     pub peer: SocketAddr,
 }
@@ -51,14 +60,39 @@
     ///
     /// Returns [`Error::Connect`] when the connection is refused or `timeout` passes.
     pub async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Conn, Error> {
-        let stream = match monoio::time::timeout(timeout, TcpStream::connect(addr)).await {
+        Conn::open(addr, timeout, None).await
+    }
+
+    /// Opens a connection that is asked for signs of life while nothing comes on it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Conn::connect`].
+    pub async fn connect_watched(
+        addr: SocketAddr,
+        timeout: Duration,
+        keep_alive: KeepAlive,
+    ) -> Result<Conn, Error> {
+        Conn::open(addr, timeout, Some(keep_alive)).await
+    }
+
+    async fn open(
+        addr: SocketAddr,
+        timeout: Duration,
+        keep_alive: Option<KeepAlive>,
+    ) -> Result<Conn, Error> {
+        let stream = match monoio::time::timeout(timeout, TcpStream::connect_addr(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
             Err(_) => return Err(Error::Connect("timed out".to_owned())),
         };
         let _ = stream.set_nodelay(true);
-        let (r, w) = stream.into_split();
-        Ok(Conn { tx: GenericEncoder::new(w), rx: ResponseDecoder::new(r), peer: addr })
+        if let Some(KeepAlive { idle, interval, probes }) = keep_alive {
+            let set = stream.set_tcp_keepalive(Some(idle), Some(interval), Some(probes));
+            set.map_err(|err| Error::Connect(err.to_string()))?;
+        }
+        let (read, write) = stream.into_split();
+        Ok(Conn { reader: h1::Reader::new(read), writer: h1::Writer::new(write), peer: addr })
     }
 
     /// Sends `request` and returns the whole response.
@@ -78,17 +112,33 @@
     }
 
     async fn exchange(&mut self, request: Request) -> Result<Response, Error> {
+        let http_error = |err: h1::ReadError| Error::Http(err.to_string());
         let (parts, body) = request.into_parts();
-        let request = http::Request::from_parts(parts, crate::to_payload(body));
-        self.tx.send_and_flush(request).await.map_err(|err| Error::Send(err.to_string()))?;
-        let response = match self.rx.next().await {
-            Some(Ok(response)) => response,
-            Some(Err(err)) => return Err(Error::Http(err.to_string())),
-            None => return Err(Error::Http("connection closed before response".to_owned())),
-        };
-        self.rx.fill_payload().await.map_err(|err| Error::Http(err.to_string()))?;
-        let (parts, payload) = response.into_parts();
-        let body = crate::read_payload(payload).await?;
-        Ok(http::Response::from_parts(parts, body))
+        let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+        let mut headers = parts.headers;
+        headers.remove(TRANSFER_ENCODING);
+        if !headers.contains_key(HOST) {
+            let host = HeaderValue::try_from(self.peer.to_string()).expect("an address is a value");
+            headers.insert(HOST, host);
+        }
+        if !body.is_empty() || parts.method != http::Method::GET {
+            headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+        }
+        let mut bytes = h1::write_request(&parts.method, target, &headers);
+        bytes.extend_from_slice(&body);
+        self.writer.write(bytes).await.map_err(|err| Error::Send(err.to_string()))?;
+        let head = self.reader.response_head(&parts.method).await.map_err(http_error)?;
+        let mut decoder = h1::Decoder::new(head.framing);
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.reader.body_piece(&mut decoder).await.map_err(http_error)? {
+            if body.len() + piece.len() > MAX_BODY_BYTES {
+                return Err(Error::Http("answer too long".to_owned()));
+            }
+            body.extend_from_slice(&piece);
+        }
+        let mut response = http::Response::new(body.freeze());
+        *response.status_mut() = head.status;
+        *response.headers_mut() = head.headers;
+        Ok(response)
     }
 }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,18 +1,23 @@
-//! HTTP/1.1 plumbing shared by every role, over `monoio-http`.
+//! HTTP/1.1 plumbing shared by every role, on monoio.
 //!
-//! Bodies are read whole before a request or response is handed on, so a
+//! [`h1`] frames messages; [`serve`] and [`Conn`] are a server and a client
+//! for short messages. There bodies are read whole before a request or response is handed on, so a
 //! connection is only reused once its last message was consumed in full: a
 //! reused connection can never hand one caller the tail of another's answer.
 //! Any error on a connection closes it.
 
 mod client;
+pub mod h1;
 mod server;
 
-pub use client::{Conn, Error};
+pub use client::{Conn, Error, KeepAlive};
 pub use server::{serve, Handler};
 
 use bytes::Bytes;
 
+/// Longest body of a message that is read whole, in bytes.
+pub const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
 /// A request with its whole body.
 pub type Request = http::Request<Bytes>;
 
@@ -95,33 +100,3 @@
         _ => None,
     })
 }
-
-/// Converts a body-less payload or a fixed or chunked one into bytes.
-async fn read_payload(payload: monoio_http::h1::payload::Payload) -> Result<Bytes, Error> {
-    use monoio_http::common::body::Body;
-    use monoio_http::h1::payload::Payload;
-    match payload {
-        Payload::None => Ok(Bytes::new()),
-        Payload::Fixed(mut fixed) => match monoio::io::stream::Stream::next(&mut fixed).await {
-            Some(Ok(data)) => Ok(data),
-            Some(Err(err)) => Err(Error::Http(err.to_string())),
-            None => Ok(Bytes::new()),
-        },
-        mut stream @ Payload::Stream(_) => {
-            let mut out = bytes::BytesMut::new();
-            while let Some(chunk) = stream.next_data().await {
-                out.extend_from_slice(&chunk.map_err(|err| Error::Http(err.to_string()))?);
-            }
-            Ok(out.freeze())
-        }
-    }
-}
-
-/// Wraps whole bytes as a payload to send.
-fn to_payload(body: Bytes) -> monoio_http::h1::payload::Payload {
-    use monoio_http::h1::payload::{FixedPayload, Payload};
-    match body.is_empty() {
-        true => Payload::None,
-        false => Payload::Fixed(FixedPayload::new(body)),
-    }
-}
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -4,13 +4,16 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use monoio::io::sink::SinkExt;
-use monoio::io::stream::Stream;
+use bytes::{Bytes, BytesMut};
+use http::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderMap, StatusCode};
+use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
-use monoio_http::h1::codec::decoder::FillPayload;
-use monoio_http::h1::codec::ServerCodec;
 
-use crate::{Request, Response};
+use crate::{h1, Request, Response, MAX_BODY_BYTES};
+
+/// Longest request head, in bytes; as most HTTP servers have it.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// Answers requests; one value serves every connection of a server.
 pub trait Handler: 'static {
@@ -53,56 +56,78 @@
 }
 
 async fn connection<H: Handler>(stream: TcpStream, peer: std::net::SocketAddr, handler: Rc<H>) {
-    let mut codec = ServerCodec::new(stream);
-    let mut pipelined = None;
+    let (read, write) = stream.into_split();
+    let mut reader = h1::Reader::new(read);
+    let mut writer = h1::Writer::new(write);
     loop {
-        let request = match pipelined.take() {
-            Some(request) => Some(request),
-            None => codec.next().await,
-        };
-        let request = match request {
-            Some(Ok(request)) => request,
-            Some(Err(err)) => {
+        let (request, caller_closes) = match receive(&mut reader, &mut writer).await {
+            Ok(received) => received,
+            Err(h1::ReadError::Malformed(err)) => {
                 log::debug!("bad request from {peer}: {err}");
-                let bad = crate::reply(http::StatusCode::BAD_REQUEST, "malformed HTTP request\n");
-                let _ = send(&mut codec, bad).await;
+                let _ = send(&mut writer, crate::reply(err.status(), format!("{err}\n"))).await;
+                writer.shutdown().await;
                 return;
             }
-            None => return,
+            Err(h1::ReadError::Closed | h1::ReadError::Io(_)) => return,
         };
-        if codec.fill_payload().await.is_err() {
-            return;
-        }
-        let caller_closes = crate::closes(request.headers());
-        let (parts, payload) = request.into_parts();
-        let Ok(body) = crate::read_payload(payload).await else { return };
-        let mut handling = pin!(handler.handle(http::Request::from_parts(parts, body), peer));
+        let mut handling = pin!(handler.handle(request, peer));
         // A caller that goes away needs no answer: dropping the handler drops the work, which
         // would otherwise go on to hold room that callers who still wait could use.
-        let response = monoio::select! {
-            response = &mut handling => response,
-            next = codec.next() => match next {
-                None => return,
-                next => {
-                    pipelined = next;
-                    handling.await
-                }
+        let response = match reader.has_buffered() {
+            true => handling.await,
+            false => monoio::select! {
+                response = &mut handling => response,
+                more = reader.fill() => match more {
+                    Ok(true) => handling.await,
+                    Ok(false) | Err(_) => return,
+                },
             },
         };
         if response.extensions().get::<crate::DropConnection>().is_some() {
             return;
         }
         let closing = caller_closes || crate::closes(response.headers());
-        if send(&mut codec, response).await.is_err() || closing {
+        if send(&mut writer, response).await.is_err() || closing {
             return;
         }
     }
 }
 
-async fn send(codec: &mut ServerCodec<TcpStream>, response: Response) -> Result<(), ()> {
-    let (parts, body) = response.into_parts();
-    let response = http::Response::from_parts(parts, crate::to_payload(body));
-    codec.send_and_flush(response).await.map_err(|_| ())
+/// Reads a whole request; also tells whether the caller closes after it.
+async fn receive(
+    reader: &mut h1::Reader,
+    writer: &mut h1::Writer,
+) -> Result<(Request, bool), h1::ReadError> {
+    let head = reader.request_head(MAX_HEAD_BYTES).await?;
+    let mut decoder = h1::Decoder::new(head.framing);
+    let expects = head.headers.get(http::header::EXPECT);
+    if expects.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
+        writer.write(h1::write_response(StatusCode::CONTINUE, &HeaderMap::new())).await?;
+    }
+    let mut body = BytesMut::new();
+    while let Some(piece) = reader.body_piece(&mut decoder).await? {
+        if body.len() + piece.len() > MAX_BODY_BYTES {
+            return Err(h1::Malformed::TooLong.into());
+        }
+        body.extend_from_slice(&piece);
+    }
+    let uri = http::Uri::try_from(head.target.as_str());
+    let uri = uri.map_err(|err| h1::Malformed::Syntax(err.to_string()))?;
+    let mut request = http::Request::new(body.freeze());
+    *request.method_mut() = head.method;
+    *request.uri_mut() = uri;
+    *request.headers_mut() = head.headers;
+    Ok((request, !head.keep_alive))
+}
+
+async fn send(writer: &mut h1::Writer, response: Response) -> std::io::Result<()> {
+    let (parts, body): (_, Bytes) = response.into_parts();
+    let mut headers = parts.headers;
+    headers.remove(TRANSFER_ENCODING);
+    headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    let mut bytes = h1::write_response(parts.status, &headers);
+    bytes.extend_from_slice(&body);
+    writer.write(bytes).await
 }
 
 #[cfg(test)]
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,7 +20,7 @@
 pub const MAX_PACKET_BYTES: usize = 1_200;
 
 /// First byte of every packet; another value is a different protocol version.
-const PROTOCOL_VERSION: u8 = 1;
+const PROTOCOL_VERSION: u8 = 2;
 
 /// Longest zone name accepted from a peer, in bytes.
 pub const MAX_ZONE_BYTES: usize = 63;
@@ -70,6 +70,8 @@
     pub zone: SmolStr,
     /// Highest commit of the config it holds.
     pub config_head: u64,
+    /// Highest commit of the list of upstreams it holds; 0 when it does not tell.
+    pub list_head: u64,
 }
 
 /// One datagram.
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -10,7 +10,13 @@
 
 fn packet() -> Packet {
     Packet {
-        sender: Sender { addr: addr(1), incarnation: 7, zone: "attiki-a".into(), config_head: 300 },
+        sender: Sender {
+            addr: addr(1),
+            incarnation: 7,
+            zone: "attiki-a".into(),
+            config_head: 300,
+            list_head: 301,
+        },
         body: Body::PingReq(9, addr(2)),
         members: vec![MemberUpdate {
             addr: addr(3),
@@ -46,8 +52,8 @@
     longer.push(0);
     assert!(matches!(Packet::decode(&longer), Err(DecodeError::Malformed(_))));
     let mut other_version = whole.clone();
-    other_version[0] = 2;
-    assert_eq!(Packet::decode(&other_version), Err(DecodeError::Version(2)));
+    other_version[0] = 3;
+    assert_eq!(Packet::decode(&other_version), Err(DecodeError::Version(3)));
     let mut unknown_verdict = whole;
     *unknown_verdict.last_mut().expect("bytes") = 9;
     assert!(matches!(Packet::decode(&unknown_verdict), Err(DecodeError::Malformed(_))));
