--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -63,6 +63,8 @@
 pub enum Outcome {
     /// The upstream answered.
     Answered(Answer),
+    /// No connection could be made; the upstream knows nothing of the request.
+    NotSent,
     /// The upstream says that it did not run the request.
     NotRun(StatusCode, HeaderMap),
     /// The request may have run and there is no answer to pass on.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -25,16 +25,20 @@
 const HEDGE_FROM: f64 = 1.4;
 
 /// A request whose objective no hedge can save is hedged only after this many
-/// times its prediction: its upstream has likely gone silent.
+/// times its prediction, or when a hedge can just still end in time: its
+/// upstream has likely gone silent.
 const HEDGE_LOST_FROM: f64 = 4.0;
 
 /// Upstreams asked for their load at once, and how often before one choice.
 const ASK_AT_ONCE: usize = 3;
 const ASK_ROUNDS: usize = 2;
 
+/// Upstreams tried for one request at most, those that could not be reached included.
+const UPSTREAMS_TRIED_MOST: usize = 4;
+
 /// Longest time for a connection to an upstream to be made: a hundred times
 /// the round trip between zones; a lost opening packet takes seconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// An upstream is told a deadline that is earlier by this, so that its own
 /// answer at the deadline still reaches the caller.
@@ -46,6 +50,9 @@
 /// When to come back to a node that has no configuration or no upstreams.
 const COME_BACK_NOT_READY: Duration = Duration::from_millis(300);
 
+/// When to come back to another node.
+const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// Slowness up to which a machine counts as not slowed.
 const NOT_SLOWED: f64 = 1.1;
 
@@ -101,6 +108,24 @@
     unhindered: bool,
 }
 
+/// Upstreams that a request was meant for.
+#[derive(Default)]
+struct Tried {
+    ids: Vec<UpstreamId>,
+    /// How many of them it may have reached.
+    arrived: u32,
+}
+
+impl Tried {
+    /// Takes how the only send under way ended.
+    fn ended(&mut self, outcome: Outcome) -> Outcome {
+        if matches!(outcome, Outcome::NotSent) {
+            self.arrived -= 1;
+        }
+        outcome
+    }
+}
+
 /// Why no upstream was chosen.
 enum NoChoice {
     NoUpstream,
@@ -195,9 +220,13 @@
         let stated = head.headers.get(&names.deadline_ms).and_then(|v| v.to_str().ok());
         let stated = stated.and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
         let allowed = stated.map_or(route.timeout, |stated| stated.min(route.timeout));
+        let deadline = arrived + allowed;
+        let stopping = self.state.borrow().stopping;
+        if stopping.is_some_and(|stopping| stopping.is_too_late(deadline, arrived)) {
+            return Reply::Own(Own::not_run(COME_BACK_ELSEWHERE, "this node is stopping"));
+        }
         let service = self.next_service(route);
         let most_urgent = table.is_most_urgent(route, &service);
-        let deadline = arrived + allowed;
         let call = Call { head, request_id, route, service, most_urgent, arrived, deadline };
         let reply = match monoio::time::timeout(allowed, self.sends(&call, &table, body)).await {
             Ok(reply) => reply,
@@ -239,22 +268,24 @@
                 return self.send_long(call, table, first, reader, decoder).await
             }
         };
-        let mut tried: Vec<UpstreamId> = Vec::new();
+        let mut tried = Tried::default();
         let mut may_have_run = false;
         loop {
-            let choice = match self.choose(call, &tried).await {
+            let choice = match self.choose(call, &tried.ids).await {
                 Ok(choice) => choice,
                 Err(why) => return self.no_choice(call, table, why, may_have_run),
             };
-            if tried.is_empty() {
+            if tried.ids.is_empty() {
                 self.state.borrow_mut().first_send(&call.service);
-            } else if !self.state.borrow_mut().second_send(&call.service) {
+            } else if tried.arrived > 0 && !self.state.borrow_mut().second_send(&call.service) {
                 call.line("second_send_over_budget").log();
                 return give_up(may_have_run, COME_BACK);
             }
             let outcome = self.send_hedged(call, choice, &mut tried, &whole).await;
-            let attempts_left = (tried.len() as u32) < call.route.attempts;
+            let attempts_left = tried.arrived < call.route.attempts;
             match outcome {
+                Outcome::NotSent if tried.ids.len() < UPSTREAMS_TRIED_MOST => {}
+                Outcome::NotSent => return give_up(may_have_run, COME_BACK),
                 Outcome::Answered(answer) if is_final_status(answer.head.status) => {
                     return Reply::Upstream(answer)
                 }
@@ -297,25 +328,29 @@
         self: &Rc<Node>,
         call: &Call<'_>,
         choice: Choice,
-        tried: &mut Vec<UpstreamId>,
+        tried: &mut Tried,
         body: &Bytes,
     ) -> Outcome {
-        tried.push(choice.id.clone());
+        tried.ids.push(choice.id.clone());
+        tried.arrived += 1;
         let mut first = pin!(self.send(call, &choice, body));
-        for factor in [HEDGE_FROM, HEDGE_LOST_FROM] {
-            let after = choice.predicted.mul_f64(factor);
-            let timer = (call.arrived + after).saturating_duration_since(Instant::now());
+        let at = |factor: f64| call.arrived + choice.predicted.mul_f64(factor);
+        let last_chance = call.deadline - choice.predicted.mul_f64(HEDGE_FROM).min(call.left());
+        for (factor, due) in
+            [(HEDGE_FROM, at(HEDGE_FROM)), (HEDGE_LOST_FROM, at(HEDGE_LOST_FROM).min(last_chance))]
+        {
+            let timer = due.saturating_duration_since(Instant::now());
             monoio::select! {
-                outcome = &mut first => return outcome,
+                outcome = &mut first => return tried.ended(outcome),
                 () = monoio::time::sleep(timer) => {}
             }
             self.overdue(call, &choice, factor);
-            let hedgeable = call.repeatable() && (tried.len() as u32) < call.route.attempts;
+            let hedgeable = call.repeatable() && tried.arrived < call.route.attempts;
             let hopeless = factor < HEDGE_LOST_FROM && call.objective_left() < choice.predicted;
             if !hedgeable || hopeless {
                 continue;
             }
-            let Ok(other) = self.choose(call, tried).await else { continue };
+            let Ok(other) = self.choose(call, &tried.ids).await else { continue };
             if !self.state.borrow_mut().second_send(&call.service) {
                 continue;
             }
@@ -324,7 +359,8 @@
                 .field("upstream", choice.id.as_str())
                 .field("other", other.id.as_str())
                 .log();
-            tried.push(other.id.clone());
+            tried.ids.push(other.id.clone());
+            tried.arrived += 1;
             let mut second = pin!(self.send(call, &other, body));
             return monoio::select! {
                 outcome = &mut first => match is_final(&outcome) {
@@ -337,7 +373,7 @@
                 },
             };
         }
-        first.await
+        tried.ended(first.await)
     }
 
     /// Records that an upstream has not answered for `factor` times what was predicted.
@@ -400,7 +436,7 @@
         };
         match self.send_with(call, &choice, Some(framing), &first, rest).await {
             Outcome::Answered(answer) => Reply::Upstream(answer),
-            Outcome::NotRun(..) => give_up(false, COME_BACK),
+            Outcome::NotRun(..) | Outcome::NotSent => give_up(false, COME_BACK),
             Outcome::Lost(why) => Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, why)),
         }
     }
@@ -427,7 +463,7 @@
                     .field("error", err.to_string())
                     .log();
                 counted.end(End::Failed);
-                return Outcome::NotRun(StatusCode::SERVICE_UNAVAILABLE, HeaderMap::new());
+                return Outcome::NotSent;
             }
         };
         let names = self.state.borrow().settings.headers.clone();
@@ -445,6 +481,7 @@
             Outcome::Answered(answer) if answer.head.status.is_server_error() => End::Failed,
             Outcome::Answered(_) => End::Answered,
             Outcome::NotRun(..) => End::Refused,
+            Outcome::NotSent => End::Failed,
             Outcome::Lost(exchange::CALLER_LEFT) => End::GivenUp,
             Outcome::Lost(_) => End::Failed,
         });
@@ -480,6 +517,7 @@
                     }
                 }
             }
+            Outcome::NotSent => {}
             Outcome::Lost(why) => {
                 call.line("answer_lost")
                     .field("upstream", id.as_str())
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -75,3 +75,6 @@
     /// Probes per second that one upstream may get from the whole fleet.
     pub probes_per_upstream_s: f64,
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -8,7 +8,7 @@
 use route::ServiceName;
 use web::h1;
 
-use crate::forward::Node;
+use crate::forward::{Node, CONNECT_TIMEOUT};
 
 /// Longest time a request waits for reports, as a part of its objective.
 const WAIT_PART: f64 = 0.08;
@@ -84,9 +84,18 @@
             _ => return,
         }
     };
-    let mut conn = match node.connection(id, addr, PROBE_TIMEOUT).await {
+    let mut conn = match node.connection(id, addr, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
-        Err(_) => return,
+        Err(err) => {
+            trace::Line::new("probe_connect_failed")
+                .field("upstream", id.as_str())
+                .field("error", err.to_string())
+                .log();
+            if let Some(pool) = node.state.borrow_mut().pools.get_mut(service) {
+                pool.unreachable(id, Instant::now());
+            }
+            return;
+        }
     };
     node.state.borrow_mut().counters.probes += 1;
     let mut headers = HeaderMap::new();
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -207,7 +207,7 @@
         }
     };
     // A body that was not read to its end would be taken for the next request.
-    let stopping = node.state.borrow().stopping;
+    let stopping = node.state.borrow().stopping.is_some();
     let close = stopping || !head.keep_alive || !decoder.is_done();
     let written = match reply {
         Reply::Upstream(answer) => write_answer(writer, answer, &head.method, close).await,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -44,6 +44,29 @@
     pub list_head: Cursor,
 }
 
+/// A planned stop that is under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Stopping {
+    /// When it was asked for.
+    pub asked_at: Instant,
+    /// When the process ends, whatever is still under way.
+    pub ends_at: Instant,
+}
+
+impl Stopping {
+    /// Returns true when a request that may take until `deadline` must not be taken on any more.
+    ///
+    /// A request that is cut when the process ends may have run, and its
+    /// caller learns nothing; refused at once, it is served by another node.
+    /// In the first half of the grace every request is taken on: callers
+    /// still hold this node's address, and most requests take far less than
+    /// their deadline.
+    pub fn is_too_late(&self, deadline: Instant, now: Instant) -> bool {
+        let half = self.asked_at + (self.ends_at - self.asked_at) / 2;
+        now > half && deadline > self.ends_at
+    }
+}
+
 /// How much of a topic's history a node has seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Seen {
@@ -101,7 +124,7 @@
     /// Other entry nodes.
     pub peers: BTreeMap<SocketAddr, Peer>,
     /// Set once the node is stopping.
-    pub stopping: bool,
+    pub stopping: Option<Stopping>,
     /// Requests read and not answered yet.
     pub in_flight: u64,
     /// Randomness of all decisions.
@@ -124,7 +147,7 @@
             config_seen: Seen::default(),
             list_seen: Seen::default(),
             peers: BTreeMap::new(),
-            stopping: false,
+            stopping: None,
             in_flight: 0,
             rng: SmallRng::from_os_rng(),
             counters: Counters::default(),
@@ -138,7 +161,7 @@
 
     /// Returns true when the node can serve callers and is not about to stop.
     pub fn is_ready(&self) -> bool {
-        self.table.is_some() && !self.roster.is_empty() && !self.stopping
+        self.table.is_some() && !self.roster.is_empty() && self.stopping.is_none()
     }
 
     /// Returns the number of entry nodes that are alive, this one included.
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -13,6 +13,7 @@
 use local_sync::mpsc::unbounded::Tx;
 
 use crate::forward::Node;
+use crate::state::Stopping;
 use crate::{follow, gossip};
 
 /// How often signals are looked for and housekeeping is done.
@@ -22,7 +23,10 @@
 const CLOSED_FOR: Duration = Duration::from_millis(1_500);
 
 /// The node ends this long before it would be killed.
-const BEFORE_KILL: Duration = Duration::from_millis(400);
+const BEFORE_KILL: Duration = Duration::from_millis(600);
+
+/// Longest wait for the last lines of the log to be written.
+const LAST_LINES: Duration = Duration::from_millis(100);
 
 /// Flags that signals set.
 #[derive(Clone, Debug, Default)]
@@ -72,8 +76,10 @@
     let asked_at = Instant::now();
     let grace = {
         let mut state = node.state.borrow_mut();
-        state.stopping = true;
-        state.settings.stop_grace
+        let grace = state.settings.stop_grace;
+        let ends_at = asked_at + grace.saturating_sub(BEFORE_KILL);
+        state.stopping = Some(Stopping { asked_at, ends_at });
+        grace
     };
     trace::Line::new("stopping").field("grace_ms", grace.as_millis() as u64).log();
     // The task ends only with the process.
@@ -88,8 +94,11 @@
             drop(close.take());
         }
         if passed + BEFORE_KILL >= grace || (close.is_none() && in_flight == 0) {
-            trace::Line::new("stopped").field("in_flight", in_flight).log();
-            trace::flush();
+            trace::Line::new("stopped")
+                .field("in_flight", in_flight)
+                .field("took_ms", passed.as_millis() as u64)
+                .log();
+            trace::finish(LAST_LINES);
             return;
         }
     }
--- /dev/null
+++ b/crates/edge/src/tests/beliefs.rs
@@ -0,0 +1,197 @@
+//! What a node believes: configuration, upstreams, peers, its own stop.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use route::ClientLimits;
+use wire::Standing;
+
+use super::fake::{ms, run, settings, table};
+use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
+use crate::forward::Node;
+use crate::state::{Peer, Seen, State, Stopping};
+
+fn node() -> Rc<Node> {
+    Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings())))))
+}
+
+fn addr(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 7_600))
+}
+
+fn peer(zone: &str, standing: Standing, config_head: Cursor) -> Peer {
+    Peer { zone: zone.into(), standing, config_head, list_head: 0 }
+}
+
+/// A platform whose wait for changes hangs until it is asked anew, and that counts the calls.
+#[derive(Clone, Default)]
+struct Platform {
+    newest: Rc<Cell<Cursor>>,
+    snapshots: Rc<Cell<u32>>,
+    hang: Rc<Cell<bool>>,
+    history_gone: Rc<Cell<bool>>,
+}
+
+impl Platform {
+    fn batch(&self) -> Batch {
+        let newest = self.newest.get();
+        let events = vec![Event::Config(table(newest, ClientLimits::default()))];
+        Batch { events, cursor: newest, newest }
+    }
+}
+
+impl Source for Platform {
+    async fn snapshot(&self, _topic: Topic) -> Result<Batch, SourceError> {
+        self.snapshots.set(self.snapshots.get() + 1);
+        Ok(self.batch())
+    }
+
+    async fn changes(
+        &self,
+        _topic: Topic,
+        cursor: Cursor,
+        wait: Duration,
+    ) -> Result<Batch, SourceError> {
+        if self.history_gone.replace(false) {
+            return Err(SourceError::HistoryGone);
+        }
+        let asked_at = Instant::now();
+        while asked_at.elapsed() < wait && (self.hang.get() || self.newest.get() == cursor) {
+            monoio::time::sleep(ms(10)).await;
+        }
+        Ok(self.batch())
+    }
+}
+
+/// Symptom: a node serves by an old configuration seconds after a cut has healed.
+/// Sequence: the wait for changes hangs on a connection whose answer is stuck in retransmission;
+/// the configuration changes; the other nodes see it.
+/// Cause: nothing but the platform's answer could end the wait.
+#[test]
+fn a_node_that_is_behind_its_peers_asks_again() {
+    run(async {
+        let (platform, node) = (Platform::default(), node());
+        platform.newest.set(5);
+        platform.hang.set(true);
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, node.clone()));
+        monoio::time::sleep(ms(50)).await;
+        assert_eq!(node.state.borrow().config_version(), 5);
+        platform.newest.set(6);
+        node.state.borrow_mut().peers.insert(addr(1), peer("a", Standing::Alive, 6));
+        monoio::time::sleep(ms(1_500)).await;
+        assert_eq!(node.state.borrow().config_version(), 6);
+    });
+}
+
+#[test]
+fn a_node_whose_place_in_the_history_is_gone_reads_everything() {
+    run(async {
+        let (platform, node) = (Platform::default(), node());
+        platform.newest.set(5);
+        platform.history_gone.set(true);
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, node.clone()));
+        monoio::time::sleep(ms(500)).await;
+        assert_eq!(platform.snapshots.get(), 2);
+        assert_eq!(node.state.borrow().config_version(), 5);
+    });
+}
+
+/// Symptom: a route moves back to its old service for a moment.
+/// Sequence: a late answer with an older version arrives after a newer one was in force.
+/// Cause: applying whatever was read last.
+#[test]
+fn a_configuration_never_goes_back() {
+    let mut state = State::new(settings());
+    assert!(state.apply_table(table(7, ClientLimits::default())));
+    assert!(!state.apply_table(table(7, ClientLimits::default())));
+    assert!(!state.apply_table(table(6, ClientLimits::default())));
+    assert_eq!(state.config_version(), 7);
+}
+
+/// Symptom: every change of one topic makes all nodes ask for the other topic too.
+/// Sequence: a peer has seen a newer change of the upstreams; the configuration is the same.
+/// Cause: one place in the history for both.
+#[test]
+fn being_behind_is_told_by_topic() {
+    let mut state = State::new(settings());
+    state.config_seen = Seen { up_to: 10, newest: 8 };
+    state.list_seen = Seen { up_to: 10, newest: 9 };
+    let ahead = Peer { list_head: 11, ..peer("a", Standing::Alive, 10) };
+    state.peers.insert(addr(1), ahead);
+    assert!(state.is_behind(Topic::Upstreams));
+    assert!(!state.is_behind(Topic::Config));
+}
+
+/// A ready node in zone `a` with the given peers.
+fn state_with(peers: &[(u8, &str, Standing, Cursor)]) -> State {
+    let mut state = State::new(settings());
+    state.apply_table(table(7, ClientLimits::default()));
+    let entry = place::Entry {
+        id: "u0".into(),
+        service: "desk".into(),
+        addr: addr(200),
+        zone: "a".into(),
+        slots: 4,
+        leaving: false,
+        cold_for: Duration::ZERO,
+    };
+    state.roster.apply(vec![place::Event::Put(entry)], Instant::now());
+    for (n, zone, standing, head) in peers {
+        state.peers.insert(addr(*n), peer(zone, *standing, *head));
+    }
+    state
+}
+
+/// Symptom: callers are sent to nodes that do not serve.
+/// Sequence: peers died, left, are suspected, or started and have no configuration yet.
+/// Cause: naming every node that was ever heard of.
+#[yare::parameterized(
+    own_zone = { &[(1, "a", Standing::Alive, 7), (2, "b", Standing::Alive, 7)], &[127, 1] },
+    alone_in_its_zone = { &[(2, "b", Standing::Alive, 7)], &[127, 2] },
+    dead_and_left = { &[(1, "a", Standing::Dead, 7), (2, "a", Standing::Left, 7), (3, "a", Standing::Alive, 7)], &[127, 3] },
+    without_configuration = { &[(1, "a", Standing::Alive, 0), (2, "a", Standing::Alive, 7)], &[127, 2] },
+    suspected = { &[(1, "a", Standing::Suspect, 7), (2, "a", Standing::Alive, 7)], &[127, 2] },
+    nobody_else = { &[(1, "a", Standing::Suspect, 7)], &[127, 1] },
+)]
+fn callers_are_sent_to_nodes_that_serve(peers: &[(u8, &str, Standing, Cursor)], expected: &[u8]) {
+    let addresses = crate::directory::addresses(&state_with(peers), "a");
+    let mut last: Vec<u8> = addresses
+        .iter()
+        .map(|addr| match addr {
+            SocketAddr::V4(v4) if v4.ip().is_loopback() => 127,
+            SocketAddr::V4(v4) => v4.ip().octets()[3],
+            SocketAddr::V6(_) => 0,
+        })
+        .collect();
+    last.sort_unstable();
+    let mut expected = expected.to_vec();
+    expected.sort_unstable();
+    assert_eq!(last, expected);
+}
+
+/// Symptom: a request is cut when a node that was told to stop ends.
+/// Sequence: a request that may take long comes on a kept connection in the last part of the grace.
+/// Cause: taking on what cannot end in time, instead of sending its caller to another node.
+#[yare::parameterized(
+    early_and_long = { 1_000, 8_000, false },
+    late_and_short = { 4_000, 1_000, false },
+    late_and_long = { 4_000, 2_000, true },
+)]
+fn a_stopping_node_refuses_what_would_be_cut(after_ms: u64, takes_ms: u64, refused: bool) {
+    let asked_at = Instant::now();
+    let stopping = Stopping { asked_at, ends_at: asked_at + ms(5_400) };
+    let now = asked_at + ms(after_ms);
+    assert_eq!(stopping.is_too_late(now + ms(takes_ms), now), refused);
+}
+
+#[test]
+fn a_stopping_node_is_not_ready_and_not_named() {
+    let mut state = state_with(&[(1, "a", Standing::Alive, 7), (2, "a", Standing::Alive, 7)]);
+    assert!(state.is_ready());
+    let now = Instant::now();
+    state.stopping = Some(Stopping { asked_at: now, ends_at: now + ms(5_400) });
+    assert!(!state.is_ready());
+    assert_eq!(crate::directory::addresses(&state, "a").len(), 2);
+}
--- /dev/null
+++ b/crates/edge/src/tests/fake.rs
@@ -0,0 +1,312 @@
+//! An entry node, upstreams that follow a script, and a caller that speaks raw bytes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderName, Method};
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
+use monoio::net::{TcpListener, TcpStream};
+use place::{Change, Entry};
+use route::{ClientLimits, Repeat, Route, Service, Table, Target};
+use web::h1;
+
+use crate::forward::Node;
+use crate::state::State;
+use crate::{HeaderNames, Settings};
+
+/// Longest that a test waits for anything.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+pub fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn names() -> HeaderNames {
+    HeaderNames {
+        request_id: HeaderName::from_static("x-id"),
+        deadline_ms: HeaderName::from_static("x-deadline"),
+        signature: HeaderName::from_static("x-signature"),
+        expect_upstream: HeaderName::from_static("x-expect"),
+        not_run: HeaderName::from_static("x-not-run"),
+        load: HeaderName::from_static("x-load"),
+    }
+}
+
+pub fn settings() -> Settings {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    Settings {
+        node_id: "n1".into(),
+        zone: "a".into(),
+        front_addr: addr,
+        peer_addr: addr,
+        seed_addrs: Vec::new(),
+        headers: names(),
+        read_load: |_| None,
+        directory_ttl: Duration::from_secs(3),
+        stop_grace: Duration::from_secs(6),
+        retry_ratio: 0.2,
+        retry_slack: 10.0,
+        probes_per_upstream_s: 0.0,
+    }
+}
+
+/// Paths under `/get/` may run twice, those under `/post/` once.
+pub fn table(version: route::Version, limits: ClientLimits) -> Table {
+    let route = |prefix: &str, repeat| Route {
+        name: prefix.into(),
+        prefix: prefix.into(),
+        repeat,
+        targets: vec![Target { service: "desk".into(), weight: 1.0 }],
+        attempts: 2,
+        timeout: ms(600),
+        objective: ms(300),
+        priority: 0,
+    };
+    let routes = vec![
+        ("seeds.example".into(), route("/get/", Repeat::Idempotent)),
+        ("seeds.example".into(), route("/post/", Repeat::AtMostOnce)),
+    ];
+    let service =
+        Service { name: "desk".into(), probe_path: "/healthz".into(), max_connections: 100 };
+    Table::new(version, limits, vec![service], routes)
+}
+
+/// What an upstream does with one request.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Writes these bytes; `{id}` stands for the request's id.
+    Write(String),
+    /// Waits.
+    Wait(Duration),
+    /// Closes the connection.
+    Close,
+}
+
+/// A whole sound answer with `body`.
+pub fn answer(body: &str) -> Act {
+    let length = body.len();
+    Act::Write(format!(
+        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-signature: s\r\ncontent-length: {length}\r\n\r\n{body}"
+    ))
+}
+
+/// An answer that says the request was not run.
+pub fn refusal(status: &str) -> Act {
+    Act::Write(format!(
+        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+    ))
+}
+
+/// What an upstream saw of one request.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub head: h1::RequestHead,
+    pub body: Vec<u8>,
+}
+
+/// An upstream: each request does the next script, the last one again and again.
+pub struct Upstream {
+    pub addr: SocketAddr,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    /// Connections whose caller closed while a script waited.
+    pub abandoned: Rc<Cell<u32>>,
+    pub connections: Rc<Cell<u32>>,
+}
+
+impl Upstream {
+    pub fn start(scripts: Vec<Vec<Act>>) -> Upstream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let upstream = Upstream {
+            addr: listener.local_addr().expect("bound"),
+            seen: Rc::default(),
+            abandoned: Rc::default(),
+            connections: Rc::default(),
+        };
+        let (seen, abandoned) = (upstream.seen.clone(), upstream.abandoned.clone());
+        let connections = upstream.connections.clone();
+        let scripts = Rc::new(RefCell::new(VecDeque::from(scripts)));
+        monoio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                connections.set(connections.get() + 1);
+                let (seen, abandoned) = (seen.clone(), abandoned.clone());
+                monoio::spawn(serve(stream, scripts.clone(), seen, abandoned));
+            }
+        });
+        upstream
+    }
+
+    pub fn runs(&self) -> usize {
+        self.seen.borrow().len()
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    scripts: Rc<RefCell<VecDeque<Vec<Act>>>>,
+    seen: Rc<RefCell<Vec<Seen>>>,
+    abandoned: Rc<Cell<u32>>,
+) {
+    let (read, write) = stream.into_split();
+    let mut reader = h1::Reader::new(read);
+    let mut writer = h1::Writer::new(write);
+    while let Ok(head) = reader.request_head(64 * 1024).await {
+        let id = head.headers.get("x-id").and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+        let script = {
+            let mut scripts = scripts.borrow_mut();
+            match scripts.len() {
+                0 | 1 => scripts.front().cloned().unwrap_or_default(),
+                _ => scripts.pop_front().unwrap_or_default(),
+            }
+        };
+        let early = matches!(script.first(), Some(Act::Write(text)) if text.contains("x-early"));
+        let mut body = Vec::new();
+        let mut decoder = h1::Decoder::new(head.framing);
+        while !early {
+            match reader.body_piece(&mut decoder).await {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => break,
+                Err(_) => return,
+            }
+        }
+        seen.borrow_mut().push(Seen { head, body });
+        for act in script {
+            match act {
+                Act::Write(text) => {
+                    let bytes = text.replace("{id}", &id).into_bytes();
+                    if writer.write(bytes).await.is_err() {
+                        return;
+                    }
+                }
+                Act::Wait(time) => {
+                    if let Ok(Ok(false) | Err(_)) = monoio::time::timeout(time, reader.fill()).await
+                    {
+                        abandoned.set(abandoned.get() + 1);
+                        return;
+                    }
+                }
+                Act::Close => return,
+            }
+        }
+    }
+}
+
+/// An entry node and where callers reach it.
+pub struct Entered {
+    pub node: Rc<Node>,
+    pub addr: SocketAddr,
+}
+
+/// Starts an entry node in front of `upstreams`.
+pub fn start(upstreams: &[&Upstream]) -> Entered {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let addr = listener.local_addr().expect("bound");
+    let mut state = State::new(settings());
+    state.apply_table(table(1, ClientLimits::default()));
+    for (n, upstream) in upstreams.iter().enumerate() {
+        let entry = Entry {
+            id: format!("u{n}").into(),
+            service: "desk".into(),
+            addr: upstream.addr,
+            // The first is in the node's own zone, so that it is tried first.
+            zone: if n == 0 { "a".into() } else { "b".into() },
+            slots: 4,
+            leaving: false,
+            cold_for: Duration::ZERO,
+        };
+        state.roster.apply(vec![place::Event::Put(entry.clone())], Instant::now());
+        state.apply_change(&Change::Put(entry), Instant::now());
+    }
+    let node = Rc::new(Node::new(Rc::new(RefCell::new(state))));
+    monoio::spawn(crate::serve::run(listener, node.clone()));
+    Entered { node, addr }
+}
+
+/// What a caller got back.
+#[derive(Clone, Debug)]
+pub struct Got {
+    pub status: u16,
+    pub headers: http::HeaderMap,
+    pub body: String,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+/// A caller's connection.
+pub struct Caller {
+    reader: h1::Reader,
+    writer: h1::Writer,
+}
+
+impl Caller {
+    pub async fn connect(addr: SocketAddr) -> Caller {
+        let stream = TcpStream::connect_addr(addr).await.expect("connects");
+        let (read, write) = stream.into_split();
+        Caller { reader: h1::Reader::new(read), writer: h1::Writer::new(write) }
+    }
+
+    pub async fn write(&mut self, text: &str) {
+        self.writer.write(text.as_bytes().to_vec()).await.expect("writes");
+    }
+
+    /// Reads one answer; `None` when the connection ended without one.
+    pub async fn read(&mut self) -> Option<Got> {
+        monoio::time::timeout(PATIENCE, self.read_answer()).await.expect("answered in time")
+    }
+
+    async fn read_answer(&mut self) -> Option<Got> {
+        let head = self.reader.response_head(&Method::GET).await.ok()?;
+        let mut decoder = h1::Decoder::new(head.framing);
+        let mut body = Vec::new();
+        let whole = loop {
+            match self.reader.body_piece(&mut decoder).await {
+                Ok(Some(piece)) => body.extend_from_slice(&piece),
+                Ok(None) => break true,
+                Err(_) => break false,
+            }
+        };
+        let body = String::from_utf8_lossy(&body).into_owned();
+        Some(Got { status: head.status.as_u16(), headers: head.headers, body, whole })
+    }
+
+    pub async fn ask(&mut self, request: &str) -> Got {
+        self.write(request).await;
+        self.read().await.expect("an answer")
+    }
+}
+
+/// A request without a body.
+pub fn get(path: &str, id: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: seeds.example\r\nx-id: {id}\r\nx-deadline: 500\r\n\r\n")
+}
+
+/// A request that must not run twice.
+pub fn post(id: &str) -> String {
+    format!(
+        "POST /post/1 HTTP/1.1\r\nHost: seeds.example\r\nx-id: {id}\r\nx-deadline: 500\r\n\
+         Content-Length: 4\r\n\r\nseed"
+    )
+}
+
+/// Runs a test on the runtime that all processes use.
+pub fn run<F: std::future::Future<Output = ()>>(test: F) {
+    web::runtime().block_on(test);
+}
+
+/// Reads what is left on a raw connection.
+pub async fn read_to_end(mut stream: TcpStream) -> String {
+    let mut text = String::new();
+    loop {
+        let (read, bytes) = stream.read(vec![0; 4_096]).await;
+        match read {
+            Ok(length) if length > 0 => text.push_str(&String::from_utf8_lossy(&bytes[..length])),
+            Ok(_) | Err(_) => return text,
+        }
+    }
+}
+
+pub async fn write_raw(stream: &mut TcpStream, text: &str) {
+    stream.write_all(text.as_bytes().to_vec()).await.0.expect("writes");
+}
--- /dev/null
+++ b/crates/edge/src/tests/mod.rs
@@ -0,0 +1,6 @@
+//! Tests of the whole request path over loopback, against upstreams that do as they are told.
+
+mod beliefs;
+mod fake;
+mod long;
+mod requests;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -172,6 +172,14 @@
         }
     }
 
+    /// Records that no connection could be made to an upstream.
+    pub fn unreachable(&mut self, id: &str, now: Instant) {
+        if let Some(index) = self.position(id) {
+            let may_eject = self.may_eject(index, now);
+            self.upstreams[index].health.failed(may_eject, now);
+        }
+    }
+
     /// Records that a request took, or has taken so far, `ratio` times its prediction.
     pub fn took_ratio(&mut self, id: &str, ratio: f64, now: Instant) {
         if let Some(index) = self.position(id) {
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -14,7 +14,7 @@
 use std::io::Write;
 use std::sync::mpsc::{sync_channel, SyncSender, TrySendError};
 use std::sync::OnceLock;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::Serialize;
 
@@ -38,7 +38,14 @@
     static COLLECTED: RefCell<Collected> = RefCell::default();
 }
 
-static WRITER: OnceLock<SyncSender<Vec<u8>>> = OnceLock::new();
+/// What the writing thread is told.
+enum Order {
+    Write(Vec<u8>),
+    /// Everything before this is written: say so.
+    Done(SyncSender<()>),
+}
+
+static WRITER: OnceLock<SyncSender<Order>> = OnceLock::new();
 
 /// Starts the writing thread; lines logged without it are collected and dropped.
 ///
@@ -46,12 +53,16 @@
 ///
 /// Whatever the operating system says when it refuses a thread.
 pub fn start<W: Write + Send + 'static>(mut out: W) -> std::io::Result<()> {
-    let (sender, receiver) = sync_channel::<Vec<u8>>(BUFFERS_WAITING);
+    let (sender, receiver) = sync_channel::<Order>(BUFFERS_WAITING);
     std::thread::Builder::new().name("log".to_owned()).stack_size(WRITER_STACK_BYTES).spawn(
         move || {
-            for bytes in receiver {
-                // Nobody is left to tell when standard output is gone.
-                let _ = out.write_all(&bytes).and_then(|()| out.flush());
+            for order in receiver {
+                match order {
+                    // Nobody is left to tell when standard output is gone.
+                    Order::Write(bytes) => drop(out.write_all(&bytes).and_then(|()| out.flush())),
+                    // The process may no longer wait for the answer.
+                    Order::Done(written) => drop(written.try_send(())),
+                }
             }
         },
     )?;
@@ -72,7 +83,7 @@
         }
         let bytes = std::mem::take(&mut collected.bytes);
         let lines = bytes.iter().filter(|byte| **byte == b'\n').count() as u64;
-        match WRITER.get().map(|writer| writer.try_send(bytes)) {
+        match WRITER.get().map(|writer| writer.try_send(Order::Write(bytes))) {
             Some(Ok(())) => {}
             Some(Err(TrySendError::Full(_) | TrySendError::Disconnected(_))) | None => {
                 collected.dropped += lines;
@@ -81,6 +92,16 @@
     });
 }
 
+/// Flushes and waits up to `timeout` until everything is written: the last lines of a process
+/// tell why it ended, and the process would otherwise end before they are out.
+pub fn finish(timeout: Duration) {
+    flush();
+    let (written, done) = sync_channel(1);
+    if WRITER.get().is_some_and(|writer| writer.try_send(Order::Done(written)).is_ok()) {
+        let _ = done.recv_timeout(timeout);
+    }
+}
+
 fn append(collected: &mut Collected, mut line: Line) {
     line.bytes.extend_from_slice(b"}\n");
     collected.bytes.extend_from_slice(&line.bytes);
