--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -40,6 +40,66 @@
     }
 }
 
+/// One version of the routing configuration, as the entry nodes came to hold it.
+///
+/// Where operators write the configuration to the platform themselves, the
+/// entry nodes see versions and not authors. The record tells what changed
+/// against the version held before, and which version the author had changed:
+/// where the two differ, versions in between were never seen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// The version.
+    pub version: u64,
+    /// The version that its author changed; 0 when it does not say.
+    pub base_version: u64,
+    /// The version that the recording node held before; 0 when it held none.
+    pub held_before: u64,
+    /// The recording node.
+    pub node_id: SmolStr,
+    /// When that node took it on, in milliseconds since the Unix epoch.
+    pub at_unix_ms: u64,
+    /// Unified diff against the version held before.
+    pub diff: String,
+    /// Lines of the diff that were left out for want of room.
+    pub diff_lines_left_out: usize,
+}
+
+impl VersionRecord {
+    /// Shortens the diff to at most `most_bytes`, at the end of a line.
+    pub fn bound_diff(&mut self, most_bytes: usize) {
+        if self.diff.len() <= most_bytes {
+            return;
+        }
+        let mut kept = 0;
+        let mut lines = 0;
+        for line in self.diff.split_inclusive('\n') {
+            match kept + line.len() <= most_bytes {
+                true => kept += line.len(),
+                false => lines += 1,
+            }
+            if lines > 0 {
+                break;
+            }
+        }
+        self.diff_lines_left_out = self.diff[kept..].lines().count();
+        self.diff.truncate(kept);
+    }
+
+    /// Encodes the record as JSON.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(self).expect("record encodes")
+    }
+
+    /// Decodes a stored record.
+    ///
+    /// # Errors
+    ///
+    /// Returns the decoder's message when the text is not a record.
+    pub fn from_json(text: &str) -> Result<VersionRecord, String> {
+        serde_json::from_str(text).map_err(|err| err.to_string())
+    }
+}
+
 /// Returns a unified diff from `old` to `new`, with three lines of context.
 pub fn diff(old: &str, new: &str) -> String {
     similar::TextDiff::from_lines(old, new)
@@ -48,3 +108,6 @@
         .header("before", "after")
         .to_string()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,8 +5,8 @@
 //! sends one request to one upstream over a connection kept in [`conns`];
 //! [`probe`] asks upstreams for their load just before a choice. [`follow`]
 //! keeps the node's beliefs in step with the platform, whatever that platform
-//! is: it is reached through the trait [`follow::Source`] only. [`gossip`]
-//! knows the other entry nodes, [`directory`] tells callers which of them to
+//! is: it is reached through the trait [`follow::Source`] only. [`record`] keeps the
+//! record of configurations. [`gossip`] knows the other entry nodes, [`directory`] tells callers which of them to
 //! use, [`stop`] ends the process without cutting a request.
 //!
 //! All tasks run on one thread. What the request path reads is one
@@ -19,6 +19,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod probe;
+pub mod record;
 pub mod reply;
 pub mod serve;
 pub mod state;
--- /dev/null
+++ b/crates/edge/src/record.rs
@@ -0,0 +1,123 @@
+//! The record of configurations, written by whichever node can.
+//!
+//! Every node notes the versions it takes on; the node that is first among
+//! those that serve writes the records. When it fails before a record is
+//! written, the next one is first and goes on from its own notes. A record is
+//! written under the condition that there is none for its version, so it
+//! exists once, whoever writes it and however often an answer is lost.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use audit::VersionRecord;
+use route::{Table, Version};
+
+use crate::follow::SourceError;
+use crate::forward::Node;
+use crate::state::State;
+
+/// How often a node looks whether there is something for it to record.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Pause after a failed write.
+const RETRY: Duration = Duration::from_secs(2);
+
+/// Versions remembered by a node that does not write records itself. It needs
+/// only those that the first node may not have written when it failed.
+const REMEMBERED_MOST: usize = 16;
+
+/// Longest diff in a record, in bytes: what a row of the platform's store takes, less the rest of
+/// the record and its encoding.
+const DIFF_MOST_BYTES: usize = 32 * 1024;
+
+/// Where records are kept.
+pub trait Records: 'static {
+    /// Writes a record; false when there is one for its version already.
+    fn write(&self, record: &VersionRecord) -> impl Future<Output = Result<bool, SourceError>>;
+}
+
+/// Versions taken on that may have no record yet, oldest first.
+#[derive(Default)]
+pub struct Unrecorded {
+    steps: Vec<Step>,
+}
+
+/// One change of configuration.
+#[derive(Clone)]
+struct Step {
+    before: Option<Rc<Table>>,
+    table: Rc<Table>,
+    at_unix_ms: u64,
+}
+
+impl Unrecorded {
+    /// Notes that `table` was taken on in place of `before`.
+    pub fn push(&mut self, before: Option<Rc<Table>>, table: Rc<Table>) {
+        let at_unix_ms =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        self.steps.push(Step { before, table, at_unix_ms });
+        if self.steps.len() > REMEMBERED_MOST {
+            self.steps.remove(0);
+        }
+    }
+
+    fn forget(&mut self, version: Version) {
+        self.steps.retain(|step| step.table.version != version);
+    }
+}
+
+/// Returns true when this node is the one that writes records: the first by
+/// address among those that are alive and serve.
+pub fn is_recorder(state: &State) -> bool {
+    let me = state.settings.peer_addr;
+    let serves =
+        |peer: &crate::state::Peer| peer.standing == wire::Standing::Alive && peer.config_head > 0;
+    state.is_ready() && !state.peers.iter().any(|(addr, peer)| *addr < me && serves(peer))
+}
+
+/// Writes records forever.
+pub async fn run<R: Records>(records: R, node: Rc<Node>) {
+    loop {
+        monoio::time::sleep(LOOK).await;
+        let Some(record) = next_record(&node) else { continue };
+        match records.write(&record).await {
+            Ok(written) => {
+                node.state.borrow_mut().unrecorded.forget(record.version);
+                trace::Line::new("config_recorded")
+                    .field("version", record.version)
+                    .field("by_this_node", written)
+                    .log();
+            }
+            Err(err) => {
+                trace::Line::new("record_failed")
+                    .field("version", record.version)
+                    .field("error", err.to_string())
+                    .log();
+                monoio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Returns the oldest record that this node has to write.
+fn next_record(node: &Node) -> Option<VersionRecord> {
+    let state = node.state.borrow();
+    if !is_recorder(&state) || state.roster.store_is_away() {
+        return None;
+    }
+    let Step { before, table, at_unix_ms } = state.unrecorded.steps.first()?.clone();
+    let text = |table: &Rc<Table>| table.to_text();
+    let old = before.as_ref().map(text).unwrap_or_default();
+    let mut record = VersionRecord {
+        version: table.version,
+        base_version: table.base_version,
+        held_before: before.map_or(0, |table| table.version),
+        node_id: state.settings.node_id.clone(),
+        at_unix_ms,
+        diff: audit::diff(&old, &text(&table)),
+        diff_lines_left_out: 0,
+    };
+    record.bound_diff(DIFF_MOST_BYTES);
+    Some(record)
+}
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -115,6 +115,8 @@
     pub works: place::Works,
     /// Second sends allowed, by service.
     budgets: HashMap<ServiceName, limit::RetryBudget>,
+    /// Configurations that may have no record yet.
+    pub unrecorded: crate::record::Unrecorded,
     /// Whose turn it is at each split route.
     pub turns: HashMap<RouteName, route::Turns>,
     /// How much of the configuration's history was seen.
@@ -143,6 +145,7 @@
             pools: HashMap::new(),
             works: place::Works::default(),
             budgets: HashMap::new(),
+            unrecorded: crate::record::Unrecorded::default(),
             turns: HashMap::new(),
             config_seen: Seen::default(),
             list_seen: Seen::default(),
@@ -194,7 +197,9 @@
         if self.table.is_some() && table.version <= self.config_version() {
             return false;
         }
-        self.table = Some(Rc::new(table));
+        let table = Rc::new(table);
+        let before = self.table.replace(table.clone());
+        self.unrecorded.push(before, table);
         true
     }
 
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -164,11 +164,13 @@
         let early = matches!(script.first(), Some(Act::Write(text)) if text.contains("x-early"));
         let mut body = Vec::new();
         let mut decoder = h1::Decoder::new(head.framing);
-        while !early {
-            match reader.body_piece(&mut decoder).await {
-                Ok(Some(piece)) => body.extend_from_slice(&piece),
-                Ok(None) => break,
-                Err(_) => return,
+        if !early {
+            loop {
+                match reader.body_piece(&mut decoder).await {
+                    Ok(Some(piece)) => body.extend_from_slice(&piece),
+                    Ok(None) => break,
+                    Err(_) => return,
+                }
             }
         }
         seen.borrow_mut().push(Seen { head, body });
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -62,6 +62,27 @@
     pub priority: u32,
 }
 
+impl Route {
+    fn to_text(&self) -> String {
+        let targets: Vec<String> =
+            self.targets.iter().map(|t| format!("{}:{}", t.service, t.weight)).collect();
+        let repeat = match self.repeat {
+            Repeat::Idempotent => "idempotent",
+            Repeat::AtMostOnce => "at_most_once",
+        };
+        format!(
+            "{} prefix={} repeat={repeat} targets={} attempts={} timeout_ms={} objective_ms={} priority={}",
+            self.name,
+            self.prefix,
+            targets.join(","),
+            self.attempts,
+            self.timeout.as_millis(),
+            self.objective.as_millis(),
+            self.priority
+        )
+    }
+}
+
 /// What is known of a service apart from its upstreams.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -103,6 +124,8 @@
 pub struct Table {
     /// Version.
     pub version: Version,
+    /// Version that its author changed; 0 when it does not say.
+    pub base_version: Version,
     /// What callers may send.
     pub limits: ClientLimits,
     /// Services by name.
@@ -147,6 +170,33 @@
         self.most_urgent.get(service).is_none_or(|rank| route.priority <= *rank)
     }
 
+    /// Returns the table as text, one line a service and route in a fixed order, for records and diffs.
+    pub fn to_text(&self) -> String {
+        let mut lines: Vec<String> = self
+            .services
+            .values()
+            .map(|s| {
+                format!(
+                    "service {} probe_path={} max_connections={}",
+                    s.name, s.probe_path, s.max_connections
+                )
+            })
+            .collect();
+        for (host, routes) in &self.hosts {
+            lines.extend(routes.iter().map(|route| format!("route {host} {}", route.to_text())));
+        }
+        lines.sort();
+        let l = &self.limits;
+        lines.push(format!(
+            "limits header_bytes={} body_bytes={} header_timeout_ms={} idle_timeout_ms={}",
+            l.header_bytes,
+            l.body_bytes,
+            l.header_timeout.as_millis(),
+            l.idle_timeout.as_millis()
+        ));
+        lines.join("\n") + "\n"
+    }
+
     /// Returns how many routes there are.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
