Few nodes read the platform, few upstreams per node

- `edge::readers`, `edge::relay`: about three nodes, spread over the zones, wait at the platform; the others get frames from a reader of their zone.
A node that is behind its peers leaves its reader.
Newer heads are told to four peers at once instead of with the next ping.
- `place::Pool`: each node prefers the upstreams in an order of its own (hash of its number and their ids), 12 of its zone and 6 of others, more when these are all slow.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::forward::Node;
+use crate::relay;
 
 /// Longest time that one wait for changes lasts: an answer that holds nothing
 /// is paid for like any other.
@@ -35,6 +36,10 @@
 /// this long before they try too: each call is paid for, refused ones too.
 const WAIT_FOR_OTHER: Duration = Duration::from_secs(3);
 
+/// Time after a first read in which a peer may be found to read through. Well
+/// below the time within which changes must be in force.
+const SETTLE: Duration = Duration::from_secs(1);
+
 /// How often a follower looks whether it has fallen behind.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -132,6 +137,13 @@
     let mut cursor: Option<Cursor> = None;
     let mut failures = 0;
     loop {
+        if !node.state.borrow().direct {
+            // What a peer kept through an outage is not told again by the platform's history:
+            // reading the platform again begins with everything.
+            (cursor, failures) = (None, 0);
+            monoio::time::sleep(LOOK).await;
+            continue;
+        }
         let asked_at = Instant::now();
         let read = match cursor {
             None => source.snapshot(topic).await,
@@ -140,20 +152,26 @@
             Some(after) => monoio::select! {
                 read = source.changes(topic, after, WAIT) => read,
                 () = behind(&node, topic) => Err(SourceError::Behind),
+                () = until_indirect(&node) => continue,
             },
         };
         let pause = match read {
             Ok(batch) => {
                 regained(&node, topic, failures);
+                let first = cursor.is_none();
                 let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
                 failures = 0;
+                // Seen before it is applied: what is passed on to subscribers says up to where.
+                seen(&node, topic, batch.cursor, batch.newest);
                 apply(&node, topic, batch.events, cursor.is_none());
                 cursor = Some(batch.cursor);
-                seen(&node, topic, batch.cursor, batch.newest);
-                if changed {
-                    topic.pause()
-                } else {
-                    Duration::ZERO
+                match () {
+                    () if first => {
+                        settle(&node).await;
+                        Duration::ZERO
+                    }
+                    () if changed => topic.pause(),
+                    () => Duration::ZERO,
                 }
             }
             Err(SourceError::Behind) => {
@@ -184,6 +202,21 @@
     }
 }
 
+/// Waits a little after everything was read: usually a peer is found meanwhile that passes the
+/// changes on, and the first wait at the platform is saved.
+async fn settle(node: &Node) {
+    let since = Instant::now();
+    while node.state.borrow().direct && since.elapsed() < SETTLE {
+        monoio::time::sleep(LOOK).await;
+    }
+}
+
+async fn until_indirect(node: &Node) {
+    while node.state.borrow().direct {
+        monoio::time::sleep(LOOK).await;
+    }
+}
+
 /// Waits while the platform does not answer the follower of the upstreams either.
 async fn wait_for_other(node: &Node) {
     let since = Instant::now();
@@ -197,7 +230,7 @@
 /// A connection can go silent without an error, or its answer be stuck in the
 /// retransmission timer of a cut that has healed. The wait for changes then
 /// lasts many seconds while the node serves by an old configuration.
-async fn behind(node: &Node, topic: Topic) {
+pub(crate) async fn behind(node: &Node, topic: Topic) {
     let mut since: Option<Instant> = None;
     loop {
         monoio::time::sleep(LOOK).await;
@@ -214,10 +247,38 @@
 fn seen(node: &Node, topic: Topic, up_to: Cursor, newest: Cursor) {
     let mut state = node.state.borrow_mut();
     let seen = state.seen_mut(topic);
-    seen.up_to = up_to;
+    seen.read = true;
+    seen.up_to = seen.up_to.max(up_to);
     seen.newest = seen.newest.max(newest);
 }
 
+/// Takes what a peer passed on of the platform.
+pub(crate) fn adopt(node: &Node, frame: relay::Frame) {
+    let now = Instant::now();
+    match frame {
+        relay::Frame::Alive => {}
+        relay::Frame::Config { up_to, newest, table } => {
+            seen(node, Topic::Config, up_to, newest);
+            if let Some(table) = table {
+                apply_table(node, table);
+            }
+        }
+        relay::Frame::List { up_to, newest, entries } => {
+            seen(node, Topic::Upstreams, up_to, newest);
+            let changes = node.state.borrow_mut().roster.adopt(entries);
+            apply_changes(node, &changes, now);
+        }
+        relay::Frame::Changes { up_to, newest, events } => {
+            seen(node, Topic::Upstreams, up_to, newest);
+            let changes: Vec<place::Change> = {
+                let roster = &mut node.state.borrow_mut().roster;
+                events.into_iter().filter_map(|event| roster.adopt_change(event)).collect()
+            };
+            apply_changes(node, &changes, now);
+        }
+    }
+}
+
 /// Spreads the calls of many nodes that failed at the same moment.
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.6..1.2))
@@ -276,6 +337,9 @@
     let (version, routes) = (table.version, table.route_count());
     let held = node.state.borrow().config_version();
     let applied = node.state.borrow_mut().apply_table(table);
+    if applied {
+        node.subscribers.tell(&relay::Frame::config(&node.state.borrow()));
+    }
     trace::Line::new(if applied { "config_applied" } else { "config_not_newer" })
         .field("version", version)
         .field("held", held)
@@ -284,6 +348,9 @@
 }
 
 fn apply_changes(node: &Node, changes: &[place::Change], now: Instant) {
+    if !changes.is_empty() {
+        node.subscribers.tell(&relay::Frame::changes(&node.state.borrow(), changes));
+    }
     for change in changes {
         node.state.borrow_mut().apply_change(change, now);
         match change {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -17,6 +17,7 @@
 use crate::conns::{Conn, Conns};
 use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
 use crate::probe;
+use crate::relay;
 use crate::reply::{self, Own};
 use crate::state::{Outstanding, Shared};
 
@@ -62,6 +63,8 @@
     pub state: Shared,
     /// Connections to upstreams.
     pub conns: Conns,
+    /// Peers that read the platform through this node.
+    pub subscribers: relay::Subscribers,
     probe_budgets: RefCell<HashMap<ServiceName, probe::Budget>>,
 }
 
@@ -164,7 +167,12 @@
 impl Node {
     /// Creates the request path over `state`.
     pub fn new(state: Shared) -> Node {
-        Node { state, conns: Conns::default(), probe_budgets: RefCell::default() }
+        Node {
+            state,
+            conns: Conns::default(),
+            subscribers: relay::Subscribers::default(),
+            probe_budgets: RefCell::default(),
+        }
     }
 
     /// Returns a connection to an upstream, kept or new.
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -48,13 +48,15 @@
         members
     };
     while let Some(input) = rx.recv().await {
-        {
+        let (config_head, list_head) = {
             let state = node.state.borrow();
-            let ready = state.is_ready();
-            members.set_config_head(if ready { state.config_seen.newest } else { 0 });
-            members.set_list_head(if ready { state.list_seen.newest } else { 0 });
-        }
-        let out = handle(&mut members, input, Instant::now());
+            match state.is_ready() {
+                true => (state.config_seen.newest, state.list_seen.newest),
+                false => (0, 0),
+            }
+        };
+        let mut out = members.set_heads(config_head, list_head);
+        out.extend(handle(&mut members, input, Instant::now()));
         for event in members.take_events() {
             apply(&node, event);
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,8 @@
 //! sends one request to one upstream over a connection kept in [`conns`];
 //! [`probe`] asks upstreams for their load just before a choice. [`follow`]
 //! keeps the node's beliefs in step with the platform, whatever that platform
-//! is: it is reached through the trait [`follow::Source`] only. [`record`] keeps the
+//! is: it is reached through the trait [`follow::Source`] only; most nodes read it
+//! through a peer ([`readers`], [`relay`]). [`record`] keeps the
 //! record of configurations. [`gossip`] knows the other entry nodes, [`directory`] tells callers which of them to
 //! use, [`stop`] ends the process without cutting a request.
 //!
@@ -19,7 +20,9 @@
 pub mod forward;
 pub mod gossip;
 pub mod probe;
+pub mod readers;
 pub mod record;
+pub mod relay;
 pub mod reply;
 pub mod serve;
 pub mod state;
--- /dev/null
+++ b/crates/edge/src/relay.rs
@@ -0,0 +1,323 @@
+//! What the platform holds, passed on from node to node.
+//!
+//! A node connects to a peer over TCP, on the address where that peer takes
+//! membership datagrams, and gets frames: the configuration and the list of
+//! upstreams as the peer holds them, then each change as the peer takes it
+//! on. The peer has decided already which upstreams are kept through an
+//! outage. Frames are postcard behind a length of four bytes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use local_sync::mpsc::unbounded;
+use monoio::io::{AsyncReadRentExt, AsyncWriteRentExt};
+use monoio::net::{TcpListener, TcpStream};
+use place::{Change, Entry, Event};
+use route::Table;
+use serde::{Deserialize, Serialize};
+
+use crate::follow::{self, Cursor, Topic};
+use crate::forward::Node;
+use crate::readers::{self, Way};
+use crate::state::State;
+
+/// Longest frame taken, in bytes: the list at 6,700 upstreams is about 0.7 MB.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Frames that wait for one subscriber; one that takes them more slowly is dropped and asks anew.
+const FRAMES_WAITING: usize = 64;
+
+/// How often a subscriber is told that its peer is alive.
+const ALIVE_EVERY: Duration = Duration::from_secs(1);
+
+/// A peer that says nothing for this long is given up.
+const SILENT_FOR: Duration = Duration::from_millis(2_500);
+
+/// Time for a peer to take the connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Time for the first frame.
+const FIRST_FRAME: Duration = Duration::from_millis(400);
+
+/// A peer that failed is not asked again for this long.
+const AVOID_FOR: Duration = Duration::from_secs(3);
+
+/// A reader that the platform turned away tries it again after this long.
+const TRY_AGAIN: Duration = Duration::from_millis(1_500);
+
+/// How often a node looks how it should read the platform.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// How often a peer that is not in step yet looks whether it is.
+const LOOK_IN_STEP: Duration = Duration::from_millis(20);
+
+/// One message to a subscriber.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// The peer is alive; nothing changed.
+    Alive,
+    /// The configuration as the peer holds it.
+    Config {
+        /// How much of its history the peer has seen.
+        up_to: Cursor,
+        /// The newest change among that.
+        newest: Cursor,
+        /// The configuration, if there is one yet.
+        table: Option<Table>,
+    },
+    /// All upstreams as the peer holds them.
+    List {
+        /// How much of its history the peer has seen.
+        up_to: Cursor,
+        /// The newest change among that.
+        newest: Cursor,
+        /// The upstreams.
+        entries: Vec<Entry>,
+    },
+    /// What changed about upstreams.
+    Changes {
+        /// How much of its history the peer has seen.
+        up_to: Cursor,
+        /// The newest change among that.
+        newest: Cursor,
+        /// The changes, in order.
+        events: Vec<Event>,
+    },
+}
+
+impl Frame {
+    /// Returns the frame of the configuration held.
+    pub fn config(state: &State) -> Frame {
+        let seen = state.config_seen;
+        let table = state.table.as_deref().cloned();
+        Frame::Config { up_to: seen.up_to, newest: seen.newest, table }
+    }
+
+    fn list(state: &State) -> Frame {
+        let seen = state.list_seen;
+        let entries = state.roster.entries().cloned().collect();
+        Frame::List { up_to: seen.up_to, newest: seen.newest, entries }
+    }
+
+    /// Returns the frame of changes taken on.
+    pub fn changes(state: &State, changes: &[Change]) -> Frame {
+        let seen = state.list_seen;
+        let event = |change: &Change| match change {
+            Change::Put(entry) => Event::Put(entry.clone()),
+            Change::Drop { id, .. } => Event::Gone(id.clone()),
+        };
+        let events = changes.iter().map(event).collect();
+        Frame::Changes { up_to: seen.up_to, newest: seen.newest, events }
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        let body = postcard::to_stdvec(self).expect("frames encode");
+        let mut bytes = u32::try_from(body.len()).unwrap_or(u32::MAX).to_be_bytes().to_vec();
+        bytes.extend_from_slice(&body);
+        bytes
+    }
+
+    /// Returns true when the frame lacks a change that this node has seen already.
+    fn is_stale(&self, state: &State) -> bool {
+        match self {
+            Frame::Config { up_to, .. } => *up_to < state.config_seen.newest,
+            Frame::List { up_to, .. } => *up_to < state.list_seen.newest,
+            Frame::Alive | Frame::Changes { .. } => false,
+        }
+    }
+}
+
+/// Peers that are told of changes.
+#[derive(Default)]
+pub struct Subscribers {
+    queues: RefCell<Vec<Queue>>,
+}
+
+/// Encoded frames on their way to one subscriber.
+struct Queue {
+    frames: unbounded::Tx<Rc<Vec<u8>>>,
+    waiting: Rc<Cell<usize>>,
+}
+
+impl Queue {
+    /// Adds a frame; false when the subscriber is gone or too slow.
+    fn push(&self, frame: Rc<Vec<u8>>) -> bool {
+        self.waiting.set(self.waiting.get() + 1);
+        self.waiting.get() <= FRAMES_WAITING && self.frames.send(frame).is_ok()
+    }
+}
+
+impl Subscribers {
+    /// Tells all subscribers; those that are too slow are dropped.
+    pub fn tell(&self, frame: &Frame) {
+        let mut queues = self.queues.borrow_mut();
+        if queues.is_empty() {
+            return;
+        }
+        let bytes = Rc::new(frame.encode());
+        queues.retain(|queue| queue.push(bytes.clone()));
+    }
+}
+
+/// Serves subscribers until the listener fails.
+pub async fn serve(listener: TcpListener, node: Rc<Node>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                monoio::spawn(serve_one(stream, node.clone()));
+            }
+            Err(err) => {
+                trace::Line::new("accept_failed").field("error", err.to_string()).log();
+                monoio::time::sleep(LOOK).await;
+            }
+        }
+    }
+}
+
+async fn serve_one(mut stream: TcpStream, node: Rc<Node>) {
+    let asked_at = Instant::now();
+    while !node.state.borrow().is_in_step() {
+        if asked_at.elapsed() > SILENT_FOR {
+            return;
+        }
+        monoio::time::sleep(LOOK_IN_STEP).await;
+    }
+    let (queue, mut frames) = unbounded::channel::<Rc<Vec<u8>>>();
+    let waiting = Rc::new(Cell::new(0));
+    // What is held now and all that follows: nothing is awaited in between, so no change is lost.
+    let mut first = {
+        let state = node.state.borrow();
+        let mut bytes = Frame::config(&state).encode();
+        bytes.extend_from_slice(&Frame::list(&state).encode());
+        bytes
+    };
+    let queue = Queue { frames: queue, waiting: waiting.clone() };
+    node.subscribers.queues.borrow_mut().push(queue);
+    loop {
+        if stream.write_all(std::mem::take(&mut first)).await.0.is_err() {
+            return;
+        }
+        first = match monoio::time::timeout(ALIVE_EVERY, frames.recv()).await {
+            Ok(Some(bytes)) => {
+                waiting.set(waiting.get() - 1);
+                bytes.as_ref().clone()
+            }
+            Ok(None) => return,
+            Err(_) => Frame::Alive.encode(),
+        };
+    }
+}
+
+/// Sees to it that this node reads the platform the way it should, forever.
+pub async fn run(node: Rc<Node>) {
+    let mut avoided: HashMap<SocketAddr, Instant> = HashMap::new();
+    loop {
+        let now = Instant::now();
+        avoided.retain(|_, until| *until > now);
+        let way = readers::choose(&mut node.state.borrow_mut(), &avoided, now);
+        match way {
+            Way::Direct => {
+                node.state.borrow_mut().direct = true;
+                monoio::time::sleep(LOOK).await;
+            }
+            Way::Via(peer) => {
+                let ended = subscribe(&node, peer).await;
+                trace::Line::new("peer_feed_ended")
+                    .field("peer", peer)
+                    .field("reason", ended.reason())
+                    .log();
+                match ended {
+                    Ended::Moved => {
+                        // Whether the platform answers is found out anew.
+                        node.state.borrow_mut().roster.store_unknown();
+                    }
+                    Ended::Failed | Ended::Behind => {
+                        avoided.insert(peer, Instant::now() + AVOID_FOR);
+                        node.state.borrow_mut().direct = true;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Why a subscription ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// The peer could not be reached, closed or went silent, or sent what is no frame.
+    Failed,
+    /// The peer has seen less than this node or others.
+    Behind,
+    /// The peer is no longer the one to ask.
+    Moved,
+}
+
+impl Ended {
+    fn reason(self) -> &'static str {
+        match self {
+            Ended::Failed => "failed",
+            Ended::Behind => "behind",
+            Ended::Moved => "moved",
+        }
+    }
+}
+
+/// Takes what `peer` passes on, until it should be asked no longer.
+async fn subscribe(node: &Rc<Node>, peer: SocketAddr) -> Ended {
+    let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(peer));
+    let Ok(Ok(mut stream)) = connecting.await else { return Ended::Failed };
+    let mut patience = FIRST_FRAME;
+    let mut config_behind = pin!(follow::behind(node, Topic::Config));
+    let mut list_behind = pin!(follow::behind(node, Topic::Upstreams));
+    let mut moved = pin!(until_moved(node, peer));
+    loop {
+        let frame = monoio::select! {
+            frame = monoio::time::timeout(patience, receive(&mut stream)) => frame,
+            () = &mut config_behind => return Ended::Behind,
+            () = &mut list_behind => return Ended::Behind,
+            () = &mut moved => return Ended::Moved,
+        };
+        let Ok(Ok(frame)) = frame else { return Ended::Failed };
+        if frame.is_stale(&node.state.borrow()) {
+            return Ended::Behind;
+        }
+        patience = SILENT_FOR;
+        node.state.borrow_mut().direct = false;
+        follow::adopt(node, frame);
+    }
+}
+
+/// Ends when other nodes are the readers of this node's zone, or this node is one itself.
+///
+/// A reader that the platform turned away tries again after a while: were all
+/// readers to wait for each other, none would see that the platform is back.
+async fn until_moved(node: &Node, peer: SocketAddr) {
+    let since = Instant::now();
+    loop {
+        monoio::time::sleep(LOOK).await;
+        let state = node.state.borrow();
+        let me_first = readers::is_reader(&state, state.settings.peer_addr);
+        let turned_away = state.roster.store_is_away() && since.elapsed() < TRY_AGAIN;
+        if (me_first && !turned_away) || !readers::is_reader(&state, peer) {
+            return;
+        }
+    }
+}
+
+/// Receives one frame.
+async fn receive(stream: &mut TcpStream) -> io::Result<Frame> {
+    let (read, length) = stream.read_exact(vec![0; 4]).await;
+    read?;
+    let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
+    if length > MAX_FRAME_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let (read, body) = stream.read_exact(vec![0; length]).await;
+    read?;
+    postcard::from_bytes(&body).map_err(|err| io::Error::new(io::ErrorKind::InvalidData, err))
+}
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -74,6 +74,8 @@
     pub up_to: Cursor,
     /// The newest change among it.
     pub newest: Cursor,
+    /// Whether anything was read at all: the history of an empty store ends at 0.
+    pub read: bool,
 }
 
 /// Counters since start.
@@ -125,12 +127,16 @@
     pub list_seen: Seen,
     /// Other entry nodes.
     pub peers: BTreeMap<SocketAddr, Peer>,
+    /// Whether this node reads the platform itself, not through a peer.
+    pub direct: bool,
     /// Set once the node is stopping.
     pub stopping: Option<Stopping>,
     /// Requests read and not answered yet.
     pub in_flight: u64,
     /// Randomness of all decisions.
     pub rng: SmallRng,
+    /// Number of this life of the node, for choices that must differ between nodes.
+    node_seed: u64,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -150,9 +156,11 @@
             config_seen: Seen::default(),
             list_seen: Seen::default(),
             peers: BTreeMap::new(),
+            direct: true,
             stopping: None,
             in_flight: 0,
             rng: SmallRng::from_os_rng(),
+            node_seed: rand::random(),
             counters: Counters::default(),
         }
     }
@@ -180,6 +188,11 @@
         }
     }
 
+    /// Returns true when both topics were read from the platform or a peer.
+    pub fn is_in_step(&self) -> bool {
+        self.config_seen.read && self.list_seen.read
+    }
+
     /// Returns true when a peer has seen changes of a topic that this node has not.
     pub fn is_behind(&self, topic: Topic) -> bool {
         let (up_to, head): (Cursor, fn(&Peer) -> Cursor) = match topic {
@@ -207,7 +220,9 @@
     pub fn apply_change(&mut self, change: &place::Change, now: Instant) {
         match change {
             place::Change::Put(entry) => {
-                self.pools.entry(entry.service.clone()).or_default().put(entry, now);
+                let pool = self.pools.entry(entry.service.clone());
+                let seed = self.node_seed;
+                pool.or_insert_with(|| place::Pool::of_node(seed)).put(entry, now);
             }
             place::Change::Drop { id, service, .. } => {
                 if let Some(pool) = self.pools.get_mut(service) {
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -3,4 +3,5 @@
 mod beliefs;
 mod fake;
 mod long;
+mod relay;
 mod requests;
--- /dev/null
+++ b/crates/edge/src/tests/relay.rs
@@ -0,0 +1,228 @@
+//! The platform read through peers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::TcpListener;
+use route::ClientLimits;
+use wire::Standing;
+
+use super::fake::{ms, run, settings, table};
+use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
+use crate::forward::Node;
+use crate::readers::{self, Way};
+use crate::relay;
+use crate::state::{Peer, State};
+
+fn addr(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 7_600))
+}
+
+fn serving(zone: &str) -> Peer {
+    Peer { zone: zone.into(), standing: Standing::Alive, config_head: 7, list_head: 7 }
+}
+
+fn entry(n: u8) -> place::Entry {
+    place::Entry {
+        id: format!("u{n}").into(),
+        service: "desk".into(),
+        addr: addr(n),
+        zone: "a".into(),
+        slots: 4,
+        leaving: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// A node in zone `a` at `me` that serves, with serving peers.
+fn state_at(me: SocketAddr, peers: &[(u8, &str)]) -> State {
+    let mut settings = settings();
+    settings.peer_addr = me;
+    let mut state = State::new(settings);
+    state.apply_table(table(7, ClientLimits::default()));
+    state.roster.apply(vec![place::Event::Put(entry(200))], Instant::now());
+    state.config_seen.read = true;
+    state.list_seen.read = true;
+    for (n, zone) in peers {
+        state.peers.insert(addr(*n), serving(zone));
+    }
+    state
+}
+
+fn way(state: &mut State) -> Way {
+    readers::choose(state, &HashMap::new(), Instant::now())
+}
+
+#[yare::parameterized(
+    alone = { 5, &[], Way::Direct },
+    first_of_its_zone = { 1, &[(2, "a"), (3, "b"), (4, "c")], Way::Direct },
+    not_the_first = { 5, &[(2, "a"), (3, "b"), (4, "c")], Way::Via(addr(2)) },
+    one_zone_has_three_readers = { 3, &[(1, "a"), (2, "a"), (4, "a")], Way::Direct },
+)]
+fn a_few_nodes_per_zone_read_the_platform(me: u8, peers: &[(u8, &str)], expected: Way) {
+    assert_eq!(way(&mut state_at(addr(me), peers)), expected);
+}
+
+/// Symptom: all readers wait for each other and nobody sees that the platform is back.
+/// Sequence: the platform resets every connection once; each reader turns to another reader.
+/// Cause: taking one lost connection for being turned away, and never trying again.
+#[test]
+fn a_reader_asks_another_only_while_the_platform_turns_it_away() {
+    let mut state = state_at(addr(1), &[(3, "b")]);
+    let now = Instant::now();
+    state.roster.store_lost(now);
+    assert_eq!(readers::choose(&mut state, &HashMap::new(), now + ms(500)), Way::Direct);
+    let later = now + ms(1_500);
+    assert_eq!(readers::choose(&mut state, &HashMap::new(), later), Way::Via(addr(3)));
+    state.roster.store_unknown();
+    assert_eq!(readers::choose(&mut state, &HashMap::new(), later), Way::Direct);
+}
+
+#[test]
+fn a_node_that_has_read_nothing_asks_the_platform() {
+    let mut state = state_at(addr(5), &[(2, "a")]);
+    state.list_seen.read = false;
+    assert_eq!(way(&mut state), Way::Direct);
+}
+
+/// A platform that counts waits for changes.
+#[derive(Clone, Default)]
+struct Platform {
+    config: Rc<Cell<Cursor>>,
+    list: Rc<RefCell<Vec<place::Entry>>>,
+    list_version: Rc<Cell<Cursor>>,
+    waits: Rc<Cell<u32>>,
+}
+
+impl Platform {
+    fn batch(&self, topic: Topic) -> Batch {
+        match topic {
+            Topic::Config => {
+                let newest = self.config.get();
+                let events = vec![Event::Config(table(newest, ClientLimits::default()))];
+                Batch { events, cursor: newest, newest }
+            }
+            Topic::Upstreams => {
+                let put = |entry: &place::Entry| Event::Upstream(place::Event::Put(entry.clone()));
+                let events = self.list.borrow().iter().map(put).collect();
+                Batch { events, cursor: self.list_version.get(), newest: self.list_version.get() }
+            }
+        }
+    }
+}
+
+impl Source for Platform {
+    async fn snapshot(&self, topic: Topic) -> Result<Batch, SourceError> {
+        Ok(self.batch(topic))
+    }
+
+    async fn changes(
+        &self,
+        topic: Topic,
+        cursor: Cursor,
+        wait: Duration,
+    ) -> Result<Batch, SourceError> {
+        self.waits.set(self.waits.get() + 1);
+        let asked_at = Instant::now();
+        while asked_at.elapsed() < wait {
+            let batch = self.batch(topic);
+            if batch.cursor > cursor {
+                return Ok(batch);
+            }
+            monoio::time::sleep(ms(5)).await;
+        }
+        Ok(Batch { events: Vec::new(), cursor, newest: 0 })
+    }
+}
+
+/// Starts a node that follows `platform`, with its relay; returns it and where peers reach it.
+fn start(platform: &Platform) -> (Rc<Node>, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let at = listener.local_addr().expect("bound");
+    let mut settings = settings();
+    settings.peer_addr = at;
+    let node = Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings)))));
+    for topic in [Topic::Config, Topic::Upstreams] {
+        monoio::spawn(follow::run(platform.clone(), topic, node.clone()));
+    }
+    monoio::spawn(relay::serve(listener, node.clone()));
+    monoio::spawn(relay::run(node.clone()));
+    (node, at)
+}
+
+fn platform() -> Platform {
+    let platform = Platform::default();
+    platform.config.set(7);
+    platform.list_version.set(7);
+    platform.list.borrow_mut().push(entry(1));
+    platform
+}
+
+/// Five nodes in one zone, which know each other; the first three by address are readers.
+fn fleet(platform: &Platform) -> Vec<Rc<Node>> {
+    let mut nodes: Vec<(Rc<Node>, SocketAddr)> = (0..5).map(|_| start(platform)).collect();
+    nodes.sort_by_key(|(_, at)| *at);
+    for (node, me) in &nodes {
+        for (_, at) in nodes.iter().filter(|(_, at)| at != me) {
+            node.state.borrow_mut().peers.insert(*at, serving("a"));
+        }
+    }
+    nodes.into_iter().map(|(node, _)| node).collect()
+}
+
+/// Symptom: each change costs a call to the platform per node.
+/// Sequence: five nodes know each other; configuration and upstreams change.
+/// Cause: every node waiting at the platform.
+#[test]
+fn changes_reach_every_node_through_the_readers() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet(&platform);
+        monoio::time::sleep(ms(2_000)).await;
+        let before = platform.waits.get();
+        platform.config.set(9);
+        platform.list.borrow_mut().push(entry(2));
+        platform.list_version.set(9);
+        monoio::time::sleep(ms(600)).await;
+        for node in &nodes {
+            let state = node.state.borrow();
+            assert_eq!((state.config_version(), state.roster.len()), (9, 2));
+        }
+        assert_eq!(nodes.iter().filter(|node| node.state.borrow().direct).count(), 3);
+        let waits = platform.waits.get() - before;
+        assert!(waits <= 6, "{waits} new waits after two changes at three readers");
+    });
+}
+
+/// Symptom: a node goes on sending to an upstream that left, through a reader that is cut off.
+/// Sequence: a reader stops hearing of changes but stays alive; others have seen more.
+/// Cause: trusting a peer because it is there.
+#[test]
+fn a_node_leaves_a_reader_that_has_fallen_behind() {
+    run(async {
+        let platform = platform();
+        let stale = platform.clone();
+        let (reader, at) = start(&stale);
+        monoio::time::sleep(ms(100)).await;
+        let fresh = Platform { config: Rc::new(Cell::new(9)), ..platform.clone() };
+        let (node, _) = start(&fresh);
+        node.state.borrow_mut().settings.peer_addr = SocketAddr::from(([127, 0, 0, 1], 65_535));
+        {
+            let mut state = node.state.borrow_mut();
+            // Three others come first, of which only the stale reader can be reached.
+            state.peers.insert(at, serving("a"));
+            for n in 1..=2 {
+                state.peers.insert(SocketAddr::from(([127, 0, 0, 1], n)), serving("a"));
+            }
+        }
+        monoio::time::sleep(ms(400)).await;
+        let ahead = Peer { config_head: 9, ..serving("b") };
+        node.state.borrow_mut().peers.insert(addr(9), ahead);
+        monoio::time::sleep(ms(3_000)).await;
+        assert_eq!(reader.state.borrow().config_version(), 7);
+        assert_eq!(node.state.borrow().config_version(), 9);
+    });
+}
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -36,6 +36,10 @@
 /// other dead, and no one would talk first.
 const HEAL_ONE_IN: u32 = 4;
 
+/// Peers told at once of a newer head. All nodes that learn of it tell as many, so that of the
+/// others all but a few in a hundred hear of it several times.
+const TOLD_OF_HEADS: usize = 4;
+
 /// Pings relayed for others and not answered yet, beyond which the oldest is forgotten.
 const MAX_RELAYS: usize = 64;
 
@@ -196,9 +200,21 @@
         self.me.config_head = head;
     }
 
-    /// Records up to which commit this node holds the list of upstreams.
-    pub fn set_list_head(&mut self, head: u64) {
-        self.me.list_head = head;
+    /// Records up to which commits this node holds the config and the list of upstreams, and
+    /// tells a few peers at once when either is news.
+    ///
+    /// Pings alone would tell of a change within about a second; a peer whose own source of
+    /// changes is dead must notice sooner than that.
+    pub fn set_heads(&mut self, config_head: u64, list_head: u64) -> Vec<Outgoing> {
+        let news = config_head > self.me.config_head || list_head > self.me.list_head;
+        self.me.config_head = config_head;
+        self.me.list_head = list_head;
+        if !news || self.leaving {
+            return Vec::new();
+        }
+        let peers: Vec<SocketAddr> = self.reachable().collect();
+        let told = peers.into_iter().choose_multiple(&mut self.rng, TOLD_OF_HEADS);
+        told.into_iter().map(|to| self.pack(to, Body::News)).collect()
     }
 
     /// Spreads what this node learned by watching an upstream.
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,5 +1,6 @@
 //! The upstreams of one service, ranked for one request.
 
+use std::hash::Hasher;
 use std::time::{Duration, Instant};
 
 use rand::Rng;
@@ -46,9 +47,17 @@
 /// Mean slowness before any report.
 const SLOWNESS_FIRST: f64 = 1.5;
 
-/// Upstreams compared for one request at most, from a random one on: what a
-/// request costs the entry node must not grow with the size of a service.
-const SCAN_MOST: usize = 48;
+/// Upstreams of the own zone, and of others, that a node compares for a request.
+///
+/// A node that sends three requests a second to two hundred upstreams meets
+/// each once a minute: it knows nothing of it and has no connection left. With
+/// a dozen it meets each every few seconds. What a request costs the node
+/// does not grow with the size of a service either.
+const OWN_ZONE_MOST: usize = 12;
+const OTHER_ZONES_MOST: usize = 6;
+
+/// When all of these are this costly, as many more are compared.
+const WIDEN_FROM: f64 = 0.6;
 
 /// What a request asks of the choice.
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +91,10 @@
 /// The upstreams of one service.
 #[derive(Clone, Debug)]
 pub struct Pool {
+    /// In the order in which this node prefers them; see [`Pool::of_node`].
     upstreams: Vec<Upstream>,
+    /// Who orders: a number of the node's own.
+    node_seed: u64,
     usual_slowness: f64,
     /// Whether upstreams of this service report their load; `None` before any answered.
     reports: Option<bool>,
@@ -90,19 +102,35 @@
 
 impl Default for Pool {
     fn default() -> Self {
-        Pool { upstreams: Vec::new(), usual_slowness: SLOWNESS_FIRST, reports: None }
+        Pool { upstreams: Vec::new(), node_seed: 0, usual_slowness: SLOWNESS_FIRST, reports: None }
     }
 }
 
 impl Pool {
+    /// Creates the pool of the node with this number.
+    ///
+    /// Each node prefers the upstreams in an order of its own, by a hash of its number and their
+    /// ids: all nodes together spread over all upstreams, and one that comes or goes moves few.
+    pub fn of_node(node_seed: u64) -> Pool {
+        Pool { node_seed, ..Pool::default() }
+    }
+
+    fn order_of(&self, id: &str) -> u64 {
+        let mut hasher = siphasher::sip::SipHasher13::new_with_keys(self.node_seed, 0);
+        hasher.write(id.as_bytes());
+        hasher.finish()
+    }
+
     /// Adds an upstream or takes what changed about it.
     pub fn put(&mut self, entry: &Entry, now: Instant) {
         let index = match self.position(&entry.id) {
             Some(index) => index,
             None => {
                 let (id, zone) = (entry.id.clone(), entry.zone.clone());
-                self.upstreams.push(Upstream::new(id, entry.addr, zone, entry.slots));
-                self.upstreams.len() - 1
+                let order = self.order_of(&id);
+                let index = self.upstreams.partition_point(|u| self.order_of(&u.id) < order);
+                self.upstreams.insert(index, Upstream::new(id, entry.addr, zone, entry.slots));
+                index
             }
         };
         let upstream = &mut self.upstreams[index];
@@ -209,13 +237,22 @@
         now: Instant,
         rng: &mut R,
     ) -> Vec<Candidate> {
-        let count = self.upstreams.len();
-        let from = if count > SCAN_MOST { rng.random_range(0..count) } else { 0 };
-        let mut ranked: Vec<Candidate> = (0..count.min(SCAN_MOST))
-            .map(|step| (from + step) % count)
-            .filter(|index| !ask.tried.contains(&self.upstreams[*index].id))
-            .map(|index| self.candidate(index, ask, &has_connection, now, rng))
-            .collect();
+        let mut own = self.in_zone(ask, true);
+        let mut others = self.in_zone(ask, false);
+        let mut ranked: Vec<Candidate> = Vec::new();
+        loop {
+            let next: Vec<usize> = own
+                .by_ref()
+                .take(OWN_ZONE_MOST)
+                .chain(others.by_ref().take(OTHER_ZONES_MOST))
+                .collect();
+            let exhausted = next.is_empty();
+            let candidate = |index| self.candidate(index, ask, &has_connection, now, rng);
+            ranked.extend(next.into_iter().map(candidate));
+            if exhausted || ranked.iter().any(|c| c.cost < WIDEN_FROM) {
+                break;
+            }
+        }
         let sound = ranked.iter().map(|c| c.standing).min();
         // An upstream on trial is as good as any, so that it gets its one request.
         let worst = sound.map(|best| best.max(Standing::Trial));
@@ -224,6 +261,12 @@
         ranked
     }
 
+    /// Returns the upstreams in or outside the node's zone that were not tried, in order.
+    fn in_zone<'a>(&'a self, ask: Ask<'a>, own: bool) -> impl Iterator<Item = usize> + 'a {
+        let wanted = move |u: &Upstream| (u.zone == ask.zone) == own && !ask.tried.contains(&u.id);
+        self.upstreams.iter().enumerate().filter(move |(_, u)| wanted(u)).map(|(index, _)| index)
+    }
+
     fn candidate<R: Rng>(
         &self,
         index: usize,
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 use crate::UpstreamId;
@@ -23,7 +24,7 @@
 const MASS_LOSS: f64 = 0.3;
 
 /// One upstream as the store lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Id of this start of it.
     pub id: UpstreamId,
@@ -42,7 +43,7 @@
 }
 
 /// What the store tells of an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
     /// It is listed, or what is listed about it changed.
     Put(Entry),
@@ -74,8 +75,8 @@
     entries: HashMap<UpstreamId, Entry>,
     /// Upstreams that vanished, and until when they are kept.
     vanished: HashMap<UpstreamId, Instant>,
-    /// When the newest call was made that the store did not answer.
-    store_away_at: Option<Instant>,
+    /// When the first and the newest call were made that the store did not answer.
+    store_away: Option<(Instant, Instant)>,
     /// Since when the store may have been back, and since when it surely is.
     store_back: Option<(Instant, Instant)>,
 }
@@ -83,19 +84,30 @@
 impl Roster {
     /// Records that the store did not answer a call made at `asked_at`.
     pub fn store_lost(&mut self, asked_at: Instant) {
-        self.store_away_at = Some(asked_at);
+        let since = self.store_away.map_or(asked_at, |(since, _)| since);
+        self.store_away = Some((since, asked_at));
     }
 
     /// Records that the store answers.
     pub fn store_answers(&mut self, now: Instant) {
-        if let Some(away_at) = self.store_away_at.take() {
+        if let Some((_, away_at)) = self.store_away.take() {
             self.store_back = Some((away_at, now));
         }
     }
 
+    /// Forgets that the store did not answer; the next call tells.
+    pub fn store_unknown(&mut self) {
+        self.store_away = None;
+    }
+
     /// Returns true when the store did not answer the newest call.
     pub fn store_is_away(&self) -> bool {
-        self.store_away_at.is_some()
+        self.store_away.is_some()
+    }
+
+    /// Returns for how long the store has not answered.
+    pub fn store_away_for(&self, now: Instant) -> Duration {
+        self.store_away.map_or(Duration::ZERO, |(since, _)| now.saturating_duration_since(since))
     }
 
     /// Returns how many upstreams are listed or kept.
@@ -121,6 +133,30 @@
         self.apply(events, now)
     }
 
+    /// Returns the upstreams that are listed or kept.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Takes the list as another node holds it: that node has decided what is kept.
+    pub fn adopt(&mut self, listed: Vec<Entry>) -> Vec<Change> {
+        let gone: Vec<UpstreamId> = self
+            .entries
+            .keys()
+            .filter(|id| !listed.iter().any(|entry| entry.id == **id))
+            .cloned()
+            .collect();
+        let dropped = gone.iter().filter_map(|id| self.drop(id, "unlisted"));
+        let mut changes: Vec<Change> = dropped.collect();
+        changes.extend(listed.into_iter().filter_map(|entry| self.take(Event::Put(entry), None)));
+        changes
+    }
+
+    /// Takes one change that another node has decided on.
+    pub fn adopt_change(&mut self, event: Event) -> Option<Change> {
+        self.take(event, None)
+    }
+
     /// Takes what changed.
     pub fn apply(&mut self, events: Vec<Event>, now: Instant) -> Vec<Change> {
         let gone = events.iter().filter(|event| matches!(event, Event::Gone(_))).count();
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -312,3 +312,50 @@
     assert!(roster.next_expiry().is_some_and(|at| at < now + ms(2_000)));
     assert_eq!(roster.expire(now + ms(1_400)).len(), 3);
 }
+
+/// Symptom: nearly every request opens a connection, and predictions are guesses.
+/// Sequence: a hundred nodes with a few requests a second each share two hundred upstreams.
+/// Cause: every node comparing a random part of all of them for every request.
+#[test]
+fn a_node_keeps_to_a_few_upstreams_and_all_nodes_together_use_all() {
+    let now = Instant::now();
+    let mut used = std::collections::HashSet::new();
+    for node in 0..40 {
+        let mut pool = Pool::of_node(node);
+        (1..=100).for_each(|n| pool.put(&entry(n, "a"), now));
+        let mut compared = std::collections::HashSet::new();
+        for seed in 0..20 {
+            let mut rng = StdRng::seed_from_u64(seed);
+            let candidates = pool.rank(ask(), |_| true, now, &mut rng);
+            compared.extend(candidates.iter().map(|c| pool.upstreams()[c.index].id.clone()));
+        }
+        assert!(compared.len() <= 12, "{}", compared.len());
+        used.extend(compared);
+    }
+    assert!(used.len() >= 95, "{}", used.len());
+}
+
+#[test]
+fn a_node_whose_few_upstreams_are_all_slow_compares_more() {
+    let now = Instant::now();
+    let mut pool = Pool::of_node(1);
+    (1..=30).for_each(|n| pool.put(&entry(n, "a"), now));
+    let few: Vec<String> = ranked(&pool, ask(), now);
+    assert_eq!(few.len(), 12);
+    few.iter().for_each(|id| pool.take_report(id, load(4, 9, 4.0), now));
+    assert!(ranked(&pool, ask(), now).len() > 12);
+}
+
+/// Symptom: the upstreams of a node change wholesale when one comes or goes.
+/// Sequence: an upstream leaves.
+/// Cause: an order by position instead of by each upstream's own number.
+#[test]
+fn the_few_upstreams_of_a_node_are_stable() {
+    let now = Instant::now();
+    let mut pool = Pool::of_node(1);
+    (1..=30).for_each(|n| pool.put(&entry(n, "a"), now));
+    let before: std::collections::HashSet<String> = ranked(&pool, ask(), now).into_iter().collect();
+    pool.remove(before.iter().next().expect("twelve"));
+    let after: std::collections::HashSet<String> = ranked(&pool, ask(), now).into_iter().collect();
+    assert_eq!(before.intersection(&after).count(), 11);
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 pub use split::Turns;
@@ -24,7 +25,7 @@
 pub type RouteName = SmolStr;
 
 /// Whether a request may run more than once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
     /// It may be sent again whatever became of it.
     Idempotent,
@@ -33,7 +34,7 @@
 }
 
 /// One service that a route sends requests to.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The service.
     pub service: ServiceName,
@@ -42,7 +43,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name.
     pub name: RouteName,
@@ -84,7 +85,7 @@
 }
 
 /// What is known of a service apart from its upstreams.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: ServiceName,
@@ -95,7 +96,7 @@
 }
 
 /// What callers may send, and how long they may take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Longest request head, in bytes.
     pub header_bytes: usize,
@@ -120,7 +121,7 @@
 }
 
 /// One version of the routing configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Table {
     /// Version.
     pub version: Version,
