--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -18,6 +18,16 @@
 /// is paid for like any other.
 const WAIT: Duration = Duration::from_secs(25);
 
+/// Time for an answer, beyond what the platform is asked to wait.
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// Wait of a reader that others read through, and its patience. The platform
+/// may stop answering one node without a sign. The reader must notice within
+/// its subscribers' two seconds, and an answer that holds nothing, once a
+/// second, is what shows that the platform still answers it.
+const READER_WAIT: Duration = Duration::from_secs(1);
+const READER_PATIENCE: Duration = Duration::from_millis(600);
+
 /// Pause after a change before the next wait begins. Changes come in series,
 /// and each wait ends with the first one: without a pause a series of forty
 /// costs forty calls, with it the rest is taken in one.
@@ -41,11 +51,11 @@
 const SETTLE: Duration = Duration::from_secs(1);
 
 /// How often a follower looks whether it has fallen behind.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// A peer that has seen more for this long shows that the own wait for changes
 /// is dead: usually all nodes hear of a change within a few milliseconds.
-const BEHIND_FOR: Duration = Duration::from_millis(400);
+const BEHIND_FOR: Duration = Duration::from_millis(250);
 
 /// What can be followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,12 +134,17 @@
     fn snapshot(&self, topic: Topic) -> impl Future<Output = Result<Batch, SourceError>>;
 
     /// Waits up to `wait` for what changed after `cursor`; nothing changed if the batch is empty.
+    /// An answer that takes `patience` longer is given up.
     fn changes(
         &self,
         topic: Topic,
         cursor: Cursor,
         wait: Duration,
+        patience: Duration,
     ) -> impl Future<Output = Result<Batch, SourceError>>;
+
+    /// Returns true when the platform takes a connection within `timeout`; no call is made.
+    fn takes_connections(&self, timeout: Duration) -> impl Future<Output = bool>;
 }
 
 /// Follows one topic forever.
@@ -148,9 +163,15 @@
         let read = match cursor {
             None => source.snapshot(topic).await,
             // Nothing is kept waiting after a failure: the answer shows at once what was missed.
-            Some(after) if failures > 0 => source.changes(topic, after, Duration::ZERO).await,
+            Some(after) if failures > 0 => {
+                source.changes(topic, after, Duration::ZERO, PATIENCE).await
+            }
+            Some(after) if topic == Topic::Upstreams && !node.subscribers.is_empty() => {
+                source.changes(topic, after, READER_WAIT, READER_PATIENCE).await
+            }
             Some(after) => monoio::select! {
-                read = source.changes(topic, after, WAIT) => read,
+                read = source.changes(topic, after, WAIT, PATIENCE) => read,
+                () = until_read_through(&node, topic) => continue,
                 () = behind(&node, topic) => Err(SourceError::Behind),
                 () = until_indirect(&node) => continue,
             },
@@ -202,6 +223,13 @@
     }
 }
 
+/// Ends when others begin to read the upstreams through this node.
+async fn until_read_through(node: &Node, topic: Topic) {
+    while topic != Topic::Upstreams || node.subscribers.is_empty() {
+        monoio::time::sleep(LOOK).await;
+    }
+}
+
 /// Waits a little after everything was read: usually a peer is found meanwhile that passes the
 /// changes on, and the first wait at the platform is saved.
 async fn settle(node: &Node) {
@@ -287,6 +315,8 @@
 fn lost(node: &Node, topic: Topic, failures: u32, asked_at: Instant, err: &SourceError) {
     if topic == Topic::Upstreams {
         node.state.borrow_mut().roster.store_lost(asked_at);
+        // They may be answered where this node is not.
+        node.subscribers.drop_all();
     }
     if failures == 0 {
         trace::Line::new("store_lost")
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -11,11 +11,13 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use place::{Candidate, End, UpstreamId, Verdict};
 use route::{Repeat, Route, ServiceName, Table};
+use serde::Serialize;
 use smol_str::SmolStr;
 use web::h1;
 
 use crate::conns::{Conn, Conns};
 use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
+use crate::metrics::Metrics;
 use crate::probe;
 use crate::relay;
 use crate::reply::{self, Own};
@@ -65,6 +67,8 @@
     pub conns: Conns,
     /// Peers that read the platform through this node.
     pub subscribers: relay::Subscribers,
+    /// What is measured.
+    pub metrics: Metrics,
     probe_budgets: RefCell<HashMap<ServiceName, probe::Budget>>,
 }
 
@@ -100,6 +104,18 @@
     most_urgent: bool,
     arrived: Instant,
     deadline: Instant,
+    /// The sends so far, for the log.
+    sends: RefCell<Vec<SendMade>>,
+}
+
+/// One send of a request and what decided on it.
+#[derive(Clone, Debug, Serialize)]
+struct SendMade {
+    upstream: UpstreamId,
+    at_ms: u64,
+    predicted_ms: u64,
+    /// Age of the report that the prediction rests on; `None` when there was none.
+    report_age_ms: Option<u64>,
 }
 
 /// An upstream chosen for a request.
@@ -107,6 +123,7 @@
     id: UpstreamId,
     addr: SocketAddr,
     predicted: Duration,
+    report_age: Option<Duration>,
     /// Whether it reported a moment ago that it is not slowed and has room.
     unhindered: bool,
 }
@@ -132,7 +149,14 @@
 /// Why no upstream was chosen.
 enum NoChoice {
     NoUpstream,
-    Refused(Duration),
+    /// The best one would answer too late.
+    Refused {
+        come_back: Duration,
+        best: UpstreamId,
+        predicted: Duration,
+        wait: Duration,
+        report_age: Option<Duration>,
+    },
 }
 
 impl Call<'_> {
@@ -156,6 +180,7 @@
             .field("service", self.service.as_str())
             .field("age_ms", self.arrived.elapsed().as_millis() as u64)
             .field("left_ms", self.left().as_millis() as u64)
+            .field("sends", &*self.sends.borrow())
     }
 }
 
@@ -165,9 +190,10 @@
 }
 
 impl Node {
-    /// Creates the request path over `state`.
-    pub fn new(state: Shared) -> Node {
+    /// Creates the request path over `state`, measured by `metrics`.
+    pub fn new(state: Shared, metrics: Metrics) -> Node {
         Node {
+            metrics,
             state,
             conns: Conns::default(),
             subscribers: relay::Subscribers::default(),
@@ -215,9 +241,16 @@
             (state.table.clone(), state.settings.headers.clone())
         };
         let Some(table) = table else {
+            trace::Line::new("no_config").field("request", id_of(head, &names)).log();
             return Reply::Own(Own::not_run(COME_BACK_NOT_READY, "no configuration yet"));
         };
         let Some(route) = table.find(&head.host, head.path()) else {
+            trace::Line::new("no_route")
+                .field("request", id_of(head, &names))
+                .field("host", head.host.as_str())
+                .field("path", head.path())
+                .field("config", table.version)
+                .log();
             return Reply::Own(Own::failed(StatusCode::NOT_FOUND, "no such route"));
         };
         let mut ids = head.headers.get_all(&names.request_id).iter();
@@ -231,11 +264,16 @@
         let deadline = arrived + allowed;
         let stopping = self.state.borrow().stopping;
         if stopping.is_some_and(|stopping| stopping.is_too_late(deadline, arrived)) {
+            trace::Line::new("refused")
+                .field("request", id_of(head, &names))
+                .field("reason", "stopping")
+                .log();
             return Reply::Own(Own::not_run(COME_BACK_ELSEWHERE, "this node is stopping"));
         }
         let service = self.next_service(route);
         let most_urgent = table.is_most_urgent(route, &service);
-        let call = Call { head, request_id, route, service, most_urgent, arrived, deadline };
+        let sends = RefCell::default();
+        let call = Call { head, request_id, route, service, most_urgent, arrived, deadline, sends };
         let reply = match monoio::time::timeout(allowed, self.sends(&call, &table, body)).await {
             Ok(reply) => reply,
             Err(_) => {
@@ -243,7 +281,7 @@
                 Reply::Own(Own::failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
             }
         };
-        self.count(&reply);
+        self.count(&call, &reply);
         reply
     }
 
@@ -259,7 +297,16 @@
         route.targets[index].service.clone()
     }
 
-    fn count(&self, reply: &Reply) {
+    fn count(&self, call: &Call<'_>, reply: &Reply) {
+        if matches!(reply, Reply::Upstream(_)) && call.objective_left().is_zero() {
+            call.line("late").log();
+        }
+        let outcome = match reply {
+            Reply::Upstream(_) => "answered",
+            Reply::Own(own) if own.come_back.is_some() => "refused",
+            Reply::Own(_) => "failed",
+        };
+        self.metrics.request(call.arrived.elapsed(), outcome);
         let counters = &mut self.state.borrow_mut().counters;
         match reply {
             Reply::Upstream(_) => counters.answered += 1,
@@ -319,15 +366,20 @@
         why: NoChoice,
         may_have_run: bool,
     ) -> Reply {
-        let (come_back, reason) = match why {
-            NoChoice::NoUpstream => (COME_BACK_NOT_READY, "no upstream"),
-            NoChoice::Refused(come_back) => (come_back, "would be too late"),
+        let line = call.line("refused").field("config", table.version);
+        let (line, come_back) = match why {
+            NoChoice::NoUpstream => (line.field("reason", "no upstream"), COME_BACK_NOT_READY),
+            NoChoice::Refused { come_back, best, predicted, wait, report_age } => {
+                let line = line
+                    .field("reason", "would be too late")
+                    .field("best", best.as_str())
+                    .field("predicted_ms", as_ms(predicted))
+                    .field("wait_ms", as_ms(wait))
+                    .field("report_age_ms", report_age.map(as_ms));
+                (line, come_back)
+            }
         };
-        call.line("refused")
-            .field("reason", reason)
-            .field("come_back_ms", come_back.as_millis() as u64)
-            .field("config", table.version)
-            .log();
+        line.field("come_back_ms", as_ms(come_back)).log();
         give_up(may_have_run, come_back)
     }
 
@@ -460,6 +512,12 @@
     where
         F: AsyncFnOnce(&mut h1::Writer) -> Sent,
     {
+        call.sends.borrow_mut().push(SendMade {
+            upstream: choice.id.clone(),
+            at_ms: as_ms(call.arrived.elapsed()),
+            predicted_ms: as_ms(choice.predicted),
+            report_age_ms: choice.report_age.map(as_ms),
+        });
         let counted = Outstanding::start(&self.state, &call.service, &choice.id);
         let sent_at = Instant::now();
         let timeout = CONNECT_TIMEOUT.min(call.left());
@@ -578,15 +636,23 @@
             most_urgent: call.most_urgent,
         };
         if let Verdict::Refuse { come_back } = place::admit(best, room, &mut state.rng) {
-            return Err(NoChoice::Refused(come_back));
+            let upstream = &pool.upstreams()[best.index];
+            return Err(NoChoice::Refused {
+                come_back,
+                best: upstream.id.clone(),
+                predicted: best.prediction.took,
+                wait: best.prediction.wait,
+                report_age: upstream.report(Instant::now()).map(|(_, age)| age),
+            });
         }
         let upstream = &pool.upstreams()[best.index];
+        let report_age = upstream.report(Instant::now()).map(|(_, age)| age);
         let unhindered = best.fresh
             && upstream
                 .report(Instant::now())
                 .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED && load.has_room());
         let (id, addr) = (upstream.id.clone(), upstream.addr);
-        Ok(Choice { id, addr, predicted: best.prediction.took, unhindered })
+        Ok(Choice { id, addr, predicted: best.prediction.took, report_age, unhindered })
     }
 
     fn rank(&self, call: &Call<'_>, tried: &[UpstreamId]) -> Vec<Candidate> {
@@ -623,10 +689,19 @@
     }
 }
 
+fn as_ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 fn is_final_status(status: StatusCode) -> bool {
     !status.is_server_error()
 }
 
+fn id_of<'a>(head: &'a h1::RequestHead, names: &crate::HeaderNames) -> &'a str {
+    let id = head.headers.get(&names.request_id);
+    id.and_then(|id| id.to_str().ok()).unwrap_or("?")
+}
+
 /// Ends a request that gets no further send.
 fn give_up(may_have_run: bool, come_back: Duration) -> Reply {
     Reply::Own(match may_have_run {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod follow;
 pub mod forward;
 pub mod gossip;
+pub mod metrics;
 pub mod probe;
 pub mod readers;
 pub mod record;
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,88 @@
+//! Metrics of one entry node, as text.
+//!
+//! Nothing is labelled by service, route or upstream: at 560 services and
+//! 6,700 upstreams one scrape would be megabytes. The log has the particulars.
+
+use std::time::Duration;
+
+use opentelemetry::metrics::{Gauge, Histogram};
+use opentelemetry::KeyValue;
+
+use crate::state::{Counters, State};
+
+/// Bounds of the request-time histogram, in seconds.
+const REQUEST_SECONDS: [f64; 13] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
+
+const COUNTERS: [meter::Named<Counters>; 10] = [
+    ("oatcove_requests", "Requests received", |c| c.requests),
+    ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
+    ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
+    ("oatcove_failed", "Requests that may have run and got no answer", |c| c.failed),
+    ("oatcove_abandoned", "Requests whose caller left", |c| c.abandoned),
+    ("oatcove_second_sends", "Sends after the first of a request", |c| c.second_sends),
+    ("oatcove_second_sends_over_budget", "Second sends not allowed", |c| {
+        c.second_sends_over_budget
+    }),
+    ("oatcove_hedges", "Hedges sent", |c| c.hedges),
+    ("oatcove_probes", "Probes sent to upstreams", |c| c.probes),
+    ("oatcove_connects", "Connections opened to upstreams", |c| c.connects),
+];
+
+/// The instruments of one entry node.
+pub struct Metrics {
+    carried: meter::Metrics<Counters>,
+    request_seconds: Histogram<f64>,
+    in_flight: Gauge<u64>,
+    config_version: Gauge<u64>,
+    upstreams: Gauge<u64>,
+    peers_alive: Gauge<u64>,
+    store_away: Gauge<u64>,
+    lines_dropped: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Sets the instruments up.
+    ///
+    /// # Errors
+    ///
+    /// [`meter::Error::Setup`] when the exporter refuses its settings.
+    pub fn new() -> Result<Metrics, meter::Error> {
+        let carried = meter::Metrics::new("oatcove-entry", &COUNTERS)?;
+        Ok(Metrics {
+            request_seconds: carried.seconds(
+                "oatcove_request_seconds",
+                "Time from a request's head to its answer, by outcome",
+                &REQUEST_SECONDS,
+            ),
+            in_flight: carried.gauge("oatcove_in_flight"),
+            config_version: carried.gauge("oatcove_config_version"),
+            upstreams: carried.gauge("oatcove_upstreams_listed"),
+            peers_alive: carried.gauge("oatcove_peers_alive"),
+            store_away: carried.gauge("oatcove_store_away"),
+            lines_dropped: carried.gauge("oatcove_log_lines_dropped"),
+            carried,
+        })
+    }
+
+    /// Records how long a request took, by what became of it.
+    pub fn request(&self, took: Duration, outcome: &'static str) {
+        self.request_seconds.record(took.as_secs_f64(), &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Returns the text of a scrape.
+    ///
+    /// # Errors
+    ///
+    /// [`meter::Error::Encode`] when the text cannot be written.
+    pub fn scrape(&self, state: &State) -> Result<String, meter::Error> {
+        let alive = state.peers.values().filter(|p| p.standing == wire::Standing::Alive);
+        self.in_flight.record(state.in_flight, &[]);
+        self.config_version.record(state.config_version(), &[]);
+        self.upstreams.record(state.roster.len() as u64, &[]);
+        self.peers_alive.record(alive.count() as u64, &[]);
+        self.store_away.record(u64::from(state.roster.store_is_away()), &[]);
+        self.lines_dropped.record(trace::dropped(), &[]);
+        self.carried.scrape(&state.counters)
+    }
+}
--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -23,6 +23,9 @@
 /// A reader that the platform does not answer for this long asks another reader.
 const AWAY_FOR: Duration = Duration::from_secs(1);
 
+/// The same for a node that holds nothing yet.
+const AWAY_FOR_NEWCOMER: Duration = Duration::from_millis(200);
+
 /// How a node reads the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -69,6 +72,17 @@
     let usable =
         |addr: &SocketAddr| *addr != me && avoided.get(addr).is_none_or(|until| *until <= now);
     let candidates: Vec<SocketAddr> = match state.is_in_step() {
+        // The platform does not answer a node that has nothing yet: any peer helps that serves.
+        false if state.roster.store_away_for(now) >= AWAY_FOR_NEWCOMER => {
+            let serving = state.peers.iter().filter(|(_, peer)| peer.config_head > 0);
+            let serving: Vec<SocketAddr> = serving.map(|(addr, _)| *addr).filter(usable).collect();
+            let seeds = state.settings.seed_addrs.iter().copied().filter(usable);
+            if serving.is_empty() {
+                seeds.collect()
+            } else {
+                serving
+            }
+        }
         false => Vec::new(),
         true => {
             let by_zone = readers(state);
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -33,10 +33,17 @@
 const FRAMES_WAITING: usize = 64;
 
 /// How often a subscriber is told that its peer is alive.
-const ALIVE_EVERY: Duration = Duration::from_secs(1);
+const ALIVE_EVERY: Duration = Duration::from_millis(300);
 
-/// A peer that says nothing for this long is given up.
-const SILENT_FOR: Duration = Duration::from_millis(2_500);
+/// A peer that says nothing for this long is given up. What it does not pass
+/// on must be in force two seconds after it was accepted.
+const SILENT_FOR: Duration = Duration::from_millis(1_000);
+
+/// How often a reader with subscribers makes sure that it reaches the platform.
+const PATH_EVERY: Duration = Duration::from_millis(300);
+
+/// Checks in a row that must fail: one lost packet is no cut.
+const PATH_FAILURES: u32 = 2;
 
 /// Time for a peer to take the connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -56,6 +63,15 @@
 /// How often a peer that is not in step yet looks whether it is.
 const LOOK_IN_STEP: Duration = Duration::from_millis(20);
 
+/// What a subscriber says first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Greeting {
+    /// It wants nothing that is older than what the platform would tell.
+    Current = 1,
+    /// It holds nothing and the platform does not answer it: anything is better.
+    Anything = 2,
+}
+
 /// One message to a subscriber.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
@@ -162,6 +178,47 @@
         let bytes = Rc::new(frame.encode());
         queues.retain(|queue| queue.push(bytes.clone()));
     }
+
+    /// Returns true when nobody reads through this node.
+    pub fn is_empty(&self) -> bool {
+        self.queues.borrow().is_empty()
+    }
+
+    /// Lets all subscribers go; they read the platform themselves then.
+    pub fn drop_all(&self) {
+        self.queues.borrow_mut().clear();
+    }
+}
+
+/// Lets the subscribers of this node go while it does not reach the platform.
+///
+/// A cut shows on the wait for changes only when keep-alive probes of the
+/// operating system fail, about four seconds later. Until then the
+/// subscribers, which reach the platform themselves, would go by what the
+/// reader last heard; if all readers are cut off at once, nobody is ahead of
+/// them and being behind cannot be told either. It would show as requests to
+/// upstreams that left three seconds ago.
+pub async fn watch_path<S: follow::Source>(source: S, node: Rc<Node>) {
+    let mut failures = 0;
+    loop {
+        monoio::time::sleep(PATH_EVERY).await;
+        let needed = node.state.borrow().direct && !node.subscribers.is_empty();
+        if !needed && failures == 0 {
+            continue;
+        }
+        failures = match source.takes_connections(PATH_EVERY).await {
+            true => 0,
+            false => failures + 1,
+        };
+        let reached = failures < PATH_FAILURES;
+        if node.state.borrow().reaches_platform != reached {
+            trace::Line::new(if reached { "path_regained" } else { "path_lost" }).log();
+            node.state.borrow_mut().reaches_platform = reached;
+        }
+        if !reached {
+            node.subscribers.drop_all();
+        }
+    }
 }
 
 /// Serves subscribers until the listener fails.
@@ -179,10 +236,27 @@
     }
 }
 
+/// Returns true when what this node holds may be passed on.
+///
+/// A node that was cut off and is back keeps upstreams for a while that left
+/// meanwhile. Passed on, they would come back to life at nodes that had
+/// rightly let them go.
+fn may_pass_on(state: &State, greeting: Greeting) -> bool {
+    let current =
+        state.reaches_platform && !state.roster.store_is_away() && !state.roster.keeps_unlisted();
+    state.is_in_step() && (current || greeting == Greeting::Anything)
+}
+
 async fn serve_one(mut stream: TcpStream, node: Rc<Node>) {
+    let greeting = stream.read_exact(vec![0; 1]);
+    let greeting = match monoio::time::timeout(FIRST_FRAME, greeting).await {
+        Ok((Ok(_), bytes)) if bytes[0] == Greeting::Current as u8 => Greeting::Current,
+        Ok((Ok(_), bytes)) if bytes[0] == Greeting::Anything as u8 => Greeting::Anything,
+        _ => return,
+    };
     let asked_at = Instant::now();
-    while !node.state.borrow().is_in_step() {
-        if asked_at.elapsed() > SILENT_FOR {
+    while !may_pass_on(&node.state.borrow(), greeting) {
+        if !node.state.borrow().reaches_platform || asked_at.elapsed() > FIRST_FRAME {
             return;
         }
         monoio::time::sleep(LOOK_IN_STEP).await;
@@ -271,6 +345,13 @@
 async fn subscribe(node: &Rc<Node>, peer: SocketAddr) -> Ended {
     let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(peer));
     let Ok(Ok(mut stream)) = connecting.await else { return Ended::Failed };
+    let greeting = match node.state.borrow().is_in_step() {
+        true => Greeting::Current,
+        false => Greeting::Anything,
+    };
+    if stream.write_all(vec![greeting as u8]).await.0.is_err() {
+        return Ended::Failed;
+    }
     let mut patience = FIRST_FRAME;
     let mut config_behind = pin!(follow::behind(node, Topic::Config));
     let mut list_behind = pin!(follow::behind(node, Topic::Upstreams));
@@ -303,7 +384,9 @@
         let state = node.state.borrow();
         let me_first = readers::is_reader(&state, state.settings.peer_addr);
         let turned_away = state.roster.store_is_away() && since.elapsed() < TRY_AGAIN;
-        if (me_first && !turned_away) || !readers::is_reader(&state, peer) {
+        let nothing_else = !state.is_ready() || since.elapsed() < TRY_AGAIN;
+        let other = !readers::is_reader(&state, peer) && !nothing_else;
+        if (me_first && !turned_away) || other {
             return;
         }
     }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -197,7 +197,12 @@
         true => match forward_watching(head, body, reader, node).await {
             Some(reply) => reply,
             None => {
-                node.state.borrow_mut().counters.abandoned += 1;
+                let mut state = node.state.borrow_mut();
+                state.counters.abandoned += 1;
+                let id = head.headers.get(&state.settings.headers.request_id);
+                trace::Line::new("caller_left")
+                    .field("request", id.and_then(|id| id.to_str().ok()))
+                    .log();
                 return Keep::Gone;
             }
         },
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -129,6 +129,8 @@
     pub peers: BTreeMap<SocketAddr, Peer>,
     /// Whether this node reads the platform itself, not through a peer.
     pub direct: bool,
+    /// Whether the platform took this node's newest connections.
+    pub reaches_platform: bool,
     /// Set once the node is stopping.
     pub stopping: Option<Stopping>,
     /// Requests read and not answered yet.
@@ -157,6 +159,7 @@
             list_seen: Seen::default(),
             peers: BTreeMap::new(),
             direct: true,
+            reaches_platform: true,
             stopping: None,
             in_flight: 0,
             rng: SmallRng::from_os_rng(),
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -8,13 +8,13 @@
 use route::ClientLimits;
 use wire::Standing;
 
-use super::fake::{ms, run, settings, table};
+use super::fake::{metrics, ms, run, settings, table};
 use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
 use crate::forward::Node;
 use crate::state::{Peer, Seen, State, Stopping};
 
 fn node() -> Rc<Node> {
-    Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings())))))
+    Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings()))), metrics()))
 }
 
 fn addr(n: u8) -> SocketAddr {
@@ -53,6 +53,7 @@
         _topic: Topic,
         cursor: Cursor,
         wait: Duration,
+        _patience: Duration,
     ) -> Result<Batch, SourceError> {
         if self.history_gone.replace(false) {
             return Err(SourceError::HistoryGone);
@@ -63,6 +64,10 @@
         }
         Ok(self.batch())
     }
+
+    async fn takes_connections(&self, _timeout: Duration) -> bool {
+        true
+    }
 }
 
 /// Symptom: a node serves by an old configuration seconds after a cut has healed.
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -74,6 +74,10 @@
     Table::new(version, limits, vec![service], routes)
 }
 
+pub fn metrics() -> crate::metrics::Metrics {
+    crate::metrics::Metrics::new().expect("metrics are set up")
+}
+
 /// What an upstream does with one request.
 #[derive(Clone, Debug)]
 pub enum Act {
@@ -221,7 +225,7 @@
         state.roster.apply(vec![place::Event::Put(entry.clone())], Instant::now());
         state.apply_change(&Change::Put(entry), Instant::now());
     }
-    let node = Rc::new(Node::new(Rc::new(RefCell::new(state))));
+    let node = Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()));
     monoio::spawn(crate::serve::run(listener, node.clone()));
     Entered { node, addr }
 }
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -10,7 +10,7 @@
 use route::ClientLimits;
 use wire::Standing;
 
-use super::fake::{ms, run, settings, table};
+use super::fake::{metrics, ms, run, settings, table};
 use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
 use crate::forward::Node;
 use crate::readers::{self, Way};
@@ -95,6 +95,7 @@
     list: Rc<RefCell<Vec<place::Entry>>>,
     list_version: Rc<Cell<Cursor>>,
     waits: Rc<Cell<u32>>,
+    cut: Rc<Cell<bool>>,
 }
 
 impl Platform {
@@ -124,18 +125,26 @@
         topic: Topic,
         cursor: Cursor,
         wait: Duration,
+        _patience: Duration,
     ) -> Result<Batch, SourceError> {
         self.waits.set(self.waits.get() + 1);
         let asked_at = Instant::now();
         while asked_at.elapsed() < wait {
             let batch = self.batch(topic);
-            if batch.cursor > cursor {
+            if batch.cursor > cursor && !self.cut.get() {
                 return Ok(batch);
             }
             monoio::time::sleep(ms(5)).await;
         }
         Ok(Batch { events: Vec::new(), cursor, newest: 0 })
     }
+
+    async fn takes_connections(&self, timeout: Duration) -> bool {
+        if self.cut.get() {
+            monoio::time::sleep(timeout).await;
+        }
+        !self.cut.get()
+    }
 }
 
 /// Starts a node that follows `platform`, with its relay; returns it and where peers reach it.
@@ -144,12 +153,13 @@
     let at = listener.local_addr().expect("bound");
     let mut settings = settings();
     settings.peer_addr = at;
-    let node = Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings)))));
+    let node = Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings))), metrics()));
     for topic in [Topic::Config, Topic::Upstreams] {
         monoio::spawn(follow::run(platform.clone(), topic, node.clone()));
     }
     monoio::spawn(relay::serve(listener, node.clone()));
     monoio::spawn(relay::run(node.clone()));
+    monoio::spawn(relay::watch_path(platform.clone(), node.clone()));
     (node, at)
 }
 
@@ -197,6 +207,90 @@
     });
 }
 
+/// Symptom: nodes send requests to upstreams that left seconds ago, and by an old configuration.
+/// Sequence: all readers are cut off from the platform at once, and not from their peers; their
+/// waits for changes hang; the configuration changes.
+/// Cause: nobody is ahead of anybody, so being behind cannot be told.
+#[test]
+fn readers_that_are_all_cut_off_let_their_subscribers_go() {
+    run(async {
+        let reader_platform = platform();
+        let reader = start(&reader_platform);
+        monoio::time::sleep(ms(100)).await;
+        let own = Platform { cut: Rc::default(), ..reader_platform.clone() };
+        let (node, _) = start(&own);
+        node.state.borrow_mut().settings.peer_addr = SocketAddr::from(([127, 0, 0, 1], 65_535));
+        for n in 1..=2 {
+            let unreachable = SocketAddr::from(([127, 0, 0, 1], n));
+            node.state.borrow_mut().peers.insert(unreachable, serving("a"));
+        }
+        node.state.borrow_mut().peers.insert(reader.1, serving("a"));
+        let asked_at = Instant::now();
+        while node.state.borrow().direct {
+            assert!(asked_at.elapsed() < ms(5_000), "never subscribed");
+            monoio::time::sleep(ms(20)).await;
+        }
+        reader_platform.cut.set(true);
+        reader_platform.config.set(9);
+        monoio::time::sleep(ms(1_500)).await;
+        assert_eq!(reader.0.state.borrow().config_version(), 7);
+        assert_eq!(node.state.borrow().config_version(), 9);
+    });
+}
+
+/// Symptom: a node that had let an upstream go sends to it again, twelve seconds after it left.
+/// Sequence: a reader was cut off; an upstream left; the cut heals; the reader keeps the vanished
+/// entry for two seconds; a node that knows better subscribes to it.
+/// Cause: passing on what is only kept in case it comes back.
+#[test]
+fn upstreams_that_are_only_kept_are_not_passed_on() {
+    run(async {
+        let platform = platform();
+        let (reader, at) = start(&platform);
+        monoio::time::sleep(ms(100)).await;
+        {
+            let mut state = reader.state.borrow_mut();
+            let now = Instant::now();
+            state.roster.store_lost(now);
+            state.roster.store_answers(now);
+            state.roster.apply(vec![place::Event::Gone("u1".into())], now);
+            assert!(state.roster.keeps_unlisted());
+        }
+        let mut state = state_at(SocketAddr::from(([127, 0, 0, 1], 65_535)), &[]);
+        state.peers.insert(at, serving("a"));
+        for n in 1..=2 {
+            state.peers.insert(SocketAddr::from(([127, 0, 0, 1], n)), serving("a"));
+        }
+        let node = Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()));
+        monoio::spawn(relay::run(node.clone()));
+        monoio::time::sleep(ms(1_500)).await;
+        assert!(node.state.borrow().pools.is_empty(), "nothing was taken from the reader");
+        assert!(node.state.borrow().direct);
+    });
+}
+
+/// Symptom: a node that is restarted during an outage of the platform serves nobody until it ends.
+/// Sequence: the platform is away; a node starts; its peers hold configuration and upstreams.
+/// Cause: asking only the platform.
+#[test]
+fn a_node_started_during_an_outage_takes_what_its_peers_hold() {
+    run(async {
+        let platform = platform();
+        let (peer, at) = start(&platform);
+        monoio::time::sleep(ms(100)).await;
+        peer.state.borrow_mut().roster.store_lost(Instant::now());
+        let mut settings = settings();
+        settings.peer_addr = SocketAddr::from(([127, 0, 0, 1], 65_535));
+        settings.seed_addrs = vec![at];
+        let node = Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings))), metrics()));
+        node.state.borrow_mut().roster.store_lost(Instant::now() - ms(300));
+        monoio::spawn(relay::run(node.clone()));
+        monoio::time::sleep(ms(800)).await;
+        assert!(node.state.borrow().is_ready());
+        assert_eq!(node.state.borrow().config_version(), 7);
+    });
+}
+
 /// Symptom: a node goes on sending to an upstream that left, through a reader that is cut off.
 /// Sequence: a reader stops hearing of changes but stays alive; others have seen more.
 /// Cause: trusting a peer because it is there.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -36,9 +36,10 @@
 /// other dead, and no one would talk first.
 const HEAL_ONE_IN: u32 = 4;
 
-/// Peers told at once of a newer head. All nodes that learn of it tell as many, so that of the
-/// others all but a few in a hundred hear of it several times.
-const TOLD_OF_HEADS: usize = 4;
+/// Peers told at once of a newer head, among those not known to have seen it. Each node that
+/// learns of it tells as many: where a third of a fleet of 16 learns of a change by itself, each
+/// of the others is told about three times.
+const TOLD_OF_HEADS: usize = 6;
 
 /// Pings relayed for others and not answered yet, beyond which the oldest is forgotten.
 const MAX_RELAYS: usize = 64;
@@ -212,8 +213,13 @@
         if !news || self.leaving {
             return Vec::new();
         }
-        let peers: Vec<SocketAddr> = self.reachable().collect();
-        let told = peers.into_iter().choose_multiple(&mut self.rng, TOLD_OF_HEADS);
+        // Peers known to have seen as much need not be told.
+        let behind = |peer: &Peer| {
+            peer.standing <= Standing::Suspect
+                && (peer.config_head < config_head || peer.list_head < list_head)
+        };
+        let peers = self.peers.iter().filter(|(_, peer)| behind(peer)).map(|(addr, _)| *addr);
+        let told = peers.choose_multiple(&mut self.rng, TOLD_OF_HEADS);
         told.into_iter().map(|to| self.pack(to, Body::News)).collect()
     }
 
--- /dev/null
+++ b/crates/oatcove/src/explain.rs
@@ -0,0 +1,100 @@
+//! The story of one request, out of the logs of all entry nodes.
+
+use std::collections::BTreeSet;
+
+use serde_json::Value;
+
+/// How long before a request's first line what its upstreams went through still matters, in ms.
+const CONTEXT_BEFORE_MS: u64 = 10_000;
+
+/// How long after its last line, in ms: a node learns of a crash seconds later.
+const CONTEXT_AFTER_MS: u64 = 5_000;
+
+/// Events of a node that explain what became of its requests.
+const NODE_EVENTS: [&str; 9] = [
+    "started",
+    "stopping",
+    "stopped",
+    "store_lost",
+    "store_regained",
+    "config_applied",
+    "behind_peers",
+    "peer_feed_ended",
+    "lines_dropped",
+];
+
+/// One line of a log.
+struct Line {
+    unix_ms: u64,
+    /// What stood before the JSON object, such as a node's name put there by a collector.
+    prefix: String,
+    value: Value,
+}
+
+/// Returns what is known of `request`, in order: its own lines, and those about the upstreams it
+/// was sent to and about the nodes that took it, around the time.
+///
+/// `logs` holds the lines of any number of nodes; text before a line's JSON object names its node.
+/// Lines that are no JSON are passed over.
+pub fn explain(request: &str, logs: &str) -> Vec<String> {
+    let lines: Vec<Line> = logs.lines().filter_map(parse).collect();
+    let own: Vec<&Line> = lines.iter().filter(|line| line.value["request"] == request).collect();
+    let (Some(first), Some(last)) =
+        (own.iter().map(|l| l.unix_ms).min(), own.iter().map(|l| l.unix_ms).max())
+    else {
+        return Vec::new();
+    };
+    let span = first.saturating_sub(CONTEXT_BEFORE_MS)..=last + CONTEXT_AFTER_MS;
+    let nodes: BTreeSet<&str> = own.iter().map(|line| node(&line.prefix)).collect();
+    let upstreams: BTreeSet<&str> = own.iter().flat_map(|line| upstreams(&line.value)).collect();
+    let mut story: Vec<&Line> = lines
+        .iter()
+        .filter(|line| {
+            let about_it = line.value["request"] == request;
+            let event = line.value["event"].as_str().unwrap_or_default();
+            let of_node = nodes.contains(node(&line.prefix)) && NODE_EVENTS.contains(&event);
+            let upstream = line.value["upstream"].as_str();
+            let of_upstream =
+                line.value["request"].is_null() && upstream.is_some_and(|u| upstreams.contains(u));
+            about_it || (span.contains(&line.unix_ms) && (of_node || of_upstream))
+        })
+        .collect();
+    story.sort_by_key(|line| line.unix_ms);
+    story.iter().map(|line| tell(line, request, first)).collect()
+}
+
+fn parse(text: &str) -> Option<Line> {
+    let at = text.find('{')?;
+    let value: Value = serde_json::from_str(&text[at..]).ok()?;
+    let unix_ms = value["unix_ms"].as_u64()?;
+    Some(Line { unix_ms, prefix: text[..at].trim().to_owned(), value })
+}
+
+/// Returns the last word of what stands before the JSON object.
+fn node(prefix: &str) -> &str {
+    prefix.rsplit(' ').next().unwrap_or_default()
+}
+
+fn upstreams(value: &Value) -> Vec<&str> {
+    let sends = value["sends"].as_array().into_iter().flatten();
+    let sent = sends.filter_map(|send| send["upstream"].as_str());
+    sent.chain(value["upstream"].as_str()).collect()
+}
+
+fn tell(line: &Line, request: &str, first_ms: u64) -> String {
+    let offset_ms = line.unix_ms as i64 - first_ms as i64;
+    let mark = if line.value["request"] == request { "*" } else { " " };
+    let event = line.value["event"].as_str().unwrap_or("?");
+    let fields: Vec<String> = line
+        .value
+        .as_object()
+        .into_iter()
+        .flatten()
+        .filter(|(name, _)| !["unix_ms", "event", "request"].contains(&name.as_str()))
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
+    format!("{mark} {offset_ms:+6} ms  {}  {event}  {}", node(&line.prefix), fields.join(" "))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/oatcove/src/explain/tests.rs
@@ -0,0 +1,30 @@
+use super::explain;
+
+const LOGS: &str = r#"
+node-1 {"unix_ms":1000,"event":"config_applied","version":7}
+node-1 {"unix_ms":5000,"event":"answer_lost","request":"aa","upstream":"u1","reason":"connection broke","sends":[{"upstream":"u1","at_ms":0,"predicted_ms":100,"report_age_ms":5}]}
+node-2 {"unix_ms":5100,"event":"probe_connect_failed","upstream":"u1"}
+node-2 {"unix_ms":5100,"event":"refused","request":"bb","reason":"would be too late","sends":[]}
+node-2 {"unix_ms":5200,"event":"config_applied","version":8}
+not a line
+node-1 {"unix_ms":4900,"event":"upstream_listed","upstream":"u2"}
+node-1 {"unix_ms":5300,"event":"late","request":"aa","sends":[{"upstream":"u1"},{"upstream":"u3"}]}
+node-2 {"unix_ms":99000,"event":"upstream_dropped","upstream":"u1"}
+"#;
+
+#[test]
+fn a_requests_story_is_its_lines_and_what_befell_its_node_and_upstreams() {
+    let story = explain("aa", LOGS).join("\n");
+    let lines: Vec<&str> = story.lines().collect();
+    assert_eq!(lines.len(), 4, "{story}");
+    assert!(lines[0].contains("config_applied") && lines[0].contains("-4000 ms"), "{story}");
+    assert!(lines[1].starts_with('*') && lines[1].contains("answer_lost"), "{story}");
+    assert!(lines[2].contains("node-2") && lines[2].contains("probe_connect_failed"), "{story}");
+    assert!(lines[3].starts_with('*') && lines[3].contains("+300 ms"), "{story}");
+}
+
+#[test]
+fn a_request_without_lines_has_no_story() {
+    assert!(explain("cc", LOGS).is_empty());
+    assert!(explain("aa", "").is_empty());
+}
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -18,6 +18,18 @@
     /// Prepares upstreams for planned stops
     #[bpaf(command("upstream"))]
     Upstream(#[bpaf(external(upstream_command))] UpstreamCommand),
+    /// Gathers what entry nodes logged about one request and prints it in order
+    ///
+    /// Example: `oatcove explain 9c41d07be2a35f68 edge-*.log`
+    #[bpaf(command("explain"))]
+    Explain {
+        /// Request id
+        #[bpaf(positional("REQUEST-ID"))]
+        request: String,
+        /// Log files; standard input when there is none
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Prints an entry node's status as JSON
     #[bpaf(command("status"))]
     Status {
@@ -119,6 +131,34 @@
             drain(&platform::Store::new(platform), upstream, &actor, wait, lift).await
         }
         Command::Status { entry } => status(entry).await,
+        Command::Explain { request, files } => explain(&request, &files),
+    }
+}
+
+fn explain(request: &str, files: &[PathBuf]) -> i32 {
+    let mut text = String::new();
+    if files.is_empty() {
+        if let Err(err) = std::io::Read::read_to_string(&mut std::io::stdin(), &mut text) {
+            eprintln!("error: standard input: {err}");
+            return exit::INVALID;
+        }
+    }
+    for file in files {
+        match read(file) {
+            Ok(more) => text.push_str(&more),
+            Err(code) => return code,
+        }
+    }
+    let story = oatcove::explain::explain(request, &text);
+    match story.is_empty() {
+        true => {
+            eprintln!("no line about request {request}: it was answered in time, or its lines were dropped (look for lines_dropped)");
+            exit::INVALID
+        }
+        false => {
+            story.iter().for_each(|line| println!("{line}"));
+            0
+        }
     }
 }
 
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -1,19 +1,13 @@
 //! Metrics of one entry node, by opentelemetry, as text at `GET /metrics`.
 //!
-//! The request path counts in [`Counters`], plain integers; a scrape carries
-//! what was added since the last one over into the instruments. Only the
-//! call-time histogram is recorded per call. Nothing is labelled by service
+//! Nothing is labelled by service
 //! or upstream: at 560 services and 6,700 upstreams (letter 1) one scrape
 //! would be megabytes; `GET /v1/status` has those figures.
 
-use std::cell::RefCell;
 use std::time::Duration;
 
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry::metrics::{Gauge, Histogram};
 use opentelemetry::KeyValue;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Registry, TextEncoder};
-use quick_error::quick_error;
 
 use crate::view::{Counters, View};
 
@@ -21,44 +15,16 @@
 const CALL_SECONDS: [f64; 13] =
     [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
 
-quick_error! {
-    /// Why metrics could not be had.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The exporter could not be set up.
-        Setup(message: String) {
-            display("metrics cannot be set up: {}", message)
-        }
-        /// The text could not be written.
-        Encode(message: String) {
-            display("metrics cannot be written: {}", message)
-        }
-    }
-}
-
-/// One counter and where its value stands.
-struct Carried {
-    instrument: Counter<u64>,
-    read: fn(&Counters) -> u64,
-    carried: u64,
-}
-
 /// The instruments of one entry node.
 pub struct Metrics {
-    registry: Registry,
-    /// Kept alive: instruments stop recording once their provider is gone.
-    _provider: SdkMeterProvider,
-    counters: RefCell<Vec<Carried>>,
+    carried: meter::Metrics<Counters>,
     call_seconds: Histogram<f64>,
     in_flight: Gauge<u64>,
     config_head: Gauge<u64>,
     peers_reachable: Gauge<u64>,
 }
 
-/// Name, description and value of each counter.
-type Named = (&'static str, &'static str, fn(&Counters) -> u64);
-
-const COUNTERS: [Named; 14] = [
+const COUNTERS: [meter::Named<Counters>; 14] = [
     ("oatcove_calls", "Calls received", |c| c.calls),
     ("oatcove_calls_done", "Calls answered by an upstream", |c| c.done),
     ("oatcove_calls_not_run", "Calls told not-run", |c| c.not_run),
@@ -80,34 +46,19 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Setup`] when the exporter refuses its settings.
-    pub fn new() -> Result<Metrics, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .map_err(|err| Error::Setup(err.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("oatcoved");
-        let carried = |(name, description, read): Named| Carried {
-            instrument: meter.u64_counter(name).with_description(description).build(),
-            read,
-            carried: 0,
-        };
+    /// [`meter::Error::Setup`] when the exporter refuses its settings.
+    pub fn new() -> Result<Metrics, meter::Error> {
+        let carried = meter::Metrics::new("oatcoved", &COUNTERS)?;
         Ok(Metrics {
-            counters: RefCell::new(COUNTERS.into_iter().map(carried).collect()),
-            call_seconds: meter
-                .f64_histogram("oatcove_call_seconds")
-                .with_description("Time from a call's arrival to its answer")
-                .with_boundaries(CALL_SECONDS.to_vec())
-                .build(),
-            in_flight: meter.u64_gauge("oatcove_in_flight").build(),
-            config_head: meter.u64_gauge("oatcove_config_head").build(),
-            peers_reachable: meter.u64_gauge("oatcove_peers_reachable").build(),
-            registry,
-            _provider: provider,
+            call_seconds: carried.seconds(
+                "oatcove_call_seconds",
+                "Time from a call's arrival to its answer",
+                &CALL_SECONDS,
+            ),
+            in_flight: carried.gauge("oatcove_in_flight"),
+            config_head: carried.gauge("oatcove_config_head"),
+            peers_reachable: carried.gauge("oatcove_peers_reachable"),
+            carried,
         })
     }
 
@@ -120,21 +71,14 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Encode`] when the text cannot be written.
-    pub fn scrape(&self, view: &View) -> Result<String, Error> {
-        for counter in self.counters.borrow_mut().iter_mut() {
-            let now = (counter.read)(&view.counters);
-            counter.instrument.add(now.saturating_sub(counter.carried), &[]);
-            counter.carried = now;
-        }
+    /// [`meter::Error::Encode`] when the text cannot be written.
+    pub fn scrape(&self, view: &View) -> Result<String, meter::Error> {
         let reachable = |peer: &&crate::view::Peer| {
             peer.standing.is_some_and(|standing| standing <= wire::Standing::Suspect)
         };
         self.in_flight.record(view.in_flight, &[]);
         self.config_head.record(view.held_head(), &[]);
         self.peers_reachable.record(view.peers.values().filter(reachable).count() as u64, &[]);
-        TextEncoder::new()
-            .encode_to_string(&self.registry.gather())
-            .map_err(|err| Error::Encode(err.to_string()))
+        self.carried.scrape(&view.counters)
     }
 }
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -210,6 +210,11 @@
         due.iter().filter_map(|id| self.drop(id, "not back")).collect()
     }
 
+    /// Returns true while upstreams are kept that are not listed.
+    pub fn keeps_unlisted(&self) -> bool {
+        !self.vanished.is_empty()
+    }
+
     /// Returns when [`Roster::expire`] has something to do next.
     pub fn next_expiry(&self) -> Option<Instant> {
         self.vanished.values().min().copied()
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -31,7 +31,10 @@
 struct Collected {
     bytes: Vec<u8>,
     lines: usize,
+    /// Lines dropped and not told of yet.
     dropped: u64,
+    /// Lines dropped since start.
+    dropped_in_all: u64,
 }
 
 thread_local! {
@@ -87,11 +90,17 @@
             Some(Ok(())) => {}
             Some(Err(TrySendError::Full(_) | TrySendError::Disconnected(_))) | None => {
                 collected.dropped += lines;
+                collected.dropped_in_all += lines;
             }
         }
     });
 }
 
+/// Returns how many lines of this thread were dropped since start.
+pub fn dropped() -> u64 {
+    COLLECTED.with_borrow(|collected| collected.dropped_in_all)
+}
+
 /// Flushes and waits up to `timeout` until everything is written: the last lines of a process
 /// tell why it ended, and the process would otherwise end before they are out.
 pub fn finish(timeout: Duration) {
@@ -140,7 +149,10 @@
                 collected.lines += 1;
                 append(collected, self);
             }
-            false => collected.dropped += 1,
+            false => {
+                collected.dropped += 1;
+                collected.dropped_in_all += 1;
+            }
         });
     }
 }
