relay: subscribers say what they have seen; fewer false alarms of being behind

A subscriber now says what it has seen and the reader waits until it has seen as much; the pause is 150 ms against 350. A version is recorded two seconds after it was taken on: at start 22 of 129 nodes took themselves for the first.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -32,8 +32,7 @@
 /// Pause after a change before the next wait begins. Changes come in series,
 /// and each wait ends with the first one: without a pause a series of forty
 /// costs forty calls, with it the rest is taken in one.
-const PAUSE_CONFIG: Duration = Duration::from_millis(400);
-const PAUSE_UPSTREAMS: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(150);
 
 /// Pauses after failed reads: the first, and the longest. A node that was cut
 /// off must be in step again three seconds after the cut heals, and what
@@ -55,8 +54,10 @@
 const LOOK: Duration = Duration::from_millis(100);
 
 /// A peer that has seen more for this long shows that the own wait for changes
-/// is dead: usually all nodes hear of a change within a few milliseconds.
-const BEHIND_FOR: Duration = Duration::from_millis(250);
+/// is dead: usually all nodes hear of a change within a few milliseconds, or
+/// [`PAUSE`] later. Shorter than that, each series of changes would send half
+/// of the fleet to the platform.
+const BEHIND_FOR: Duration = Duration::from_millis(350);
 
 /// What can be followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,13 +75,6 @@
             Topic::Upstreams => "upstreams",
         }
     }
-
-    fn pause(self) -> Duration {
-        match self {
-            Topic::Config => PAUSE_CONFIG,
-            Topic::Upstreams => PAUSE_UPSTREAMS,
-        }
-    }
 }
 
 /// Place in the platform's history.
@@ -192,7 +186,7 @@
                         settle(&node).await;
                         Duration::ZERO
                     }
-                    () if changed => topic.pause(),
+                    () if changed => PAUSE,
                     () => Duration::ZERO,
                 }
             }
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -8,7 +8,7 @@
 
 use std::future::Future;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use audit::VersionRecord;
 use route::{Table, Version};
@@ -20,6 +20,10 @@
 /// How often a node looks whether there is something for it to record.
 const LOOK: Duration = Duration::from_millis(500);
 
+/// A version is recorded this long after it was taken on: a node that has just
+/// started knows no peers yet and would take itself for the first.
+const SETTLED: Duration = Duration::from_secs(2);
+
 /// Pause after a failed write.
 const RETRY: Duration = Duration::from_secs(2);
 
@@ -48,6 +52,7 @@
 struct Step {
     before: Option<Rc<Table>>,
     table: Rc<Table>,
+    noted_at: Instant,
     at_unix_ms: u64,
 }
 
@@ -56,7 +61,7 @@
     pub fn push(&mut self, before: Option<Rc<Table>>, table: Rc<Table>) {
         let at_unix_ms =
             SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-        self.steps.push(Step { before, table, at_unix_ms });
+        self.steps.push(Step { before, table, noted_at: Instant::now(), at_unix_ms });
         if self.steps.len() > REMEMBERED_MOST {
             self.steps.remove(0);
         }
@@ -106,7 +111,10 @@
     if !is_recorder(&state) || state.roster.store_is_away() {
         return None;
     }
-    let Step { before, table, at_unix_ms } = state.unrecorded.steps.first()?.clone();
+    let Step { before, table, noted_at, at_unix_ms } = state.unrecorded.steps.first()?.clone();
+    if noted_at.elapsed() < SETTLED {
+        return None;
+    }
     let text = |table: &Rc<Table>| table.to_text();
     let old = before.as_ref().map(text).unwrap_or_default();
     let mut record = VersionRecord {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -19,6 +19,7 @@
 use monoio::net::{TcpListener, TcpStream};
 use place::{Change, Entry, Event};
 use route::Table;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::follow::{self, Cursor, Topic};
@@ -64,12 +65,24 @@
 const LOOK_IN_STEP: Duration = Duration::from_millis(20);
 
 /// What a subscriber says first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Greeting {
-    /// It wants nothing that is older than what the platform would tell.
-    Current = 1,
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Greeting {
     /// It holds nothing and the platform does not answer it: anything is better.
-    Anything = 2,
+    takes_anything: bool,
+    /// The newest change of the configuration that it has seen; older answers are of no use.
+    config_newest: Cursor,
+    /// The same for the list of upstreams.
+    list_newest: Cursor,
+}
+
+impl Greeting {
+    fn of(state: &State) -> Greeting {
+        Greeting {
+            takes_anything: !state.is_in_step(),
+            config_newest: state.config_seen.newest,
+            list_newest: state.list_seen.newest,
+        }
+    }
 }
 
 /// One message to a subscriber.
@@ -131,13 +144,6 @@
         Frame::Changes { up_to: seen.up_to, newest: seen.newest, events }
     }
 
-    fn encode(&self) -> Vec<u8> {
-        let body = postcard::to_stdvec(self).expect("frames encode");
-        let mut bytes = u32::try_from(body.len()).unwrap_or(u32::MAX).to_be_bytes().to_vec();
-        bytes.extend_from_slice(&body);
-        bytes
-    }
-
     /// Returns true when the frame lacks a change that this node has seen already.
     fn is_stale(&self, state: &State) -> bool {
         match self {
@@ -148,6 +154,14 @@
     }
 }
 
+/// Encodes a message behind its length.
+fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    let body = postcard::to_stdvec(message).expect("messages encode");
+    let mut bytes = u32::try_from(body.len()).unwrap_or(u32::MAX).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
 /// Peers that are told of changes.
 #[derive(Default)]
 pub struct Subscribers {
@@ -175,7 +189,7 @@
         if queues.is_empty() {
             return;
         }
-        let bytes = Rc::new(frame.encode());
+        let bytes = Rc::new(encode(frame));
         queues.retain(|queue| queue.push(bytes.clone()));
     }
 
@@ -244,16 +258,14 @@
 fn may_pass_on(state: &State, greeting: Greeting) -> bool {
     let current =
         state.reaches_platform && !state.roster.store_is_away() && !state.roster.keeps_unlisted();
-    state.is_in_step() && (current || greeting == Greeting::Anything)
+    let enough = state.config_seen.up_to >= greeting.config_newest
+        && state.list_seen.up_to >= greeting.list_newest;
+    state.is_in_step() && enough && (current || greeting.takes_anything)
 }
 
 async fn serve_one(mut stream: TcpStream, node: Rc<Node>) {
-    let greeting = stream.read_exact(vec![0; 1]);
-    let greeting = match monoio::time::timeout(FIRST_FRAME, greeting).await {
-        Ok((Ok(_), bytes)) if bytes[0] == Greeting::Current as u8 => Greeting::Current,
-        Ok((Ok(_), bytes)) if bytes[0] == Greeting::Anything as u8 => Greeting::Anything,
-        _ => return,
-    };
+    let greeting = monoio::time::timeout(FIRST_FRAME, receive::<Greeting>(&mut stream));
+    let Ok(Ok(greeting)) = greeting.await else { return };
     let asked_at = Instant::now();
     while !may_pass_on(&node.state.borrow(), greeting) {
         if !node.state.borrow().reaches_platform || asked_at.elapsed() > FIRST_FRAME {
@@ -266,8 +278,8 @@
     // What is held now and all that follows: nothing is awaited in between, so no change is lost.
     let mut first = {
         let state = node.state.borrow();
-        let mut bytes = Frame::config(&state).encode();
-        bytes.extend_from_slice(&Frame::list(&state).encode());
+        let mut bytes = encode(&Frame::config(&state));
+        bytes.extend_from_slice(&encode(&Frame::list(&state)));
         bytes
     };
     let queue = Queue { frames: queue, waiting: waiting.clone() };
@@ -282,7 +294,7 @@
                 bytes.as_ref().clone()
             }
             Ok(None) => return,
-            Err(_) => Frame::Alive.encode(),
+            Err(_) => encode(&Frame::Alive),
         };
     }
 }
@@ -345,11 +357,8 @@
 async fn subscribe(node: &Rc<Node>, peer: SocketAddr) -> Ended {
     let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(peer));
     let Ok(Ok(mut stream)) = connecting.await else { return Ended::Failed };
-    let greeting = match node.state.borrow().is_in_step() {
-        true => Greeting::Current,
-        false => Greeting::Anything,
-    };
-    if stream.write_all(vec![greeting as u8]).await.0.is_err() {
+    let greeting = encode(&Greeting::of(&node.state.borrow()));
+    if stream.write_all(greeting).await.0.is_err() {
         return Ended::Failed;
     }
     let mut patience = FIRST_FRAME;
@@ -358,7 +367,7 @@
     let mut moved = pin!(until_moved(node, peer));
     loop {
         let frame = monoio::select! {
-            frame = monoio::time::timeout(patience, receive(&mut stream)) => frame,
+            frame = monoio::time::timeout(patience, receive::<Frame>(&mut stream)) => frame,
             () = &mut config_behind => return Ended::Behind,
             () = &mut list_behind => return Ended::Behind,
             () = &mut moved => return Ended::Moved,
@@ -392,8 +401,8 @@
     }
 }
 
-/// Receives one frame.
-async fn receive(stream: &mut TcpStream) -> io::Result<Frame> {
+/// Receives one message.
+async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
     let (read, length) = stream.read_exact(vec![0; 4]).await;
     read?;
     let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
