--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -28,8 +28,10 @@
 /// Most second sends that a node may save up.
 const RETRY_BURST_MOST: f64 = 4.0;
 
-/// Second sends that a node begins with: it doesn't know yet how many others there are.
-const RETRY_BURST_FIRST: f64 = 1.0;
+/// Second sends that a node begins with at most, and only its share of the
+/// slack: forty nodes that each began with one would exceed that of a small
+/// fleet. A node that knows no others begins with none and earns its first.
+const RETRY_FIRST_MOST: f64 = 1.0;
 
 /// What is known of another entry node.
 #[derive(Clone, Debug)]
@@ -261,7 +263,8 @@
     fn budget(&mut self, service: &ServiceName) -> &mut limit::RetryBudget {
         let share = self.settings.retry_slack * RETRY_SLACK_PART / self.fleet_size() as f64;
         let burst = share.clamp(1.0, RETRY_BURST_MOST);
-        let fresh = || limit::RetryBudget::with_burst(RETRY_BURST_FIRST);
+        let first = if self.peers.is_empty() { 0.0 } else { share.min(RETRY_FIRST_MOST) };
+        let fresh = || limit::RetryBudget::with_burst(first);
         let budget = self.budgets.entry(service.clone()).or_insert_with(fresh);
         budget.set_burst(burst);
         budget
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -17,6 +17,9 @@
 use crate::state::State;
 use crate::{HeaderNames, Settings};
 
+/// Requests that earn a node more second sends than a test needs.
+const EARNED_BY: usize = 40;
+
 /// Longest that a test waits for anything.
 const PATIENCE: Duration = Duration::from_secs(5);
 
@@ -226,6 +229,8 @@
         state.roster.apply(vec![place::Event::Put(entry.clone())], Instant::now());
         state.apply_change(&Change::Put(entry), Instant::now());
     }
+    // Requests before the test's own have earned it a second send.
+    (0..EARNED_BY).for_each(|_| state.first_send(&"desk".into()));
     let node = Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()));
     monoio::spawn(crate::serve::run(listener, node.clone()));
     Entered { node, addr }
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole request path over loopback, against upstreams that do as they are told.
 
 mod beliefs;
+mod budgets;
 mod fake;
 mod long;
 mod relay;
