edge: forward in four modules, heads told by direct nodes only, settings reloaded

Now only nodes that read the platform themselves tell. - Settings are taken on again after SIGHUP or a change of the file.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,4 +1,11 @@
-//! Takes one request to its answer: route, choice, admission, sends, hedges, outcome.
+//! Takes one request to its answer: route, sends, hedges, outcome.
+//!
+//! [`choose`] picks the upstream of each send, [`send`] makes it and learns from its end, [`call`]
+//! is what they know of the request.
+
+mod call;
+mod choose;
+mod send;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,19 +16,20 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use place::{Candidate, End, UpstreamId, Verdict};
-use route::{Repeat, Route, ServiceName, Table};
-use serde::Serialize;
-use smol_str::SmolStr;
+use place::UpstreamId;
+use route::{Route, ServiceName, Table};
 use web::h1;
 
+pub use self::send::CONNECT_TIMEOUT;
+
+use self::call::{as_ms, Call, Choice, NoChoice, Tried};
 use crate::conns::{Conn, Conns};
-use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
+use crate::exchange::{Answer, Outcome, Sent};
 use crate::metrics::Metrics;
 use crate::probe;
 use crate::relay;
-use crate::reply::{self, Own};
-use crate::state::{Outstanding, Shared};
+use crate::reply::Own;
+use crate::state::Shared;
 
 /// A request is hedged once it has taken this many times its prediction: below,
 /// the ordinary spread of the work would use the budget up.
@@ -32,21 +40,9 @@
 /// upstream has likely gone silent.
 const HEDGE_LOST_FROM: f64 = 4.0;
 
-/// Upstreams asked for their load at once, and how often before one choice.
-const ASK_AT_ONCE: usize = 3;
-const ASK_ROUNDS: usize = 2;
-
 /// Upstreams tried for one request at most, those that could not be reached included.
 const UPSTREAMS_TRIED_MOST: usize = 4;
 
-/// Longest time for a connection to an upstream to be made: a hundred times
-/// the round trip between zones; a lost opening packet takes seconds.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// An upstream is told a deadline that is earlier by this, so that its own
-/// answer at the deadline still reaches the caller.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
-
 /// When to come back after refusals by upstreams that say nothing of their queues.
 const COME_BACK: Duration = Duration::from_millis(80);
 
@@ -56,9 +52,6 @@
 /// When to come back to another node.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
 
-/// Slowness up to which a machine counts as not slowed.
-const NOT_SLOWED: f64 = 1.1;
-
 /// The entry node's request path.
 pub struct Node {
     /// What the node believes.
@@ -95,95 +88,6 @@
     Own(Own),
 }
 
-/// One request on its way.
-struct Call<'a> {
-    head: &'a h1::RequestHead,
-    request_id: HeaderValue,
-    route: &'a Route,
-    service: ServiceName,
-    most_urgent: bool,
-    arrived: Instant,
-    deadline: Instant,
-    /// The sends so far, for the log.
-    sends: RefCell<Vec<SendMade>>,
-}
-
-/// One send of a request and what decided on it.
-#[derive(Clone, Debug, Serialize)]
-struct SendMade {
-    upstream: UpstreamId,
-    at_ms: u64,
-    predicted_ms: u64,
-    /// Age of the report that the prediction rests on; `None` when there was none.
-    report_age_ms: Option<u64>,
-}
-
-/// An upstream chosen for a request.
-struct Choice {
-    id: UpstreamId,
-    addr: SocketAddr,
-    predicted: Duration,
-    report_age: Option<Duration>,
-    /// Whether it reported a moment ago that it is not slowed and has room.
-    unhindered: bool,
-}
-
-/// Upstreams that a request was meant for.
-#[derive(Default)]
-struct Tried {
-    ids: Vec<UpstreamId>,
-    /// How many of them it may have reached.
-    arrived: u32,
-}
-
-impl Tried {
-    /// Takes how the only send under way ended.
-    fn ended(&mut self, outcome: Outcome) -> Outcome {
-        if matches!(outcome, Outcome::NotSent) {
-            self.arrived -= 1;
-        }
-        outcome
-    }
-}
-
-/// Why no upstream was chosen.
-enum NoChoice {
-    NoUpstream,
-    /// The best one would answer too late.
-    Refused {
-        come_back: Duration,
-        best: UpstreamId,
-        predicted: Duration,
-        wait: Duration,
-        report_age: Option<Duration>,
-    },
-}
-
-impl Call<'_> {
-    fn left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
-    }
-
-    fn objective_left(&self) -> Duration {
-        (self.arrived + self.route.objective).saturating_duration_since(Instant::now())
-    }
-
-    fn repeatable(&self) -> bool {
-        self.route.repeat == Repeat::Idempotent
-    }
-
-    /// Begins a log line about the request.
-    fn line(&self, event: &'static str) -> trace::Line {
-        trace::Line::new(event)
-            .field("request", self.request_id.to_str().unwrap_or("?"))
-            .field("route", self.route.name.as_str())
-            .field("service", self.service.as_str())
-            .field("age_ms", self.arrived.elapsed().as_millis() as u64)
-            .field("left_ms", self.left().as_millis() as u64)
-            .field("sends", &*self.sends.borrow())
-    }
-}
-
 /// Returns true for an answer that is passed on even if the request could be sent again.
 fn is_final(outcome: &Outcome) -> bool {
     matches!(outcome, Outcome::Answered(answer) if !answer.head.status.is_server_error())
@@ -500,202 +404,6 @@
             Outcome::Lost(why) => Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, why)),
         }
     }
-
-    async fn send_with<F>(
-        &self,
-        call: &Call<'_>,
-        choice: &Choice,
-        framing: Option<(http::HeaderName, HeaderValue)>,
-        body: &Bytes,
-        rest: F,
-    ) -> Outcome
-    where
-        F: AsyncFnOnce(&mut h1::Writer) -> Sent,
-    {
-        call.sends.borrow_mut().push(SendMade {
-            upstream: choice.id.clone(),
-            at_ms: as_ms(call.arrived.elapsed()),
-            predicted_ms: as_ms(choice.predicted),
-            report_age_ms: choice.report_age.map(as_ms),
-        });
-        let counted = Outstanding::start(&self.state, &call.service, &choice.id);
-        let sent_at = Instant::now();
-        let timeout = CONNECT_TIMEOUT.min(call.left());
-        let conn = match self.connection(&choice.id, choice.addr, timeout).await {
-            Ok(conn) => conn,
-            Err(err) => {
-                call.line("connect_failed")
-                    .field("upstream", choice.id.as_str())
-                    .field("error", err.to_string())
-                    .log();
-                counted.end(End::Failed);
-                return Outcome::NotSent;
-            }
-        };
-        let names = self.state.borrow().settings.headers.clone();
-        let headers = upstream_headers(call, choice, &names, framing);
-        let mut bytes = h1::write_request(&call.head.method, &call.head.target, &headers);
-        bytes.extend_from_slice(body);
-        let (method, request_id) = (call.head.method.clone(), call.request_id.clone());
-        let outgoing = Outgoing { method, bytes, request_id };
-        let (outcome, conn) = exchange::run(conn, outgoing, &names, rest).await;
-        if let Some(conn) = conn {
-            self.conns.put(&choice.id, conn);
-        }
-        self.learn(call, choice, &outcome, sent_at.elapsed());
-        counted.end(match &outcome {
-            Outcome::Answered(answer) if answer.head.status.is_server_error() => End::Failed,
-            Outcome::Answered(_) => End::Answered,
-            Outcome::NotRun(..) => End::Refused,
-            Outcome::NotSent => End::Failed,
-            Outcome::Lost(exchange::CALLER_LEFT) => End::GivenUp,
-            Outcome::Lost(_) => End::Failed,
-        });
-        outcome
-    }
-
-    /// Takes what the end of a send tells of the upstream.
-    fn learn(&self, call: &Call<'_>, choice: &Choice, outcome: &Outcome, took: Duration) {
-        let (id, service) = (&choice.id, &call.service);
-        match outcome {
-            Outcome::Answered(answer) => {
-                self.take_load(service, id, &answer.head.headers);
-                if !answer.head.status.is_server_error() {
-                    self.learn_time(call, choice, took);
-                    return;
-                }
-                call.line("upstream_error")
-                    .field("upstream", id.as_str())
-                    .field("status", answer.head.status.as_u16())
-                    .log();
-            }
-            Outcome::NotRun(status, headers) => {
-                self.take_load(service, id, headers);
-                call.line("not_run_by_upstream")
-                    .field("upstream", id.as_str())
-                    .field("status", status.as_u16())
-                    .log();
-                if *status == StatusCode::MISDIRECTED_REQUEST {
-                    // Another upstream has the address: this one is gone, listed or not.
-                    self.conns.close(id);
-                    if let Some(pool) = self.state.borrow_mut().pools.get_mut(service) {
-                        pool.remove(id);
-                    }
-                }
-            }
-            Outcome::NotSent => {}
-            Outcome::Lost(why) => {
-                call.line("answer_lost")
-                    .field("upstream", id.as_str())
-                    .field("reason", why)
-                    .field("took_ms", took.as_millis() as u64)
-                    .log();
-            }
-        }
-    }
-
-    fn learn_time(&self, call: &Call<'_>, choice: &Choice, took: Duration) {
-        if !choice.unhindered {
-            return;
-        }
-        let now = Instant::now();
-        let state = &mut *self.state.borrow_mut();
-        let Some(pool) = state.pools.get_mut(&call.service) else { return };
-        let still_unhindered = pool
-            .position(&choice.id)
-            .and_then(|index| pool.upstreams()[index].report(now))
-            .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED);
-        if still_unhindered {
-            let ratio = took.as_secs_f64() / choice.predicted.as_secs_f64().max(0.001);
-            pool.took_ratio(&choice.id, ratio, now);
-            state.works.sample(&call.route.name, call.route.objective, took);
-        }
-    }
-
-    /// Chooses the upstream for the next send, asking some for their load first where it helps.
-    async fn choose(
-        self: &Rc<Node>,
-        call: &Call<'_>,
-        tried: &[UpstreamId],
-    ) -> Result<Choice, NoChoice> {
-        let mut ranked = self.rank(call, tried);
-        for _ in 0..ASK_ROUNDS {
-            let ids = self.to_ask(call, &ranked);
-            if ids.is_empty() {
-                break;
-            }
-            probe::ask(self, &call.service, ids, call.route.objective).await;
-            ranked = self.rank(call, tried);
-        }
-        let state = &mut *self.state.borrow_mut();
-        let Some(pool) = state.pools.get(&call.service) else { return Err(NoChoice::NoUpstream) };
-        let Some(best) = ranked.first() else { return Err(NoChoice::NoUpstream) };
-        let room = place::Room {
-            deadline_left: call.left(),
-            objective_left: call.objective_left(),
-            most_urgent: call.most_urgent,
-        };
-        if let Verdict::Refuse { come_back } = place::admit(best, room, &mut state.rng) {
-            let upstream = &pool.upstreams()[best.index];
-            return Err(NoChoice::Refused {
-                come_back,
-                best: upstream.id.clone(),
-                predicted: best.prediction.took,
-                wait: best.prediction.wait,
-                report_age: upstream.report(Instant::now()).map(|(_, age)| age),
-            });
-        }
-        let upstream = &pool.upstreams()[best.index];
-        let report_age = upstream.report(Instant::now()).map(|(_, age)| age);
-        let unhindered = best.fresh
-            && upstream
-                .report(Instant::now())
-                .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED && load.has_room());
-        let (id, addr) = (upstream.id.clone(), upstream.addr);
-        Ok(Choice { id, addr, predicted: best.prediction.took, report_age, unhindered })
-    }
-
-    fn rank(&self, call: &Call<'_>, tried: &[UpstreamId]) -> Vec<Candidate> {
-        let state = &mut *self.state.borrow_mut();
-        let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
-        let ask = place::Ask {
-            policy: state.settings.policy,
-            work: state.works.of(&call.route.name, call.route.objective),
-            objective_left: call.objective_left(),
-            zone: &state.settings.zone,
-            tried,
-            repeatable: call.repeatable(),
-        };
-        pool.rank(ask, |id| self.conns.has(id), Instant::now(), &mut state.rng)
-    }
-
-    /// Returns the upstreams to ask for their load, within the budget of probes.
-    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate]) -> Vec<UpstreamId> {
-        let ids: Vec<SmolStr> = {
-            let state = self.state.borrow();
-            match state.pools.get(&call.service) {
-                Some(pool)
-                    if pool.reports() != Some(false)
-                        && state.settings.policy == place::Policy::Reports =>
-                {
-                    pool.to_ask(ranked, ASK_AT_ONCE)
-                        .into_iter()
-                        .map(|index| pool.upstreams()[index].id.clone())
-                        .collect()
-                }
-                _ => Vec::new(),
-            }
-        };
-        let (per_s, most) = probe::allowance(self, &call.service);
-        let mut budgets = self.probe_budgets.borrow_mut();
-        let budget = budgets.entry(call.service.clone()).or_default();
-        let taken = budget.take(ids.len(), per_s, most, Instant::now());
-        ids.into_iter().take(taken).collect()
-    }
-}
-
-fn as_ms(time: Duration) -> u64 {
-    time.as_millis() as u64
 }
 
 fn is_final_status(status: StatusCode) -> bool {
@@ -714,25 +422,3 @@
         false => Own::not_run(come_back, "not run; come back later"),
     })
 }
-
-/// Returns the headers of a request as the upstream gets them.
-fn upstream_headers(
-    call: &Call<'_>,
-    choice: &Choice,
-    names: &crate::HeaderNames,
-    framing: Option<(http::HeaderName, HeaderValue)>,
-) -> HeaderMap {
-    let mut headers = call.head.headers.clone();
-    reply::strip_connection_headers(&mut headers);
-    let left_ms = call.left().saturating_sub(DEADLINE_MARGIN).as_millis().max(1) as u64;
-    headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
-    headers.insert(&names.request_id, call.request_id.clone());
-    match HeaderValue::from_str(&choice.id) {
-        Ok(id) => drop(headers.insert(&names.expect_upstream, id)),
-        Err(_) => drop(headers.remove(&names.expect_upstream)),
-    }
-    if let Some((name, value)) = framing {
-        headers.insert(name, value);
-    }
-    headers
-}
--- /dev/null
+++ b/crates/edge/src/forward/call.rs
@@ -0,0 +1,106 @@
+//! One request on its way: what it asks, what was chosen for it, what was sent.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use http::HeaderValue;
+use place::UpstreamId;
+use route::{Repeat, Route, ServiceName};
+use serde::Serialize;
+use web::h1;
+
+use crate::exchange::Outcome;
+
+/// One request on its way.
+pub(super) struct Call<'a> {
+    pub(super) head: &'a h1::RequestHead,
+    pub(super) request_id: HeaderValue,
+    pub(super) route: &'a Route,
+    pub(super) service: ServiceName,
+    pub(super) most_urgent: bool,
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+    /// The sends so far, for the log.
+    pub(super) sends: RefCell<Vec<SendMade>>,
+}
+
+/// One send of a request and what decided on it.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct SendMade {
+    pub(super) upstream: UpstreamId,
+    pub(super) at_ms: u64,
+    pub(super) predicted_ms: u64,
+    /// Age of the report that the prediction rests on; `None` when there was none.
+    pub(super) report_age_ms: Option<u64>,
+}
+
+/// An upstream chosen for a request.
+pub(super) struct Choice {
+    pub(super) id: UpstreamId,
+    pub(super) addr: SocketAddr,
+    pub(super) predicted: Duration,
+    pub(super) report_age: Option<Duration>,
+    /// Whether it reported a moment ago that it is not slowed and has room.
+    pub(super) unhindered: bool,
+}
+
+/// Upstreams that a request was meant for.
+#[derive(Default)]
+pub(super) struct Tried {
+    pub(super) ids: Vec<UpstreamId>,
+    /// How many of them it may have reached.
+    pub(super) arrived: u32,
+}
+
+impl Tried {
+    /// Takes how the only send under way ended.
+    pub(super) fn ended(&mut self, outcome: Outcome) -> Outcome {
+        if matches!(outcome, Outcome::NotSent) {
+            self.arrived -= 1;
+        }
+        outcome
+    }
+}
+
+/// Why no upstream was chosen.
+pub(super) enum NoChoice {
+    NoUpstream,
+    /// The best one would answer too late.
+    Refused {
+        come_back: Duration,
+        best: UpstreamId,
+        predicted: Duration,
+        wait: Duration,
+        report_age: Option<Duration>,
+    },
+}
+
+impl Call<'_> {
+    pub(super) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    pub(super) fn objective_left(&self) -> Duration {
+        (self.arrived + self.route.objective).saturating_duration_since(Instant::now())
+    }
+
+    pub(super) fn repeatable(&self) -> bool {
+        self.route.repeat == Repeat::Idempotent
+    }
+
+    /// Begins a log line about the request.
+    pub(super) fn line(&self, event: &'static str) -> trace::Line {
+        trace::Line::new(event)
+            .field("request", self.request_id.to_str().unwrap_or("?"))
+            .field("route", self.route.name.as_str())
+            .field("service", self.service.as_str())
+            .field("age_ms", self.arrived.elapsed().as_millis() as u64)
+            .field("left_ms", self.left().as_millis() as u64)
+            .field("sends", &*self.sends.borrow())
+    }
+}
+
+pub(super) fn as_ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
--- /dev/null
+++ b/crates/edge/src/forward/choose.rs
@@ -0,0 +1,99 @@
+//! The choice of an upstream for the next send of a request.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use place::{Candidate, UpstreamId, Verdict};
+use smol_str::SmolStr;
+
+use super::call::{Call, Choice, NoChoice};
+use super::send::NOT_SLOWED;
+use super::Node;
+use crate::probe;
+
+/// Upstreams asked for their load at once, and how often before one choice.
+const ASK_AT_ONCE: usize = 3;
+const ASK_ROUNDS: usize = 2;
+
+impl Node {
+    /// Chooses the upstream for the next send, asking some for their load first where it helps.
+    pub(super) async fn choose(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        tried: &[UpstreamId],
+    ) -> Result<Choice, NoChoice> {
+        let mut ranked = self.rank(call, tried);
+        for _ in 0..ASK_ROUNDS {
+            let ids = self.to_ask(call, &ranked);
+            if ids.is_empty() {
+                break;
+            }
+            probe::ask(self, &call.service, ids, call.route.objective).await;
+            ranked = self.rank(call, tried);
+        }
+        let state = &mut *self.state.borrow_mut();
+        let Some(pool) = state.pools.get(&call.service) else { return Err(NoChoice::NoUpstream) };
+        let Some(best) = ranked.first() else { return Err(NoChoice::NoUpstream) };
+        let room = place::Room {
+            deadline_left: call.left(),
+            objective_left: call.objective_left(),
+            most_urgent: call.most_urgent,
+        };
+        if let Verdict::Refuse { come_back } = place::admit(best, room, &mut state.rng) {
+            let upstream = &pool.upstreams()[best.index];
+            return Err(NoChoice::Refused {
+                come_back,
+                best: upstream.id.clone(),
+                predicted: best.prediction.took,
+                wait: best.prediction.wait,
+                report_age: upstream.report(Instant::now()).map(|(_, age)| age),
+            });
+        }
+        let upstream = &pool.upstreams()[best.index];
+        let report_age = upstream.report(Instant::now()).map(|(_, age)| age);
+        let unhindered = best.fresh
+            && upstream
+                .report(Instant::now())
+                .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED && load.has_room());
+        let (id, addr) = (upstream.id.clone(), upstream.addr);
+        Ok(Choice { id, addr, predicted: best.prediction.took, report_age, unhindered })
+    }
+
+    fn rank(&self, call: &Call<'_>, tried: &[UpstreamId]) -> Vec<Candidate> {
+        let state = &mut *self.state.borrow_mut();
+        let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
+        let ask = place::Ask {
+            policy: state.settings.policy,
+            work: state.works.of(&call.route.name, call.route.objective),
+            objective_left: call.objective_left(),
+            zone: &state.settings.zone,
+            tried,
+            repeatable: call.repeatable(),
+        };
+        pool.rank(ask, |id| self.conns.has(id), Instant::now(), &mut state.rng)
+    }
+
+    /// Returns the upstreams to ask for their load, within the budget of probes.
+    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate]) -> Vec<UpstreamId> {
+        let ids: Vec<SmolStr> = {
+            let state = self.state.borrow();
+            match state.pools.get(&call.service) {
+                Some(pool)
+                    if pool.reports() != Some(false)
+                        && state.settings.policy == place::Policy::Reports =>
+                {
+                    pool.to_ask(ranked, ASK_AT_ONCE)
+                        .into_iter()
+                        .map(|index| pool.upstreams()[index].id.clone())
+                        .collect()
+                }
+                _ => Vec::new(),
+            }
+        };
+        let (per_s, most) = probe::allowance(self, &call.service);
+        let mut budgets = self.probe_budgets.borrow_mut();
+        let budget = budgets.entry(call.service.clone()).or_default();
+        let taken = budget.take(ids.len(), per_s, most, Instant::now());
+        ids.into_iter().take(taken).collect()
+    }
+}
--- /dev/null
+++ b/crates/edge/src/forward/send.rs
@@ -0,0 +1,160 @@
+//! One send of a request to one upstream, and what its end tells of that upstream.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use place::End;
+use web::h1;
+
+use super::call::{as_ms, Call, Choice, SendMade};
+use super::Node;
+use crate::exchange::{self, Outcome, Outgoing, Sent};
+use crate::reply;
+use crate::state::Outstanding;
+
+/// An upstream is told a deadline that is earlier by this, so that its own
+/// answer at the deadline still reaches the caller.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
+/// Slowness up to which a machine counts as not slowed.
+pub(super) const NOT_SLOWED: f64 = 1.1;
+
+/// Longest time for a connection to an upstream to be made: a hundred times
+/// the round trip between zones; a lost opening packet takes seconds.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+impl Node {
+    pub(super) async fn send_with<F>(
+        &self,
+        call: &Call<'_>,
+        choice: &Choice,
+        framing: Option<(http::HeaderName, HeaderValue)>,
+        body: &Bytes,
+        rest: F,
+    ) -> Outcome
+    where
+        F: AsyncFnOnce(&mut h1::Writer) -> Sent,
+    {
+        call.sends.borrow_mut().push(SendMade {
+            upstream: choice.id.clone(),
+            at_ms: as_ms(call.arrived.elapsed()),
+            predicted_ms: as_ms(choice.predicted),
+            report_age_ms: choice.report_age.map(as_ms),
+        });
+        let counted = Outstanding::start(&self.state, &call.service, &choice.id);
+        let sent_at = Instant::now();
+        let timeout = CONNECT_TIMEOUT.min(call.left());
+        let conn = match self.connection(&choice.id, choice.addr, timeout).await {
+            Ok(conn) => conn,
+            Err(err) => {
+                call.line("connect_failed")
+                    .field("upstream", choice.id.as_str())
+                    .field("error", err.to_string())
+                    .log();
+                counted.end(End::Failed);
+                return Outcome::NotSent;
+            }
+        };
+        let names = self.state.borrow().settings.headers.clone();
+        let headers = upstream_headers(call, choice, &names, framing);
+        let mut bytes = h1::write_request(&call.head.method, &call.head.target, &headers);
+        bytes.extend_from_slice(body);
+        let (method, request_id) = (call.head.method.clone(), call.request_id.clone());
+        let outgoing = Outgoing { method, bytes, request_id };
+        let (outcome, conn) = exchange::run(conn, outgoing, &names, rest).await;
+        if let Some(conn) = conn {
+            self.conns.put(&choice.id, conn);
+        }
+        self.learn(call, choice, &outcome, sent_at.elapsed());
+        counted.end(match &outcome {
+            Outcome::Answered(answer) if answer.head.status.is_server_error() => End::Failed,
+            Outcome::Answered(_) => End::Answered,
+            Outcome::NotRun(..) => End::Refused,
+            Outcome::NotSent => End::Failed,
+            Outcome::Lost(exchange::CALLER_LEFT) => End::GivenUp,
+            Outcome::Lost(_) => End::Failed,
+        });
+        outcome
+    }
+
+    /// Takes what the end of a send tells of the upstream.
+    fn learn(&self, call: &Call<'_>, choice: &Choice, outcome: &Outcome, took: Duration) {
+        let (id, service) = (&choice.id, &call.service);
+        match outcome {
+            Outcome::Answered(answer) => {
+                self.take_load(service, id, &answer.head.headers);
+                if !answer.head.status.is_server_error() {
+                    self.learn_time(call, choice, took);
+                    return;
+                }
+                call.line("upstream_error")
+                    .field("upstream", id.as_str())
+                    .field("status", answer.head.status.as_u16())
+                    .log();
+            }
+            Outcome::NotRun(status, headers) => {
+                self.take_load(service, id, headers);
+                call.line("not_run_by_upstream")
+                    .field("upstream", id.as_str())
+                    .field("status", status.as_u16())
+                    .log();
+                if *status == StatusCode::MISDIRECTED_REQUEST {
+                    // Another upstream has the address: this one is gone, listed or not.
+                    self.conns.close(id);
+                    if let Some(pool) = self.state.borrow_mut().pools.get_mut(service) {
+                        pool.remove(id);
+                    }
+                }
+            }
+            Outcome::NotSent => {}
+            Outcome::Lost(why) => {
+                call.line("answer_lost")
+                    .field("upstream", id.as_str())
+                    .field("reason", why)
+                    .field("took_ms", took.as_millis() as u64)
+                    .log();
+            }
+        }
+    }
+
+    fn learn_time(&self, call: &Call<'_>, choice: &Choice, took: Duration) {
+        if !choice.unhindered {
+            return;
+        }
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        let Some(pool) = state.pools.get_mut(&call.service) else { return };
+        let still_unhindered = pool
+            .position(&choice.id)
+            .and_then(|index| pool.upstreams()[index].report(now))
+            .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED);
+        if still_unhindered {
+            let ratio = took.as_secs_f64() / choice.predicted.as_secs_f64().max(0.001);
+            pool.took_ratio(&choice.id, ratio, now);
+            state.works.sample(&call.route.name, call.route.objective, took);
+        }
+    }
+}
+
+/// Returns the headers of a request as the upstream gets them.
+fn upstream_headers(
+    call: &Call<'_>,
+    choice: &Choice,
+    names: &crate::HeaderNames,
+    framing: Option<(http::HeaderName, HeaderValue)>,
+) -> HeaderMap {
+    let mut headers = call.head.headers.clone();
+    reply::strip_connection_headers(&mut headers);
+    let left_ms = call.left().saturating_sub(DEADLINE_MARGIN).as_millis().max(1) as u64;
+    headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
+    headers.insert(&names.request_id, call.request_id.clone());
+    match HeaderValue::from_str(&choice.id) {
+        Ok(id) => drop(headers.insert(&names.expect_upstream, id)),
+        Err(_) => drop(headers.remove(&names.expect_upstream)),
+    }
+    if let Some((name, value)) = framing {
+        headers.insert(name, value);
+    }
+    headers
+}
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -48,14 +48,14 @@
         members
     };
     while let Some(input) = rx.recv().await {
-        let (config_head, list_head) = {
+        let (config_head, list_head, direct) = {
             let state = node.state.borrow();
             match state.is_ready() {
-                true => (state.config_seen.newest, state.list_seen.newest),
-                false => (0, 0),
+                true => (state.config_seen.newest, state.list_seen.newest, state.direct),
+                false => (0, 0, false),
             }
         };
-        let mut out = members.set_heads(config_head, list_head);
+        let mut out = members.set_heads(config_head, list_head, direct);
         out.extend(handle(&mut members, input, Instant::now()));
         for event in members.take_events() {
             apply(&node, event);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -170,6 +170,18 @@
         }
     }
 
+    /// Takes on what may change about the settings of a running process. Names and addresses may
+    /// not: sockets are bound and peers know them.
+    pub fn reload(&mut self, settings: Settings) {
+        let own = &mut self.settings;
+        own.seed_addrs = settings.seed_addrs;
+        own.directory_ttl = settings.directory_ttl;
+        own.stop_grace = settings.stop_grace;
+        own.retry_ratio = settings.retry_ratio;
+        own.retry_slack = settings.retry_slack;
+        own.probes_per_upstream_s = settings.probes_per_upstream_s;
+    }
+
     /// Returns the version of the configuration in force; 0 before the first.
     pub fn config_version(&self) -> route::Version {
         self.table.as_ref().map_or(0, |table| table.version)
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -53,12 +53,15 @@
     }
 }
 
-/// Does housekeeping until SIGTERM, calling `reload` when the settings may have changed.
-pub async fn run_until_signal(signals: &Signals, node: &Rc<Node>, mut reload: impl FnMut()) {
+/// Does housekeeping until SIGTERM. Calls `reload` often; its argument tells whether a signal said
+/// that the settings changed. They may change without one too.
+pub async fn run_until_signal(
+    signals: &Signals,
+    node: &Rc<Node>,
+    mut reload: impl FnMut(&Node, bool),
+) {
     while !signals.stop.load(Ordering::Relaxed) {
-        if signals.reload.swap(false, Ordering::Relaxed) {
-            reload();
-        }
+        reload(node, signals.reload.swap(false, Ordering::Relaxed));
         housekeeping(node);
         monoio::time::sleep(TICK).await;
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -36,9 +36,8 @@
 /// other dead, and no one would talk first.
 const HEAL_ONE_IN: u32 = 4;
 
-/// Peers told at once of a newer head, among those not known to have seen it. Each node that
-/// learns of it tells as many: where a third of a fleet of 16 learns of a change by itself, each
-/// of the others is told about three times.
+/// Peers told at once of a newer head, among those not known to have seen it. One that is behind
+/// then asks the platform itself and tells as many.
 const TOLD_OF_HEADS: usize = 6;
 
 /// Pings relayed for others and not answered yet, beyond which the oldest is forgotten.
@@ -201,16 +200,18 @@
         self.me.config_head = head;
     }
 
-    /// Records up to which commits this node holds the config and the list of upstreams, and
-    /// tells a few peers at once when either is news.
+    /// Records up to which commits this node holds the config and the list of upstreams, and with
+    /// `tell` tells a few peers at once when either is news.
     ///
     /// Pings alone would tell of a change within about a second; a peer whose own source of
-    /// changes is dead must notice sooner than that.
-    pub fn set_heads(&mut self, config_head: u64, list_head: u64) -> Vec<Outgoing> {
+    /// changes is dead must notice sooner than that. Where every node of a fleet of 300 told six
+    /// others of every change, that alone was most of the bytes between zones: only nodes that
+    /// have the change from the platform itself should tell.
+    pub fn set_heads(&mut self, config_head: u64, list_head: u64, tell: bool) -> Vec<Outgoing> {
         let news = config_head > self.me.config_head || list_head > self.me.list_head;
         self.me.config_head = config_head;
         self.me.list_head = list_head;
-        if !news || self.leaving {
+        if !news || !tell || self.leaving {
             return Vec::new();
         }
         // Peers known to have seen as much need not be told.
