One place for headers of one connection; crate `store` for the project's own store client

Cause: `crates/platform` had the name of the users' adapter; the list of connection headers, and the look for vanished entries, stood twice (the latter compared every pair: 9 million comparisons per read of 3,000 upstreams). `web::strip_connection_headers` also drops what `Connection` lists, on the product's own interface too.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -365,6 +365,10 @@
     if applied {
         node.subscribers.tell(&relay::Frame::config(&node.state.borrow()));
     }
+    // A peer's feed begins with the version held already.
+    if version == held {
+        return;
+    }
     trace::Line::new(if applied { "config_applied" } else { "config_not_newer" })
         .field("version", version)
         .field("held", held)
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -10,7 +10,6 @@
 use super::call::{as_ms, Call, Choice, SendMade};
 use super::Node;
 use crate::exchange::{self, Outcome, Outgoing, Sent};
-use crate::reply;
 use crate::state::Outstanding;
 
 /// An upstream is told a deadline that is earlier by this, so that its own
@@ -145,7 +144,7 @@
     framing: Option<(http::HeaderName, HeaderValue)>,
 ) -> HeaderMap {
     let mut headers = call.head.headers.clone();
-    reply::strip_connection_headers(&mut headers);
+    web::strip_connection_headers(&mut headers);
     let left_ms = call.left().saturating_sub(DEADLINE_MARGIN).as_millis().max(1) as u64;
     headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
     headers.insert(&names.request_id, call.request_id.clone());
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -2,39 +2,9 @@
 
 use std::time::Duration;
 
-use http::header::{HeaderName, HeaderValue};
+use http::header::HeaderValue;
 use http::{HeaderMap, StatusCode};
 
-/// Headers that concern one connection only and are never passed on.
-const CONNECTION_HEADERS: [&str; 8] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-];
-
-/// Removes the headers that concern one connection only, those that `Connection` lists included.
-pub fn strip_connection_headers(headers: &mut HeaderMap) {
-    let listed: Vec<HeaderName> = headers
-        .get_all(http::header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
-        .collect();
-    for name in listed {
-        headers.remove(name);
-    }
-    for name in CONNECTION_HEADERS {
-        headers.remove(name);
-    }
-    headers.remove(http::header::CONTENT_LENGTH);
-}
-
 /// An answer of the node's own.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Own {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -13,7 +13,7 @@
 
 use crate::exchange::{Answer, AnswerBody};
 use crate::forward::{Body, Node, Reply};
-use crate::reply::{self, Own};
+use crate::reply::Own;
 
 /// A request body up to this size is received in full before it is sent on, so
 /// that it can be sent again; longer ones are passed on as they come.
@@ -321,7 +321,7 @@
     let Answer { head, body } = answer;
     let stated_length = head.headers.get(CONTENT_LENGTH).cloned();
     let mut headers = head.headers;
-    reply::strip_connection_headers(&mut headers);
+    web::strip_connection_headers(&mut headers);
     set_close(&mut headers, close);
     let lengthless = matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     match body {
--- a/crates/emu/src/table.rs
+++ b/crates/emu/src/table.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use http::{Method, StatusCode};
-use platform::proto;
 use smol_str::SmolStr;
+use store::proto;
 
 /// State of the stand-in, owned by its one server task.
 #[derive(Default)]
--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -2,9 +2,9 @@
 
 use std::time::{Duration, SystemTime};
 
-use platform::{proto, Store, StoreError};
 use quick_error::quick_error;
 use smol_str::SmolStr;
+use store::{proto, Store, StoreError};
 
 /// How long an apply keeps trying while the platform is unavailable or answers are lost.
 #[derive(Clone, Copy, Debug)]
@@ -81,7 +81,7 @@
 ) -> Result<Applied, ApplyError> {
     let template = config::Template::parse(text).map_err(ApplyError::Invalid)?;
     let service = template.service;
-    let current = with_retries(patience, || store.get(platform::TEMPLATES, &service)).await?;
+    let current = with_retries(patience, || store.get(store::TEMPLATES, &service)).await?;
     let (version_before, old_text) = match &current {
         Some(row) if row.value == text => return Ok(Applied::Unchanged { version: row.version }),
         Some(row) => (row.version, row.value.as_str()),
@@ -97,7 +97,7 @@
         diff: audit::diff(old_text, text),
     };
     let write = proto::Write {
-        table: platform::TEMPLATES.into(),
+        table: store::TEMPLATES.into(),
         key: service,
         expected_version: version_before,
         value: text.to_owned(),
@@ -128,7 +128,7 @@
     let key = smol_str::format_smolstr!("{upstream}");
     let wanted = proto::Drain { vm_id: vm_id.into(), lifted: lift };
     let wanted_text = serde_json::to_string(&wanted).expect("drain encodes");
-    let current = with_retries(patience, || store.get(platform::DRAINS, &key)).await?;
+    let current = with_retries(patience, || store.get(store::DRAINS, &key)).await?;
     let version_before = match &current {
         Some(row) if row.value == wanted_text => {
             return Ok(Applied::Unchanged { version: row.version })
@@ -148,7 +148,7 @@
         diff: format!("{verb} {upstream} vm_id {vm_id}\n"),
     };
     let write = proto::Write {
-        table: platform::DRAINS.into(),
+        table: store::DRAINS.into(),
         key: key.clone(),
         expected_version: version_before,
         value: wanted_text.clone(),
@@ -157,7 +157,7 @@
         Ok(version) => Ok(Applied::Written { version, change_id }),
         Err(ApplyError::Conflict(version)) => {
             // Another operator may have asked for the very same: then it holds.
-            match store.get(platform::DRAINS, &key).await {
+            match store.get(store::DRAINS, &key).await {
                 Ok(Some(row)) if row.value == wanted_text => {
                     Ok(Applied::Unchanged { version: row.version })
                 }
@@ -182,7 +182,7 @@
 ) -> Result<proto::Version, ApplyError> {
     let audit_key = smol_str::format_smolstr!("{}/{}", record.service, record.change_id);
     let audit_write = proto::Write {
-        table: platform::AUDIT.into(),
+        table: store::AUDIT.into(),
         key: audit_key.clone(),
         expected_version: 0,
         value: record.to_json(),
@@ -216,7 +216,7 @@
 
 /// Returns the version at which the change of the audit record at `audit_key` landed, if it did.
 async fn landed(store: &Store, audit_key: &str) -> Result<Option<proto::Version>, Failed> {
-    let record = store.get(platform::AUDIT, audit_key).await.map_err(Failed::ThisTime)?;
+    let record = store.get(store::AUDIT, audit_key).await.map_err(Failed::ThisTime)?;
     Ok(record.map(|row| row.version))
 }
 
--- a/crates/oatcove/src/apply/tests.rs
+++ b/crates/oatcove/src/apply/tests.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 
-use platform::proto;
+use store::proto;
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 
 const QUICK: Patience = Patience { tries: 3, first_backoff: Duration::from_millis(5) };
 
-async fn apply(store: &platform::Store, text: &str, actor: &str) -> Result<Applied, ApplyError> {
+async fn apply(store: &store::Store, text: &str, actor: &str) -> Result<Applied, ApplyError> {
     apply::apply(store, text, actor, QUICK).await
 }
 
@@ -16,12 +16,12 @@
 const V2: &str = "service: swap-desk\ndefaults:\n  timeout_ms: 400\n";
 
 /// Starts a platform stand-in on a free loopback port.
-fn start_platform() -> (Rc<emu::table::Table>, platform::Store) {
+fn start_platform() -> (Rc<emu::table::Table>, store::Store) {
     let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
     let addr = listener.local_addr().expect("addr");
     let table = Rc::new(emu::table::Table::default());
     monoio::spawn(web::serve(listener, table.clone()));
-    (table, platform::Store::new(addr))
+    (table, store::Store::new(addr))
 }
 
 /// Symptom: a change applied once shows twice in the audit trail, or the CLI
@@ -37,10 +37,10 @@
         let Applied::Written { version, change_id } = applied else {
             panic!("not written: {applied:?}")
         };
-        let rows = table.rows(platform::TEMPLATES);
+        let rows = table.rows(store::TEMPLATES);
         assert_eq!(rows.len(), 1);
         assert_eq!((rows[0].version, rows[0].change_id.clone()), (version, change_id));
-        assert_eq!(table.rows(platform::AUDIT).len(), 1);
+        assert_eq!(table.rows(store::AUDIT).len(), 1);
     });
 }
 
@@ -61,8 +61,8 @@
             crate::apply::Patience { tries: 5, first_backoff: std::time::Duration::from_millis(5) };
         let applied = crate::apply::apply(&store, V1, "ana", patience).await.expect("applied");
         let Applied::Written { version, .. } = applied else { panic!("{applied:?}") };
-        assert_eq!(table.rows(platform::TEMPLATES)[0].version, version);
-        assert_eq!(table.rows(platform::AUDIT).len(), 1);
+        assert_eq!(table.rows(store::TEMPLATES)[0].version, version);
+        assert_eq!(table.rows(store::AUDIT).len(), 1);
     });
 }
 
@@ -78,7 +78,7 @@
         let write = |text: &str, id: &str| proto::Txn {
             change_id: id.into(),
             writes: vec![proto::Write {
-                table: platform::TEMPLATES.into(),
+                table: store::TEMPLATES.into(),
                 key: "swap-desk".into(),
                 expected_version: version,
                 value: text.to_owned(),
@@ -87,8 +87,8 @@
         let first = store.commit(&write(V2, "a")).await;
         let second = store.commit(&write("service: swap-desk\n", "b")).await;
         assert!(first.is_ok());
-        assert!(matches!(second, Err(platform::StoreError::Conflict(_))), "{second:?}");
-        assert_eq!(table.rows(platform::TEMPLATES)[0].value, V2);
+        assert!(matches!(second, Err(store::StoreError::Conflict(_))), "{second:?}");
+        assert_eq!(table.rows(store::TEMPLATES)[0].value, V2);
     });
 }
 
@@ -102,7 +102,7 @@
         table.set(proto::Faults { outage: true, ..Default::default() });
         let result = apply(&store, V1, "ana").await;
         assert!(matches!(result, Err(ApplyError::Unavailable(_))), "{result:?}");
-        assert!(table.rows(platform::TEMPLATES).is_empty());
+        assert!(table.rows(store::TEMPLATES).is_empty());
     });
 }
 
@@ -112,7 +112,7 @@
         let (table, store) = start_platform();
         let result = apply(&store, "service: a\ndefaults:\n  timeout: 3\n", "ana").await;
         assert!(matches!(result, Err(ApplyError::Invalid(_))), "{result:?}");
-        assert!(table.rows(platform::TEMPLATES).is_empty());
+        assert!(table.rows(store::TEMPLATES).is_empty());
     });
 }
 
--- a/crates/oatcove/src/drain.rs
+++ b/crates/oatcove/src/drain.rs
@@ -5,9 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use platform::proto;
 use serde::Deserialize;
 use smol_str::SmolStr;
+use store::proto;
 
 /// How long to wait for every entry node to let go of an upstream.
 pub const WAIT: Duration = Duration::from_secs(60);
@@ -49,10 +49,7 @@
 /// # Errors
 ///
 /// Returns the entry nodes that still hold calls or do not answer after [`WAIT`].
-pub async fn wait(
-    store: &platform::Store,
-    upstream: SocketAddr,
-) -> Result<Duration, Vec<SocketAddr>> {
+pub async fn wait(store: &store::Store, upstream: SocketAddr) -> Result<Duration, Vec<SocketAddr>> {
     let started = Instant::now();
     let mut holding = Vec::new();
     while started.elapsed() < WAIT {
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -122,13 +122,13 @@
     match command {
         Command::Template(TemplateCommand::Check { file }) => check(&file),
         Command::Template(TemplateCommand::Apply { platform, actor, file }) => {
-            apply(&platform::Store::new(platform), &actor, &file).await
+            apply(&store::Store::new(platform), &actor, &file).await
         }
         Command::Audit(AuditCommand::Log { platform, service }) => {
             audit_log(platform, service.as_deref()).await
         }
         Command::Upstream(UpstreamCommand::Drain { platform, actor, wait, lift, upstream }) => {
-            drain(&platform::Store::new(platform), upstream, &actor, wait, lift).await
+            drain(&store::Store::new(platform), upstream, &actor, wait, lift).await
         }
         Command::Status { entry } => status(entry).await,
         Command::Explain { request, files } => explain(&request, &files),
@@ -177,7 +177,7 @@
     }
 }
 
-async fn apply(store: &platform::Store, actor: &str, file: &PathBuf) -> i32 {
+async fn apply(store: &store::Store, actor: &str, file: &PathBuf) -> i32 {
     let text = match read(file) {
         Ok(text) => text,
         Err(code) => return code,
@@ -206,8 +206,8 @@
 }
 
 async fn audit_log(addr: SocketAddr, service: Option<&str>) -> i32 {
-    let store = platform::Store::new(addr);
-    let rows = match store.since(platform::AUDIT, 0).await {
+    let store = store::Store::new(addr);
+    let rows = match store.since(store::AUDIT, 0).await {
         Ok(rows) => rows.rows,
         Err(err) => {
             eprintln!("error: {err}");
@@ -236,7 +236,7 @@
 }
 
 async fn drain(
-    store: &platform::Store,
+    store: &store::Store,
     upstream: SocketAddr,
     actor: &str,
     wait: bool,
@@ -272,7 +272,7 @@
     }
 }
 
-async fn wait_drained(store: &platform::Store, upstream: SocketAddr) -> i32 {
+async fn wait_drained(store: &store::Store, upstream: SocketAddr) -> i32 {
     match oatcove::drain::wait(store, upstream).await {
         Ok(took) => {
             println!(
--- a/crates/oatcoved/src/discovery/tests.rs
+++ b/crates/oatcoved/src/discovery/tests.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use platform::proto;
+use store::proto;
 use wire::Standing;
 
 use crate::discovery::entries;
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use local_sync::mpsc::unbounded::Tx;
-use platform::proto;
+use store::proto;
 
 use crate::view::{Held, View};
 use crate::{gossip, probe};
@@ -28,7 +28,7 @@
 /// While the platform does not answer, newer rows come from a peer that holds
 /// them ([`crate::relay`]).
 pub async fn config(
-    store: Rc<platform::Store>,
+    store: Rc<store::Store>,
     view: Rc<RefCell<View>>,
     every: Duration,
     links: Links,
@@ -39,7 +39,7 @@
             log::warn!("config poll failed, keeping config at {held}: {err}");
             let source = crate::relay::config_source(&view.borrow(), &mut rand::rng());
             if let Some(peer) = source {
-                match read_config(&platform::Store::new(peer), &view).await {
+                match read_config(&store::Store::new(peer), &view).await {
                     Ok(()) => view.borrow_mut().counters.relayed_reads += 1,
                     Err(err) => log::warn!("peer={peer} could not relay the config: {err}"),
                 }
@@ -55,15 +55,12 @@
 }
 
 /// Reads and applies what is newer than held from the platform, or from a peer that relays it.
-async fn read_config(
-    store: &platform::Store,
-    view: &RefCell<View>,
-) -> Result<(), platform::StoreError> {
+async fn read_config(store: &store::Store, view: &RefCell<View>) -> Result<(), store::StoreError> {
     let since = view.borrow().config_head;
-    let rows = store.since(platform::TEMPLATES, since).await?;
+    let rows = store.since(store::TEMPLATES, since).await?;
     apply_templates(&mut view.borrow_mut(), rows);
     let since = view.borrow().drain_head;
-    let rows = store.since(platform::DRAINS, since).await?;
+    let rows = store.since(store::DRAINS, since).await?;
     apply_drains(&mut view.borrow_mut(), rows);
     Ok(())
 }
@@ -146,12 +143,7 @@
 /// Each successful read renews the right to probe (crate `watch`), counted
 /// from when it was asked for. A list relayed by a peer does not: how old it
 /// was when the peer read it is not known.
-pub async fn vms(
-    store: Rc<platform::Store>,
-    view: Rc<RefCell<View>>,
-    every: Duration,
-    links: Links,
-) {
+pub async fn vms(store: Rc<store::Store>, view: Rc<RefCell<View>>, every: Duration, links: Links) {
     loop {
         let since = view.borrow().vm_head;
         let asked_at = Instant::now();
@@ -185,7 +177,7 @@
         return;
     }
     let Some(peer) = crate::relay::any_source(&view.borrow(), &mut rand::rng()) else { return };
-    match platform::Store::new(peer).vms().await {
+    match store::Store::new(peer).vms().await {
         Ok(vms) if !vms.is_empty() => {
             {
                 let mut view = view.borrow_mut();
--- a/crates/oatcoved/src/follow/history_tests.rs
+++ b/crates/oatcoved/src/follow/history_tests.rs
@@ -14,8 +14,8 @@
 
 use local_sync::mpsc::unbounded;
 use oatcove::apply::{self, Applied, ApplyError, Patience};
-use platform::proto;
 use proptest::prelude::*;
+use store::proto;
 
 use crate::view::{Peer, View};
 use crate::{follow, proxy};
@@ -62,7 +62,7 @@
 }
 
 async fn operate(index: usize, platform: SocketAddr, history: Rc<RefCell<Vec<Apply>>>) {
-    let store = platform::Store::new(platform);
+    let store = store::Store::new(platform);
     let patience = Patience { tries: 5, first_backoff: Duration::from_millis(5) };
     for nth in 0..APPLIES_EACH {
         let timeout_ms = (1_000 + index * 100 + nth) as u64;
@@ -95,7 +95,7 @@
     let (gossip, _) = unbounded::channel();
     let (probe, _) = unbounded::channel();
     let links = follow::Links { gossip, probe };
-    let store = Rc::new(platform::Store::new(platform));
+    let store = Rc::new(store::Store::new(platform));
     monoio::spawn(follow::config(store, view.clone(), POLL, links));
     let metrics = crate::metrics::Metrics::new().expect("metrics");
     monoio::spawn(web::serve(listener, Rc::new(proxy::Node::new(view.clone(), metrics))));
@@ -198,7 +198,7 @@
     }
     // Until what got no answer has landed or never will; the nodes' reads make the stand-in try it.
     monoio::time::sleep(LATE_FOR).await;
-    let newest = table.rows(platform::TEMPLATES).first().map_or(0, |row| row.version);
+    let newest = table.rows(store::TEMPLATES).first().map_or(0, |row| row.version);
     let over = Instant::now();
     while views.iter().any(|view| state(view).map_or(0, |(v, _)| v) < newest) {
         if over.elapsed() > IN_FORCE_WITHIN {
@@ -208,7 +208,7 @@
     }
     views.clear();
     let audit = table
-        .rows(platform::AUDIT)
+        .rows(store::AUDIT)
         .into_iter()
         .map(|row| (row.version, audit::Record::from_json(&row.value).expect("audit record")))
         .collect();
--- a/crates/oatcoved/src/follow/tests.rs
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 
-use platform::proto;
+use store::proto;
 
 use crate::follow::{apply_drains, apply_templates, apply_vm_changes};
 use crate::test_support::view;
--- a/crates/oatcoved/src/main.rs
+++ b/crates/oatcoved/src/main.rs
@@ -75,8 +75,8 @@
         settings.zone,
         settings.listen_addr
     );
-    let store = Rc::new(platform::Store::new(settings.platform_addr));
-    let vm_store = Rc::new(platform::Store::new(settings.platform_addr));
+    let store = Rc::new(store::Store::new(settings.platform_addr));
+    let vm_store = Rc::new(store::Store::new(settings.platform_addr));
     let (config_poll, vm_poll) = (settings.config_poll, settings.vm_poll);
     let view = Rc::new(RefCell::new(oatcoved::view::View::new(settings)));
     let (gossip, gossip_inputs) = unbounded::channel();
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -10,8 +10,8 @@
 
 use bytes::Bytes;
 use local_sync::mpsc::unbounded::{Rx, Tx};
-use platform::proto;
 use serde::Deserialize;
+use store::proto;
 
 use crate::gossip;
 use crate::view::View;
--- a/crates/oatcoved/src/proxy/answer.rs
+++ b/crates/oatcoved/src/proxy/answer.rs
@@ -5,17 +5,6 @@
 
 use http::{HeaderValue, StatusCode};
 
-/// Headers that concern one connection only and are never handed on.
-const CONNECTION_HEADERS: [&str; 7] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// Outcome of a call that an upstream answered.
 pub(super) const DONE: &str = "done";
 
@@ -36,20 +25,17 @@
     request_id: &HeaderValue,
     remaining: Duration,
 ) -> web::Request {
-    let mut builder = http::Request::builder().method(request.method().clone()).uri(path);
-    for (name, value) in request.headers() {
-        let own = [http::header::HOST, http::header::CONTENT_LENGTH].contains(name)
-            || [crate::REQUEST_ID, crate::TIMEOUT_MS].contains(&name.as_str());
-        if !own && !CONNECTION_HEADERS.contains(&name.as_str()) {
-            builder = builder.header(name, value);
-        }
-    }
-    builder
-        .header(http::header::HOST, addr.to_string())
-        .header(crate::REQUEST_ID, request_id)
-        .header(crate::TIMEOUT_MS, remaining.as_millis().to_string())
-        .body(request.body().clone())
-        .expect("request builds")
+    let mut headers = request.headers().clone();
+    web::strip_connection_headers(&mut headers);
+    let host = HeaderValue::try_from(addr.to_string()).expect("an address is a value");
+    headers.insert(http::header::HOST, host);
+    headers.insert(crate::REQUEST_ID, request_id.clone());
+    headers.insert(crate::TIMEOUT_MS, HeaderValue::from(remaining.as_millis() as u64));
+    let mut upstream_request = http::Request::new(request.body().clone());
+    *upstream_request.method_mut() = request.method().clone();
+    *upstream_request.uri_mut() = http::Uri::try_from(path).expect("the path was part of a target");
+    *upstream_request.headers_mut() = headers;
+    upstream_request
 }
 
 /// Hands an upstream's answer on.
@@ -87,11 +73,8 @@
     request_id: &HeaderValue,
 ) -> web::Response {
     let headers = response.headers_mut();
+    web::strip_connection_headers(headers);
     headers.insert(crate::OUTCOME, HeaderValue::from_static(outcome));
     headers.insert(crate::REQUEST_ID, request_id.clone());
-    headers.remove(http::header::CONTENT_LENGTH);
-    for name in CONNECTION_HEADERS {
-        headers.remove(name);
-    }
     response
 }
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use emu::upstream::{Shape, Upstream};
-use platform::proto;
+use store::proto;
 use web::Handler;
 
 use crate::proxy::Node;
--- a/crates/oatcoved/src/relay.rs
+++ b/crates/oatcoved/src/relay.rs
@@ -11,9 +11,9 @@
 
 use std::net::SocketAddr;
 
-use platform::proto;
 use rand::seq::IteratorRandom;
 use rand::Rng;
+use store::proto;
 
 use crate::view::View;
 
@@ -45,10 +45,10 @@
 /// The head given is the one up to which this node has read the table.
 pub fn rows(view: &View, table: &str, since: proto::Version) -> Option<proto::Rows> {
     let (head, rows): (_, Vec<&proto::Row>) = match table {
-        platform::TEMPLATES => {
+        store::TEMPLATES => {
             (view.config_head, view.templates.values().map(|held| &held.row).collect())
         }
-        platform::DRAINS => (view.drain_head, view.drains.values().map(|(_, row)| row).collect()),
+        store::DRAINS => (view.drain_head, view.drains.values().map(|(_, row)| row).collect()),
         _ => return None,
     };
     let rows = rows.into_iter().filter(|row| row.version > since).cloned().collect();
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use platform::proto;
 use serde::Serialize;
 use smol_str::SmolStr;
+use store::proto;
 
 /// Counters of one entry node since start.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -1,6 +1,6 @@
 //! Which upstreams there are, through outages of the store that lists them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -120,14 +120,15 @@
         self.entries.is_empty()
     }
 
+    /// Returns the upstreams held that `listed` does not hold.
+    fn not_in(&self, listed: &[Entry]) -> Vec<UpstreamId> {
+        let listed: HashSet<&UpstreamId> = listed.iter().map(|entry| &entry.id).collect();
+        self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect()
+    }
+
     /// Takes the whole list: what it does not hold is no longer listed.
     pub fn whole(&mut self, listed: Vec<Entry>, now: Instant) -> Vec<Change> {
-        let gone: Vec<UpstreamId> = self
-            .entries
-            .keys()
-            .filter(|id| !listed.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
+        let gone = self.not_in(&listed);
         let mut events: Vec<Event> = listed.into_iter().map(Event::Put).collect();
         events.extend(gone.into_iter().map(Event::Gone));
         self.apply(events, now)
@@ -140,12 +141,7 @@
 
     /// Takes the list as another node holds it: that node has decided what is kept.
     pub fn adopt(&mut self, listed: Vec<Entry>) -> Vec<Change> {
-        let gone: Vec<UpstreamId> = self
-            .entries
-            .keys()
-            .filter(|id| !listed.iter().any(|entry| entry.id == **id))
-            .cloned()
-            .collect();
+        let gone = self.not_in(&listed);
         let dropped = gone.iter().filter_map(|id| self.drop(id, "unlisted"));
         let mut changes: Vec<Change> = dropped.collect();
         changes.extend(listed.into_iter().filter_map(|entry| self.take(Event::Put(entry), None)));
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod client;
 pub mod h1;
+mod hop;
 mod server;
 
 pub use client::{Conn, Error, KeepAlive};
+pub use hop::strip_connection_headers;
 pub use server::{serve, Handler};
 
 use bytes::Bytes;
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use platform::proto;
+use store::proto;
 
 /// What to start.
 #[derive(Clone, Debug)]
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -9,8 +9,8 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
-use platform::proto;
 use serde_json::json;
+use store::proto;
 use xtask::cluster::{call, Cluster, Spec};
 
 /// Services and endpoints of letter 1's size.
@@ -65,7 +65,7 @@
     let addr = cluster.platform.addr;
     let mut runtime = web::runtime();
     runtime.block_on(async move {
-        let store = platform::Store::new(addr);
+        let store = store::Store::new(addr);
         let mut bytes = 0;
         for index in 1..=count {
             let text = format!(
@@ -75,7 +75,7 @@
             let txn = proto::Txn {
                 change_id: format!("bench-{index}").into(),
                 writes: vec![proto::Write {
-                    table: platform::TEMPLATES.into(),
+                    table: store::TEMPLATES.into(),
                     key: format!("svc-{index:04}").into(),
                     expected_version: 0,
                     value: text,
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -4,8 +4,8 @@
 use std::process::Command;
 use std::time::Duration;
 
-use platform::proto;
 use rustix::process::Signal;
+use store::proto;
 use xtask::cluster::{vm, Cluster, Spec};
 
 /// Directory of the binaries cargo built beside this test.
