An upstream's own error is passed on; a refused hedge hides nothing

Cause, from reading the request path: a read whose upstream answered 500 was told 502 by the node when the budget allowed no second send; and of a hedged read whose first send may have run and whose second was refused last, the caller was told 503, which promises that it did not run.

Ruled out: claims (they are never hedged).

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -80,6 +80,26 @@
     },
 }
 
+/// What is known of a request that has no answer to pass on yet.
+enum SoFar {
+    /// No upstream can have run it.
+    NotRun,
+    /// One may have run it.
+    MayHaveRun,
+    /// One answered with an error of its own, which is passed on when nothing better comes.
+    Error(Answer),
+}
+
+impl SoFar {
+    /// A send may have run and has no answer.
+    fn lost(self) -> SoFar {
+        match self {
+            SoFar::Error(answer) => SoFar::Error(answer),
+            SoFar::NotRun | SoFar::MayHaveRun => SoFar::MayHaveRun,
+        }
+    }
+}
+
 /// What goes back to the caller.
 pub enum Reply {
     /// An upstream's answer.
@@ -93,6 +113,18 @@
     matches!(outcome, Outcome::Answered(answer) if !answer.head.status.is_server_error())
 }
 
+/// Returns what two sends of a request that both ended badly, or the later one well, come to.
+///
+/// A refusal of one says nothing of the other, which may have run.
+fn either(earlier: Outcome, later: Outcome) -> Outcome {
+    let may_have_run =
+        |outcome: &Outcome| matches!(outcome, Outcome::Answered(_) | Outcome::Lost(_));
+    match may_have_run(&earlier) && !may_have_run(&later) {
+        true => earlier,
+        false => later,
+    }
+}
+
 impl Node {
     /// Creates the request path over `state`, measured by `metrics`.
     pub fn new(state: Shared, metrics: Metrics) -> Node {
@@ -228,48 +260,43 @@
             }
         };
         let mut tried = Tried::default();
-        let mut may_have_run = false;
+        let mut so_far = SoFar::NotRun;
         loop {
             let choice = match self.choose(call, &tried.ids).await {
                 Ok(choice) => choice,
-                Err(why) => return self.no_choice(call, table, why, may_have_run),
+                Err(why) => return self.no_choice(call, table, why, so_far),
             };
             if tried.ids.is_empty() {
                 self.state.borrow_mut().first_send(&call.service);
             } else if tried.arrived > 0 && !self.state.borrow_mut().second_send(&call.service) {
                 call.line("second_send_over_budget").log();
-                return give_up(may_have_run, COME_BACK);
+                return give_up(so_far, COME_BACK);
             }
             let outcome = self.send_hedged(call, choice, &mut tried, &whole).await;
             let attempts_left = tried.arrived < call.route.attempts;
             match outcome {
                 Outcome::NotSent if tried.ids.len() < UPSTREAMS_TRIED_MOST => {}
-                Outcome::NotSent => return give_up(may_have_run, COME_BACK),
-                Outcome::Answered(answer) if is_final_status(answer.head.status) => {
+                Outcome::NotSent => return give_up(so_far, COME_BACK),
+                Outcome::Answered(answer) if !answer.head.status.is_server_error() => {
                     return Reply::Upstream(answer)
                 }
                 Outcome::Answered(answer) if !call.repeatable() || !attempts_left => {
                     return Reply::Upstream(answer)
                 }
-                Outcome::Answered(_) => may_have_run = true,
+                Outcome::Answered(answer) => so_far = SoFar::Error(answer),
                 Outcome::NotRun(..) if attempts_left => {}
-                Outcome::NotRun(..) => return give_up(may_have_run, COME_BACK),
-                Outcome::Lost(_) if call.repeatable() && attempts_left => may_have_run = true,
+                Outcome::NotRun(..) => return give_up(so_far, COME_BACK),
                 Outcome::Lost(_) => {
-                    let text = "no answer; the request may have run";
-                    return Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, text));
+                    so_far = so_far.lost();
+                    if !call.repeatable() || !attempts_left {
+                        return give_up(so_far, COME_BACK);
+                    }
                 }
             }
         }
     }
 
-    fn no_choice(
-        &self,
-        call: &Call<'_>,
-        table: &Table,
-        why: NoChoice,
-        may_have_run: bool,
-    ) -> Reply {
+    fn no_choice(&self, call: &Call<'_>, table: &Table, why: NoChoice, so_far: SoFar) -> Reply {
         let line = call.line("refused").field("config", table.version);
         let (line, come_back) = match why {
             NoChoice::NoUpstream => (line.field("reason", "no upstream"), COME_BACK_NOT_READY),
@@ -284,7 +311,7 @@
             }
         };
         line.field("come_back_ms", as_ms(come_back)).log();
-        give_up(may_have_run, come_back)
+        give_up(so_far, come_back)
     }
 
     /// Sends once, and once more beside it when the answer is overdue and the request repeatable.
@@ -329,11 +356,11 @@
             return monoio::select! {
                 outcome = &mut first => match is_final(&outcome) {
                     true => outcome,
-                    false => second.await,
+                    false => either(outcome, second.await),
                 },
                 outcome = &mut second => match is_final(&outcome) {
                     true => outcome,
-                    false => first.await,
+                    false => either(outcome, first.await),
                 },
             };
         }
@@ -370,7 +397,7 @@
     ) -> Reply {
         let choice = match self.choose(call, &[]).await {
             Ok(choice) => choice,
-            Err(why) => return self.no_choice(call, table, why, false),
+            Err(why) => return self.no_choice(call, table, why, SoFar::NotRun),
         };
         self.state.borrow_mut().first_send(&call.service);
         let chunked = !matches!(call.head.framing, h1::Framing::Length(_));
@@ -400,25 +427,25 @@
         };
         match self.send_with(call, &choice, Some(framing), &first, rest).await {
             Outcome::Answered(answer) => Reply::Upstream(answer),
-            Outcome::NotRun(..) | Outcome::NotSent => give_up(false, COME_BACK),
+            Outcome::NotRun(..) | Outcome::NotSent => give_up(SoFar::NotRun, COME_BACK),
             Outcome::Lost(why) => Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, why)),
         }
     }
 }
 
-fn is_final_status(status: StatusCode) -> bool {
-    !status.is_server_error()
-}
-
 fn id_of<'a>(head: &'a h1::RequestHead, names: &crate::HeaderNames) -> &'a str {
     let id = head.headers.get(&names.request_id);
     id.and_then(|id| id.to_str().ok()).unwrap_or("?")
 }
 
 /// Ends a request that gets no further send.
-fn give_up(may_have_run: bool, come_back: Duration) -> Reply {
-    Reply::Own(match may_have_run {
-        true => Own::failed(StatusCode::BAD_GATEWAY, "no answer; the request may have run"),
-        false => Own::not_run(come_back, "not run; come back later"),
-    })
+fn give_up(so_far: SoFar, come_back: Duration) -> Reply {
+    match so_far {
+        SoFar::NotRun => Reply::Own(Own::not_run(come_back, "not run; come back later")),
+        SoFar::MayHaveRun => {
+            let text = "no answer; the request may have run";
+            Reply::Own(Own::failed(StatusCode::BAD_GATEWAY, text))
+        }
+        SoFar::Error(answer) => Reply::Upstream(answer),
+    }
 }
--- a/crates/edge/src/tests/requests.rs
+++ b/crates/edge/src/tests/requests.rs
@@ -79,6 +79,42 @@
     });
 }
 
+/// Symptom: a caller is told 502 by the node though the upstream had answered.
+/// Sequence: an upstream answers a read with an error of its own; the budget of second sends is
+/// used up.
+/// Cause: forgetting the answer once a second send was meant.
+#[test]
+fn an_upstreams_error_is_passed_on_when_no_second_send_is_allowed() {
+    run(async {
+        let error =
+            "HTTP/1.1 500 Oops\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 3\r\n\r\nwhy";
+        let first = Upstream::start(vec![vec![text(error)]]);
+        let second = Upstream::start(vec![vec![text(error)]]);
+        let entered = start(&[&first, &second]);
+        while entered.node.state.borrow_mut().second_send(&"desk".into()) {}
+        let got = Caller::connect(entered.addr).await.ask(&get("/get/1", "7")).await;
+        assert_eq!((got.status, got.body.as_str()), (500, "why"));
+        assert!(got.headers.contains_key("x-signature"));
+        assert_eq!(first.runs() + second.runs(), 1);
+    });
+}
+
+/// Symptom: a caller is told that a request did not run though it may have.
+/// Sequence: a read is overdue and hedged; the first upstream closes its connection without an
+/// answer; the second one refuses.
+/// Cause: telling what the last send came to, not what both did.
+#[test]
+fn a_hedge_that_is_refused_does_not_hide_what_the_first_send_came_to() {
+    run(async {
+        let first = Upstream::start(vec![vec![Act::Wait(ms(300)), Act::Close]]);
+        let second = Upstream::start(vec![vec![Act::Wait(ms(200)), refusal("503 Full")]]);
+        let entered = start(&[&first, &second]);
+        let got = Caller::connect(entered.addr).await.ask(&get("/get/1", "7")).await;
+        assert_eq!((first.runs(), second.runs()), (1, 1));
+        assert_eq!(got.status, 502);
+    });
+}
+
 /// Symptom: a claim fails although the upstream said that it did not run it.
 /// Sequence: the first upstream is full, or another one has its address now.
 /// Cause: treating a refusal like a lost answer.
