--- a/crates/config/src/template.rs
+++ b/crates/config/src/template.rs
@@ -137,8 +137,12 @@
         None => Some(Params::default()),
     };
     let mut teams = BTreeMap::new();
-    match (fields.raw("teams"), &defaults) {
-        (Some(Value::Mapping(map)), Some(base)) => {
+    // Teams are checked over bad defaults too: an operator who mends those would only then be
+    // told of what is wrong with the teams.
+    let base = defaults.clone().unwrap_or_default();
+    match fields.raw("teams") {
+        None => {}
+        Some(Value::Mapping(map)) => {
             for (key, value) in map {
                 let Value::String(team) = key else {
                     findings.error("teams", "team names must be strings");
@@ -146,13 +150,12 @@
                 };
                 let path = walk::join("teams", team);
                 check_name(&path, team, findings);
-                if let Some(resolved) = params(value, &path, base, findings) {
+                if let Some(resolved) = params(value, &path, &base, findings) {
                     teams.insert(TeamName::from(team.as_str()), Rc::new(resolved));
                 }
             }
         }
-        (Some(Value::Mapping(_)), None) | (None, _) => {}
-        (Some(other), _) => {
+        Some(other) => {
             findings.error(
                 "teams",
                 format!("expected a mapping of team names, found {}", walk::kind(other)),
--- a/crates/config/src/template/tests.rs
+++ b/crates/config/src/template/tests.rs
@@ -61,3 +61,15 @@
     let findings = Template::parse("service: [a\n").expect_err("rejected");
     assert!(findings.0[0].path.starts_with("line "), "{findings}");
 }
+
+/// Symptom: an operator mends four findings and is then told of two more.
+/// Sequence: `defaults` and `teams` both hold mistakes.
+/// Cause: teams left unchecked because there are no sound defaults to resolve them over.
+#[test]
+fn teams_are_checked_although_the_defaults_are_bad() {
+    let text = "service: 5\ndefaults: {timeout_ms: x}\nteams: {north: {hedge: 3}, south: [1]}\n";
+    let findings = Template::parse(text).expect_err("refused").to_string();
+    for path in ["service", "defaults.timeout_ms", "teams.north.hedge", "teams.south"] {
+        assert!(findings.contains(path), "{path} missing in {findings}");
+    }
+}
