relay: a peer that has lost its path still helps a node that has nothing

Cause: found on reading: when the platform takes no connections at all, every node has lost its path and none would pass anything on to one that starts. The test of a start in an outage has the peer cut off too; it failed before.

--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -268,7 +268,7 @@
     let Ok(Ok(greeting)) = greeting.await else { return };
     let asked_at = Instant::now();
     while !may_pass_on(&node.state.borrow(), greeting) {
-        if !node.state.borrow().reaches_platform || asked_at.elapsed() > FIRST_FRAME {
+        if asked_at.elapsed() > FIRST_FRAME {
             return;
         }
         monoio::time::sleep(LOOK_IN_STEP).await;
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -279,6 +279,7 @@
         let (peer, at) = start(&platform);
         monoio::time::sleep(ms(100)).await;
         peer.state.borrow_mut().roster.store_lost(Instant::now());
+        peer.state.borrow_mut().reaches_platform = false;
         let mut settings = settings();
         settings.peer_addr = SocketAddr::from(([127, 0, 0, 1], 65_535));
         settings.seed_addrs = vec![at];
