--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,7 +1,7 @@
 //! What one entry node currently believes.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -227,6 +227,10 @@
         if self.table.is_some() && table.version <= self.config_version() {
             return false;
         }
+        // What is kept by route would pile up with routes that come and go.
+        let names: HashSet<&RouteName> = table.route_names().collect();
+        self.turns.retain(|name, _| names.contains(name));
+        self.works.retain(|name| names.contains(&RouteName::from(name)));
         let table = Rc::new(table);
         let before = self.table.replace(table.clone());
         self.unrecorded.push(before, table);
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -116,6 +116,24 @@
     assert_eq!(state.config_version(), 7);
 }
 
+/// Symptom: a node's memory grows for weeks.
+/// Sequence: routes come and go, each under a name of its own.
+/// Cause: keeping what was learned of a route that is gone.
+#[test]
+fn what_is_known_of_a_route_goes_with_it() {
+    let mut state = State::new(settings());
+    state.apply_table(table(7, ClientLimits::default()));
+    for name in ["/get/", "/gone/"] {
+        state.turns.entry(name.into()).or_default();
+        state.works.sample(&name.into(), ms(300), ms(10));
+    }
+    state.apply_table(table(8, ClientLimits::default()));
+    assert_eq!(state.turns.keys().collect::<Vec<_>>(), ["/get/"]);
+    let guess = place::Works::default().of("", ms(300));
+    assert_eq!(state.works.of("/gone/", ms(300)), guess);
+    assert_ne!(state.works.of("/get/", ms(300)), guess);
+}
+
 /// Symptom: every change of one topic makes all nodes ask for the other topic too.
 /// Sequence: a peer has seen a newer change of the upstreams; the configuration is the same.
 /// Cause: one place in the history for both.
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -198,6 +198,11 @@
         lines.join("\n") + "\n"
     }
 
+    /// Returns the names of all routes.
+    pub fn route_names(&self) -> impl Iterator<Item = &RouteName> {
+        self.hosts.values().flatten().map(|route| &route.name)
+    }
+
     /// Returns how many routes there are.
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
