Entry nodes keep to their share of an upstream's connections on the platform too

The bound was read and not used. A node opens at most its share (two at least), and rather none where requests wait. Ruled out: fewer kept connections (each new one is paid for).

Tests: both failed before (five connections for five requests).

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -1,10 +1,11 @@
 //! Connections to upstreams, kept for reuse.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -34,15 +35,27 @@
     idle_for: Duration,
     /// Whether an answer came on it before.
     pub used: bool,
+    _slot: Slot,
+}
+
+/// A connection counted as open while it lives.
+struct Slot(Rc<Cell<u32>>);
+
+impl Slot {
+    fn take(open: &Rc<Cell<u32>>) -> Slot {
+        open.set(open.get() + 1);
+        Slot(open.clone())
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Conn {
-    /// Opens a connection.
-    ///
-    /// # Errors
-    ///
-    /// Whatever the socket says, or that `timeout` passed.
-    pub async fn open(addr: SocketAddr, timeout: Duration) -> std::io::Result<Conn> {
+    async fn open(addr: SocketAddr, timeout: Duration, slot: Slot) -> std::io::Result<Conn> {
         let connecting = monoio::time::timeout(timeout, TcpStream::connect_addr(addr));
         let stream = match connecting.await {
             Ok(stream) => stream?,
@@ -56,6 +69,7 @@
             idle_since: Instant::now(),
             idle_for: IDLE_DEFAULT,
             used: false,
+            _slot: slot,
         })
     }
 
@@ -92,6 +106,8 @@
 #[derive(Default)]
 pub struct Conns {
     idle: RefCell<HashMap<UpstreamId, Vec<Conn>>>,
+    /// Open connections by upstream, idle ones included.
+    open: RefCell<HashMap<UpstreamId, Rc<Cell<u32>>>>,
 }
 
 impl Conns {
@@ -100,6 +116,26 @@
         self.idle.borrow().get(id).is_some_and(|list| !list.is_empty())
     }
 
+    /// Returns how many connections to the upstream are open, idle ones included.
+    pub fn open_count(&self, id: &UpstreamId) -> u32 {
+        self.open.borrow().get(id).map_or(0, |open| open.get())
+    }
+
+    /// Opens a connection to the upstream.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the socket says, or that `timeout` passed.
+    pub async fn open(
+        &self,
+        id: &UpstreamId,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Conn> {
+        let slot = Slot::take(self.open.borrow_mut().entry(id.clone()).or_default());
+        Conn::open(addr, timeout, slot).await
+    }
+
     /// Takes the connection used last that can still carry a request.
     pub async fn take(&self, id: &UpstreamId) -> Option<Conn> {
         loop {
@@ -131,5 +167,6 @@
             list.retain(|conn| conn.is_young(now));
             !list.is_empty()
         });
+        self.open.borrow_mut().retain(|_, open| open.get() > 0);
     }
 }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -152,7 +152,7 @@
             Some(conn) => Ok(conn),
             None => {
                 self.state.borrow_mut().counters.connects += 1;
-                Conn::open(addr, timeout).await
+                self.conns.open(id, addr, timeout).await
             }
         }
     }
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use place::{Candidate, UpstreamId, Verdict};
+use place::{Candidate, Reach, UpstreamId, Verdict};
 use smol_str::SmolStr;
 
 use super::call::{Call, Choice, NoChoice};
@@ -15,6 +15,9 @@
 const ASK_AT_ONCE: usize = 3;
 const ASK_ROUNDS: usize = 2;
 
+/// Connections that a node may have to an upstream however many nodes there are.
+const CONNECTIONS_LEAST: u32 = 2;
+
 impl Node {
     /// Chooses the upstream for the next send, asking some for their load first where it helps.
     pub(super) async fn choose(
@@ -70,7 +73,17 @@
             tried,
             repeatable: call.repeatable(),
         };
-        pool.rank(ask, |id| self.conns.has(id), Instant::now(), &mut state.rng)
+        // Upstreams reset connections beyond those that they take from all nodes together; what was
+        // sent on one may have run.
+        let service = state.table.as_ref().and_then(|table| table.services.get(&call.service));
+        let most = service.map_or(u32::MAX, |service| service.max_connections);
+        let share = (most / state.fleet_size() as u32).max(CONNECTIONS_LEAST);
+        let reach = |id: &UpstreamId| match () {
+            () if self.conns.has(id) => Reach::Kept,
+            () if self.conns.open_count(id) < share => Reach::New,
+            () => Reach::Not,
+        };
+        pool.rank(ask, reach, Instant::now(), &mut state.rng)
     }
 
     /// Returns the upstreams to ask for their load, within the budget of probes.
--- a/crates/edge/src/tests/requests.rs
+++ b/crates/edge/src/tests/requests.rs
@@ -115,6 +115,38 @@
     });
 }
 
+/// Symptom: upstreams reset connections beyond their bound.
+/// Sequence: five requests at once; an upstream takes two connections from this node.
+/// Cause: a connection for each request that finds none idle.
+#[test]
+fn a_node_keeps_to_its_share_of_an_upstreams_connections() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![Act::Wait(ms(150)), answer("beans")]]);
+        let entered = start(&[&upstream]);
+        {
+            let mut state = entered.node.state.borrow_mut();
+            let mut table = state.table.as_deref().cloned().expect("a table");
+            table.version += 1;
+            let service = table.services.get_mut("desk").expect("the service");
+            service.max_connections = 2;
+            assert!(state.apply_table(table));
+        }
+        let mut callers = Vec::new();
+        for id in 0..5 {
+            let mut caller = Caller::connect(entered.addr).await;
+            caller.write(&post(&id.to_string())).await;
+            callers.push(caller);
+        }
+        let mut statuses = Vec::new();
+        for mut caller in callers {
+            statuses.push(caller.read().await.expect("an answer").status);
+        }
+        statuses.sort_unstable();
+        assert_eq!(statuses, [200, 200, 503, 503, 503]);
+        assert_eq!((upstream.connections.get(), upstream.runs()), (2, 2));
+    });
+}
+
 /// Symptom: a claim fails although the upstream said that it did not run it.
 /// Sequence: the first upstream is full, or another one has its address now.
 /// Cause: treating a refusal like a lost answer.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,7 +19,7 @@
 mod work;
 
 pub use admit::{admit, Room, Verdict};
-pub use pool::{Ask, Candidate, Policy, Pool};
+pub use pool::{Ask, Candidate, Policy, Pool, Reach};
 pub use roster::{Change, Entry, Event, Roster};
 pub use upstream::{Load, Upstream};
 pub use work::Works;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -27,6 +27,10 @@
 /// What a new connection costs, as a share of a request's worth.
 const NEW_CONNECTION: f64 = 0.06;
 
+/// What it costs more while requests wait there: an upstream whose queue is
+/// long takes fewer connections and resets the rest.
+const NEW_CONNECTION_AT_A_QUEUE: f64 = 0.3;
+
 /// What each recent failure of an upstream costs a request that can be sent again.
 const FAILURE: f64 = 0.15;
 
@@ -60,6 +64,17 @@
 /// When all of these are this costly, as many more are compared.
 const WIDEN_FROM: f64 = 0.6;
 
+/// How a node gets a request to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// On a connection that it has kept.
+    Kept,
+    /// On a new connection.
+    New,
+    /// Not at all: its share of the upstream's connections is in use.
+    Not,
+}
+
 /// How an upstream is chosen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Policy {
@@ -256,7 +271,7 @@
     pub fn rank<R: Rng>(
         &self,
         ask: Ask<'_>,
-        has_connection: impl Fn(&UpstreamId) -> bool,
+        reach: impl Fn(&UpstreamId) -> Reach,
         now: Instant,
         rng: &mut R,
     ) -> Vec<Candidate> {
@@ -270,8 +285,12 @@
                 .chain(others.by_ref().take(OTHER_ZONES_MOST))
                 .collect();
             let exhausted = next.is_empty();
-            let candidate = |index| self.candidate(index, ask, &has_connection, now, rng);
-            ranked.extend(next.into_iter().map(candidate));
+            for index in next {
+                match reach(&self.upstreams[index].id) {
+                    Reach::Not => {}
+                    reach => ranked.push(self.candidate(index, ask, reach, now, rng)),
+                }
+            }
             if exhausted || ranked.iter().any(|c| c.cost < WIDEN_FROM) {
                 break;
             }
@@ -306,7 +325,7 @@
         &self,
         index: usize,
         ask: Ask<'_>,
-        has_connection: &impl Fn(&UpstreamId) -> bool,
+        reach: Reach,
         now: Instant,
         rng: &mut R,
     ) -> Candidate {
@@ -327,9 +346,12 @@
         if upstream.zone != ask.zone {
             cost += CROSS_ZONE;
         }
-        if !has_connection(&upstream.id) {
-            cost += NEW_CONNECTION;
-        }
+        let queue = upstream.report(now).is_some_and(|(load, _)| load.waiting > 0);
+        cost += match reach {
+            Reach::New if queue => NEW_CONNECTION + NEW_CONNECTION_AT_A_QUEUE,
+            Reach::New => NEW_CONNECTION,
+            Reach::Kept | Reach::Not => 0.0,
+        };
         let fresh = upstream.report(now).is_some_and(|(_, age)| age <= FRESH);
         Candidate { index, cost, prediction, fresh, standing }
     }
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -5,7 +5,9 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
-use crate::{admit, Ask, Change, End, Entry, Event, Load, Policy, Pool, Room, Roster, Verdict};
+use crate::{
+    admit, Ask, Change, End, Entry, Event, Load, Policy, Pool, Reach, Room, Roster, Verdict,
+};
 
 const WORK: Duration = Duration::from_millis(100);
 const OBJECTIVE: Duration = Duration::from_millis(300);
@@ -50,7 +52,7 @@
 
 /// Returns the ids of the upstreams for a request, best first.
 fn ranked(pool: &Pool, ask: Ask<'_>, now: Instant) -> Vec<String> {
-    let candidates = pool.rank(ask, |_| true, now, &mut StdRng::seed_from_u64(1));
+    let candidates = pool.rank(ask, |_| Reach::Kept, now, &mut StdRng::seed_from_u64(1));
     candidates.iter().map(|c| pool.upstreams()[c.index].id.to_string()).collect()
 }
 
@@ -76,7 +78,7 @@
     let mut pool = pool(2, now);
     pool.take_report("u1", load(0, 0, 4.0), now);
     let later = now + ms(3_000);
-    let candidates = pool.rank(ask(), |_| true, later, &mut StdRng::seed_from_u64(1));
+    let candidates = pool.rank(ask(), |_| Reach::Kept, later, &mut StdRng::seed_from_u64(1));
     let took: Vec<Duration> = candidates.iter().map(|c| c.prediction.took).collect();
     assert!(took[0].abs_diff(took[1]) < ms(1), "{took:?}");
     assert_eq!(pool.to_ask(&candidates, 3).len(), 2);
@@ -87,7 +89,7 @@
     let now = Instant::now();
     let mut pool = pool(3, now);
     pool.take_report("u1", load(0, 0, 1.0), now);
-    let candidates = pool.rank(ask(), |_| true, now + ms(10), &mut StdRng::seed_from_u64(1));
+    let candidates = pool.rank(ask(), |_| Reach::Kept, now + ms(10), &mut StdRng::seed_from_u64(1));
     assert!(pool.to_ask(&candidates, 3).is_empty());
 }
 
@@ -197,7 +199,7 @@
     pool.take_report("u1", load, now);
     let mut rng = StdRng::seed_from_u64(1);
     let ask = Ask { objective_left: room.objective_left, ..ask() };
-    let best = pool.rank(ask, |_| true, now, &mut rng).remove(0);
+    let best = pool.rank(ask, |_| Reach::Kept, now, &mut rng).remove(0);
     admit(&best, room, &mut rng)
 }
 
@@ -333,7 +335,7 @@
         let mut compared = std::collections::HashSet::new();
         for seed in 0..20 {
             let mut rng = StdRng::seed_from_u64(seed);
-            let candidates = pool.rank(ask(), |_| true, now, &mut rng);
+            let candidates = pool.rank(ask(), |_| Reach::Kept, now, &mut rng);
             compared.extend(candidates.iter().map(|c| pool.upstreams()[c.index].id.clone()));
         }
         assert!(compared.len() <= 12, "{}", compared.len());
@@ -366,3 +368,25 @@
     let after: std::collections::HashSet<String> = ranked(&pool, ask(), now).into_iter().collect();
     assert_eq!(before.intersection(&after).count(), 11);
 }
+
+/// Symptom: upstreams reset connections, and claims sent on them are lost.
+/// Sequence: a node has its share of an upstream's connections in use, or the upstream's queue is
+/// long; another upstream is a little slower.
+/// Cause: opening one more connection whenever none is idle.
+#[test]
+fn connections_that_an_upstream_would_reset_are_not_opened() {
+    let now = Instant::now();
+    let mut pool = pool(2, now);
+    pool.take_report("u1", load(0, 0, 1.0), now);
+    pool.take_report("u2", load(1, 0, 1.2), now);
+    let first = |pool: &Pool, reach: Reach| {
+        let reach = |id: &crate::UpstreamId| if id == "u1" { reach } else { Reach::New };
+        let ranked = pool.rank(ask(), reach, now, &mut StdRng::seed_from_u64(1));
+        pool.upstreams()[ranked[0].index].id.to_string()
+    };
+    assert_eq!(first(&pool, Reach::New), "u1");
+    assert_eq!(first(&pool, Reach::Not), "u2");
+    pool.take_report("u1", load(0, 1, 1.0), now);
+    assert_eq!(first(&pool, Reach::New), "u2");
+    assert_eq!(first(&pool, Reach::Kept), "u1");
+}
