place: an upstream not heard of is as full as the others; few questions over new connections

All known upstreams reported queues; those outside the node's dozen, of which nothing was known, were taken for empty and came first, and each request asked up to six of them over new connections, which wait for a slot at a full upstream until the question times out.

Ruled out: lost answers (366 connections), cancelled hedges (1,974), upstreams' own closes (59). Most of the others were closed unused after their idle time.

Tests: both fail without the change (the first seen failing with the old prior).

--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -15,6 +15,9 @@
 const ASK_AT_ONCE: usize = 3;
 const ASK_ROUNDS: usize = 2;
 
+/// Upstreams asked over a new connection, in the first round only.
+const ASK_NEW: usize = 1;
+
 /// Connections that a node may have to an upstream however many nodes there are.
 const CONNECTIONS_LEAST: u32 = 2;
 
@@ -26,8 +29,9 @@
         tried: &[UpstreamId],
     ) -> Result<Choice, NoChoice> {
         let mut ranked = self.rank(call, tried);
-        for _ in 0..ASK_ROUNDS {
-            let ids = self.to_ask(call, &ranked);
+        for round in 0..ASK_ROUNDS {
+            let most_new = if round == 0 { ASK_NEW } else { 0 };
+            let ids = self.to_ask(call, &ranked, most_new);
             if ids.is_empty() {
                 break;
             }
@@ -87,7 +91,7 @@
     }
 
     /// Returns the upstreams to ask for their load, within the budget of probes.
-    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate]) -> Vec<UpstreamId> {
+    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate], most_new: usize) -> Vec<UpstreamId> {
         let ids: Vec<SmolStr> = {
             let state = self.state.borrow();
             match state.pools.get(&call.service) {
@@ -95,7 +99,7 @@
                     if pool.reports() != Some(false)
                         && state.settings.policy == place::Policy::Reports =>
                 {
-                    pool.to_ask(ranked, ASK_AT_ONCE)
+                    pool.to_ask(ranked, ASK_AT_ONCE, most_new)
                         .into_iter()
                         .map(|index| pool.upstreams()[index].id.clone())
                         .collect()
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 
 use crate::health::Standing;
-use crate::upstream::{Load, Prediction, Upstream};
+use crate::upstream::{Load, Prediction, Upstream, Usual};
 use crate::{End, Entry, UpstreamId};
 
 /// A report of this age or younger is not worth asking for again: the answer
@@ -49,8 +49,12 @@
 /// Weight of the newest report in the mean slowness.
 const SLOWNESS_WEIGHT: f64 = 0.02;
 
-/// Mean slowness before any report.
-const SLOWNESS_FIRST: f64 = 1.5;
+/// Weight of the newest report in the mean fullness: a node with ten reports a
+/// second follows a burst within about two seconds.
+const FULLNESS_WEIGHT: f64 = 0.05;
+
+/// What upstreams are taken to be like before any report.
+const USUAL_FIRST: Usual = Usual { slowness: 1.5, fullness: 0.3 };
 
 /// Upstreams of the own zone, and of others, that a node compares for a request.
 ///
@@ -115,6 +119,7 @@
     pub prediction: Prediction,
     /// Whether its report is recent.
     pub fresh: bool,
+    reach: Reach,
     standing: Standing,
 }
 
@@ -125,7 +130,7 @@
     upstreams: Vec<Upstream>,
     /// Who orders: a number of the node's own.
     node_seed: u64,
-    usual_slowness: f64,
+    usual: Usual,
     /// Whether upstreams of this service report their load; `None` before any answered.
     reports: Option<bool>,
     /// Next upstream in turn, for [`Policy::RoundRobin`].
@@ -137,7 +142,7 @@
         Pool {
             upstreams: Vec::new(),
             node_seed: 0,
-            usual_slowness: SLOWNESS_FIRST,
+            usual: USUAL_FIRST,
             reports: None,
             turn: Cell::new(0),
         }
@@ -196,11 +201,6 @@
         self.reports
     }
 
-    /// Returns how slow machines of this service are on average.
-    pub fn usual_slowness(&self) -> f64 {
-        self.usual_slowness
-    }
-
     /// Takes an upstream's report of its load, or that its answer had none.
     pub fn take_report(&mut self, id: &str, load: Option<Load>, now: Instant) {
         let Some(load) = load else {
@@ -208,7 +208,8 @@
             return;
         };
         self.reports = Some(true);
-        self.usual_slowness += SLOWNESS_WEIGHT * (load.slowness - self.usual_slowness);
+        self.usual.slowness += SLOWNESS_WEIGHT * (load.slowness - self.usual.slowness);
+        self.usual.fullness += FULLNESS_WEIGHT * (load.fullness() - self.usual.fullness);
         if let Some(index) = self.position(id) {
             self.upstreams[index].take_report(load, now);
         }
@@ -330,7 +331,7 @@
         rng: &mut R,
     ) -> Candidate {
         let upstream = &self.upstreams[index];
-        let prediction = upstream.predict(ask.work, self.usual_slowness, now);
+        let prediction = upstream.predict(ask.work, self.usual, now);
         let standing = match upstream.health.standing(now) {
             Standing::Trial if upstream.outstanding > 0 || !ask.repeatable => Standing::Ejected,
             standing => standing,
@@ -353,17 +354,32 @@
             Reach::Kept | Reach::Not => 0.0,
         };
         let fresh = upstream.report(now).is_some_and(|(_, age)| age <= FRESH);
-        Candidate { index, cost, prediction, fresh, standing }
+        Candidate { index, cost, prediction, fresh, reach, standing }
     }
 
-    /// Returns up to `most` of the best `ranked` upstreams whose report is too old to rely on.
+    /// Returns up to `most` of the best `ranked` upstreams whose report is too old to rely on, at
+    /// most `most_new` of them over a new connection.
     ///
     /// None when the best one's report is fresh and its cost as low as it gets:
-    /// asking others could not improve on it.
-    pub fn to_ask(&self, ranked: &[Candidate], most: usize) -> Vec<usize> {
-        match ranked.first() {
-            Some(best) if best.fresh && best.cost < CROSS_ZONE => Vec::new(),
-            _ => ranked.iter().filter(|c| !c.fresh).take(most).map(|c| c.index).collect(),
+    /// asking others could not improve on it. A new connection is dear, and full upstreams
+    /// make it wait for a slot: its question is answered too late to be of use.
+    pub fn to_ask(&self, ranked: &[Candidate], most: usize, most_new: usize) -> Vec<usize> {
+        if ranked.first().is_some_and(|best| best.fresh && best.cost < CROSS_ZONE) {
+            return Vec::new();
         }
+        let mut new_left = most_new;
+        let mut may_ask = |candidate: &Candidate| match candidate.reach {
+            Reach::New => match new_left.checked_sub(1) {
+                Some(left) => {
+                    new_left = left;
+                    true
+                }
+                None => false,
+            },
+            Reach::Kept => true,
+            Reach::Not => false,
+        };
+        let old = ranked.iter().filter(|c| !c.fresh);
+        old.filter(|c| may_ask(c)).take(most).map(|c| c.index).collect()
     }
 }
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -81,7 +81,7 @@
     let candidates = pool.rank(ask(), |_| Reach::Kept, later, &mut StdRng::seed_from_u64(1));
     let took: Vec<Duration> = candidates.iter().map(|c| c.prediction.took).collect();
     assert!(took[0].abs_diff(took[1]) < ms(1), "{took:?}");
-    assert_eq!(pool.to_ask(&candidates, 3).len(), 2);
+    assert_eq!(pool.to_ask(&candidates, 3, 3).len(), 2);
 }
 
 #[test]
@@ -90,7 +90,7 @@
     let mut pool = pool(3, now);
     pool.take_report("u1", load(0, 0, 1.0), now);
     let candidates = pool.rank(ask(), |_| Reach::Kept, now + ms(10), &mut StdRng::seed_from_u64(1));
-    assert!(pool.to_ask(&candidates, 3).is_empty());
+    assert!(pool.to_ask(&candidates, 3, 3).is_empty());
 }
 
 /// Symptom: bytes between zones cost more than the requests earn.
@@ -390,3 +390,45 @@
     assert_eq!(first(&pool, Reach::New), "u2");
     assert_eq!(first(&pool, Reach::Kept), "u1");
 }
+
+/// Symptom: in a burst a node opens ten connections a second to upstreams that it never used, and
+/// most of them are reset or wait for a slot.
+/// Sequence: all upstreams that the node knows report full queues; it has heard nothing of others.
+/// Cause: an upstream that nothing is known of was taken for empty, and so for the best.
+#[test]
+fn an_upstream_not_heard_of_is_as_full_as_the_others() {
+    let now = Instant::now();
+    let mut pool = pool(40, now);
+    for _ in 0..10 {
+        (1..=10).for_each(|n| pool.take_report(&format!("u{n}"), load(4, 6, 1.0), now));
+    }
+    let known: Vec<String> = (1..=10).map(|n| format!("u{n}")).collect();
+    let reach = |id: &crate::UpstreamId| match known.iter().any(|k| k == id) {
+        true => Reach::Kept,
+        false => Reach::New,
+    };
+    let candidates = pool.rank(ask(), reach, now + ms(20), &mut StdRng::seed_from_u64(1));
+    let best = &pool.upstreams()[candidates[0].index];
+    assert!(known.iter().any(|k| *k == best.id), "{} came first", best.id);
+    let unknown =
+        candidates.iter().find(|c| !known.iter().any(|k| *k == pool.upstreams()[c.index].id));
+    assert!(
+        unknown.is_none_or(|c| !c.prediction.wait.is_zero()),
+        "no wait expected at {unknown:?}"
+    );
+}
+
+/// Symptom: a request costs up to six new connections before it is even sent.
+/// Sequence: a node that has just started, or whose upstreams are all slow, asks for reports.
+/// Cause: questions over new connections were as free as others.
+#[test]
+fn few_upstreams_are_asked_over_new_connections() {
+    let now = Instant::now();
+    let pool = pool(8, now);
+    let reach = |id: &crate::UpstreamId| if id == "u1" { Reach::Kept } else { Reach::New };
+    let candidates = pool.rank(ask(), reach, now, &mut StdRng::seed_from_u64(1));
+    let asked = pool.to_ask(&candidates, 3, 1);
+    let new = asked.iter().filter(|index| pool.upstreams()[**index].id != "u1").count();
+    assert_eq!((asked.len(), new), (2, 1));
+    assert_eq!(pool.to_ask(&candidates, 3, 0).len(), 1);
+}
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -12,6 +12,10 @@
 /// every 300 ms were seen; a report of that age says little.
 const REPORT_FADES_IN: Duration = Duration::from_millis(300);
 
+/// Time in which what a report says of running and waiting requests loses most
+/// of its worth. Queues change with the work that ends, slower than machines.
+const OCCUPANCY_FADES_IN: Duration = Duration::from_secs(1);
+
 /// Share of its slots from which on an upstream counts as nearly full.
 const NEARLY_FULL: f64 = 0.8;
 
@@ -52,6 +56,11 @@
     pub fn has_room(&self) -> bool {
         self.waiting == 0 && self.running < self.slots
     }
+
+    /// Returns the requests running and waiting, per slot.
+    pub fn fullness(&self) -> f64 {
+        f64::from(self.running + self.waiting) / f64::from(self.slots.max(1))
+    }
 }
 
 /// One upstream.
@@ -77,6 +86,15 @@
     drag_at: Option<Instant>,
 }
 
+/// What upstreams of a service are like, as far as one is not known better.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usual {
+    /// How long work takes, as a factor of what it takes on a machine of its own.
+    pub slowness: f64,
+    /// Requests running and waiting, per slot.
+    pub fullness: f64,
+}
+
 /// How long a request would take at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prediction {
@@ -151,18 +169,27 @@
         self.drag_at = Some(now);
     }
 
-    /// Predicts a request of `work`; `usual_slowness` is the mean over the upstreams of the service.
-    pub fn predict(&self, work: Duration, usual_slowness: f64, now: Instant) -> Prediction {
+    /// Predicts a request of `work`, where upstreams of the service are `usual` ones.
+    ///
+    /// An upstream that has said nothing lately is taken to be as full as the others. Taken for
+    /// empty, it would look best whenever all others are full: each request of a burst would
+    /// open a connection to yet another upstream, which is full too.
+    pub fn predict(&self, work: Duration, usual: Usual, now: Instant) -> Prediction {
+        let slots = f64::from(self.slots);
+        let usually_occupied = usual.fullness * slots;
         let (slowness, occupied, trust) = match self.report(now) {
             Some((load, age)) => {
-                let trust = (-age.as_secs_f64() / REPORT_FADES_IN.as_secs_f64()).exp();
-                let slowness = trust * load.slowness + (1.0 - trust) * usual_slowness;
-                let reported = i64::from(load.running + load.waiting) + self.since_report;
-                (slowness, reported.max(i64::from(self.outstanding)) as f64, trust)
+                let fading =
+                    |fades_in: Duration| (-age.as_secs_f64() / fades_in.as_secs_f64()).exp();
+                let trust = fading(REPORT_FADES_IN);
+                let slowness = trust * load.slowness + (1.0 - trust) * usual.slowness;
+                let kept = fading(OCCUPANCY_FADES_IN);
+                let reported = (i64::from(load.running + load.waiting) + self.since_report) as f64;
+                (slowness, kept * reported + (1.0 - kept) * usually_occupied, trust)
             }
-            None => (usual_slowness, f64::from(self.outstanding), 0.0),
+            None => (usual.slowness, usually_occupied, 0.0),
         };
-        let slots = f64::from(self.slots);
+        let occupied = occupied.max(f64::from(self.outstanding));
         let fullness = (occupied + 1.0) / slots;
         let mut factor = slowness * self.drag(now);
         if fullness > NEARLY_FULL {
