readers: another reader before the platform itself, rare tries while nothing answers, first start through seeds

In an outage of two seconds 162 nodes made about 2,000 calls, all refused. At first start each of 129 nodes read everything twice before it knew of a reader.

- `readers::choose`: readers of other zones when the own zone's failed; a node looks for 0.4 s before it reads the platform.
A reader that noticed late says so (`Frame::MayBeLate`), and its subscribers read the platform at once.
- `readers::longest_pause`: tries spread over the fleet; readers try as often as before.
- A starting node asks the seeds for 0.15 s, at first start for 2 s, and does not take itself for a reader before it knows its peers.

Ruled out: no direct reads of non-readers at all (the platform may answer one node and not the readers); longer pauses for readers (changes must be in force within two seconds).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use crate::forward::Node;
-use crate::relay;
+use crate::{readers, relay};
 
 /// Longest time that one wait for changes lasts: an answer that holds nothing
 /// is paid for like any other.
@@ -208,7 +208,10 @@
                 lost(&node, topic, failures, asked_at, &err);
                 failures += 1;
                 let doubled = RETRY.0 * (1 << failures.min(RETRY_DOUBLINGS));
-                jittered(doubled.min(RETRY.1))
+                let most = readers::longest_pause(&node.state.borrow(), RETRY.1);
+                // Nodes that can wait long begin with that: a short outage is over before they
+                // have tried five times.
+                jittered(if most > RETRY.1 { most } else { doubled.min(most) })
             }
         };
         monoio::time::sleep(pause).await;
@@ -279,7 +282,7 @@
 pub(crate) fn adopt(node: &Node, frame: relay::Frame) {
     let now = Instant::now();
     match frame {
-        relay::Frame::Alive => {}
+        relay::Frame::Alive | relay::Frame::MayBeLate => {}
         relay::Frame::Config { up_to, newest, table } => {
             seen(node, Topic::Config, up_to, newest);
             if let Some(table) = table {
@@ -311,7 +314,7 @@
     if topic == Topic::Upstreams {
         node.state.borrow_mut().roster.store_lost(asked_at);
         // They may be answered where this node is not.
-        node.subscribers.drop_all();
+        node.subscribers.drop_all(asked_at.elapsed() > READER_WAIT);
     }
     if failures == 0 {
         trace::Line::new("store_lost")
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -65,6 +65,8 @@
     pub peer_addr: SocketAddr,
     /// Other entry nodes to begin with, which may be gone.
     pub seed_addrs: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, with nothing to serve yet.
+    pub first_start: bool,
     /// Names of headers.
     pub headers: HeaderNames,
     /// How upstreams are chosen.
--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -4,7 +4,8 @@
 //! node that waits for it. A few nodes per zone wait at the platform; the
 //! others hear of changes from one of these a few milliseconds later. A
 //! reader that fails or falls behind is noticed by its own subscribers
-//! ([`crate::follow::behind`]), who then read the platform themselves.
+//! ([`crate::follow::behind`]), who then turn to another reader and, when that
+//! fails too, read the platform themselves.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -15,6 +16,7 @@
 use wire::Standing;
 
 use crate::state::State;
+use crate::Settings;
 
 /// Readers in the whole fleet at least: when one is cut off, two others still
 /// hear of changes and tell its subscribers that they are behind.
@@ -26,6 +28,34 @@
 /// The same for a node that holds nothing yet.
 const AWAY_FOR_NEWCOMER: Duration = Duration::from_millis(200);
 
+/// Time in which a node whose reader let it go looks for another one before it reads the platform
+/// itself. All readers lose the platform in the same moment when it resets its connections, and are
+/// back at once; a reader that was cut off has noticed after 1.2 s, and what it missed must be in
+/// force within two seconds.
+const SWITCH_WITHIN: Duration = Duration::from_millis(400);
+
+/// The same for a node that starts: its callers wait for it.
+const SWITCH_WITHIN_NEWCOMER: Duration = Duration::from_millis(150);
+
+/// The same for a node of a fleet that starts for the first time: no callers come yet, and peers
+/// that start at the same moment take a while to listen.
+const SWITCH_WITHIN_FIRST_START: Duration = Duration::from_millis(2_000);
+
+/// A node that has just started knows few of its peers and would take itself for a reader. Messages
+/// of membership reach all within this time.
+const KNOWS_PEERS_AFTER: Duration = Duration::from_millis(1_000);
+
+/// The same while the whole fleet starts and all nodes introduce themselves at once.
+const KNOWS_PEERS_AFTER_FIRST_START: Duration = Duration::from_millis(3_500);
+
+/// Calls per second of all nodes together to a platform that does not answer them: about a sixth
+/// of the smallest write rate seen (400 a second), so that others are served when it is back.
+const FRUITLESS_CALLS_PER_S: f64 = 60.0;
+
+/// Longest pause between two tries of a node that is no reader: a reader that is served again takes
+/// it back sooner.
+const PAUSE_MOST: Duration = Duration::from_millis(2_500);
+
 /// How a node reads the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Way {
@@ -33,6 +63,8 @@
     Direct,
     /// Through this peer.
     Via(SocketAddr),
+    /// Not at all for now: the peers to ask do not listen yet.
+    Later,
 }
 
 /// Returns the readers by zone: the first by address among those that serve, or among those
@@ -62,12 +94,55 @@
     readers(state).values().any(|addrs| addrs.contains(&peer))
 }
 
+/// Returns for how long a node without a reader may look for one before it reads the platform itself.
+pub fn switch_within(state: &State) -> Duration {
+    match state.is_in_step() {
+        true => SWITCH_WITHIN,
+        false if state.settings.first_start => SWITCH_WITHIN_FIRST_START,
+        false => SWITCH_WITHIN_NEWCOMER,
+    }
+}
+
+/// Returns true once this node knows enough of its peers to tell whether it is a reader.
+pub fn knows_peers(state: &State, now: Instant) -> bool {
+    let after = match state.settings.first_start {
+        true => KNOWS_PEERS_AFTER_FIRST_START,
+        false => KNOWS_PEERS_AFTER,
+    };
+    now >= state.started_at + after
+}
+
+/// Returns true when this node begins by asking the nodes that it was told of at start.
+pub fn begins_with_seeds(settings: &Settings) -> bool {
+    !settings.seed_addrs.is_empty() && !settings.seed_addrs.contains(&settings.peer_addr)
+}
+
+/// Returns the longest pause between two tries at a platform that does not answer; `most` for
+/// readers and nodes that hold nothing.
+///
+/// The load pattern: the platform is down and each of a hundred nodes tries it every half second.
+/// Each call is paid for, and none helps: the readers notice first that it is back.
+pub fn longest_pause(state: &State, most: Duration) -> Duration {
+    match state.is_in_step() && !is_reader(state, state.settings.peer_addr) {
+        true => {
+            let spread = state.fleet_size() as f64 / FRUITLESS_CALLS_PER_S;
+            Duration::from_secs_f64(spread).clamp(most, PAUSE_MOST.max(most))
+        }
+        false => most,
+    }
+}
+
 /// Chooses how this node reads the platform now; peers in `avoided` failed it until then.
 ///
-/// A node that starts reads the platform once itself, whoever else may: it
-/// serves a few milliseconds later, and waiting for peers that start too would
-/// cost their callers more than the calls cost.
-pub fn choose(state: &mut State, avoided: &HashMap<SocketAddr, Instant>, now: Instant) -> Way {
+/// `searching` says that the node lost its reader, or started, a moment ago. A node that starts
+/// asks the seeds it was told of, for a moment only: when all nodes start at once, waiting for each
+/// other would cost their callers more than the calls cost.
+pub fn choose(
+    state: &mut State,
+    avoided: &HashMap<SocketAddr, Instant>,
+    searching: bool,
+    now: Instant,
+) -> Way {
     let me = state.settings.peer_addr;
     let usable =
         |addr: &SocketAddr| *addr != me && avoided.get(addr).is_none_or(|until| *until <= now);
@@ -83,22 +158,32 @@
                 serving
             }
         }
+        false if searching && begins_with_seeds(&state.settings) => {
+            state.settings.seed_addrs.iter().copied().filter(usable).collect()
+        }
         false => Vec::new(),
         true => {
             let by_zone = readers(state);
             let is_reader = by_zone.values().any(|addrs| addrs.contains(&me));
             let away = state.roster.store_away_for(now) >= AWAY_FOR;
+            let all = || by_zone.values().flatten().copied().filter(usable).collect();
             let own = by_zone.get(&state.settings.zone).into_iter().flatten();
+            let own: Vec<SocketAddr> = own.copied().filter(usable).collect();
             match is_reader {
-                false => own.copied().filter(usable).collect(),
+                false if own.is_empty() => all(),
+                false => own,
                 // The platform turns this reader away: another one may be served.
-                true if away => by_zone.values().flatten().copied().filter(usable).collect(),
+                true if away => all(),
                 true => Vec::new(),
             }
         }
     };
+    // A node that starts has asked each seed once; only a fleet that starts as a whole is waited for.
+    let waits = searching && (state.is_in_step() || state.settings.first_start);
+    let is_reader = knows_peers(state, now) && is_reader(state, me);
     match candidates.choose(&mut state.rng) {
         Some(peer) => Way::Via(*peer),
+        None if waits && !state.direct && !is_reader => Way::Later,
         None => Way::Direct,
     }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -52,8 +52,13 @@
 /// Time for the first frame.
 const FIRST_FRAME: Duration = Duration::from_millis(400);
 
-/// A peer that failed is not asked again for this long.
-const AVOID_FOR: Duration = Duration::from_secs(3);
+/// A peer that failed is not asked again for this long. Shorter, nodes would connect to readers that
+/// are down again and again; longer, a node whose cut has healed would be late to be in step.
+const AVOID_FOR: Duration = Duration::from_secs(1);
+
+/// The same for a peer that let this node go, or does not listen yet while the whole fleet starts:
+/// it is most likely back within a few tenths of a second.
+const AVOID_FOR_A_MOMENT: Duration = Duration::from_millis(100);
 
 /// A reader that the platform turned away tries it again after this long.
 const TRY_AGAIN: Duration = Duration::from_millis(1_500);
@@ -90,6 +95,8 @@
 pub enum Frame {
     /// The peer is alive; nothing changed.
     Alive,
+    /// The peer may have missed changes for a second already: the platform must be read at once.
+    MayBeLate,
     /// The configuration as the peer holds it.
     Config {
         /// How much of its history the peer has seen.
@@ -149,6 +156,7 @@
         match self {
             Frame::Config { up_to, .. } => *up_to < state.config_seen.newest,
             Frame::List { up_to, .. } => *up_to < state.list_seen.newest,
+            Frame::MayBeLate => true,
             Frame::Alive | Frame::Changes { .. } => false,
         }
     }
@@ -198,8 +206,12 @@
         self.queues.borrow().is_empty()
     }
 
-    /// Lets all subscribers go; they read the platform themselves then.
-    pub fn drop_all(&self) {
+    /// Lets all subscribers go; they turn to another reader. `may_be_late` tells that this one
+    /// noticed late that it hears no more: they then read the platform themselves at once.
+    pub fn drop_all(&self, may_be_late: bool) {
+        if may_be_late {
+            self.tell(&Frame::MayBeLate);
+        }
         self.queues.borrow_mut().clear();
     }
 }
@@ -230,7 +242,7 @@
             node.state.borrow_mut().reaches_platform = reached;
         }
         if !reached {
-            node.subscribers.drop_all();
+            node.subscribers.drop_all(true);
         }
     }
 }
@@ -263,12 +275,24 @@
     state.is_in_step() && enough && (current || greeting.takes_anything)
 }
 
+/// Returns true when this node may soon be able to pass on what it cannot yet: it is about to read
+/// what the subscriber has seen. A node that the platform does not answer says no at once, so that
+/// the subscriber asks another.
+fn is_worth_waiting(state: &State, greeting: Greeting) -> bool {
+    match greeting.takes_anything {
+        // All nodes were restarted: each helps itself the quickest.
+        true => state.is_in_step() || state.settings.first_start,
+        false => state.reaches_platform && !state.roster.store_is_away(),
+    }
+}
+
 async fn serve_one(mut stream: TcpStream, node: Rc<Node>) {
     let greeting = monoio::time::timeout(FIRST_FRAME, receive::<Greeting>(&mut stream));
     let Ok(Ok(greeting)) = greeting.await else { return };
     let asked_at = Instant::now();
     while !may_pass_on(&node.state.borrow(), greeting) {
-        if asked_at.elapsed() > FIRST_FRAME {
+        let worth_waiting = is_worth_waiting(&node.state.borrow(), greeting);
+        if !worth_waiting || asked_at.elapsed() > FIRST_FRAME {
             return;
         }
         monoio::time::sleep(LOOK_IN_STEP).await;
@@ -302,31 +326,40 @@
 /// Sees to it that this node reads the platform the way it should, forever.
 pub async fn run(node: Rc<Node>) {
     let mut avoided: HashMap<SocketAddr, Instant> = HashMap::new();
+    // When the newest frame came from a peer; a node that starts may look for a peer first, too.
+    let mut fed_until = Instant::now();
     loop {
         let now = Instant::now();
         avoided.retain(|_, until| *until > now);
-        let way = readers::choose(&mut node.state.borrow_mut(), &avoided, now);
+        let way = {
+            let state = &mut node.state.borrow_mut();
+            let searching = now < fed_until + readers::switch_within(state);
+            readers::choose(state, &avoided, searching, now)
+        };
         match way {
             Way::Direct => {
                 node.state.borrow_mut().direct = true;
                 monoio::time::sleep(LOOK).await;
             }
+            Way::Later => monoio::time::sleep(LOOK_IN_STEP).await,
             Way::Via(peer) => {
-                let ended = subscribe(&node, peer).await;
+                let ended = subscribe(&node, peer, &mut fed_until).await;
                 trace::Line::new("peer_feed_ended")
                     .field("peer", peer)
                     .field("reason", ended.reason())
                     .log();
-                match ended {
-                    Ended::Moved => {
-                        // Whether the platform answers is found out anew.
-                        node.state.borrow_mut().roster.store_unknown();
-                    }
-                    Ended::Failed | Ended::Behind => {
-                        avoided.insert(peer, Instant::now() + AVOID_FOR);
-                        node.state.borrow_mut().direct = true;
-                    }
+                let mut state = node.state.borrow_mut();
+                let search_is_over = fed_until.elapsed() > readers::switch_within(&state);
+                if ended == Ended::Moved {
+                    // Whether the platform answers is found out anew.
+                    state.roster.store_unknown();
+                    continue;
                 }
+                let starts = state.settings.first_start && !state.is_in_step();
+                let soon_back = ended == Ended::Closed || starts;
+                let avoid_for = if soon_back { AVOID_FOR_A_MOMENT } else { AVOID_FOR };
+                avoided.insert(peer, Instant::now() + avoid_for);
+                state.direct |= search_is_over || ended == Ended::Behind;
             }
         }
     }
@@ -335,8 +368,10 @@
 /// Why a subscription ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ended {
-    /// The peer could not be reached, closed or went silent, or sent what is no frame.
+    /// The peer could not be reached, went silent, or sent what is no frame.
     Failed,
+    /// The peer passed something on and then closed: it has lost the platform, or ends.
+    Closed,
     /// The peer has seen less than this node or others.
     Behind,
     /// The peer is no longer the one to ask.
@@ -347,21 +382,24 @@
     fn reason(self) -> &'static str {
         match self {
             Ended::Failed => "failed",
+            Ended::Closed => "closed",
             Ended::Behind => "behind",
             Ended::Moved => "moved",
         }
     }
 }
 
-/// Takes what `peer` passes on, until it should be asked no longer.
-async fn subscribe(node: &Rc<Node>, peer: SocketAddr) -> Ended {
+/// Takes what `peer` passes on, until it should be asked no longer; `fed_until` is set whenever it
+/// passed something on.
+async fn subscribe(node: &Rc<Node>, peer: SocketAddr, fed_until: &mut Instant) -> Ended {
     let connecting = monoio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect_addr(peer));
     let Ok(Ok(mut stream)) = connecting.await else { return Ended::Failed };
     let greeting = encode(&Greeting::of(&node.state.borrow()));
     if stream.write_all(greeting).await.0.is_err() {
         return Ended::Failed;
     }
-    let mut patience = FIRST_FRAME;
+    let mut patience = FIRST_FRAME.min(readers::switch_within(&node.state.borrow()));
+    let mut fed = false;
     let mut config_behind = pin!(follow::behind(node, Topic::Config));
     let mut list_behind = pin!(follow::behind(node, Topic::Upstreams));
     let mut moved = pin!(until_moved(node, peer));
@@ -372,11 +410,19 @@
             () = &mut list_behind => return Ended::Behind,
             () = &mut moved => return Ended::Moved,
         };
-        let Ok(Ok(frame)) = frame else { return Ended::Failed };
+        let frame = match frame {
+            Ok(Ok(frame)) => frame,
+            Ok(Err(_)) if fed => {
+                *fed_until = Instant::now();
+                return Ended::Closed;
+            }
+            Ok(Err(_)) | Err(_) => return Ended::Failed,
+        };
         if frame.is_stale(&node.state.borrow()) {
             return Ended::Behind;
         }
-        patience = SILENT_FOR;
+        (patience, fed) = (SILENT_FOR, true);
+        *fed_until = Instant::now();
         node.state.borrow_mut().direct = false;
         follow::adopt(node, frame);
     }
@@ -391,6 +437,9 @@
     loop {
         monoio::time::sleep(LOOK).await;
         let state = node.state.borrow();
+        if !readers::knows_peers(&state, Instant::now()) {
+            continue;
+        }
         let me_first = readers::is_reader(&state, state.settings.peer_addr);
         let turned_away = state.roster.store_is_away() && since.elapsed() < TRY_AGAIN;
         let nothing_else = !state.is_ready() || since.elapsed() < TRY_AGAIN;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -129,6 +129,8 @@
     pub list_seen: Seen,
     /// Other entry nodes.
     pub peers: BTreeMap<SocketAddr, Peer>,
+    /// When the process started.
+    pub started_at: Instant,
     /// Whether this node reads the platform itself, not through a peer.
     pub direct: bool,
     /// Whether the platform took this node's newest connections.
@@ -148,6 +150,7 @@
 impl State {
     /// Creates the state of a node that knows nothing yet.
     pub fn new(settings: Settings) -> State {
+        let direct = !crate::readers::begins_with_seeds(&settings);
         State {
             settings,
             table: None,
@@ -160,7 +163,8 @@
             config_seen: Seen::default(),
             list_seen: Seen::default(),
             peers: BTreeMap::new(),
-            direct: true,
+            started_at: Instant::now(),
+            direct,
             reaches_platform: true,
             stopping: None,
             in_flight: 0,
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -46,6 +46,7 @@
         front_addr: addr,
         peer_addr: addr,
         seed_addrs: Vec::new(),
+        first_start: false,
         headers: names(),
         policy: place::Policy::Reports,
         read_load: |_| None,
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -53,7 +53,7 @@
 }
 
 fn way(state: &mut State) -> Way {
-    readers::choose(state, &HashMap::new(), Instant::now())
+    readers::choose(state, &HashMap::new(), false, Instant::now())
 }
 
 #[yare::parameterized(
@@ -74,11 +74,11 @@
     let mut state = state_at(addr(1), &[(3, "b")]);
     let now = Instant::now();
     state.roster.store_lost(now);
-    assert_eq!(readers::choose(&mut state, &HashMap::new(), now + ms(500)), Way::Direct);
+    assert_eq!(readers::choose(&mut state, &HashMap::new(), false, now + ms(500)), Way::Direct);
     let later = now + ms(1_500);
-    assert_eq!(readers::choose(&mut state, &HashMap::new(), later), Way::Via(addr(3)));
+    assert_eq!(readers::choose(&mut state, &HashMap::new(), false, later), Way::Via(addr(3)));
     state.roster.store_unknown();
-    assert_eq!(readers::choose(&mut state, &HashMap::new(), later), Way::Direct);
+    assert_eq!(readers::choose(&mut state, &HashMap::new(), false, later), Way::Direct);
 }
 
 #[test]
@@ -95,6 +95,7 @@
     list: Rc<RefCell<Vec<place::Entry>>>,
     list_version: Rc<Cell<Cursor>>,
     waits: Rc<Cell<u32>>,
+    snapshots: Rc<Cell<u32>>,
     cut: Rc<Cell<bool>>,
 }
 
@@ -117,6 +118,7 @@
 
 impl Source for Platform {
     async fn snapshot(&self, topic: Topic) -> Result<Batch, SourceError> {
+        self.snapshots.set(self.snapshots.get() + 1);
         Ok(self.batch(topic))
     }
 
@@ -149,10 +151,20 @@
 
 /// Starts a node that follows `platform`, with its relay; returns it and where peers reach it.
 fn start(platform: &Platform) -> (Rc<Node>, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    start_with(platform, "127.0.0.1:0".parse().expect("an address"), |_| {})
+}
+
+/// The same at `at`, with other settings.
+fn start_with(
+    platform: &Platform,
+    at: SocketAddr,
+    change: impl FnOnce(&mut crate::Settings),
+) -> (Rc<Node>, SocketAddr) {
+    let listener = TcpListener::bind(at).expect("binds");
     let at = listener.local_addr().expect("bound");
     let mut settings = settings();
     settings.peer_addr = at;
+    change(&mut settings);
     let node = Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings))), metrics()));
     for topic in [Topic::Config, Topic::Upstreams] {
         monoio::spawn(follow::run(platform.clone(), topic, node.clone()));
@@ -321,3 +333,134 @@
         assert_eq!(node.state.borrow().config_version(), 9);
     });
 }
+
+/// An address on which nothing listens yet.
+fn free_addr() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    listener.local_addr().expect("bound")
+}
+
+#[yare::parameterized(
+    the_own_zone_first = { &[], &[2] },
+    then_another_zone = { &[2], &[3, 4] },
+)]
+fn a_node_whose_reader_failed_asks_one_of_another_zone(avoided: &[u8], expected: &[u8]) {
+    let now = Instant::now();
+    let avoided = avoided.iter().map(|n| (addr(*n), now + ms(500))).collect();
+    for _ in 0..20 {
+        let mut state = state_at(addr(5), &[(2, "a"), (3, "b"), (4, "c")]);
+        let Way::Via(peer) = readers::choose(&mut state, &avoided, false, now) else {
+            panic!("no reader was chosen");
+        };
+        assert!(expected.iter().any(|n| addr(*n) == peer), "{peer}");
+    }
+}
+
+/// Symptom: an outage of two seconds costs thousands of calls, all refused.
+/// Sequence: the platform is down; each of 150 nodes tries it again within 0.7 s.
+/// Cause: pauses that do not know how many others try too.
+#[test]
+fn many_nodes_try_a_silent_platform_rarely_and_readers_often() {
+    let most = ms(700);
+    let mut state = state_at(addr(250), &[]);
+    for n in 1..150 {
+        state.peers.insert(addr(n), serving("a"));
+    }
+    assert!(readers::longest_pause(&state, most) > ms(2_000));
+    state.settings.peer_addr = addr(0);
+    assert_eq!(readers::longest_pause(&state, most), most);
+    let mut small = state_at(addr(250), &[(1, "a"), (2, "a"), (3, "a")]);
+    assert_eq!(readers::longest_pause(&small, most), most);
+    small.list_seen.read = false;
+    assert_eq!(readers::longest_pause(&small, most), most);
+}
+
+/// Symptom: when one reader is restarted or turned away, forty nodes read the platform at once.
+/// Sequence: a reader lets its subscribers go; another reader serves.
+/// Cause: going back to the platform before any other peer was asked.
+#[test]
+fn a_node_let_go_by_its_reader_turns_to_another_without_a_call() {
+    run(async {
+        let platform = platform();
+        let readers = [start(&platform), start(&platform)];
+        monoio::time::sleep(ms(100)).await;
+        let own = Platform { snapshots: Rc::default(), ..platform.clone() };
+        let (node, _) = start(&own);
+        {
+            let mut state = node.state.borrow_mut();
+            state.settings.peer_addr = SocketAddr::from(([127, 0, 0, 1], 65_535));
+            state.settings.zone = "c".into();
+            state.peers.insert(readers[0].1, serving("a"));
+            state.peers.insert(readers[1].1, serving("b"));
+            let unreachable = SocketAddr::from(([127, 0, 0, 1], 1));
+            state.peers.insert(unreachable, serving("c"));
+        }
+        let asked_at = Instant::now();
+        while node.state.borrow().direct {
+            assert!(asked_at.elapsed() < ms(5_000), "never subscribed");
+            monoio::time::sleep(ms(20)).await;
+        }
+        let before = own.snapshots.get();
+        let (first, second) = match readers[0].0.subscribers.is_empty() {
+            true => (&readers[1], &readers[0]),
+            false => (&readers[0], &readers[1]),
+        };
+        first.0.state.borrow_mut().roster.store_lost(Instant::now());
+        first.0.subscribers.drop_all(false);
+        monoio::time::sleep(ms(600)).await;
+        assert!(!second.0.subscribers.is_empty(), "the other reader was not asked");
+        assert!(!node.state.borrow().direct);
+        assert_eq!(own.snapshots.get(), before);
+    });
+}
+
+/// Symptom: a fleet that starts for the first time makes two calls a node, and one more for each
+/// upstream that registers meanwhile.
+/// Sequence: a node starts 0.3 s before the seeds that it was told of listen.
+/// Cause: reading the platform as soon as one peer did not answer.
+#[test]
+fn a_fleet_that_starts_reads_the_platform_through_its_seeds() {
+    run(async {
+        let seed_at = free_addr();
+        let own = platform();
+        let (node, _) = start_with(&own, free_addr(), |settings| {
+            settings.seed_addrs = vec![seed_at];
+            settings.first_start = true;
+        });
+        monoio::time::sleep(ms(300)).await;
+        let seed = start_with(&platform(), seed_at, |settings| {
+            settings.seed_addrs = vec![seed_at];
+            settings.first_start = true;
+        });
+        let asked_at = Instant::now();
+        while !node.state.borrow().is_ready() {
+            assert!(asked_at.elapsed() < ms(3_000), "never ready");
+            monoio::time::sleep(ms(20)).await;
+        }
+        assert_eq!(own.snapshots.get(), 0);
+        assert!(seed.0.state.borrow().direct);
+    });
+}
+
+/// Symptom: after all nodes were killed at once, each is late by the time that it waits for others.
+/// Sequence: a node is restarted; its seeds are restarted too and hold nothing yet.
+/// Cause: waiting for peers that know no more.
+#[test]
+fn a_restarted_node_does_not_wait_for_seeds_that_hold_nothing() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let seed_at = listener.local_addr().expect("bound");
+        let empty = Node::new(Rc::new(RefCell::new(State::new(settings()))), metrics());
+        monoio::spawn(relay::serve(listener, Rc::new(empty)));
+        let own = platform();
+        let (node, _) = start_with(&own, free_addr(), |settings| {
+            settings.seed_addrs = vec![seed_at];
+        });
+        let asked_at = Instant::now();
+        while !node.state.borrow().is_ready() {
+            assert!(asked_at.elapsed() < ms(1_000), "never ready");
+            monoio::time::sleep(ms(10)).await;
+        }
+        assert_eq!(own.snapshots.get(), 2);
+    });
+}
