edge: requests that must not run twice go on connections known to live

Cause: upstreams may forget a resting connection without a word; what is sent next is reset, and for a claim nothing can be done then. A claim's connection that rested for 0.1 s is asked once first; when the connection used last is dead, those that rested longer are closed. `Conn::used`, written and never read before, tells kept connections.

Tests: three, over loopback; the first two need `sure_connection`, which is new.

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -89,6 +89,11 @@
         idle + IDLE_MARGIN < self.idle_for
     }
 
+    /// Returns how long nothing was asked on it.
+    pub fn rested(&self) -> Duration {
+        self.idle_since.elapsed()
+    }
+
     /// Returns true when nothing came while nothing was asked.
     ///
     /// Bytes here are a surplus answer, which would be taken for the next
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -48,6 +48,9 @@
 /// Why a request got no answer when its own caller left.
 pub const CALLER_LEFT: &str = "caller left";
 
+/// Why a request got no answer when its connection was reset before any of it came.
+pub const BROKE: &str = "connection broke";
+
 /// How far the sending of a request got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sent {
@@ -168,7 +171,7 @@
             Ok(head) => head,
             Err(h1::ReadError::Malformed(_)) => return Err("answer not readable"),
             Err(h1::ReadError::Closed) => return Err("closed without an answer"),
-            Err(h1::ReadError::Io(_)) => return Err("connection broke"),
+            Err(h1::ReadError::Io(_)) => return Err(BROKE),
         };
         match head.headers.get(&names.request_id) {
             Some(echoed) if echoed != request_id => {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -40,6 +40,10 @@
 /// upstream has likely gone silent.
 const HEDGE_LOST_FROM: f64 = 4.0;
 
+/// A connection that rested for less than this is taken to be known to its upstream still. Some
+/// forget connections after 0.3 s; a request between zones is on its way for 2 ms.
+const SURE_FOR: Duration = Duration::from_millis(100);
+
 /// Upstreams tried for one request at most, those that could not be reached included.
 const UPSTREAMS_TRIED_MOST: usize = 4;
 
@@ -166,6 +170,48 @@
         }
     }
 
+    /// Returns a connection on which a request that must not run twice may be sent.
+    ///
+    /// # Errors
+    ///
+    /// Whatever the socket says, or that `timeout` passed.
+    pub async fn sure_connection(
+        &self,
+        service: &ServiceName,
+        id: &UpstreamId,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Conn> {
+        let conn = self.connection(id, addr, timeout).await?;
+        if !conn.used || conn.rested() < SURE_FOR || !self.may_verify(service) {
+            return Ok(conn);
+        }
+        match probe::verify(self, service, id, conn).await {
+            Some(conn) => Ok(conn),
+            None => {
+                trace::Line::new("connection_forgotten").field("upstream", id.as_str()).log();
+                self.conns.close(id);
+                self.connection(id, addr, timeout).await
+            }
+        }
+    }
+
+    /// Returns true when upstreams of the service answer questions at once and the budget of
+    /// probes allows one.
+    fn may_verify(&self, service: &ServiceName) -> bool {
+        let pools = &self.state.borrow().pools;
+        let reports = pools.get(service).and_then(|pool| pool.reports()) == Some(true);
+        reports && self.take_probes(service, 1) == 1
+    }
+
+    /// Takes up to `wanted` probes out of the service's budget.
+    fn take_probes(&self, service: &ServiceName, wanted: usize) -> usize {
+        let (per_s, most) = probe::allowance(self, service);
+        let mut budgets = self.probe_budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.take(wanted, per_s, most, Instant::now())
+    }
+
     /// Takes what an upstream's answer says of its load.
     pub fn take_load(&self, service: &ServiceName, id: &UpstreamId, headers: &HeaderMap) {
         let mut state = self.state.borrow_mut();
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -107,10 +107,7 @@
                 _ => Vec::new(),
             }
         };
-        let (per_s, most) = probe::allowance(self, &call.service);
-        let mut budgets = self.probe_budgets.borrow_mut();
-        let budget = budgets.entry(call.service.clone()).or_default();
-        let taken = budget.take(ids.len(), per_s, most, Instant::now());
+        let taken = self.take_probes(&call.service, ids.len());
         ids.into_iter().take(taken).collect()
     }
 }
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -44,7 +44,14 @@
         let counted = Outstanding::start(&self.state, &call.service, &choice.id);
         let sent_at = Instant::now();
         let timeout = CONNECT_TIMEOUT.min(call.left());
-        let conn = match self.connection(&choice.id, choice.addr, timeout).await {
+        let (id, addr) = (&choice.id, choice.addr);
+        let connecting = async {
+            match call.repeatable() {
+                true => self.connection(id, addr, timeout).await,
+                false => self.sure_connection(&call.service, id, addr, timeout).await,
+            }
+        };
+        let conn = match connecting.await {
             Ok(conn) => conn,
             Err(err) => {
                 call.line("connect_failed")
@@ -61,9 +68,15 @@
         bytes.extend_from_slice(body);
         let (method, request_id) = (call.head.method.clone(), call.request_id.clone());
         let outgoing = Outgoing { method, bytes, request_id };
+        let kept = conn.used;
         let (outcome, conn) = exchange::run(conn, outgoing, &names, rest).await;
-        if let Some(conn) = conn {
-            self.conns.put(&choice.id, conn);
+        match conn {
+            Some(conn) => self.conns.put(&choice.id, conn),
+            // It was the one used last: those that rested longer are gone too.
+            None if kept && matches!(outcome, Outcome::Lost(exchange::BROKE)) => {
+                self.conns.close(&choice.id);
+            }
+            None => {}
         }
         self.learn(call, choice, &outcome, sent_at.elapsed());
         counted.end(match &outcome {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -1,13 +1,16 @@
 //! Asks upstreams for their load just before a request is placed.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Method};
 use place::UpstreamId;
 use route::ServiceName;
+use smol_str::SmolStr;
 use web::h1;
 
+use crate::conns::Conn;
 use crate::forward::{Node, CONNECT_TIMEOUT};
 
 /// Longest time a request waits for reports, as a part of its objective.
@@ -20,6 +23,10 @@
 /// upstream that does not answer in a hundred times the usual has gone silent.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time for a question that makes sure of a connection: upstreams that report their load
+/// answer within 2 ms across zones.
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Probes saved up while none are needed, per upstream of the service.
 const SAVED_MOST: f64 = 2.0;
 
@@ -72,19 +79,26 @@
     let _ = monoio::time::timeout(wait, answers.recv()).await;
 }
 
+/// Where an upstream is asked.
+struct Target {
+    addr: SocketAddr,
+    path: SmolStr,
+}
+
+impl Target {
+    fn of(node: &Node, service: &ServiceName, id: &UpstreamId) -> Option<Target> {
+        let state = node.state.borrow();
+        let service = state.table.as_ref()?.services.get(service)?;
+        let pool = state.pools.get(&service.name)?;
+        let addr = pool.upstreams()[pool.position(id)?].addr;
+        Some(Target { addr, path: service.probe_path.clone() })
+    }
+}
+
 /// Sends one probe and takes what the answer says of the upstream's load.
 async fn probe(node: &Rc<Node>, service: &ServiceName, id: &UpstreamId) {
-    let (path, addr) = {
-        let state = node.state.borrow();
-        let service = state.table.as_ref().and_then(|table| table.services.get(service));
-        let upstream = state.pools.get(service.map_or("", |s| s.name.as_str()));
-        let upstream = upstream.and_then(|pool| Some(&pool.upstreams()[pool.position(id)?]));
-        match (service, upstream) {
-            (Some(service), Some(upstream)) => (service.probe_path.clone(), upstream.addr),
-            _ => return,
-        }
-    };
-    let mut conn = match node.connection(id, addr, CONNECT_TIMEOUT).await {
+    let Some(target) = Target::of(node, service, id) else { return };
+    let conn = match node.connection(id, target.addr, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(err) => {
             trace::Line::new("probe_connect_failed")
@@ -97,28 +111,52 @@
             return;
         }
     };
+    let kept = conn.used;
+    match trade(node, service, id, &target, conn).await {
+        Some(conn) => node.conns.put(id, conn),
+        // The one used last is gone: those that rested longer are gone too.
+        None if kept => node.conns.close(id),
+        None => {}
+    }
+}
+
+/// Makes sure that the upstream still knows a connection that rested: returns it after a question
+/// was answered on it, `None` when it is of no use any more.
+///
+/// An upstream that forgets an idle connection resets what is sent next on it, and whether a
+/// request was run cannot be told from a reset. A lost question harms nobody.
+pub async fn verify(
+    node: &Node,
+    service: &ServiceName,
+    id: &UpstreamId,
+    conn: Conn,
+) -> Option<Conn> {
+    let target = Target::of(node, service, id)?;
+    let asking = monoio::time::timeout(VERIFY_TIMEOUT, trade(node, service, id, &target, conn));
+    asking.await.ok().flatten()
+}
+
+/// Asks over `conn`; returns it if it can be used again.
+async fn trade(
+    node: &Node,
+    service: &ServiceName,
+    id: &UpstreamId,
+    target: &Target,
+    mut conn: Conn,
+) -> Option<Conn> {
     node.state.borrow_mut().counters.probes += 1;
     let mut headers = HeaderMap::new();
-    let host = http::HeaderValue::try_from(addr.to_string()).expect("an address is a value");
+    let host = http::HeaderValue::try_from(target.addr.to_string()).expect("an address is a value");
     headers.insert(http::header::HOST, host);
-    let request = h1::write_request(&Method::GET, &path, &headers);
-    if conn.writer.write(request).await.is_err() {
-        return;
-    }
-    let Ok(head) = conn.reader.response_head(&Method::GET).await else { return };
+    let request = h1::write_request(&Method::GET, &target.path, &headers);
+    conn.writer.write(request).await.ok()?;
+    let head = conn.reader.response_head(&Method::GET).await.ok()?;
     let mut decoder = h1::Decoder::new(head.framing);
-    loop {
-        match conn.reader.body_piece(&mut decoder).await {
-            Ok(Some(_)) => {}
-            Ok(None) => break,
-            Err(_) => return,
-        }
-    }
+    while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
     node.take_load(service, id, &head.headers);
-    if head.keep_alive && !conn.reader.has_buffered() {
-        conn.answered(&head.headers);
-        node.conns.put(id, conn);
-    }
+    let reusable = head.keep_alive && !conn.reader.has_buffered();
+    conn.answered(&head.headers);
+    reusable.then_some(conn)
 }
 
 /// Returns the probes per second that a node may send to a service, and how many it may save.
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -3,6 +3,7 @@
 mod beliefs;
 mod budgets;
 mod fake;
+mod idle;
 mod long;
 mod relay;
 mod requests;
