--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use rand::seq::IndexedRandom;
 use wire::Standing;
 
 use crate::state::State;
@@ -15,11 +16,14 @@
 
 /// Returns the addresses for a caller in `zone`; empty when this node knows none.
 ///
+/// Where there are more than fit, each answer names others, by chance: were it always the same
+/// ones, the nodes beyond would get no callers at all.
+///
 /// Peers that are alive and hold a configuration are named, those suspected
 /// only when there are not enough others. A node that believes most of its
 /// peers dead is more likely cut off itself, but then it names itself and
 /// whoever it still reaches, which is what its caller can use too.
-pub fn addresses(state: &State, zone: &str) -> Vec<SocketAddr> {
+pub fn addresses(state: &mut State, zone: &str) -> Vec<SocketAddr> {
     let front = |peer: &SocketAddr| SocketAddr::new(peer.ip(), state.settings.front_addr.port());
     let serving = |standing: Standing| {
         state
@@ -39,5 +43,6 @@
     if in_zone >= ENOUGH_IN_ZONE {
         known.retain(|(_, own)| *own);
     }
-    known.into_iter().map(|(addr, _)| addr).take(MOST).collect()
+    let named = known.choose_multiple(&mut state.rng, MOST);
+    named.map(|(addr, _)| *addr).collect()
 }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -50,6 +50,10 @@
 /// below the time within which changes must be in force.
 const SETTLE: Duration = Duration::from_secs(1);
 
+/// Upstreams new at once that get a line of the log each. A node that starts hears of hundreds, and
+/// their lines would take the place of those about requests.
+const LISTED_ONE_BY_ONE: usize = 20;
+
 /// How often a follower looks whether it has fallen behind.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -383,16 +387,13 @@
     if !changes.is_empty() {
         node.subscribers.tell(&relay::Frame::changes(&node.state.borrow(), changes));
     }
+    let mut listed = Vec::new();
     for change in changes {
         let known = node.state.borrow_mut().apply_change(change, now);
         match change {
             // An upstream that warms up is told of again and again.
             place::Change::Put(_) if known => {}
-            place::Change::Put(entry) => trace::Line::new("upstream_listed")
-                .field("upstream", entry.id.as_str())
-                .field("service", entry.service.as_str())
-                .field("addr", entry.addr)
-                .log(),
+            place::Change::Put(entry) => listed.push(entry),
             place::Change::Drop { id, service, addr, why } => {
                 node.conns.close(id);
                 trace::Line::new("upstream_dropped")
@@ -404,6 +405,25 @@
             }
         }
     }
+    log_listed(node, &listed);
+}
+
+/// Logs upstreams that are new to this node: one by one, or as a number when it has read them all.
+fn log_listed(node: &Node, listed: &[&place::Entry]) {
+    if listed.len() > LISTED_ONE_BY_ONE {
+        trace::Line::new("upstreams_listed")
+            .field("count", listed.len())
+            .field("up_to", node.state.borrow().list_seen.up_to)
+            .log();
+        return;
+    }
+    for entry in listed {
+        trace::Line::new("upstream_listed")
+            .field("upstream", entry.id.as_str())
+            .field("service", entry.service.as_str())
+            .field("addr", entry.addr)
+            .log();
+    }
 }
 
 /// Lets go of upstreams that were kept through an outage and did not come back.
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -180,7 +180,7 @@
     nobody_else = { &[(1, "a", Standing::Suspect, 7)], &[127, 1] },
 )]
 fn callers_are_sent_to_nodes_that_serve(peers: &[(u8, &str, Standing, Cursor)], expected: &[u8]) {
-    let addresses = crate::directory::addresses(&state_with(peers), "a");
+    let addresses = crate::directory::addresses(&mut state_with(peers), "a");
     let mut last: Vec<u8> = addresses
         .iter()
         .map(|addr| match addr {
@@ -217,5 +217,22 @@
     let now = Instant::now();
     state.stopping = Some(Stopping { asked_at: now, ends_at: now + ms(5_400) });
     assert!(!state.is_ready());
-    assert_eq!(crate::directory::addresses(&state, "a").len(), 2);
+    assert_eq!(crate::directory::addresses(&mut state, "a").len(), 2);
+}
+
+/// Symptom: in a zone of a hundred nodes a third of them gets no callers.
+/// Sequence: callers ask again and again.
+/// Cause: answers that always name the first addresses.
+#[test]
+fn all_nodes_of_a_large_zone_are_named_in_time() {
+    let peers: Vec<(u8, &str, Standing, Cursor)> =
+        (1..=100).map(|n| (n, "a", Standing::Alive, 7)).collect();
+    let mut state = state_with(&peers);
+    let mut named = std::collections::HashSet::new();
+    for _ in 0..30 {
+        let addresses = crate::directory::addresses(&mut state, "a");
+        assert_eq!(addresses.len(), 64);
+        named.extend(addresses);
+    }
+    assert_eq!(named.len(), 101);
 }
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -210,9 +210,4 @@
     pub fn keeps_unlisted(&self) -> bool {
         !self.vanished.is_empty()
     }
-
-    /// Returns when [`Roster::expire`] has something to do next.
-    pub fn next_expiry(&self) -> Option<Instant> {
-        self.vanished.values().min().copied()
-    }
 }
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -318,7 +318,7 @@
     let now = Instant::now();
     let mut roster = roster(6, now);
     assert!(roster.apply(gone(&[1, 2, 3]), now).is_empty());
-    assert!(roster.next_expiry().is_some_and(|at| at < now + ms(2_000)));
+    assert!(roster.expire(now + ms(1_200)).is_empty());
     assert_eq!(roster.expire(now + ms(1_400)).len(), 3);
 }
 
