place: less urgent requests are refused once they would wait and likely be late

The lines of refused requests showed fresh reports (median age 1 ms) of queues of one or two; let in up to the whole objective, such requests keep the queues just long enough to make half of all late.

--- a/crates/place/src/admit.rs
+++ b/crates/place/src/admit.rs
@@ -16,6 +16,11 @@
 /// Share of a deadline that a prediction may take up: predictions are means.
 const DEADLINE_PART: f64 = 0.9;
 
+/// Share of the time left of its objective that a less urgent request may be predicted to take
+/// where it has to wait. Predictions are means, and a queue grows while it is served: let in up to
+/// its whole objective, half of them are late, and the urgent requests behind them too.
+const OBJECTIVE_PART: f64 = 0.7;
+
 /// What a request still has, and how urgent it is.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
@@ -52,7 +57,7 @@
     let took = best.prediction.took;
     let queues = !best.prediction.wait.is_zero();
     let too_late = took > room.deadline_left.mul_f64(DEADLINE_PART);
-    let late = took > room.objective_left;
+    let late = took > room.objective_left.mul_f64(OBJECTIVE_PART);
     match () {
         _ if too_late && queues => refuse(best, room, rng),
         _ if queues && late && !room.most_urgent => refuse(best, room, rng),
