--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -175,6 +175,7 @@
                 () = until_indirect(&node) => continue,
             },
         };
+        count(&node, &read);
         let pause = match read {
             Ok(batch) => {
                 regained(&node, topic, failures);
@@ -225,6 +226,16 @@
     }
 }
 
+fn count(node: &Node, read: &Result<Batch, SourceError>) {
+    let counters = &mut node.state.borrow_mut().counters;
+    match read {
+        Ok(_) => counters.reads += 1,
+        // Nothing was answered, and nothing failed: the wait was given up.
+        Err(SourceError::Behind) => {}
+        Err(_) => counters.reads_failed += 1,
+    }
+}
+
 /// Ends when others begin to read the upstreams through this node.
 async fn until_read_through(node: &Node, topic: Topic) {
     while topic != Topic::Upstreams || node.subscribers.is_empty() {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,7 +8,7 @@
 //! is: it is reached through the trait [`follow::Source`] only; most nodes read it
 //! through a peer ([`readers`], [`relay`]). [`record`] keeps the
 //! record of configurations. [`gossip`] knows the other entry nodes, [`directory`] tells callers which of them to
-//! use, [`stop`] ends the process without cutting a request.
+//! use, [`status`] tells operators what the node believes, [`stop`] ends the process without cutting a request.
 //!
 //! All tasks run on one thread. What the request path reads is one
 //! [`state::State`]; no borrow of it is held across an await.
@@ -27,6 +27,7 @@
 pub mod reply;
 pub mod serve;
 pub mod state;
+pub mod status;
 pub mod stop;
 
 use std::net::SocketAddr;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -14,7 +14,7 @@
 const REQUEST_SECONDS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::Named<Counters>; 10] = [
+const COUNTERS: [meter::Named<Counters>; 12] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -27,6 +27,8 @@
     ("oatcove_hedges", "Hedges sent", |c| c.hedges),
     ("oatcove_probes", "Probes sent to upstreams", |c| c.probes),
     ("oatcove_connects", "Connections opened to upstreams", |c| c.connects),
+    ("oatcove_reads", "Reads that the platform answered", |c| c.reads),
+    ("oatcove_reads_failed", "Reads that the platform did not answer", |c| c.reads_failed),
 ];
 
 /// The instruments of one entry node.
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -345,6 +345,7 @@
                     .field("reason", ended.reason())
                     .log();
                 let mut state = node.state.borrow_mut();
+                state.reads_through = None;
                 let search_is_over = fed_until.elapsed() > readers::switch_within(&state);
                 if ended == Ended::Moved {
                     // Whether the platform answers is found out anew.
@@ -419,7 +420,10 @@
         }
         (patience, fed) = (SILENT_FOR, true);
         *fed_until = Instant::now();
-        node.state.borrow_mut().direct = false;
+        {
+            let mut state = node.state.borrow_mut();
+            (state.direct, state.reads_through) = (false, Some(peer));
+        }
         follow::adopt(node, frame);
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use route::{RouteName, ServiceName};
+use serde::Serialize;
 use smol_str::SmolStr;
 
 use crate::follow::{Cursor, Topic};
@@ -81,7 +82,7 @@
 }
 
 /// Counters since start.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Counters {
     /// Requests received.
     pub requests: u64,
@@ -103,6 +104,10 @@
     pub probes: u64,
     /// Connections opened to upstreams.
     pub connects: u64,
+    /// Reads that the platform answered.
+    pub reads: u64,
+    /// Reads that the platform did not answer, or not soundly.
+    pub reads_failed: u64,
 }
 
 /// The entry node's beliefs.
@@ -133,6 +138,8 @@
     pub started_at: Instant,
     /// Whether this node reads the platform itself, not through a peer.
     pub direct: bool,
+    /// The peer that passes on what it reads, while there is one.
+    pub reads_through: Option<SocketAddr>,
     /// Whether the platform took this node's newest connections.
     pub reaches_platform: bool,
     /// Set once the node is stopping.
@@ -165,6 +172,7 @@
             peers: BTreeMap::new(),
             started_at: Instant::now(),
             direct,
+            reads_through: None,
             reaches_platform: true,
             stopping: None,
             in_flight: 0,
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -236,3 +236,26 @@
     }
     assert_eq!(named.len(), 101);
 }
+
+/// An operator sees what a node goes by: how it hears of changes, its peers, its upstreams.
+#[test]
+fn a_status_tells_what_the_node_goes_by() {
+    let mut state = state_with(&[(1, "a", Standing::Suspect, 7)]);
+    let now = Instant::now();
+    let entry = state.roster.entries().next().expect("an entry").clone();
+    state.apply_change(&place::Change::Put(entry), now);
+    let load = place::Load { running: 2, waiting: 1, slots: 4, slowness: 3.0 };
+    state.pools.get_mut("desk").expect("a pool").take_report("u0", Some(load), now);
+    (state.direct, state.reads_through) = (false, Some(addr(1)));
+    let status = crate::status::Status::of(&state, now + ms(30));
+    let json = serde_json::to_value(&status).expect("encodes");
+    assert_eq!(json["reads"]["peer"], addr(1).to_string());
+    assert_eq!(json["peers"][addr(1).to_string()]["standing"], "Suspect");
+    let upstream = &json["upstreams"]["desk"][0];
+    assert_eq!(
+        (&upstream["report"]["waiting"], &upstream["report"]["age_ms"]),
+        (&1.into(), &30.into())
+    );
+    state.direct = true;
+    assert!(matches!(crate::status::Status::of(&state, now).reads, crate::status::Reads::Platform));
+}
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -5,7 +5,7 @@
 
 use smol_str::SmolStr;
 
-use crate::health::Health;
+use crate::health::{Health, Standing};
 use crate::UpstreamId;
 
 /// Time in which a report loses most of its worth. Machines that change speed
@@ -133,6 +133,11 @@
         self.since_report = 0;
     }
 
+    /// Returns true while failures keep requests from it, but for trials.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.health.standing(now) != Standing::Good
+    }
+
     /// Returns its newest report and the report's age.
     pub fn report(&self, now: Instant) -> Option<(Load, Duration)> {
         self.report.map(|(load, at)| (load, now.saturating_duration_since(at)))
