relay: near seeds, lists encoded once, warming up told once

At first start every node was told of each registering upstream by a seed of any zone; upstreams that warm up were told of three times; a reader encoded its list anew for each of a hundred subscribers.

- At first start a node turns to the seed of its own zone once it knows the zones.
- `Roster` passes on no change when an upstream is only slow for less long.
- The encoded upstreams are kept until they change; what is said of how far was read is made anew.
`Frame::Read` tells subscribers of reads that changed nothing.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -294,7 +294,11 @@
 }
 
 /// Takes what a peer passed on of the platform.
-pub(crate) fn adopt(node: &Node, frame: relay::Frame) {
+///
+/// # Errors
+///
+/// [`std::io::ErrorKind::InvalidData`] when a list cannot be read; nothing of it is taken.
+pub(crate) fn adopt(node: &Node, frame: relay::Frame) -> std::io::Result<()> {
     let now = Instant::now();
     match frame {
         relay::Frame::Alive | relay::Frame::MayBeLate => {}
@@ -304,7 +308,12 @@
                 apply_table(node, table);
             }
         }
+        relay::Frame::Read { up_to, newest } => {
+            seen(node, Topic::Upstreams, up_to, newest);
+            apply_changes(node, &[], now);
+        }
         relay::Frame::List { up_to, newest, entries } => {
+            let entries = relay::entries(&entries)?;
             seen(node, Topic::Upstreams, up_to, newest);
             let changes = node.state.borrow_mut().roster.adopt(entries);
             apply_changes(node, &changes, now);
@@ -318,6 +327,7 @@
             apply_changes(node, &changes, now);
         }
     }
+    Ok(())
 }
 
 /// Spreads the calls of many nodes that failed at the same moment.
@@ -395,9 +405,13 @@
 }
 
 fn apply_changes(node: &Node, changes: &[place::Change], now: Instant) {
-    if !changes.is_empty() {
-        node.subscribers.tell(&relay::Frame::changes(&node.state.borrow(), changes));
+    if changes.is_empty() {
+        // Subscribers that do not hear how far this node has read take themselves to be behind it.
+        node.subscribers.tell(&relay::Frame::read(&node.state.borrow()));
+        return;
     }
+    node.subscribers.list_changed();
+    node.subscribers.tell(&relay::Frame::changes(&node.state.borrow(), changes));
     let mut listed = Vec::new();
     for change in changes {
         let known = node.state.borrow_mut().apply_change(change, now);
@@ -440,5 +454,7 @@
 /// Lets go of upstreams that were kept through an outage and did not come back.
 pub fn expire(node: &Node, now: Instant) {
     let changes = node.state.borrow_mut().roster.expire(now);
-    apply_changes(node, &changes, now);
+    if !changes.is_empty() {
+        apply_changes(node, &changes, now);
+    }
 }
--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -118,6 +118,31 @@
     settings.first_start && others && !settings.seed_addrs.contains(&settings.peer_addr)
 }
 
+/// Returns true while this node reads through the seeds: the whole fleet starts, and who the
+/// readers are is not known yet.
+fn reads_through_seeds(state: &State, now: Instant) -> bool {
+    begins_with_seeds(&state.settings) && !knows_peers(state, now)
+}
+
+/// Returns the seeds among `seeds` that are known to be in this node's zone, or all if none is.
+///
+/// Bytes between zones are paid for, and each node is told of every upstream that registers.
+fn nearest(state: &State, seeds: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    let is_near = |addr: &SocketAddr| {
+        state.peers.get(addr).is_some_and(|peer| peer.zone == state.settings.zone)
+    };
+    match seeds.iter().any(is_near) {
+        true => seeds.into_iter().filter(is_near).collect(),
+        false => seeds,
+    }
+}
+
+/// Returns true when this node, which reads through the seed `peer`, should ask another one.
+pub fn has_nearer_seed(state: &State, peer: SocketAddr, now: Instant) -> bool {
+    let seeds = &state.settings.seed_addrs;
+    reads_through_seeds(state, now) && !nearest(state, seeds.clone()).contains(&peer)
+}
+
 /// Returns the longest pause between two tries at a platform that does not answer; `most` for
 /// readers and nodes that hold nothing.
 ///
@@ -157,8 +182,9 @@
                 serving
             }
         }
-        false if searching && begins_with_seeds(&state.settings) => {
-            state.settings.seed_addrs.iter().copied().filter(usable).collect()
+        in_step if (in_step || searching) && reads_through_seeds(state, now) => {
+            let seeds = state.settings.seed_addrs.iter().copied().filter(usable);
+            nearest(state, seeds.collect())
         }
         false => Vec::new(),
         true => {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -106,14 +106,21 @@
         /// The configuration, if there is one yet.
         table: Option<Table>,
     },
+    /// The peer has read on, and nothing about upstreams has changed for it.
+    Read {
+        /// How much of its history the peer has seen.
+        up_to: Cursor,
+        /// The newest change among that.
+        newest: Cursor,
+    },
     /// All upstreams as the peer holds them.
     List {
         /// How much of its history the peer has seen.
         up_to: Cursor,
         /// The newest change among that.
         newest: Cursor,
-        /// The upstreams.
-        entries: Vec<Entry>,
+        /// The upstreams, encoded: [`entries`] reads them.
+        entries: Vec<u8>,
     },
     /// What changed about upstreams.
     Changes {
@@ -134,10 +141,10 @@
         Frame::Config { up_to: seen.up_to, newest: seen.newest, table }
     }
 
-    fn list(state: &State) -> Frame {
+    /// Returns the frame that tells how far the list was read.
+    pub fn read(state: &State) -> Frame {
         let seen = state.list_seen;
-        let entries = state.roster.entries().cloned().collect();
-        Frame::List { up_to: seen.up_to, newest: seen.newest, entries }
+        Frame::Read { up_to: seen.up_to, newest: seen.newest }
     }
 
     /// Returns the frame of changes taken on.
@@ -157,11 +164,20 @@
             Frame::Config { up_to, .. } => *up_to < state.config_seen.newest,
             Frame::List { up_to, .. } => *up_to < state.list_seen.newest,
             Frame::MayBeLate => true,
-            Frame::Alive | Frame::Changes { .. } => false,
+            Frame::Alive | Frame::Read { .. } | Frame::Changes { .. } => false,
         }
     }
 }
 
+/// Reads the upstreams of a [`Frame::List`].
+///
+/// # Errors
+///
+/// [`io::ErrorKind::InvalidData`] when they cannot be read.
+pub fn entries(encoded: &[u8]) -> io::Result<Vec<Entry>> {
+    postcard::from_bytes(encoded).map_err(|err| io::Error::new(io::ErrorKind::InvalidData, err))
+}
+
 /// Encodes a message behind its length.
 fn encode<T: Serialize>(message: &T) -> Vec<u8> {
     let body = postcard::to_stdvec(message).expect("messages encode");
@@ -174,6 +190,8 @@
 #[derive(Default)]
 pub struct Subscribers {
     queues: RefCell<Vec<Queue>>,
+    /// The upstreams, encoded, until something changes about them.
+    entries: RefCell<Option<Vec<u8>>>,
 }
 
 /// Encoded frames on their way to one subscriber.
@@ -191,6 +209,27 @@
 }
 
 impl Subscribers {
+    /// Returns the frame of the whole list.
+    ///
+    /// At 3,000 upstreams it is 0.3 MB. Encoded anew for each of a hundred nodes that turn to the
+    /// same reader at once, it would keep a fifth of a core busy for a second; the reader would be
+    /// taken for dead.
+    fn list(&self, state: &State) -> Frame {
+        let encoded = || {
+            let entries: Vec<&Entry> = state.roster.entries().collect();
+            postcard::to_stdvec(&entries).expect("entries encode")
+        };
+        let entries = self.entries.borrow_mut().get_or_insert_with(encoded).clone();
+        // How far the list was read moves on also while the upstreams stay the same.
+        let seen = state.list_seen;
+        Frame::List { up_to: seen.up_to, newest: seen.newest, entries }
+    }
+
+    /// Forgets the encoded list: it has changed.
+    pub fn list_changed(&self) {
+        self.entries.borrow_mut().take();
+    }
+
     /// Tells all subscribers; those that are too slow are dropped.
     pub fn tell(&self, frame: &Frame) {
         let mut queues = self.queues.borrow_mut();
@@ -299,7 +338,7 @@
     let mut first = {
         let state = node.state.borrow();
         let mut bytes = encode(&Frame::config(&state));
-        bytes.extend_from_slice(&encode(&Frame::list(&state)));
+        bytes.extend_from_slice(&encode(&node.subscribers.list(&state)));
         bytes
     };
     let queue = Queue { frames: queue, waiting: waiting.clone() };
@@ -424,7 +463,10 @@
             let mut state = node.state.borrow_mut();
             (state.direct, state.reads_through) = (false, Some(peer));
         }
-        follow::adopt(node, frame);
+        if let Err(err) = follow::adopt(node, frame) {
+            trace::Line::new("peer_frame_refused").field("error", err.to_string()).log();
+            return Ended::Failed;
+        }
     }
 }
 
@@ -437,7 +479,11 @@
     loop {
         monoio::time::sleep(LOOK).await;
         let state = node.state.borrow();
-        if !readers::knows_peers(&state, Instant::now()) {
+        let now = Instant::now();
+        if readers::has_nearer_seed(&state, peer, now) {
+            return;
+        }
+        if !readers::knows_peers(&state, now) {
             continue;
         }
         let me_first = readers::is_reader(&state, state.settings.peer_addr);
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -414,6 +414,27 @@
     });
 }
 
+/// Symptom: the largest price of a start of 300 nodes is bytes between zones.
+/// Sequence: each node reads through any of three seeds while 3,000 upstreams register.
+/// Cause: not asking the seed of the own zone once its zone is known.
+#[yare::parameterized(
+    zones_unknown = { &[], &[7, 8, 9] },
+    one_is_near = { &[(7, "b"), (8, "a"), (9, "c")], &[8] },
+    none_is_near = { &[(7, "b"), (9, "c")], &[7, 8, 9] },
+)]
+fn a_fleet_that_starts_reads_through_the_nearest_seed(known: &[(u8, &str)], expected: &[u8]) {
+    let now = Instant::now();
+    for in_step in [false, true] {
+        let mut state = state_at(addr(5), known);
+        state.settings.seed_addrs = [7, 8, 9].map(addr).to_vec();
+        state.settings.first_start = true;
+        (state.config_seen.read, state.direct) = (in_step, false);
+        let chosen = readers::choose(&mut state, &HashMap::new(), true, now);
+        assert!(expected.iter().any(|n| chosen == Way::Via(addr(*n))), "{chosen:?}");
+        assert_eq!(readers::has_nearer_seed(&state, addr(7), now), !expected.contains(&7));
+    }
+}
+
 /// Symptom: a fleet that starts for the first time makes two calls a node, and one more for each
 /// upstream that registers meanwhile.
 /// Sequence: a node starts 0.3 s before the seeds that it was told of listen.
@@ -464,3 +485,58 @@
         assert_eq!(own.snapshots.get(), 2);
     });
 }
+
+/// Symptom: most nodes take themselves to be behind and read the platform, whenever upstreams warm
+/// up.
+/// Sequence: an upstream writes how much longer it is slow; readers tell each other of the newest
+/// change that they have read, and their subscribers nothing, as nothing follows from it.
+/// Cause: passing on changes only, not how far was read.
+#[test]
+fn subscribers_hear_how_far_was_read_when_nothing_changed() {
+    run(async {
+        let platform = platform();
+        platform.list.borrow_mut()[0].cold_for = ms(3_000);
+        let nodes = fleet(&platform);
+        monoio::time::sleep(ms(2_000)).await;
+        platform.list.borrow_mut()[0].cold_for = ms(1_500);
+        platform.list_version.set(9);
+        monoio::time::sleep(ms(600)).await;
+        assert_eq!(nodes.iter().filter(|node| node.state.borrow().direct).count(), 3);
+        for node in &nodes {
+            assert_eq!(node.state.borrow().list_seen.newest, 9);
+        }
+    });
+}
+
+/// Symptom: a node that turns to a reader reads the platform at once instead.
+/// Sequence: the reader has sent its list to another node; it reads on, and nothing follows from
+/// it; a node that has seen as much subscribes.
+/// Cause: a list kept for sending that says how far was read when it was first sent.
+#[test]
+fn a_list_says_how_far_was_read_when_it_is_sent() {
+    run(async {
+        let (reader, at) = start(&platform());
+        monoio::time::sleep(ms(100)).await;
+        let subscriber = |newest: Cursor, port: u16| {
+            let mut state = state_at(SocketAddr::from(([127, 0, 0, 1], port)), &[]);
+            state.list_seen.newest = newest;
+            state.peers.insert(at, serving("a"));
+            for n in 1..=2 {
+                state.peers.insert(SocketAddr::from(([127, 0, 0, 1], n)), serving("a"));
+            }
+            Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()))
+        };
+        for (newest, port) in [(7, 65_534), (9, 65_535)] {
+            reader.state.borrow_mut().list_seen.up_to = newest;
+            let node = subscriber(newest, port);
+            monoio::spawn(relay::run(node.clone()));
+            let asked_at = Instant::now();
+            while node.state.borrow().direct {
+                assert!(asked_at.elapsed() < ms(5_000), "never subscribed at {newest}");
+                monoio::time::sleep(ms(20)).await;
+            }
+            monoio::time::sleep(ms(100)).await;
+            assert!(!node.state.borrow().direct, "left the reader at {newest}");
+        }
+    });
+}
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -42,6 +42,19 @@
     pub cold_for: Duration,
 }
 
+impl Entry {
+    /// Returns true when nothing is new but that the upstream is slow for less long, as was known.
+    ///
+    /// An upstream that warms up writes that with each heartbeat. Three thousand that start
+    /// together would be told of three times, to every node.
+    fn only_warmed_up_since(&self, known: &Entry) -> bool {
+        let Entry { id, service, addr, zone, slots, leaving, cold_for } = self;
+        (id, service, addr, zone) == (&known.id, &known.service, &known.addr, &known.zone)
+            && (slots, leaving) == (&known.slots, &known.leaving)
+            && *cold_for <= known.cold_for
+    }
+}
+
 /// What the store tells of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Event {
@@ -176,8 +189,9 @@
             Event::Put(entry) if entry.leaving => self.drop(&entry.id, "leaving"),
             Event::Put(entry) => {
                 self.vanished.remove(&entry.id);
-                self.entries.insert(entry.id.clone(), entry.clone());
-                Some(Change::Put(entry))
+                let known = self.entries.insert(entry.id.clone(), entry.clone());
+                let new = known.is_none_or(|known| !entry.only_warmed_up_since(&known));
+                new.then_some(Change::Put(entry))
             }
             Event::Gone(id) => match keep_until {
                 Some(until) if self.entries.contains_key(&id) => {
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -315,6 +315,27 @@
     assert_eq!(ids(&roster.expire(now + ms(2_200))), [("u1", "not back")]);
 }
 
+/// Symptom: three thousand upstreams that start together are told of three times to every node.
+/// Sequence: an upstream writes with each heartbeat how much longer it is slow.
+/// Cause: passing on what follows from what was said before; and the reverse, missing a restart.
+#[yare::parameterized(
+    slow_for_less_long = { 1_500, "a", 4, false },
+    not_slow_any_more = { 0, "a", 4, false },
+    slow_anew = { 4_000, "a", 4, true },
+    in_another_zone = { 1_500, "b", 4, true },
+    with_more_slots = { 1_500, "a", 5, true },
+)]
+fn warming_up_is_told_once(cold_ms: u64, zone: &str, slots: u32, told: bool) {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    let put =
+        |cold_ms, zone, slots| Event::Put(Entry { cold_for: ms(cold_ms), slots, ..entry(1, zone) });
+    assert_eq!(roster.apply(vec![put(3_000, "a", 4)], now).len(), 1);
+    let changes = roster.apply(vec![put(cold_ms, zone, slots)], now + ms(1_500));
+    assert_eq!(!changes.is_empty(), told);
+    assert_eq!(roster.entries().next().map(|e| e.cold_for), Some(ms(cold_ms)));
+}
+
 #[test]
 fn many_entries_that_vanish_at_once_are_kept_for_a_moment() {
     let now = Instant::now();
