--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -60,7 +60,7 @@
     Direct,
     /// Through this peer.
     Via(SocketAddr),
-    /// Not at all for now: the peers to ask do not listen yet.
+    /// Not at all for now: the peers to ask are likely to answer in a moment.
     Later,
 }
 
