place: without reports a node's own requests tell upstreams apart

Before any report they count as empty now, and the node's own requests are added.

Test: failed before.

--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -53,8 +53,9 @@
 /// second follows a burst within about two seconds.
 const FULLNESS_WEIGHT: f64 = 0.05;
 
-/// What upstreams are taken to be like before any report.
-const USUAL_FIRST: Usual = Usual { slowness: 1.5, fullness: 0.3 };
+/// What upstreams are taken to be like before any report. Those of a service that never reports
+/// stay empty but for the node's own requests, so that these alone tell them apart.
+const USUAL_FIRST: Usual = Usual { slowness: 1.5, fullness: 0.0 };
 
 /// Upstreams of the own zone, and of others, that a node compares for a request.
 ///
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -455,3 +455,20 @@
     assert_eq!((asked.len(), new), (2, 1));
     assert_eq!(pool.to_ask(&candidates, 3, 0).len(), 1);
 }
+
+/// Symptom: requests pile up at some upstreams of a service that does not report its load.
+/// Sequence: no upstream ever reports; two requests are under way at one of them.
+/// Cause: taking all for as full as a mean that nobody reported, whatever this node has sent.
+#[test]
+fn without_reports_the_nodes_own_requests_tell_upstreams_apart() {
+    let now = Instant::now();
+    let mut pool = pool(3, now);
+    pool.take_report("u1", None, now);
+    (0..2).for_each(|_| pool.sent("u1"));
+    for seed in 0..50 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let ranked = pool.rank(ask(), |_| Reach::Kept, now, &mut rng);
+        let last = ranked.last().expect("three candidates");
+        assert_eq!(pool.upstreams()[last.index].id, "u1");
+    }
+}
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -192,7 +192,7 @@
                 let reported = (i64::from(load.running + load.waiting) + self.since_report) as f64;
                 (slowness, kept * reported + (1.0 - kept) * usually_occupied, trust)
             }
-            None => (usual.slowness, usually_occupied, 0.0),
+            None => (usual.slowness, usually_occupied + f64::from(self.outstanding), 0.0),
         };
         let occupied = occupied.max(f64::from(self.outstanding));
         let fullness = (occupied + 1.0) / slots;
