h1: lines end with CRLF, chunk lines and trailers by the grammar

Cause: httparse takes a bare LF for a line end, any bytes in a chunk's extensions (an LF too) and a size line without digits as the last chunk; the trailer section had a limit for each line and none for all. With requests read ahead on a connection each of these can hide a request. Ruled out: a check of the whole message before parsing (chunks come in parts). Change: chunk lines and trailers are read by hand in `grammar`; heads are refused when a line ends otherwise than with CRLF.

--- a/crates/web/src/h1/body.rs
+++ b/crates/web/src/h1/body.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::grammar;
 use super::head::{Framing, Malformed};
 
 /// Longest line that gives a chunk's size, with extensions, in bytes.
@@ -32,7 +33,8 @@
     /// This many bytes of the current chunk are left.
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// The trailer section may have this many bytes more.
+    Trailer(usize),
     UntilClose,
     Done,
 }
@@ -93,7 +95,7 @@
                     return Ok(Piece::Data(data));
                 }
                 State::ChunkSize => match chunk_size(buf)? {
-                    Some(0) => self.state = State::Trailer,
+                    Some(0) => self.state = State::Trailer(MAX_TRAILER_BYTES),
                     Some(size) => self.state = State::ChunkData(size),
                     None => return Ok(Piece::NeedMore),
                 },
@@ -103,9 +105,9 @@
                     self.state = State::ChunkSize;
                 }
                 State::ChunkEnd => return Err(Malformed::Framing("a chunk longer than its size")),
-                State::Trailer => match trailer_line(buf)? {
+                State::Trailer(left) => match trailer_line(buf, left)? {
                     Some(0) => self.state = State::Done,
-                    Some(_) => {}
+                    Some(length) => self.state = State::Trailer(left - length),
                     None => return Ok(Piece::NeedMore),
                 },
             }
@@ -118,29 +120,50 @@
     buf.split_to(length).freeze()
 }
 
+/// Takes a line that ends with CRLF out of `buf`, without that end; `None` when it is not whole yet.
+///
+/// A bare CR or LF is refused: some readers end a line there and others do not, and what one of them
+/// takes for the rest of a line is a request of its own for the other.
+fn line(
+    buf: &mut BytesMut,
+    most_bytes: usize,
+    too_long: Malformed,
+) -> Result<Option<BytesMut>, Malformed> {
+    let Some(at) = buf.iter().position(|byte| matches!(byte, b'\r' | b'\n')) else {
+        return if buf.len() > most_bytes { Err(too_long) } else { Ok(None) };
+    };
+    match &buf[at..] {
+        _ if at > most_bytes => Err(too_long),
+        [b'\r'] => Ok(None),
+        [b'\r', b'\n', ..] => {
+            let mut line = buf.split_to(at + 2);
+            line.truncate(at);
+            Ok(Some(line))
+        }
+        _ => Err(Malformed::Framing("a line that does not end with CRLF")),
+    }
+}
+
 /// Takes a chunk's size line; `None` when it is not whole yet.
 fn chunk_size(buf: &mut BytesMut) -> Result<Option<u64>, Malformed> {
-    match httparse::parse_chunk_size(buf) {
-        Ok(httparse::Status::Complete((line_bytes, size))) => {
-            let _ = buf.split_to(line_bytes);
-            Ok(Some(size))
-        }
-        Ok(httparse::Status::Partial) if buf.len() <= MAX_CHUNK_LINE_BYTES => Ok(None),
-        Ok(httparse::Status::Partial) | Err(_) => Err(Malformed::Framing("a broken chunk size")),
+    let broken = || Malformed::Framing("a broken chunk size");
+    let Some(line) = line(buf, MAX_CHUNK_LINE_BYTES, broken())? else { return Ok(None) };
+    let digits = line.iter().take_while(|byte| byte.is_ascii_hexdigit()).count();
+    let (size, extensions) = line.split_at(digits);
+    match std::str::from_utf8(size).ok().and_then(|size| u64::from_str_radix(size, 16).ok()) {
+        Some(size) if grammar::is_chunk_extensions(extensions) => Ok(Some(size)),
+        _ => Err(broken()),
     }
 }
 
 /// Takes one line of the trailer section and returns its length; `None` when it is not whole yet.
 ///
 /// Trailer fields are dropped: they concern one connection only unless both sides agreed on more.
-fn trailer_line(buf: &mut BytesMut) -> Result<Option<usize>, Malformed> {
-    match buf.windows(2).position(|pair| pair == b"\r\n") {
-        Some(length) => {
-            let _ = buf.split_to(length + 2);
-            Ok(Some(length))
-        }
-        None if buf.len() <= MAX_TRAILER_BYTES => Ok(None),
-        None => Err(Malformed::TooLong),
+fn trailer_line(buf: &mut BytesMut, most_bytes: usize) -> Result<Option<usize>, Malformed> {
+    match line(buf, most_bytes, Malformed::TooLong)? {
+        None => Ok(None),
+        Some(line) if line.is_empty() || grammar::is_field_line(&line) => Ok(Some(line.len())),
+        Some(_) => Err(Malformed::Framing("a broken trailer")),
     }
 }
 
--- a/crates/web/src/h1/head.rs
+++ b/crates/web/src/h1/head.rs
@@ -5,6 +5,8 @@
 use quick_error::quick_error;
 use smol_str::SmolStr;
 
+use super::grammar;
+
 /// Headers a message may have; more are refused.
 const MAX_HEADERS: usize = 100;
 
@@ -126,6 +128,7 @@
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Malformed::TooLong),
         Err(err) => return Err(Malformed::Syntax(err.to_string())),
     };
+    check_line_ends(&bytes[..length])?;
     let headers = header_map(parsed.headers)?;
     let method = Method::from_bytes(parsed.method.unwrap_or_default().as_bytes())
         .map_err(|err| Malformed::Syntax(err.to_string()))?;
@@ -160,6 +163,7 @@
         Ok(httparse::Status::Partial) => return Err(Malformed::TooLong),
         Err(err) => return Err(Malformed::Syntax(err.to_string())),
     };
+    check_line_ends(&bytes[..length])?;
     let headers = header_map(parsed.headers)?;
     let status = StatusCode::from_u16(parsed.code.unwrap_or_default())
         .map_err(|err| Malformed::Syntax(err.to_string()))?;
@@ -176,6 +180,17 @@
     Ok(Some((ResponseHead { status, headers, framing, keep_alive }, length)))
 }
 
+/// Refuses heads with lines that do not end with CRLF.
+///
+/// The parser takes a bare LF for the end of a line. A peer that does not would read one field where
+/// this side reads two, such as a second length.
+fn check_line_ends(head: &[u8]) -> Result<(), Malformed> {
+    match grammar::has_sound_line_ends(head) {
+        true => Ok(()),
+        false => Err(Malformed::Syntax("a line that does not end with CRLF".to_owned())),
+    }
+}
+
 fn header_map(parsed: &[httparse::Header<'_>]) -> Result<HeaderMap, Malformed> {
     let syntax = |message: String| Malformed::Syntax(message);
     let mut headers = HeaderMap::with_capacity(parsed.len());
--- a/crates/web/src/h1/mod.rs
+++ b/crates/web/src/h1/mod.rs
@@ -7,6 +7,7 @@
 //! refused here, and a message is always written anew from its parsed form.
 
 mod body;
+mod grammar;
 mod head;
 mod stream;
 
