--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -12,7 +12,7 @@
 use http::HeaderMap;
 use monoio::io::Splitable;
 use monoio::net::TcpStream;
-use place::UpstreamId;
+use place::Incarnation;
 use web::h1;
 
 /// How long a connection is kept when the upstream does not say.
@@ -110,20 +110,20 @@
 /// Idle connections by upstream.
 #[derive(Default)]
 pub struct Conns {
-    idle: RefCell<HashMap<UpstreamId, Vec<Conn>>>,
+    idle: RefCell<HashMap<Incarnation, Vec<Conn>>>,
     /// Open connections by upstream, idle ones included.
-    open: RefCell<HashMap<UpstreamId, Rc<Cell<u32>>>>,
+    open: RefCell<HashMap<Incarnation, Rc<Cell<u32>>>>,
 }
 
 impl Conns {
     /// Returns true when a connection to the upstream is likely at hand.
-    pub fn has(&self, id: &UpstreamId) -> bool {
-        self.idle.borrow().get(id).is_some_and(|list| !list.is_empty())
+    pub fn has(&self, upstream: &Incarnation) -> bool {
+        self.idle.borrow().get(upstream).is_some_and(|list| !list.is_empty())
     }
 
     /// Returns how many connections to the upstream are open, idle ones included.
-    pub fn open_count(&self, id: &UpstreamId) -> u32 {
-        self.open.borrow().get(id).map_or(0, |open| open.get())
+    pub fn open_count(&self, upstream: &Incarnation) -> u32 {
+        self.open.borrow().get(upstream).map_or(0, |open| open.get())
     }
 
     /// Opens a connection to the upstream.
@@ -133,18 +133,18 @@
     /// Whatever the socket says, or that `timeout` passed.
     pub async fn open(
         &self,
-        id: &UpstreamId,
+        upstream: &Incarnation,
         addr: SocketAddr,
         timeout: Duration,
     ) -> std::io::Result<Conn> {
-        let slot = Slot::take(self.open.borrow_mut().entry(id.clone()).or_default());
+        let slot = Slot::take(self.open.borrow_mut().entry(upstream.clone()).or_default());
         Conn::open(addr, timeout, slot).await
     }
 
     /// Takes the connection used last that can still carry a request.
-    pub async fn take(&self, id: &UpstreamId) -> Option<Conn> {
+    pub async fn take(&self, upstream: &Incarnation) -> Option<Conn> {
         loop {
-            let mut conn = self.idle.borrow_mut().get_mut(id)?.pop()?;
+            let mut conn = self.idle.borrow_mut().get_mut(upstream)?.pop()?;
             if conn.is_young(Instant::now()) && conn.is_quiet().await {
                 return Some(conn);
             }
@@ -152,18 +152,18 @@
     }
 
     /// Keeps a connection for the next request.
-    pub fn put(&self, id: &UpstreamId, mut conn: Conn) {
+    pub fn put(&self, upstream: &Incarnation, mut conn: Conn) {
         conn.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
-        let list = idle.entry(id.clone()).or_default();
+        let list = idle.entry(upstream.clone()).or_default();
         if list.len() < KEPT_PER_UPSTREAM {
             list.push(conn);
         }
     }
 
     /// Closes the connections to an upstream that gets no further requests.
-    pub fn close(&self, id: &UpstreamId) {
-        self.idle.borrow_mut().remove(id);
+    pub fn close(&self, upstream: &Incarnation) {
+        self.idle.borrow_mut().remove(upstream);
     }
 
     /// Closes connections that were idle for too long.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -315,15 +315,12 @@
         relay::Frame::List { up_to, newest, entries } => {
             let entries = relay::entries(&entries)?;
             seen(node, Topic::Upstreams, up_to, newest);
-            let changes = node.state.borrow_mut().roster.adopt(entries);
+            let changes = node.state.borrow_mut().roster.adopt(entries, now);
             apply_changes(node, &changes, now);
         }
         relay::Frame::Changes { up_to, newest, events } => {
             seen(node, Topic::Upstreams, up_to, newest);
-            let changes: Vec<place::Change> = {
-                let roster = &mut node.state.borrow_mut().roster;
-                events.into_iter().filter_map(|event| roster.adopt_change(event)).collect()
-            };
+            let changes = node.state.borrow_mut().roster.adopt_changes(events, now);
             apply_changes(node, &changes, now);
         }
     }
@@ -363,26 +360,26 @@
 
 fn apply(node: &Node, topic: Topic, events: Vec<Event>, whole: bool) {
     let now = Instant::now();
-    let mut entries = Vec::new();
+    let mut rows = Vec::new();
     for event in events {
         match event {
             Event::Config(table) => apply_table(node, table),
-            Event::Upstream(event) => entries.push(event),
+            Event::Upstream(event) => rows.push(event),
         }
     }
-    let changes = {
-        let roster = &mut node.state.borrow_mut().roster;
-        match topic {
-            Topic::Upstreams if whole => {
-                let listed = entries.into_iter().filter_map(|event| match event {
-                    place::Event::Put(entry) => Some(entry),
-                    place::Event::Gone(_) => None,
-                });
-                roster.whole(listed.collect(), now)
-            }
-            _ => roster.apply(entries, now),
+    match topic {
+        Topic::Upstreams if whole => {
+            let changes = node.state.borrow_mut().roster.whole(rows, now);
+            apply_changes(node, &changes, now);
         }
-    };
+        Topic::Upstreams => apply_upstreams(node, rows, now),
+        Topic::Config => {}
+    }
+}
+
+/// Takes what the platform tells of upstreams.
+pub(crate) fn apply_upstreams(node: &Node, events: Vec<place::Event>, now: Instant) {
+    let changes = node.state.borrow_mut().roster.apply(events, now);
     apply_changes(node, &changes, now);
 }
 
@@ -419,10 +416,11 @@
             // An upstream that warms up is told of again and again.
             place::Change::Put(_) if known => {}
             place::Change::Put(entry) => listed.push(entry),
-            place::Change::Drop { id, service, addr, why } => {
-                node.conns.close(id);
+            place::Change::Drop { upstream, service, addr, why } => {
+                node.conns.close(upstream);
                 trace::Line::new("upstream_dropped")
-                    .field("upstream", id.as_str())
+                    .field("upstream", upstream.id())
+                    .field("born_ms", upstream.born_ms)
                     .field("service", service.as_str())
                     .field("addr", addr)
                     .field("reason", why)
@@ -445,6 +443,7 @@
     for entry in listed {
         trace::Line::new("upstream_listed")
             .field("upstream", entry.id.as_str())
+            .field("born_ms", entry.born_ms)
             .field("service", entry.service.as_str())
             .field("addr", entry.addr)
             .log();
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use place::UpstreamId;
+use place::Incarnation;
 use route::{Route, ServiceName, Table};
 use web::h1;
 
@@ -157,15 +157,15 @@
     /// Whatever the socket says, or that `timeout` passed.
     pub async fn connection(
         &self,
-        id: &UpstreamId,
+        upstream: &Incarnation,
         addr: SocketAddr,
         timeout: Duration,
     ) -> std::io::Result<Conn> {
-        match self.conns.take(id).await {
+        match self.conns.take(upstream).await {
             Some(conn) => Ok(conn),
             None => {
                 self.state.borrow_mut().counters.connects += 1;
-                self.conns.open(id, addr, timeout).await
+                self.conns.open(upstream, addr, timeout).await
             }
         }
     }
@@ -178,20 +178,20 @@
     pub async fn sure_connection(
         &self,
         service: &ServiceName,
-        id: &UpstreamId,
+        upstream: &Incarnation,
         addr: SocketAddr,
         timeout: Duration,
     ) -> std::io::Result<Conn> {
-        let conn = self.connection(id, addr, timeout).await?;
+        let conn = self.connection(upstream, addr, timeout).await?;
         if !conn.used || conn.rested() < SURE_FOR || !self.may_verify(service) {
             return Ok(conn);
         }
-        match probe::verify(self, service, id, conn).await {
+        match probe::verify(self, service, upstream, conn).await {
             Some(conn) => Ok(conn),
             None => {
-                trace::Line::new("connection_forgotten").field("upstream", id.as_str()).log();
-                self.conns.close(id);
-                self.connection(id, addr, timeout).await
+                trace::Line::new("connection_forgotten").field("upstream", upstream.id()).log();
+                self.conns.close(upstream);
+                self.connection(upstream, addr, timeout).await
             }
         }
     }
@@ -213,19 +213,23 @@
     }
 
     /// Takes what an upstream's answer says of its load.
-    pub fn take_load(&self, service: &ServiceName, id: &UpstreamId, headers: &HeaderMap) {
+    pub fn take_load(&self, service: &ServiceName, upstream: &Incarnation, headers: &HeaderMap) {
         let mut state = self.state.borrow_mut();
         let read = state.settings.read_load;
         let value = headers.get(&state.settings.headers.load);
         let load = value.and_then(|value| value.to_str().ok()).and_then(read);
         if let Some(pool) = state.pools.get_mut(service) {
-            pool.take_report(id, load, Instant::now());
+            pool.take_report(upstream, load, Instant::now());
         }
     }
 
-    /// Takes a request to its answer.
-    pub async fn forward(self: &Rc<Node>, head: &h1::RequestHead, body: Body<'_>) -> Reply {
-        let arrived = Instant::now();
+    /// Takes a request that had arrived at `arrived` to its answer.
+    pub async fn forward(
+        self: &Rc<Node>,
+        head: &h1::RequestHead,
+        body: Body<'_>,
+        arrived: Instant,
+    ) -> Reply {
         self.until_started().await;
         let (table, names) = {
             let mut state = self.state.borrow_mut();
@@ -277,6 +281,14 @@
         reply
     }
 
+    /// Records that the caller of a request left before its answer.
+    pub fn caller_left(&self, head: &h1::RequestHead) {
+        let mut state = self.state.borrow_mut();
+        state.counters.abandoned += 1;
+        let id = id_of(head, &state.settings.headers);
+        trace::Line::new("caller_left").field("request", id).log();
+    }
+
     /// Waits while the node has just started and holds nothing to serve by.
     async fn until_started(&self) {
         let may_wait = || {
@@ -330,11 +342,11 @@
         let mut tried = Tried::default();
         let mut so_far = SoFar::NotRun;
         loop {
-            let choice = match self.choose(call, &tried.ids).await {
+            let choice = match self.choose(call, &tried.upstreams).await {
                 Ok(choice) => choice,
                 Err(why) => return self.no_choice(call, table, why, so_far),
             };
-            if tried.ids.is_empty() {
+            if tried.upstreams.is_empty() {
                 self.state.borrow_mut().first_send(&call.service);
             } else if tried.arrived > 0 && !self.state.borrow_mut().second_send(&call.service) {
                 call.line("second_send_over_budget").log();
@@ -343,7 +355,7 @@
             let outcome = self.send_hedged(call, choice, &mut tried, &whole).await;
             let attempts_left = tried.arrived < call.route.attempts;
             match outcome {
-                Outcome::NotSent if tried.ids.len() < UPSTREAMS_TRIED_MOST => {}
+                Outcome::NotSent if tried.upstreams.len() < UPSTREAMS_TRIED_MOST => {}
                 Outcome::NotSent => return give_up(so_far, COME_BACK),
                 Outcome::Answered(answer) if !answer.head.status.is_server_error() => {
                     return Reply::Upstream(answer)
@@ -371,7 +383,7 @@
             NoChoice::Refused { come_back, best, predicted, wait, report_age } => {
                 let line = line
                     .field("reason", "would be too late")
-                    .field("best", best.as_str())
+                    .field("best", best.id())
                     .field("predicted_ms", as_ms(predicted))
                     .field("wait_ms", as_ms(wait))
                     .field("report_age_ms", report_age.map(as_ms));
@@ -390,7 +402,7 @@
         tried: &mut Tried,
         body: &Bytes,
     ) -> Outcome {
-        tried.ids.push(choice.id.clone());
+        tried.upstreams.push(choice.upstream.clone());
         tried.arrived += 1;
         let mut first = pin!(self.send(call, &choice, body));
         let at = |factor: f64| call.arrived + choice.predicted.mul_f64(factor);
@@ -409,16 +421,16 @@
             if !hedgeable || hopeless {
                 continue;
             }
-            let Ok(other) = self.choose(call, &tried.ids).await else { continue };
+            let Ok(other) = self.choose(call, &tried.upstreams).await else { continue };
             if !self.state.borrow_mut().second_send(&call.service) {
                 continue;
             }
             self.state.borrow_mut().counters.hedges += 1;
             call.line("hedged")
-                .field("upstream", choice.id.as_str())
-                .field("other", other.id.as_str())
+                .field("upstream", choice.upstream.id())
+                .field("other", other.upstream.id())
                 .log();
-            tried.ids.push(other.id.clone());
+            tried.upstreams.push(other.upstream.clone());
             tried.arrived += 1;
             let mut second = pin!(self.send(call, &other, body));
             return monoio::select! {
@@ -441,7 +453,7 @@
             return;
         }
         if let Some(pool) = self.state.borrow_mut().pools.get_mut(&call.service) {
-            pool.took_ratio(&choice.id, factor, Instant::now());
+            pool.took_ratio(&choice.upstream, factor, Instant::now());
         }
     }
 
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderValue;
-use place::UpstreamId;
+use place::{Incarnation, UpstreamId};
 use route::{Repeat, Route, ServiceName};
 use serde::Serialize;
 use web::h1;
@@ -37,7 +37,7 @@
 
 /// An upstream chosen for a request.
 pub(super) struct Choice {
-    pub(super) id: UpstreamId,
+    pub(super) upstream: Incarnation,
     pub(super) addr: SocketAddr,
     pub(super) predicted: Duration,
     pub(super) report_age: Option<Duration>,
@@ -48,7 +48,7 @@
 /// Upstreams that a request was meant for.
 #[derive(Default)]
 pub(super) struct Tried {
-    pub(super) ids: Vec<UpstreamId>,
+    pub(super) upstreams: Vec<Incarnation>,
     /// How many of them it may have reached.
     pub(super) arrived: u32,
 }
@@ -69,7 +69,7 @@
     /// The best one would answer too late.
     Refused {
         come_back: Duration,
-        best: UpstreamId,
+        best: Incarnation,
         predicted: Duration,
         wait: Duration,
         report_age: Option<Duration>,
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -3,8 +3,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use place::{Candidate, Reach, UpstreamId, Verdict};
-use smol_str::SmolStr;
+use place::{Candidate, Incarnation, Reach, Verdict};
 
 use super::call::{Call, Choice, NoChoice};
 use super::send::NOT_SLOWED;
@@ -26,7 +25,7 @@
     pub(super) async fn choose(
         self: &Rc<Node>,
         call: &Call<'_>,
-        tried: &[UpstreamId],
+        tried: &[Incarnation],
     ) -> Result<Choice, NoChoice> {
         let mut ranked = self.rank(call, tried);
         for round in 0..ASK_ROUNDS {
@@ -50,7 +49,7 @@
             let upstream = &pool.upstreams()[best.index];
             return Err(NoChoice::Refused {
                 come_back,
-                best: upstream.id.clone(),
+                best: upstream.incarnation.clone(),
                 predicted: best.prediction.took,
                 wait: best.prediction.wait,
                 report_age: upstream.report(Instant::now()).map(|(_, age)| age),
@@ -62,11 +61,11 @@
             && upstream
                 .report(Instant::now())
                 .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED && load.has_room());
-        let (id, addr) = (upstream.id.clone(), upstream.addr);
-        Ok(Choice { id, addr, predicted: best.prediction.took, report_age, unhindered })
+        let (upstream, addr) = (upstream.incarnation.clone(), upstream.addr);
+        Ok(Choice { upstream, addr, predicted: best.prediction.took, report_age, unhindered })
     }
 
-    fn rank(&self, call: &Call<'_>, tried: &[UpstreamId]) -> Vec<Candidate> {
+    fn rank(&self, call: &Call<'_>, tried: &[Incarnation]) -> Vec<Candidate> {
         let state = &mut *self.state.borrow_mut();
         let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
         let ask = place::Ask {
@@ -82,17 +81,17 @@
         let service = state.table.as_ref().and_then(|table| table.services.get(&call.service));
         let most = service.map_or(u32::MAX, |service| service.max_connections);
         let share = (most / state.fleet_size() as u32).max(CONNECTIONS_LEAST);
-        let reach = |id: &UpstreamId| match () {
-            () if self.conns.has(id) => Reach::Kept,
-            () if self.conns.open_count(id) < share => Reach::New,
+        let reach = |upstream: &Incarnation| match () {
+            () if self.conns.has(upstream) => Reach::Kept,
+            () if self.conns.open_count(upstream) < share => Reach::New,
             () => Reach::Not,
         };
         pool.rank(ask, reach, Instant::now(), &mut state.rng)
     }
 
     /// Returns the upstreams to ask for their load, within the budget of probes.
-    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate], most_new: usize) -> Vec<UpstreamId> {
-        let ids: Vec<SmolStr> = {
+    fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate], most_new: usize) -> Vec<Incarnation> {
+        let ids: Vec<Incarnation> = {
             let state = self.state.borrow();
             match state.pools.get(&call.service) {
                 Some(pool)
@@ -101,7 +100,7 @@
                 {
                     pool.to_ask(ranked, ASK_AT_ONCE, most_new)
                         .into_iter()
-                        .map(|index| pool.upstreams()[index].id.clone())
+                        .map(|index| pool.upstreams()[index].incarnation.clone())
                         .collect()
                 }
                 _ => Vec::new(),
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -36,26 +36,26 @@
         F: AsyncFnOnce(&mut h1::Writer) -> Sent,
     {
         call.sends.borrow_mut().push(SendMade {
-            upstream: choice.id.clone(),
+            upstream: choice.upstream.id.clone(),
             at_ms: as_ms(call.arrived.elapsed()),
             predicted_ms: as_ms(choice.predicted),
             report_age_ms: choice.report_age.map(as_ms),
         });
-        let counted = Outstanding::start(&self.state, &call.service, &choice.id);
+        let counted = Outstanding::start(&self.state, &call.service, &choice.upstream);
         let sent_at = Instant::now();
         let timeout = CONNECT_TIMEOUT.min(call.left());
-        let (id, addr) = (&choice.id, choice.addr);
+        let (upstream, addr) = (&choice.upstream, choice.addr);
         let connecting = async {
             match call.repeatable() {
-                true => self.connection(id, addr, timeout).await,
-                false => self.sure_connection(&call.service, id, addr, timeout).await,
+                true => self.connection(upstream, addr, timeout).await,
+                false => self.sure_connection(&call.service, upstream, addr, timeout).await,
             }
         };
         let conn = match connecting.await {
             Ok(conn) => conn,
             Err(err) => {
                 call.line("connect_failed")
-                    .field("upstream", choice.id.as_str())
+                    .field("upstream", choice.upstream.id())
                     .field("error", err.to_string())
                     .log();
                 counted.end(End::Failed);
@@ -71,10 +71,10 @@
         let kept = conn.used;
         let (outcome, conn) = exchange::run(conn, outgoing, &names, rest).await;
         match conn {
-            Some(conn) => self.conns.put(&choice.id, conn),
+            Some(conn) => self.conns.put(&choice.upstream, conn),
             // It was the one used last: those that rested longer are gone too.
             None if kept && matches!(outcome, Outcome::Lost(exchange::BROKE)) => {
-                self.conns.close(&choice.id);
+                self.conns.close(&choice.upstream);
             }
             None => {}
         }
@@ -92,37 +92,37 @@
 
     /// Takes what the end of a send tells of the upstream.
     fn learn(&self, call: &Call<'_>, choice: &Choice, outcome: &Outcome, took: Duration) {
-        let (id, service) = (&choice.id, &call.service);
+        let (upstream, service) = (&choice.upstream, &call.service);
         match outcome {
             Outcome::Answered(answer) => {
-                self.take_load(service, id, &answer.head.headers);
+                self.take_load(service, upstream, &answer.head.headers);
                 if !answer.head.status.is_server_error() {
                     self.learn_time(call, choice, took);
                     return;
                 }
                 call.line("upstream_error")
-                    .field("upstream", id.as_str())
+                    .field("upstream", upstream.id())
                     .field("status", answer.head.status.as_u16())
                     .log();
             }
             Outcome::NotRun(status, headers) => {
-                self.take_load(service, id, headers);
+                self.take_load(service, upstream, headers);
                 call.line("not_run_by_upstream")
-                    .field("upstream", id.as_str())
+                    .field("upstream", upstream.id())
                     .field("status", status.as_u16())
                     .log();
                 if *status == StatusCode::MISDIRECTED_REQUEST {
                     // Another upstream has the address: this one is gone, listed or not.
-                    self.conns.close(id);
+                    self.conns.close(upstream);
                     if let Some(pool) = self.state.borrow_mut().pools.get_mut(service) {
-                        pool.remove(id);
+                        pool.remove(upstream);
                     }
                 }
             }
             Outcome::NotSent => {}
             Outcome::Lost(why) => {
                 call.line("answer_lost")
-                    .field("upstream", id.as_str())
+                    .field("upstream", upstream.id())
                     .field("reason", why)
                     .field("took_ms", took.as_millis() as u64)
                     .log();
@@ -138,12 +138,12 @@
         let state = &mut *self.state.borrow_mut();
         let Some(pool) = state.pools.get_mut(&call.service) else { return };
         let still_unhindered = pool
-            .position(&choice.id)
+            .position(&choice.upstream)
             .and_then(|index| pool.upstreams()[index].report(now))
             .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED);
         if still_unhindered {
             let ratio = took.as_secs_f64() / choice.predicted.as_secs_f64().max(0.001);
-            pool.took_ratio(&choice.id, ratio, now);
+            pool.took_ratio(&choice.upstream, ratio, now);
             state.works.sample(&call.route.name, call.route.objective, took);
         }
     }
@@ -161,7 +161,7 @@
     let left_ms = call.left().saturating_sub(DEADLINE_MARGIN).as_millis().max(1) as u64;
     headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
     headers.insert(&names.request_id, call.request_id.clone());
-    match HeaderValue::from_str(&choice.id) {
+    match HeaderValue::from_str(&choice.upstream.id) {
         Ok(id) => drop(headers.insert(&names.expect_upstream, id)),
         Err(_) => drop(headers.remove(&names.expect_upstream)),
     }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderMap, Method};
-use place::UpstreamId;
+use place::Incarnation;
 use route::ServiceName;
 use smol_str::SmolStr;
 use web::h1;
@@ -56,20 +56,20 @@
 pub async fn ask(
     node: &Rc<Node>,
     service: &ServiceName,
-    ids: Vec<UpstreamId>,
+    upstreams: Vec<Incarnation>,
     objective: Duration,
 ) {
-    if ids.is_empty() {
+    if upstreams.is_empty() {
         return;
     }
     let wait = objective.mul_f64(WAIT_PART).min(WAIT_MOST);
     let (done, mut answers) = local_sync::mpsc::unbounded::channel::<()>();
-    for id in ids {
+    for upstream in upstreams {
         let (node, service, done) = (node.clone(), service.clone(), done.clone());
         monoio::spawn(async move {
-            let probing = monoio::time::timeout(PROBE_TIMEOUT, probe(&node, &service, &id));
+            let probing = monoio::time::timeout(PROBE_TIMEOUT, probe(&node, &service, &upstream));
             if probing.await.is_err() {
-                node.conns.close(&id);
+                node.conns.close(&upstream);
             }
             drop(done);
         });
@@ -86,36 +86,36 @@
 }
 
 impl Target {
-    fn of(node: &Node, service: &ServiceName, id: &UpstreamId) -> Option<Target> {
+    fn of(node: &Node, service: &ServiceName, upstream: &Incarnation) -> Option<Target> {
         let state = node.state.borrow();
         let service = state.table.as_ref()?.services.get(service)?;
         let pool = state.pools.get(&service.name)?;
-        let addr = pool.upstreams()[pool.position(id)?].addr;
+        let addr = pool.upstreams()[pool.position(upstream)?].addr;
         Some(Target { addr, path: service.probe_path.clone() })
     }
 }
 
 /// Sends one probe and takes what the answer says of the upstream's load.
-async fn probe(node: &Rc<Node>, service: &ServiceName, id: &UpstreamId) {
-    let Some(target) = Target::of(node, service, id) else { return };
-    let conn = match node.connection(id, target.addr, CONNECT_TIMEOUT).await {
+async fn probe(node: &Rc<Node>, service: &ServiceName, upstream: &Incarnation) {
+    let Some(target) = Target::of(node, service, upstream) else { return };
+    let conn = match node.connection(upstream, target.addr, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(err) => {
             trace::Line::new("probe_connect_failed")
-                .field("upstream", id.as_str())
+                .field("upstream", upstream.id())
                 .field("error", err.to_string())
                 .log();
             if let Some(pool) = node.state.borrow_mut().pools.get_mut(service) {
-                pool.unreachable(id, Instant::now());
+                pool.unreachable(upstream, Instant::now());
             }
             return;
         }
     };
     let kept = conn.used;
-    match trade(node, service, id, &target, conn).await {
-        Some(conn) => node.conns.put(id, conn),
+    match trade(node, service, upstream, &target, conn).await {
+        Some(conn) => node.conns.put(upstream, conn),
         // The one used last is gone: those that rested longer are gone too.
-        None if kept => node.conns.close(id),
+        None if kept => node.conns.close(upstream),
         None => {}
     }
 }
@@ -128,11 +128,12 @@
 pub async fn verify(
     node: &Node,
     service: &ServiceName,
-    id: &UpstreamId,
+    upstream: &Incarnation,
     conn: Conn,
 ) -> Option<Conn> {
-    let target = Target::of(node, service, id)?;
-    let asking = monoio::time::timeout(VERIFY_TIMEOUT, trade(node, service, id, &target, conn));
+    let target = Target::of(node, service, upstream)?;
+    let asking =
+        monoio::time::timeout(VERIFY_TIMEOUT, trade(node, service, upstream, &target, conn));
     asking.await.ok().flatten()
 }
 
@@ -140,7 +141,7 @@
 async fn trade(
     node: &Node,
     service: &ServiceName,
-    id: &UpstreamId,
+    upstream: &Incarnation,
     target: &Target,
     mut conn: Conn,
 ) -> Option<Conn> {
@@ -153,7 +154,7 @@
     let head = conn.reader.response_head(&Method::GET).await.ok()?;
     let mut decoder = h1::Decoder::new(head.framing);
     while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
-    node.take_load(service, id, &head.headers);
+    node.take_load(service, upstream, &head.headers);
     let reusable = head.keep_alive && !conn.reader.has_buffered();
     conn.answered(&head.headers);
     reusable.then_some(conn)
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -152,7 +152,7 @@
         let seen = state.list_seen;
         let event = |change: &Change| match change {
             Change::Put(entry) => Event::Put(entry.clone()),
-            Change::Drop { id, .. } => Event::Gone(id.clone()),
+            Change::Drop { upstream, .. } => Event::Gone(upstream.id.clone()),
         };
         let events = changes.iter().map(event).collect();
         Frame::Changes { up_to: seen.up_to, newest: seen.newest, events }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use place::{End, UpstreamId};
+use place::{End, Incarnation};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use route::{RouteName, ServiceName};
@@ -252,11 +252,11 @@
     /// Takes what follows from a change of the roster to the pools; true when the pool had the
     /// upstream before.
     pub fn apply_change(&mut self, change: &place::Change, now: Instant) -> bool {
-        let (service, id) = match change {
-            place::Change::Put(entry) => (&entry.service, &entry.id),
-            place::Change::Drop { service, id, .. } => (service, id),
+        let (service, upstream) = match change {
+            place::Change::Put(entry) => (&entry.service, entry.incarnation()),
+            place::Change::Drop { service, upstream, .. } => (service, upstream.clone()),
         };
-        let known = self.pools.get(service).is_some_and(|pool| pool.position(id).is_some());
+        let known = self.pools.get(service).is_some_and(|pool| pool.position(&upstream).is_some());
         match change {
             place::Change::Put(entry) => {
                 let seed = self.node_seed;
@@ -265,7 +265,7 @@
             }
             place::Change::Drop { .. } => {
                 if let Some(pool) = self.pools.get_mut(service) {
-                    pool.remove(id);
+                    pool.remove(&upstream);
                 }
             }
         }
@@ -306,18 +306,18 @@
 pub struct Outstanding {
     state: Shared,
     service: ServiceName,
-    id: UpstreamId,
+    upstream: Incarnation,
     end: End,
 }
 
 impl Outstanding {
     /// Counts a request as sent.
-    pub fn start(state: &Shared, service: &ServiceName, id: &UpstreamId) -> Outstanding {
+    pub fn start(state: &Shared, service: &ServiceName, upstream: &Incarnation) -> Outstanding {
         if let Some(pool) = state.borrow_mut().pools.get_mut(service) {
-            pool.sent(id);
+            pool.sent(upstream);
         }
-        let (service, id) = (service.clone(), id.clone());
-        Outstanding { state: state.clone(), service, id, end: End::GivenUp }
+        let (service, upstream) = (service.clone(), upstream.clone());
+        Outstanding { state: state.clone(), service, upstream, end: End::GivenUp }
     }
 
     /// Records how it ended.
@@ -329,7 +329,7 @@
 impl Drop for Outstanding {
     fn drop(&mut self) {
         if let Some(pool) = self.state.borrow_mut().pools.get_mut(&self.service) {
-            pool.ended(&self.id, self.end, Instant::now());
+            pool.ended(&self.upstream, self.end, Instant::now());
         }
     }
 }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -71,8 +71,10 @@
 /// What is known of an upstream.
 #[derive(Debug, Serialize)]
 pub struct UpstreamStatus {
-    /// Id of this start of it.
+    /// Id.
     pub id: SmolStr,
+    /// Unix time of its start in milliseconds; 0 when it does not say.
+    pub born_ms: u64,
     /// Address.
     pub addr: SocketAddr,
     /// Its availability zone.
@@ -157,7 +159,8 @@
             slowness: load.slowness,
         });
         UpstreamStatus {
-            id: upstream.id.clone(),
+            id: upstream.incarnation.id.clone(),
+            born_ms: upstream.incarnation.born_ms,
             addr: upstream.addr,
             zone: upstream.zone.clone(),
             outstanding: upstream.outstanding,
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -8,7 +8,7 @@
 use route::ClientLimits;
 use wire::Standing;
 
-use super::fake::{metrics, ms, run, settings, table};
+use super::fake::{metrics, ms, run, settings, table, up};
 use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
 use crate::forward::Node;
 use crate::state::{Peer, Seen, State, Stopping};
@@ -154,6 +154,7 @@
     state.apply_table(table(7, ClientLimits::default()));
     let entry = place::Entry {
         id: "u0".into(),
+        born_ms: super::fake::BORN_MS,
         service: "desk".into(),
         addr: addr(200),
         zone: "a".into(),
@@ -245,7 +246,7 @@
     let entry = state.roster.entries().next().expect("an entry").clone();
     state.apply_change(&place::Change::Put(entry), now);
     let load = place::Load { running: 2, waiting: 1, slots: 4, slowness: 3.0 };
-    state.pools.get_mut("desk").expect("a pool").take_report("u0", Some(load), now);
+    state.pools.get_mut("desk").expect("a pool").take_report(&up("u0"), Some(load), now);
     (state.direct, state.reads_through) = (false, Some(addr(1)));
     let status = crate::status::Status::of(&state, now + ms(30));
     let json = serde_json::to_value(&status).expect("encodes");
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -23,6 +23,14 @@
 /// Longest that a test waits for anything.
 const PATIENCE: Duration = Duration::from_secs(5);
 
+/// When the upstreams of the tests started.
+pub const BORN_MS: u64 = 1_000;
+
+/// The start of the upstream `id` that the tests list.
+pub fn up(id: &str) -> place::Incarnation {
+    place::Incarnation { id: id.into(), born_ms: BORN_MS }
+}
+
 pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -219,6 +227,7 @@
     for (n, upstream) in upstreams.iter().enumerate() {
         let entry = Entry {
             id: format!("u{n}").into(),
+            born_ms: BORN_MS,
             service: "desk".into(),
             addr: upstream.addr,
             // The first is in the node's own zone, so that it is tried first.
--- a/crates/edge/src/tests/idle.rs
+++ b/crates/edge/src/tests/idle.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use super::fake::{answer, ms, post, run, start, Act, Caller, Entered, Upstream};
+use super::fake::{answer, ms, post, run, start, up, Act, Caller, Entered, Upstream};
 
 /// An entry node that may ask its one upstream, with one connection to it that rested.
 async fn with_rested_connection(upstream: &Upstream) -> Entered {
@@ -12,7 +12,7 @@
         state.settings.probes_per_upstream_s = 50.0;
         let load = place::Load { running: 0, waiting: 0, slots: 4, slowness: 1.0 };
         let pool = state.pools.get_mut("desk").expect("a pool");
-        pool.take_report("u0", Some(load), Instant::now());
+        pool.take_report(&up("u0"), Some(load), Instant::now());
     }
     let got = Caller::connect(entered.addr).await.ask(&post("1")).await;
     assert_eq!(got.status, 200);
@@ -30,7 +30,7 @@
         let scripts = vec![vec![answer("one")], vec![Act::Close], vec![answer("two")]];
         let upstream = Upstream::start(scripts);
         let entered = with_rested_connection(&upstream).await;
-        let (service, id) = ("desk".into(), "u0".into());
+        let (service, id) = ("desk".into(), up("u0"));
         let node = &entered.node;
         let conn = node.sure_connection(&service, &id, upstream.addr, ms(200)).await;
         assert!(!conn.expect("connects").used, "the rested connection was trusted");
@@ -45,7 +45,7 @@
     run(async {
         let upstream = Upstream::start(vec![vec![answer("one")]]);
         let entered = with_rested_connection(&upstream).await;
-        let (service, id) = ("desk".into(), "u0".into());
+        let (service, id) = ("desk".into(), up("u0"));
         let node = &entered.node;
         let conn = node.sure_connection(&service, &id, upstream.addr, ms(200)).await;
         assert!(conn.expect("connects").used);
@@ -61,7 +61,7 @@
     run(async {
         let upstream = Upstream::start(vec![vec![answer("one")], vec![Act::Close]]);
         let entered = with_rested_connection(&upstream).await;
-        let (service, id) = ("desk".into(), "u0".into());
+        let (service, id) = ("desk".into(), up("u0"));
         let node = &entered.node;
         let more = node.conns.open(&id, upstream.addr, ms(200)).await.expect("connects");
         let rested = node.conns.take(&id).await.expect("kept");
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -5,5 +5,7 @@
 mod fake;
 mod idle;
 mod long;
+mod pipelining;
 mod relay;
 mod requests;
+mod restarts;
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -28,6 +28,7 @@
 fn entry(n: u8) -> place::Entry {
     place::Entry {
         id: format!("u{n}").into(),
+        born_ms: super::fake::BORN_MS,
         service: "desk".into(),
         addr: addr(n),
         zone: "a".into(),
--- a/crates/edge/src/tests/requests.rs
+++ b/crates/edge/src/tests/requests.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use super::fake::{
-    answer, get, ms, post, read_to_end, refusal, run, start, write_raw, Act, Caller, Upstream,
+    answer, get, ms, post, read_to_end, refusal, run, start, up, write_raw, Act, Caller, Upstream,
 };
 
 fn text(text: &str) -> Act {
@@ -164,7 +164,7 @@
         let entered = start(&[&first, &second]);
         let got = Caller::connect(entered.addr).await.ask(&post("7")).await;
         assert_eq!((got.status, got.body.as_str()), (200, "beans"));
-        let listed = entered.node.state.borrow().pools["desk"].position("u0").is_some();
+        let listed = entered.node.state.borrow().pools["desk"].position(&up("u0")).is_some();
         assert_eq!(listed, !status.starts_with("421"), "gone once another has its address");
     });
 }
--- /dev/null
+++ b/crates/edge/src/tests/restarts.rs
@@ -0,0 +1,60 @@
+//! Upstreams that start again under their ids, as the request path meets them.
+
+use std::time::Instant;
+
+use place::{Event, Incarnation};
+
+use super::fake::{answer, get, ms, post, run, start, up, Act, Caller, Entered, Upstream, BORN_MS};
+use crate::follow;
+
+/// The upstream `u0` starts again at `addr`, as the platform's list tells.
+fn restart(entered: &Entered, addr: std::net::SocketAddr) -> Incarnation {
+    let listed: Vec<place::Entry> = entered.node.state.borrow().roster.entries().cloned().collect();
+    let mut entry = listed.into_iter().find(|entry| entry.id == "u0").expect("listed");
+    (entry.born_ms, entry.addr) = (BORN_MS + 700, addr);
+    let later = entry.incarnation();
+    follow::apply_upstreams(&entered.node, vec![Event::Put(entry)], Instant::now());
+    later
+}
+
+/// Symptom: a request fails that could have been served.
+/// Sequence: an upstream starts again under its id; a connection to its earlier start is kept.
+/// Cause: taking connections for those of the upstream, whichever start it is.
+#[test]
+fn connections_to_an_earlier_start_are_not_used() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![answer("beans")]]);
+        let entered = start(&[&upstream]);
+        let mut caller = Caller::connect(entered.addr).await;
+        assert_eq!(caller.ask(&get("/get/1", "1")).await.status, 200);
+        let later = restart(&entered, upstream.addr);
+        assert!(!entered.node.conns.has(&up("u0")) && !entered.node.conns.has(&later));
+        assert_eq!(caller.ask(&get("/get/1", "2")).await.status, 200);
+        assert_eq!(upstream.connections.get(), 2);
+        assert!(entered.node.conns.has(&later));
+    });
+}
+
+/// Symptom: a claim runs twice, or an upstream that has just started is taken to be failing.
+/// Sequence: a claim is under way at an upstream that crashes and starts again under its id; the
+/// connection to the earlier start breaks only afterwards.
+/// Cause: taking the later start for the one that was asked.
+#[test]
+fn what_was_under_way_at_an_earlier_start_neither_runs_again_nor_counts_against_the_later() {
+    run(async {
+        let earlier = Upstream::start(vec![vec![Act::Wait(ms(150)), Act::Close]]);
+        let later = Upstream::start(vec![vec![answer("again")]]);
+        let entered = start(&[&earlier]);
+        let mut caller = Caller::connect(entered.addr).await;
+        caller.write(&post("1")).await;
+        monoio::time::sleep(ms(50)).await;
+        let incarnation = restart(&entered, later.addr);
+        let got = caller.read().await.expect("an answer");
+        assert_eq!(got.status, 502, "it may have run");
+        assert_eq!((earlier.runs(), later.runs()), (1, 0));
+        let state = entered.node.state.borrow();
+        let pool = &state.pools["desk"];
+        let upstream = &pool.upstreams()[pool.position(&incarnation).expect("listed")];
+        assert_eq!((upstream.outstanding, upstream.is_ejected(Instant::now())), (0, false));
+    });
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,20 +13,19 @@
 
 mod admit;
 mod health;
+mod incarnation;
 mod pool;
 mod roster;
 mod upstream;
 mod work;
 
 pub use admit::{admit, Room, Verdict};
+pub use incarnation::{Incarnation, UpstreamId};
 pub use pool::{Ask, Candidate, Policy, Pool, Reach};
 pub use roster::{Change, Entry, Event, Roster};
 pub use upstream::{Load, Upstream};
 pub use work::Works;
 
-/// Id of one start of an upstream; another start at the same address has another one.
-pub type UpstreamId = smol_str::SmolStr;
-
 /// How a request to an upstream ended, as far as it speaks for the upstream's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -8,7 +8,7 @@
 
 use crate::health::Standing;
 use crate::upstream::{Load, Prediction, Upstream, Usual};
-use crate::{End, Entry, UpstreamId};
+use crate::{End, Entry, Incarnation};
 
 /// A report of this age or younger is not worth asking for again: the answer
 /// would come back about as old.
@@ -104,7 +104,7 @@
     /// Zone of the entry node.
     pub zone: &'a str,
     /// Upstreams that were tried already.
-    pub tried: &'a [UpstreamId],
+    pub tried: &'a [Incarnation],
     /// Whether a failure can be mended by sending it again.
     pub repeatable: bool,
 }
@@ -167,13 +167,16 @@
 
     /// Adds an upstream or takes what changed about it.
     pub fn put(&mut self, entry: &Entry, now: Instant) {
-        let index = match self.position(&entry.id) {
+        let incarnation = entry.incarnation();
+        let index = match self.position(&incarnation) {
             Some(index) => index,
             None => {
-                let (id, zone) = (entry.id.clone(), entry.zone.clone());
-                let order = self.order_of(&id);
-                let index = self.upstreams.partition_point(|u| self.order_of(&u.id) < order);
-                self.upstreams.insert(index, Upstream::new(id, entry.addr, zone, entry.slots));
+                let order = self.order_of(&entry.id);
+                let before = |u: &Upstream| self.order_of(&u.incarnation.id) < order;
+                let index = self.upstreams.partition_point(before);
+                let zone = entry.zone.clone();
+                let upstream = Upstream::new(incarnation, entry.addr, zone, entry.slots);
+                self.upstreams.insert(index, upstream);
                 index
             }
         };
@@ -183,13 +186,13 @@
     }
 
     /// Drops an upstream: it gets no further request.
-    pub fn remove(&mut self, id: &str) {
-        self.upstreams.retain(|u| u.id != id);
+    pub fn remove(&mut self, upstream: &Incarnation) {
+        self.upstreams.retain(|u| u.incarnation != *upstream);
     }
 
     /// Returns where an upstream stands in the pool.
-    pub fn position(&self, id: &str) -> Option<usize> {
-        self.upstreams.iter().position(|u| u.id == id)
+    pub fn position(&self, upstream: &Incarnation) -> Option<usize> {
+        self.upstreams.iter().position(|u| u.incarnation == *upstream)
     }
 
     /// Returns the upstreams.
@@ -203,7 +206,7 @@
     }
 
     /// Takes an upstream's report of its load, or that its answer had none.
-    pub fn take_report(&mut self, id: &str, load: Option<Load>, now: Instant) {
+    pub fn take_report(&mut self, upstream: &Incarnation, load: Option<Load>, now: Instant) {
         let Some(load) = load else {
             self.reports = self.reports.or(Some(false));
             return;
@@ -211,21 +214,21 @@
         self.reports = Some(true);
         self.usual.slowness += SLOWNESS_WEIGHT * (load.slowness - self.usual.slowness);
         self.usual.fullness += FULLNESS_WEIGHT * (load.fullness() - self.usual.fullness);
-        if let Some(index) = self.position(id) {
+        if let Some(index) = self.position(upstream) {
             self.upstreams[index].take_report(load, now);
         }
     }
 
     /// Records that a request was sent.
-    pub fn sent(&mut self, id: &str) {
-        if let Some(index) = self.position(id) {
+    pub fn sent(&mut self, upstream: &Incarnation) {
+        if let Some(index) = self.position(upstream) {
             self.upstreams[index].sent();
         }
     }
 
     /// Records how a request ended.
-    pub fn ended(&mut self, id: &str, end: End, now: Instant) {
-        let Some(index) = self.position(id) else { return };
+    pub fn ended(&mut self, upstream: &Incarnation, end: End, now: Instant) {
+        let Some(index) = self.position(upstream) else { return };
         let may_eject = end == End::Failed && self.may_eject(index, now);
         let upstream = &mut self.upstreams[index];
         upstream.ended();
@@ -241,16 +244,16 @@
     }
 
     /// Records that no connection could be made to an upstream.
-    pub fn unreachable(&mut self, id: &str, now: Instant) {
-        if let Some(index) = self.position(id) {
+    pub fn unreachable(&mut self, upstream: &Incarnation, now: Instant) {
+        if let Some(index) = self.position(upstream) {
             let may_eject = self.may_eject(index, now);
             self.upstreams[index].health.failed(may_eject, now);
         }
     }
 
     /// Records that a request took, or has taken so far, `ratio` times its prediction.
-    pub fn took_ratio(&mut self, id: &str, ratio: f64, now: Instant) {
-        if let Some(index) = self.position(id) {
+    pub fn took_ratio(&mut self, upstream: &Incarnation, ratio: f64, now: Instant) {
+        if let Some(index) = self.position(upstream) {
             self.upstreams[index].took_ratio(ratio, now);
         }
     }
@@ -273,7 +276,7 @@
     pub fn rank<R: Rng>(
         &self,
         ask: Ask<'_>,
-        reach: impl Fn(&UpstreamId) -> Reach,
+        reach: impl Fn(&Incarnation) -> Reach,
         now: Instant,
         rng: &mut R,
     ) -> Vec<Candidate> {
@@ -288,7 +291,7 @@
                 .collect();
             let exhausted = next.is_empty();
             for index in next {
-                match reach(&self.upstreams[index].id) {
+                match reach(&self.upstreams[index].incarnation) {
                     Reach::Not => {}
                     reach => ranked.push(self.candidate(index, ask, reach, now, rng)),
                 }
@@ -319,7 +322,8 @@
 
     /// Returns the upstreams in or outside the node's zone that were not tried, in order.
     fn in_zone<'a>(&'a self, ask: Ask<'a>, own: bool) -> impl Iterator<Item = usize> + 'a {
-        let wanted = move |u: &Upstream| (u.zone == ask.zone) == own && !ask.tried.contains(&u.id);
+        let wanted =
+            move |u: &Upstream| (u.zone == ask.zone) == own && !ask.tried.contains(&u.incarnation);
         self.upstreams.iter().enumerate().filter(move |(_, u)| wanted(u)).map(|(index, _)| index)
     }
 
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::UpstreamId;
+use crate::{Incarnation, UpstreamId};
 
 /// An upstream whose entry vanished with an outage of the store is kept for
 /// this long after the outage: those that live are listed again by then. The
@@ -23,11 +23,18 @@
 /// outage is the likelier cause than that many upstreams leaving unannounced.
 const MASS_LOSS: f64 = 0.3;
 
+/// How long the newest start of an upstream that was let go is remembered. An entry of an earlier
+/// start comes late by seconds at most: a write that got no answer may still be performed then, and
+/// a peer that lags by more is not read through.
+const REMEMBER_START_FOR: Duration = Duration::from_secs(60);
+
 /// One upstream as the store lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// Id of this start of it.
+    /// Id, which it may keep when it starts again.
     pub id: UpstreamId,
+    /// Unix time of this start in milliseconds, by its own clock; 0 when it does not say.
+    pub born_ms: u64,
     /// Service.
     pub service: SmolStr,
     /// Address.
@@ -43,14 +50,19 @@
 }
 
 impl Entry {
+    /// Returns which start of which upstream the entry is of.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { id: self.id.clone(), born_ms: self.born_ms }
+    }
+
     /// Returns true when nothing is new but that the upstream is slow for less long, as was known.
     ///
     /// An upstream that warms up writes that with each heartbeat. Three thousand that start
     /// together would be told of three times, to every node.
     fn only_warmed_up_since(&self, known: &Entry) -> bool {
-        let Entry { id, service, addr, zone, slots, leaving, cold_for } = self;
+        let Entry { id, born_ms, service, addr, zone, slots, leaving, cold_for } = self;
         (id, service, addr, zone) == (&known.id, &known.service, &known.addr, &known.zone)
-            && (slots, leaving) == (&known.slots, &known.leaving)
+            && (born_ms, slots, leaving) == (&known.born_ms, &known.slots, &known.leaving)
             && *cold_for <= known.cold_for
     }
 }
@@ -62,6 +74,18 @@
     Put(Entry),
     /// It is no longer listed.
     Gone(UpstreamId),
+    /// Its entry cannot be used: it names no upstream, and none is kept for it.
+    Unusable(UpstreamId),
+}
+
+impl Event {
+    /// Returns the upstream that the event is about.
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            Event::Put(entry) => &entry.id,
+            Event::Gone(id) | Event::Unusable(id) => id,
+        }
+    }
 }
 
 /// What follows for the pools.
@@ -72,12 +96,13 @@
     /// It must not get further requests.
     Drop {
         /// Which one.
-        id: UpstreamId,
+        upstream: Incarnation,
         /// Its service.
         service: SmolStr,
         /// Its address.
         addr: SocketAddr,
-        /// Why: `leaving`, `unlisted`, or `not back` after an outage.
+        /// Why: `leaving`, `unlisted`, `not back` after an outage, `restarted`, `moved`, or
+        /// `unusable entry`.
         why: &'static str,
     },
 }
@@ -92,6 +117,8 @@
     store_away: Option<(Instant, Instant)>,
     /// Since when the store may have been back, and since when it surely is.
     store_back: Option<(Instant, Instant)>,
+    /// The newest start of upstreams that were let go, and when that was.
+    left: HashMap<UpstreamId, (u64, Instant)>,
 }
 
 impl Roster {
@@ -134,17 +161,16 @@
     }
 
     /// Returns the upstreams held that `listed` does not hold.
-    fn not_in(&self, listed: &[Entry]) -> Vec<UpstreamId> {
-        let listed: HashSet<&UpstreamId> = listed.iter().map(|entry| &entry.id).collect();
+    fn not_in(&self, listed: &HashSet<&UpstreamId>) -> Vec<UpstreamId> {
         self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect()
     }
 
-    /// Takes the whole list: what it does not hold is no longer listed.
-    pub fn whole(&mut self, listed: Vec<Entry>, now: Instant) -> Vec<Change> {
+    /// Takes the whole list, as one event for each row: what it does not hold is no longer listed.
+    pub fn whole(&mut self, mut rows: Vec<Event>, now: Instant) -> Vec<Change> {
+        let listed: HashSet<&UpstreamId> = rows.iter().map(Event::id).collect();
         let gone = self.not_in(&listed);
-        let mut events: Vec<Event> = listed.into_iter().map(Event::Put).collect();
-        events.extend(gone.into_iter().map(Event::Gone));
-        self.apply(events, now)
+        rows.extend(gone.into_iter().map(Event::Gone));
+        self.apply(rows, now)
     }
 
     /// Returns the upstreams that are listed or kept.
@@ -153,17 +179,15 @@
     }
 
     /// Takes the list as another node holds it: that node has decided what is kept.
-    pub fn adopt(&mut self, listed: Vec<Entry>) -> Vec<Change> {
-        let gone = self.not_in(&listed);
-        let dropped = gone.iter().filter_map(|id| self.drop(id, "unlisted"));
-        let mut changes: Vec<Change> = dropped.collect();
-        changes.extend(listed.into_iter().filter_map(|entry| self.take(Event::Put(entry), None)));
-        changes
+    pub fn adopt(&mut self, listed: Vec<Entry>, now: Instant) -> Vec<Change> {
+        let gone = self.not_in(&listed.iter().map(|entry| &entry.id).collect());
+        let events = gone.into_iter().map(Event::Gone).chain(listed.into_iter().map(Event::Put));
+        events.flat_map(|event| self.take(event, None, now)).collect()
     }
 
-    /// Takes one change that another node has decided on.
-    pub fn adopt_change(&mut self, event: Event) -> Option<Change> {
-        self.take(event, None)
+    /// Takes changes that another node has decided on.
+    pub fn adopt_changes(&mut self, events: Vec<Event>, now: Instant) -> Vec<Change> {
+        events.into_iter().flat_map(|event| self.take(event, None, now)).collect()
     }
 
     /// Takes what changed.
@@ -181,32 +205,62 @@
             _ if mass_loss => Some(now + KEEP_AFTER_MASS_LOSS),
             _ => None,
         };
-        events.into_iter().filter_map(|event| self.take(event, keep_until)).collect()
+        events.into_iter().flat_map(|event| self.take(event, keep_until, now)).collect()
     }
 
-    fn take(&mut self, event: Event, keep_until: Option<Instant>) -> Option<Change> {
+    fn take(&mut self, event: Event, keep_until: Option<Instant>, now: Instant) -> Vec<Change> {
         match event {
-            Event::Put(entry) if entry.leaving => self.drop(&entry.id, "leaving"),
-            Event::Put(entry) => {
-                self.vanished.remove(&entry.id);
-                let known = self.entries.insert(entry.id.clone(), entry.clone());
-                let new = known.is_none_or(|known| !entry.only_warmed_up_since(&known));
-                new.then_some(Change::Put(entry))
+            Event::Put(entry) if self.is_of_earlier_start(&entry) => Vec::new(),
+            Event::Put(entry) if entry.leaving => {
+                let dropped = self.drop(&entry.id, "leaving", now);
+                self.left.insert(entry.id, (entry.born_ms, now));
+                dropped.into_iter().collect()
             }
+            Event::Put(entry) => self.put(entry, now),
             Event::Gone(id) => match keep_until {
                 Some(until) if self.entries.contains_key(&id) => {
                     self.vanished.entry(id).or_insert(until);
-                    None
+                    Vec::new()
                 }
-                _ => self.drop(&id, "unlisted"),
+                _ => self.drop(&id, "unlisted", now).into_iter().collect(),
             },
+            Event::Unusable(id) => self.drop(&id, "unusable entry", now).into_iter().collect(),
         }
     }
 
-    fn drop(&mut self, id: &str, why: &'static str) -> Option<Change> {
+    /// Returns true when a later start of the upstream is known.
+    ///
+    /// A write that got no answer may be performed seconds later, and a peer's list may be older
+    /// than what this node has read. Taken for news, such an entry would have requests sent to an
+    /// upstream that does not run any more, or keep them from the one that runs.
+    fn is_of_earlier_start(&self, entry: &Entry) -> bool {
+        let held = self.entries.get(&entry.id).map(|held| held.born_ms);
+        let left = self.left.get(&entry.id).map(|(born_ms, _)| *born_ms);
+        held.max(left).is_some_and(|newest| newest > entry.born_ms)
+    }
+
+    fn put(&mut self, entry: Entry, now: Instant) -> Vec<Change> {
+        self.vanished.remove(&entry.id);
+        let replaced = self.entries.get(&entry.id).and_then(|held| match () {
+            () if held.born_ms != entry.born_ms => Some("restarted"),
+            () if (&held.service, held.addr) != (&entry.service, entry.addr) => Some("moved"),
+            () => None,
+        });
+        let mut changes: Vec<Change> =
+            replaced.and_then(|why| self.drop(&entry.id, why, now)).into_iter().collect();
+        let known = self.entries.insert(entry.id.clone(), entry.clone());
+        if known.is_none_or(|known| !entry.only_warmed_up_since(&known)) {
+            changes.push(Change::Put(entry));
+        }
+        changes
+    }
+
+    fn drop(&mut self, id: &str, why: &'static str, now: Instant) -> Option<Change> {
         self.vanished.remove(id);
         let entry = self.entries.remove(id)?;
-        Some(Change::Drop { id: entry.id, service: entry.service, addr: entry.addr, why })
+        let upstream = entry.incarnation();
+        self.left.insert(entry.id, (entry.born_ms, now));
+        Some(Change::Drop { upstream, service: entry.service, addr: entry.addr, why })
     }
 
     /// Drops the upstreams that were kept and are still not listed.
@@ -217,7 +271,8 @@
             .filter(|(_, until)| **until <= now)
             .map(|(id, _)| id.clone())
             .collect();
-        due.iter().filter_map(|id| self.drop(id, "not back")).collect()
+        self.left.retain(|_, (_, at)| now.saturating_duration_since(*at) < REMEMBER_START_FOR);
+        due.iter().filter_map(|id| self.drop(id, "not back", now)).collect()
     }
 
     /// Returns true while upstreams are kept that are not listed.
@@ -225,3 +280,6 @@
         !self.vanished.is_empty()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -5,20 +5,22 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 
-use crate::{
-    admit, Ask, Change, End, Entry, Event, Load, Policy, Pool, Reach, Room, Roster, Verdict,
-};
+use crate::{admit, Ask, End, Entry, Incarnation, Load, Policy, Pool, Reach, Room, Verdict};
 
 const WORK: Duration = Duration::from_millis(100);
 const OBJECTIVE: Duration = Duration::from_millis(300);
 
-fn ms(ms: u64) -> Duration {
+/// When the upstreams of the tests started.
+pub const BORN_MS: u64 = 1_000;
+
+pub fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
-fn entry(n: u16, zone: &str) -> Entry {
+pub fn entry(n: u16, zone: &str) -> Entry {
     Entry {
         id: format!("u{n}").into(),
+        born_ms: BORN_MS,
         service: "desk".into(),
         addr: SocketAddr::from(([10, 0, 0, 1], n)),
         zone: zone.into(),
@@ -28,6 +30,11 @@
     }
 }
 
+/// The start of an upstream that [`entry`] describes.
+pub fn up(id: impl Into<crate::UpstreamId>) -> Incarnation {
+    Incarnation { id: id.into(), born_ms: BORN_MS }
+}
+
 fn load(running: u32, waiting: u32, slowness: f64) -> Option<Load> {
     Some(Load { running, waiting, slots: 4, slowness })
 }
@@ -53,7 +60,7 @@
 /// Returns the ids of the upstreams for a request, best first.
 fn ranked(pool: &Pool, ask: Ask<'_>, now: Instant) -> Vec<String> {
     let candidates = pool.rank(ask, |_| Reach::Kept, now, &mut StdRng::seed_from_u64(1));
-    candidates.iter().map(|c| pool.upstreams()[c.index].id.to_string()).collect()
+    candidates.iter().map(|c| pool.upstreams()[c.index].incarnation.id.to_string()).collect()
 }
 
 /// Symptom: one request in four is four times slower although most machines are idle.
@@ -63,9 +70,9 @@
 fn a_machine_that_just_said_it_is_slow_comes_last() {
     let now = Instant::now();
     let mut pool = pool(3, now);
-    pool.take_report("u1", load(0, 0, 4.0), now);
-    pool.take_report("u2", load(0, 0, 1.0), now);
-    pool.take_report("u3", load(0, 0, 4.0), now);
+    pool.take_report(&up("u1"), load(0, 0, 4.0), now);
+    pool.take_report(&up("u2"), load(0, 0, 1.0), now);
+    pool.take_report(&up("u3"), load(0, 0, 4.0), now);
     assert_eq!(ranked(&pool, ask(), now + ms(10))[0], "u2");
 }
 
@@ -76,7 +83,7 @@
 fn an_old_report_says_nothing() {
     let now = Instant::now();
     let mut pool = pool(2, now);
-    pool.take_report("u1", load(0, 0, 4.0), now);
+    pool.take_report(&up("u1"), load(0, 0, 4.0), now);
     let later = now + ms(3_000);
     let candidates = pool.rank(ask(), |_| Reach::Kept, later, &mut StdRng::seed_from_u64(1));
     let took: Vec<Duration> = candidates.iter().map(|c| c.prediction.took).collect();
@@ -88,7 +95,7 @@
 fn nobody_is_asked_when_a_fresh_report_is_as_good_as_it_gets() {
     let now = Instant::now();
     let mut pool = pool(3, now);
-    pool.take_report("u1", load(0, 0, 1.0), now);
+    pool.take_report(&up("u1"), load(0, 0, 1.0), now);
     let candidates = pool.rank(ask(), |_| Reach::Kept, now + ms(10), &mut StdRng::seed_from_u64(1));
     assert!(pool.to_ask(&candidates, 3, 3).is_empty());
 }
@@ -102,10 +109,10 @@
     let mut pool = pool(1, now);
     pool.put(&entry(2, "b"), now);
     for id in ["u1", "u2"] {
-        pool.take_report(id, load(0, 0, 1.0), now);
+        pool.take_report(&up(id), load(0, 0, 1.0), now);
     }
     assert_eq!(ranked(&pool, ask(), now)[0], "u1");
-    pool.take_report("u1", load(0, 0, 4.0), now);
+    pool.take_report(&up("u1"), load(0, 0, 4.0), now);
     assert_eq!(ranked(&pool, ask(), now)[0], "u2");
 }
 
@@ -116,10 +123,10 @@
 fn what_was_sent_since_a_report_counts() {
     let now = Instant::now();
     let mut pool = pool(2, now);
-    pool.take_report("u1", load(1, 0, 1.0), now);
-    pool.take_report("u2", load(2, 0, 1.0), now);
+    pool.take_report(&up("u1"), load(1, 0, 1.0), now);
+    pool.take_report(&up("u2"), load(2, 0, 1.0), now);
     assert_eq!(ranked(&pool, ask(), now)[0], "u1");
-    (0..3).for_each(|_| pool.sent("u1"));
+    (0..3).for_each(|_| pool.sent(&up("u1")));
     assert_eq!(ranked(&pool, ask(), now)[0], "u2");
 }
 
@@ -131,8 +138,8 @@
     let mut now = Instant::now();
     let mut pool = pool(3, now);
     let fail = |pool: &mut Pool, now| {
-        pool.sent("u1");
-        pool.ended("u1", End::Failed, now);
+        pool.sent(&up("u1"));
+        pool.ended(&up("u1"), End::Failed, now);
     };
     fail(&mut pool, now);
     assert!(ranked(&pool, ask(), now).contains(&"u1".to_owned()), "one failure is no verdict");
@@ -140,13 +147,13 @@
     assert!(!ranked(&pool, ask(), now).contains(&"u1".to_owned()));
     now += ms(10_000);
     assert!(ranked(&pool, ask(), now).contains(&"u1".to_owned()), "on trial");
-    pool.sent("u1");
+    pool.sent(&up("u1"));
     assert!(!ranked(&pool, ask(), now).contains(&"u1".to_owned()), "one trial at a time");
-    pool.ended("u1", End::Failed, now);
+    pool.ended(&up("u1"), End::Failed, now);
     assert!(!ranked(&pool, ask(), now).contains(&"u1".to_owned()), "the trial failed");
     now += ms(10_000);
-    pool.sent("u1");
-    pool.ended("u1", End::Answered, now);
+    pool.sent(&up("u1"));
+    pool.ended(&up("u1"), End::Answered, now);
     assert!(ranked(&pool, ask(), now).contains(&"u1".to_owned()));
 }
 
@@ -158,8 +165,8 @@
     let now = Instant::now();
     let mut pool = pool(3, now);
     for _ in 0..2 {
-        pool.sent("u1");
-        pool.ended("u1", End::Failed, now);
+        pool.sent(&up("u1"));
+        pool.ended(&up("u1"), End::Failed, now);
     }
     let later = now + ms(10_000);
     let once = Ask { repeatable: false, ..ask() };
@@ -175,8 +182,8 @@
     let mut pool = pool(4, now);
     for n in 1..=4 {
         for _ in 0..5 {
-            pool.sent(&format!("u{n}"));
-            pool.ended(&format!("u{n}"), End::Failed, now);
+            pool.sent(&up(format!("u{n}")));
+            pool.ended(&up(format!("u{n}")), End::Failed, now);
         }
     }
     assert_eq!(ranked(&pool, ask(), now).len(), 2);
@@ -186,17 +193,17 @@
 fn an_upstream_slow_beyond_its_report_is_found_out() {
     let now = Instant::now();
     let mut pool = pool(2, now);
-    pool.take_report("u1", load(0, 0, 1.0), now);
-    pool.take_report("u2", load(1, 0, 1.2), now);
+    pool.take_report(&up("u1"), load(0, 0, 1.0), now);
+    pool.take_report(&up("u2"), load(1, 0, 1.2), now);
     assert_eq!(ranked(&pool, ask(), now)[0], "u1");
-    (0..3).for_each(|_| pool.took_ratio("u1", 5.0, now));
+    (0..3).for_each(|_| pool.took_ratio(&up("u1"), 5.0, now));
     assert_eq!(ranked(&pool, ask(), now)[0], "u2");
 }
 
 fn verdict(load: Option<Load>, room: Room) -> Verdict {
     let now = Instant::now();
     let mut pool = pool(1, now);
-    pool.take_report("u1", load, now);
+    pool.take_report(&up("u1"), load, now);
     let mut rng = StdRng::seed_from_u64(1);
     let ask = Ask { objective_left: room.objective_left, ..ask() };
     let best = pool.rank(ask, |_| Reach::Kept, now, &mut rng).remove(0);
@@ -252,99 +259,6 @@
     }
 }
 
-fn ids(changes: &[Change]) -> Vec<(&str, &'static str)> {
-    let id = |change: &Change| match change {
-        Change::Put(_) => None,
-        Change::Drop { id, why, .. } => Some((id.to_string().leak() as &str, *why)),
-    };
-    changes.iter().filter_map(id).collect()
-}
-
-fn roster(count: u16, now: Instant) -> Roster {
-    let mut roster = Roster::default();
-    roster.whole((1..=count).map(|n| entry(n, "a")).collect(), now);
-    roster
-}
-
-fn gone(numbers: &[u16]) -> Vec<Event> {
-    numbers.iter().map(|n| Event::Gone(format!("u{n}").into())).collect()
-}
-
-#[test]
-fn an_upstream_that_leaves_or_vanishes_is_dropped_at_once() {
-    let now = Instant::now();
-    let mut roster = roster(10, now);
-    let leaving = Event::Put(Entry { leaving: true, ..entry(1, "a") });
-    assert_eq!(ids(&roster.apply(vec![leaving], now)), [("u1", "leaving")]);
-    assert_eq!(ids(&roster.apply(gone(&[2]), now)), [("u2", "unlisted")]);
-    assert_eq!(roster.len(), 8);
-}
-
-/// Symptom: after an outage of the store a node has no upstreams for two seconds.
-/// Sequence: the store is away; entries lapse; it answers again before they are renewed.
-/// Cause: taking the lapse for a departure.
-#[test]
-fn entries_that_lapse_with_the_store_are_kept_until_they_are_back() {
-    let now = Instant::now();
-    let mut roster = roster(4, now);
-    roster.store_lost(now);
-    let back = now + ms(5_000);
-    roster.store_answers(back);
-    assert!(roster.apply(gone(&[1, 2, 3, 4]), back).is_empty());
-    assert!(roster.expire(back + ms(1_900)).is_empty());
-    roster.apply(vec![Event::Put(entry(1, "a"))], back + ms(1_900));
-    assert_eq!(roster.expire(back + ms(2_300)).len(), 3, "those that did not come back are gone");
-    assert_eq!(roster.len(), 1);
-}
-
-/// Symptom: a node that was cut off sends requests to an upstream that left twelve seconds ago.
-/// Sequence: the node is cut off from the store; an upstream drains and leaves; the cut heals;
-/// the node reads the list and finds the entry missing.
-/// Cause: keeping the entry for two seconds from the first answer, as after an outage of the store,
-/// when the last call without an answer was made long before.
-#[test]
-fn an_entry_that_vanished_behind_a_cut_is_kept_from_the_last_unanswered_call_only() {
-    let now = Instant::now();
-    let mut roster = roster(10, now);
-    roster.store_lost(now);
-    let answered = now + ms(1_500);
-    roster.store_answers(answered);
-    let listed = (2..=10).map(|n| entry(n, "a")).collect();
-    assert!(roster.whole(listed, answered).iter().all(|c| matches!(c, Change::Put(_))));
-    assert!(roster.expire(now + ms(2_100)).is_empty());
-    assert_eq!(ids(&roster.expire(now + ms(2_200))), [("u1", "not back")]);
-}
-
-/// Symptom: three thousand upstreams that start together are told of three times to every node.
-/// Sequence: an upstream writes with each heartbeat how much longer it is slow.
-/// Cause: passing on what follows from what was said before; and the reverse, missing a restart.
-#[yare::parameterized(
-    slow_for_less_long = { 1_500, "a", 4, false },
-    not_slow_any_more = { 0, "a", 4, false },
-    slow_anew = { 4_000, "a", 4, true },
-    in_another_zone = { 1_500, "b", 4, true },
-    with_more_slots = { 1_500, "a", 5, true },
-)]
-fn warming_up_is_told_once(cold_ms: u64, zone: &str, slots: u32, told: bool) {
-    let now = Instant::now();
-    let mut roster = Roster::default();
-    let put =
-        |cold_ms, zone, slots| Event::Put(Entry { cold_for: ms(cold_ms), slots, ..entry(1, zone) });
-    assert_eq!(roster.apply(vec![put(3_000, "a", 4)], now).len(), 1);
-    let changes = roster.apply(vec![put(cold_ms, zone, slots)], now + ms(1_500));
-    assert_eq!(!changes.is_empty(), told);
-    assert_eq!(roster.entries().next().map(|e| e.cold_for), Some(ms(cold_ms)));
-}
-
-#[test]
-fn many_entries_that_vanish_at_once_are_kept_for_a_moment() {
-    let now = Instant::now();
-    let mut roster = roster(6, now);
-    assert!(roster.apply(gone(&[1, 2, 3]), now).is_empty());
-    assert!(roster.expire(now + ms(1_200)).is_empty());
-    assert_eq!(roster.expire(now + ms(1_400)).len(), 3);
-}
-
 /// Symptom: nearly every request opens a connection, and predictions are guesses.
 /// Sequence: a hundred nodes with a few requests a second each share two hundred upstreams.
 /// Cause: every node comparing a random part of all of them for every request.
@@ -359,7 +273,9 @@
         for seed in 0..20 {
             let mut rng = StdRng::seed_from_u64(seed);
             let candidates = pool.rank(ask(), |_| Reach::Kept, now, &mut rng);
-            compared.extend(candidates.iter().map(|c| pool.upstreams()[c.index].id.clone()));
+            compared.extend(
+                candidates.iter().map(|c| pool.upstreams()[c.index].incarnation.id.clone()),
+            );
         }
         assert!(compared.len() <= 12, "{}", compared.len());
         used.extend(compared);
@@ -374,7 +290,7 @@
     (1..=30).for_each(|n| pool.put(&entry(n, "a"), now));
     let few: Vec<String> = ranked(&pool, ask(), now);
     assert_eq!(few.len(), 12);
-    few.iter().for_each(|id| pool.take_report(id, load(4, 9, 4.0), now));
+    few.iter().for_each(|id| pool.take_report(&up(id), load(4, 9, 4.0), now));
     assert!(ranked(&pool, ask(), now).len() > 12);
 }
 
@@ -387,7 +303,7 @@
     let mut pool = Pool::of_node(1);
     (1..=30).for_each(|n| pool.put(&entry(n, "a"), now));
     let before: std::collections::HashSet<String> = ranked(&pool, ask(), now).into_iter().collect();
-    pool.remove(before.iter().next().expect("twelve"));
+    pool.remove(&up(before.iter().next().expect("twelve")));
     let after: std::collections::HashSet<String> = ranked(&pool, ask(), now).into_iter().collect();
     assert_eq!(before.intersection(&after).count(), 11);
 }
@@ -400,16 +316,16 @@
 fn connections_that_an_upstream_would_reset_are_not_opened() {
     let now = Instant::now();
     let mut pool = pool(2, now);
-    pool.take_report("u1", load(0, 0, 1.0), now);
-    pool.take_report("u2", load(1, 0, 1.2), now);
+    pool.take_report(&up("u1"), load(0, 0, 1.0), now);
+    pool.take_report(&up("u2"), load(1, 0, 1.2), now);
     let first = |pool: &Pool, reach: Reach| {
-        let reach = |id: &crate::UpstreamId| if id == "u1" { reach } else { Reach::New };
+        let reach = |upstream: &Incarnation| if upstream.id == "u1" { reach } else { Reach::New };
         let ranked = pool.rank(ask(), reach, now, &mut StdRng::seed_from_u64(1));
-        pool.upstreams()[ranked[0].index].id.to_string()
+        pool.upstreams()[ranked[0].index].incarnation.id.to_string()
     };
     assert_eq!(first(&pool, Reach::New), "u1");
     assert_eq!(first(&pool, Reach::Not), "u2");
-    pool.take_report("u1", load(0, 1, 1.0), now);
+    pool.take_report(&up("u1"), load(0, 1, 1.0), now);
     assert_eq!(first(&pool, Reach::New), "u2");
     assert_eq!(first(&pool, Reach::Kept), "u1");
 }
@@ -423,18 +339,19 @@
     let now = Instant::now();
     let mut pool = pool(40, now);
     for _ in 0..10 {
-        (1..=10).for_each(|n| pool.take_report(&format!("u{n}"), load(4, 6, 1.0), now));
+        (1..=10).for_each(|n| pool.take_report(&up(format!("u{n}")), load(4, 6, 1.0), now));
     }
     let known: Vec<String> = (1..=10).map(|n| format!("u{n}")).collect();
-    let reach = |id: &crate::UpstreamId| match known.iter().any(|k| k == id) {
+    let reach = |upstream: &Incarnation| match known.iter().any(|k| *k == upstream.id) {
         true => Reach::Kept,
         false => Reach::New,
     };
     let candidates = pool.rank(ask(), reach, now + ms(20), &mut StdRng::seed_from_u64(1));
     let best = &pool.upstreams()[candidates[0].index];
-    assert!(known.iter().any(|k| *k == best.id), "{} came first", best.id);
-    let unknown =
-        candidates.iter().find(|c| !known.iter().any(|k| *k == pool.upstreams()[c.index].id));
+    assert!(known.iter().any(|k| *k == best.incarnation.id), "{} came first", best.incarnation.id);
+    let unknown = candidates
+        .iter()
+        .find(|c| !known.iter().any(|k| *k == pool.upstreams()[c.index].incarnation.id));
     assert!(
         unknown.is_none_or(|c| !c.prediction.wait.is_zero()),
         "no wait expected at {unknown:?}"
@@ -448,10 +365,10 @@
 fn few_upstreams_are_asked_over_new_connections() {
     let now = Instant::now();
     let pool = pool(8, now);
-    let reach = |id: &crate::UpstreamId| if id == "u1" { Reach::Kept } else { Reach::New };
+    let reach = |upstream: &Incarnation| if upstream.id == "u1" { Reach::Kept } else { Reach::New };
     let candidates = pool.rank(ask(), reach, now, &mut StdRng::seed_from_u64(1));
     let asked = pool.to_ask(&candidates, 3, 1);
-    let new = asked.iter().filter(|index| pool.upstreams()[**index].id != "u1").count();
+    let new = asked.iter().filter(|index| pool.upstreams()[**index].incarnation.id != "u1").count();
     assert_eq!((asked.len(), new), (2, 1));
     assert_eq!(pool.to_ask(&candidates, 3, 0).len(), 1);
 }
@@ -463,12 +380,40 @@
 fn without_reports_the_nodes_own_requests_tell_upstreams_apart() {
     let now = Instant::now();
     let mut pool = pool(3, now);
-    pool.take_report("u1", None, now);
-    (0..2).for_each(|_| pool.sent("u1"));
+    pool.take_report(&up("u1"), None, now);
+    (0..2).for_each(|_| pool.sent(&up("u1")));
     for seed in 0..50 {
         let mut rng = StdRng::seed_from_u64(seed);
         let ranked = pool.rank(ask(), |_| Reach::Kept, now, &mut rng);
         let last = ranked.last().expect("three candidates");
-        assert_eq!(pool.upstreams()[last.index].id, "u1");
+        assert_eq!(pool.upstreams()[last.index].incarnation.id, "u1");
+    }
+}
+
+/// Symptom: an upstream that started again is taken to be full, or ejected, without reason.
+/// Sequence: requests are under way there when it crashes; it starts again under its id; then the
+/// requests end, and what they tell (failures, a report, how long they took) arrives.
+/// Cause: counting by id what belongs to the earlier start.
+#[test]
+fn what_an_earlier_start_did_says_nothing_of_the_later_one() {
+    let now = Instant::now();
+    let mut pool = pool(2, now);
+    let (earlier, later) = (up("u1"), Incarnation { born_ms: BORN_MS + 900, ..up("u1") });
+    (0..3).for_each(|_| pool.sent(&earlier));
+    pool.take_report(&earlier, load(4, 9, 4.0), now);
+    pool.remove(&earlier);
+    pool.put(&Entry { born_ms: later.born_ms, ..entry(1, "a") }, now);
+    let fresh = ranked(&pool, ask(), now);
+    pool.sent(&later);
+    for _ in 0..3 {
+        pool.ended(&earlier, End::Failed, now);
+        pool.took_ratio(&earlier, 9.0, now);
     }
+    pool.unreachable(&earlier, now);
+    pool.take_report(&earlier, load(4, 9, 4.0), now);
+    let upstream = &pool.upstreams()[pool.position(&later).expect("listed")];
+    assert_eq!(upstream.outstanding, 1, "its own request only");
+    assert_eq!((upstream.is_ejected(now), upstream.report(now)), (false, None));
+    assert!(fresh.contains(&"u1".to_owned()));
+    assert_eq!(pool.position(&earlier), None);
 }
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -6,7 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::health::{Health, Standing};
-use crate::UpstreamId;
+use crate::Incarnation;
 
 /// Time in which a report loses most of its worth. Machines that change speed
 /// every 300 ms were seen; a report of that age says little.
@@ -66,8 +66,8 @@
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct Upstream {
-    /// Id.
-    pub id: UpstreamId,
+    /// Which start of which upstream it is.
+    pub incarnation: Incarnation,
     /// Address.
     pub addr: SocketAddr,
     /// Availability zone.
@@ -110,9 +110,9 @@
 
 impl Upstream {
     /// Creates an upstream of which nothing is known but its entry in the list.
-    pub fn new(id: UpstreamId, addr: SocketAddr, zone: SmolStr, slots: u32) -> Upstream {
+    pub fn new(incarnation: Incarnation, addr: SocketAddr, zone: SmolStr, slots: u32) -> Upstream {
         Upstream {
-            id,
+            incarnation,
             addr,
             zone,
             slots: slots.max(1),
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -1,6 +1,8 @@
 //! The two halves of a TCP connection, with what was received and not yet used.
 
+use std::collections::VecDeque;
 use std::io;
+use std::time::{Duration, Instant};
 
 use bytes::BytesMut;
 use http::Method;
@@ -11,6 +13,10 @@
 use super::body::{Decoder, Piece};
 use super::head::{self, Malformed, RequestHead, ResponseHead};
 
+/// Bytes received within this time of each other count as received together: a peer that sends one
+/// byte at a time must not make the list of arrivals long.
+const ARRIVAL_GRAIN: Duration = Duration::from_millis(1);
+
 /// Bytes read at once.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -39,6 +45,37 @@
 pub struct Reader {
     half: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
+    arrivals: Option<Arrivals>,
+}
+
+/// When the bytes of a stream were received.
+#[derive(Default)]
+struct Arrivals {
+    /// Bytes received in all.
+    received: u64,
+    /// Up to which byte was received when, for bytes that were not taken out yet.
+    up_to: VecDeque<(u64, Instant)>,
+}
+
+impl Arrivals {
+    fn received(&mut self, bytes: usize, now: Instant) {
+        self.received += bytes as u64;
+        match self.up_to.back_mut() {
+            Some((up_to, at)) if now.saturating_duration_since(*at) < ARRIVAL_GRAIN => {
+                *up_to = self.received;
+            }
+            _ => self.up_to.push_back((self.received, now)),
+        }
+    }
+
+    /// Returns when the byte before the `left` last ones was received.
+    fn of_byte_before(&mut self, left: usize) -> Option<Instant> {
+        let taken = self.received - left as u64;
+        while self.up_to.len() > 1 && self.up_to[0].0 < taken {
+            self.up_to.pop_front();
+        }
+        self.up_to.front().map(|(_, at)| *at)
+    }
 }
 
 /// The sending half.
@@ -49,7 +86,29 @@
 impl Reader {
     /// Wraps a receiving half that nothing was read from yet.
     pub fn new(half: OwnedReadHalf<TcpStream>) -> Reader {
-        Reader { half, buf: BytesMut::new() }
+        Reader { half, buf: BytesMut::new(), arrivals: None }
+    }
+
+    /// Wraps a receiving half that nothing was read from yet; [`Reader::arrival`] tells when bytes
+    /// were received.
+    pub fn with_arrivals(half: OwnedReadHalf<TcpStream>) -> Reader {
+        Reader { arrivals: Some(Arrivals::default()), ..Reader::new(half) }
+    }
+
+    /// Returns when the last byte that was taken out had been received; now when that was not
+    /// recorded.
+    ///
+    /// Bytes may wait here for what was asked before them. Counted from when they are looked at, a
+    /// request would be given more time than its caller waits.
+    pub fn arrival(&mut self) -> Instant {
+        let left = self.buf.len();
+        let recorded = self.arrivals.as_mut().and_then(|arrivals| arrivals.of_byte_before(left));
+        recorded.unwrap_or_else(Instant::now)
+    }
+
+    /// Returns how many bytes were received that nobody asked for yet.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buf.len()
     }
 
     /// Returns true when bytes were received that nobody asked for yet.
@@ -68,6 +127,9 @@
         let (result, scratch) = self.half.read(Vec::with_capacity(READ_BYTES)).await;
         let length = result?;
         self.buf.extend_from_slice(&scratch[..length]);
+        if let Some(arrivals) = &mut self.arrivals {
+            arrivals.received(length, Instant::now());
+        }
         Ok(length > 0)
     }
 
