place: requests wait at the node for room, objectives count from the first attempt

The work learned held the time of nearly full upstreams and was then raised for it again. Proof-view, alone at its service and so the most urgent there, queued until all of it was late.

A hedge's search no longer keeps a ready answer waiting.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -45,6 +45,16 @@
     pub body: AnswerBody,
 }
 
+impl Answer {
+    /// Returns the length of its body as far as it is known yet.
+    pub fn known_bytes(&self) -> usize {
+        match (&self.body, self.head.framing) {
+            (AnswerBody::Begun(..), h1::Framing::Length(length)) => length as usize,
+            (AnswerBody::Whole(body) | AnswerBody::Begun(body, ..), _) => body.len(),
+        }
+    }
+}
+
 /// Why a request got no answer when its own caller left.
 pub const CALLER_LEFT: &str = "caller left";
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -23,6 +23,7 @@
 pub use self::send::CONNECT_TIMEOUT;
 
 use self::call::{as_ms, Call, Choice, NoChoice, Tried};
+use self::choose::Patience;
 use crate::conns::{Conn, Conns};
 use crate::exchange::{Answer, Outcome, Sent};
 use crate::metrics::Metrics;
@@ -47,8 +48,9 @@
 /// Upstreams tried for one request at most, those that could not be reached included.
 const UPSTREAMS_TRIED_MOST: usize = 4;
 
-/// When to come back after refusals by upstreams that say nothing of their queues.
-const COME_BACK: Duration = Duration::from_millis(80);
+/// When to come back after upstreams refused a request that the node would have sent on. What they
+/// refuse says nothing of the others, and an attempt more earns the fleet a second send.
+const COME_BACK: Duration = Duration::from_millis(10);
 
 /// Time from the start of the process in which a request waits for the configuration and the list
 /// of upstreams. Both are read within 0.25 s (110 kB over a link of 10 Mbit/s, after a start of
@@ -93,6 +95,15 @@
     },
 }
 
+impl Body<'_> {
+    /// Returns how many bytes of it were received.
+    fn received_bytes(&self) -> usize {
+        match self {
+            Body::Whole(body) | Body::Long { first: body, .. } => body.len(),
+        }
+    }
+}
+
 /// What is known of a request that has no answer to pass on yet.
 enum SoFar {
     /// No upstream can have run it.
@@ -266,10 +277,25 @@
                 .log();
             return Reply::Own(Own::not_run(COME_BACK_ELSEWHERE, "this node is stopping"));
         }
+        let tried_for = stated.map_or(Duration::ZERO, |stated| {
+            self.state.borrow_mut().attempts.tried_for(&route.name, stated)
+        });
+        let body_bytes = body.received_bytes();
         let service = self.next_service(route);
         let most_urgent = table.is_most_urgent(route, &service);
         let sends = RefCell::default();
-        let call = Call { head, request_id, route, service, most_urgent, arrived, deadline, sends };
+        let call = Call {
+            head,
+            request_id,
+            route,
+            service,
+            most_urgent,
+            arrived,
+            tried_for,
+            deadline,
+            body_bytes,
+            sends,
+        };
         let reply = match monoio::time::timeout(allowed, self.sends(&call, &table, body)).await {
             Ok(reply) => reply,
             Err(_) => {
@@ -342,7 +368,7 @@
         let mut tried = Tried::default();
         let mut so_far = SoFar::NotRun;
         loop {
-            let choice = match self.choose(call, &tried.upstreams).await {
+            let choice = match self.choose(call, &tried.upstreams, Patience::Waits).await {
                 Ok(choice) => choice,
                 Err(why) => return self.no_choice(call, table, why, so_far),
             };
@@ -421,7 +447,12 @@
             if !hedgeable || hopeless {
                 continue;
             }
-            let Ok(other) = self.choose(call, &tried.upstreams).await else { continue };
+            // An answer that comes while another upstream is looked for is not kept waiting.
+            let other = monoio::select! {
+                outcome = &mut first => return tried.ended(outcome),
+                other = self.choose(call, &tried.upstreams, Patience::None) => other,
+            };
+            let Ok(other) = other else { continue };
             if !self.state.borrow_mut().second_send(&call.service) {
                 continue;
             }
@@ -475,7 +506,7 @@
         reader: &mut h1::Reader,
         decoder: &mut h1::Decoder,
     ) -> Reply {
-        let choice = match self.choose(call, &[]).await {
+        let choice = match self.choose(call, &[], Patience::Waits).await {
             Ok(choice) => choice,
             Err(why) => return self.no_choice(call, table, why, SoFar::NotRun),
         };
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -20,7 +20,11 @@
     pub(super) service: ServiceName,
     pub(super) most_urgent: bool,
     pub(super) arrived: Instant,
+    /// How long its caller had been trying by then.
+    pub(super) tried_for: Duration,
     pub(super) deadline: Instant,
+    /// Length of its body as far as it was received when it came.
+    pub(super) body_bytes: usize,
     /// The sends so far, for the log.
     pub(super) sends: RefCell<Vec<SendMade>>,
 }
@@ -81,8 +85,10 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time within which an answer is worth most to its caller.
     pub(super) fn objective_left(&self) -> Duration {
-        (self.arrived + self.route.objective).saturating_duration_since(Instant::now())
+        let left = self.route.objective.saturating_sub(self.tried_for);
+        (self.arrived + left).saturating_duration_since(Instant::now())
     }
 
     pub(super) fn repeatable(&self) -> bool {
@@ -96,7 +102,8 @@
             .field("route", self.route.name.as_str())
             .field("service", self.service.as_str())
             .field("age_ms", self.arrived.elapsed().as_millis() as u64)
-            .field("left_ms", self.left().as_millis() as u64)
+            .field("tried_ms", as_ms(self.tried_for))
+            .field("left_ms", as_ms(self.left()))
             .field("sends", &*self.sends.borrow())
     }
 }
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -1,12 +1,11 @@
 //! The choice of an upstream for the next send of a request.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use place::{Candidate, Incarnation, Reach, Verdict};
 
 use super::call::{Call, Choice, NoChoice};
-use super::send::NOT_SLOWED;
 use super::Node;
 use crate::probe;
 
@@ -20,49 +19,100 @@
 /// Connections that a node may have to an upstream however many nodes there are.
 const CONNECTIONS_LEAST: u32 = 2;
 
+/// Whether a request may wait at the node for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Patience {
+    /// It may: nothing is under way for it.
+    Waits,
+    /// It may not: it is under way already.
+    None,
+}
+
 impl Node {
-    /// Chooses the upstream for the next send, asking some for their load first where it helps.
+    /// Chooses the upstream for the next send, asking some for their load first where it helps, and
+    /// waiting for room where the request can still be in time.
     pub(super) async fn choose(
         self: &Rc<Node>,
         call: &Call<'_>,
         tried: &[Incarnation],
+        patience: Patience,
     ) -> Result<Choice, NoChoice> {
+        let mut ranked = self.ask_and_rank(call, tried, ASK_ROUNDS, ASK_NEW).await;
+        let mut looks = 0;
+        loop {
+            let may_look = (patience == Patience::Waits).then_some(looks);
+            let best = ranked.first().ok_or(NoChoice::NoUpstream)?;
+            match self.judge(call, best, may_look) {
+                Verdict::Send => return self.choice(call, best).ok_or(NoChoice::NoUpstream),
+                Verdict::Refuse { come_back } => return Err(self.refusal(call, best, come_back)),
+                Verdict::Wait(pause) => monoio::time::sleep(pause).await,
+            }
+            looks += 1;
+            ranked = self.ask_and_rank(call, tried, 1, 0).await;
+        }
+    }
+
+    /// Ranks the upstreams, after up to `rounds` of questions; in the first of them up to `most_new`
+    /// go over new connections.
+    async fn ask_and_rank(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        tried: &[Incarnation],
+        rounds: usize,
+        most_new: usize,
+    ) -> Vec<Candidate> {
         let mut ranked = self.rank(call, tried);
-        for round in 0..ASK_ROUNDS {
-            let most_new = if round == 0 { ASK_NEW } else { 0 };
-            let ids = self.to_ask(call, &ranked, most_new);
-            if ids.is_empty() {
+        for round in 0..rounds {
+            let upstreams = self.to_ask(call, &ranked, if round == 0 { most_new } else { 0 });
+            if upstreams.is_empty() {
                 break;
             }
-            probe::ask(self, &call.service, ids, call.route.objective).await;
+            probe::ask(self, &call.service, upstreams, call.route.objective).await;
             ranked = self.rank(call, tried);
         }
-        let state = &mut *self.state.borrow_mut();
-        let Some(pool) = state.pools.get(&call.service) else { return Err(NoChoice::NoUpstream) };
-        let Some(best) = ranked.first() else { return Err(NoChoice::NoUpstream) };
+        ranked
+    }
+
+    fn judge(&self, call: &Call<'_>, best: &Candidate, looks: Option<u32>) -> Verdict {
         let room = place::Room {
             deadline_left: call.left(),
             objective_left: call.objective_left(),
             most_urgent: call.most_urgent,
+            looks,
+        };
+        place::admit(best, room, &mut self.state.borrow_mut().rng)
+    }
+
+    /// Returns the choice of a candidate that was ranked just now.
+    fn choice(&self, call: &Call<'_>, best: &Candidate) -> Option<Choice> {
+        let state = self.state.borrow();
+        let upstream = state.pools.get(&call.service)?.upstreams().get(best.index)?;
+        let report = upstream.report(Instant::now());
+        let at_its_best = |(load, _): (place::Load, _)| load.is_not_slowed() && load.has_room();
+        Some(Choice {
+            upstream: upstream.incarnation.clone(),
+            addr: upstream.addr,
+            predicted: best.prediction.took,
+            report_age: report.map(|(_, age)| age),
+            unhindered: best.fresh
+                && best.prediction.is_uncrowded()
+                && report.is_some_and(at_its_best),
+        })
+    }
+
+    fn refusal(&self, call: &Call<'_>, best: &Candidate, come_back: Duration) -> NoChoice {
+        let state = self.state.borrow();
+        let pool = state.pools.get(&call.service);
+        let Some(upstream) = pool.and_then(|pool| pool.upstreams().get(best.index)) else {
+            return NoChoice::NoUpstream;
         };
-        if let Verdict::Refuse { come_back } = place::admit(best, room, &mut state.rng) {
-            let upstream = &pool.upstreams()[best.index];
-            return Err(NoChoice::Refused {
-                come_back,
-                best: upstream.incarnation.clone(),
-                predicted: best.prediction.took,
-                wait: best.prediction.wait,
-                report_age: upstream.report(Instant::now()).map(|(_, age)| age),
-            });
+        NoChoice::Refused {
+            come_back,
+            best: upstream.incarnation.clone(),
+            predicted: best.prediction.took,
+            wait: best.prediction.wait,
+            report_age: upstream.report(Instant::now()).map(|(_, age)| age),
         }
-        let upstream = &pool.upstreams()[best.index];
-        let report_age = upstream.report(Instant::now()).map(|(_, age)| age);
-        let unhindered = best.fresh
-            && upstream
-                .report(Instant::now())
-                .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED && load.has_room());
-        let (upstream, addr) = (upstream.incarnation.clone(), upstream.addr);
-        Ok(Choice { upstream, addr, predicted: best.prediction.took, report_age, unhindered })
     }
 
     fn rank(&self, call: &Call<'_>, tried: &[Incarnation]) -> Vec<Candidate> {
@@ -73,6 +123,8 @@
             work: state.works.of(&call.route.name, call.route.objective),
             objective_left: call.objective_left(),
             zone: &state.settings.zone,
+            cross_zone_cost: state.settings.cross_zone_cost_per_kib
+                * state.works.size_kib(&call.route.name),
             tried,
             repeatable: call.repeatable(),
         };
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -9,16 +9,13 @@
 
 use super::call::{as_ms, Call, Choice, SendMade};
 use super::Node;
-use crate::exchange::{self, Outcome, Outgoing, Sent};
+use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
 use crate::state::Outstanding;
 
 /// An upstream is told a deadline that is earlier by this, so that its own
 /// answer at the deadline still reaches the caller.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
-/// Slowness up to which a machine counts as not slowed.
-pub(super) const NOT_SLOWED: f64 = 1.1;
-
 /// Longest time for a connection to an upstream to be made: a hundred times
 /// the round trip between zones; a lost opening packet takes seconds.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -97,7 +94,7 @@
             Outcome::Answered(answer) => {
                 self.take_load(service, upstream, &answer.head.headers);
                 if !answer.head.status.is_server_error() {
-                    self.learn_time(call, choice, took);
+                    self.learn_work(call, choice, answer, took);
                     return;
                 }
                 call.line("upstream_error")
@@ -130,17 +127,19 @@
         }
     }
 
-    fn learn_time(&self, call: &Call<'_>, choice: &Choice, took: Duration) {
+    /// Takes what an answer tells of the work that requests of its kind are, and of their size.
+    fn learn_work(&self, call: &Call<'_>, choice: &Choice, answer: &Answer, took: Duration) {
+        let now = Instant::now();
+        let state = &mut *self.state.borrow_mut();
+        state.works.sample_size(&call.route.name, call.body_bytes + answer.known_bytes());
         if !choice.unhindered {
             return;
         }
-        let now = Instant::now();
-        let state = &mut *self.state.borrow_mut();
         let Some(pool) = state.pools.get_mut(&call.service) else { return };
         let still_unhindered = pool
             .position(&choice.upstream)
             .and_then(|index| pool.upstreams()[index].report(now))
-            .is_some_and(|(load, _)| load.slowness <= NOT_SLOWED);
+            .is_some_and(|(load, _)| load.is_not_slowed());
         if still_unhindered {
             let ratio = took.as_secs_f64() / choice.predicted.as_secs_f64().max(0.001);
             pool.took_ratio(&choice.upstream, ratio, now);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -84,6 +84,8 @@
     pub retry_slack: f64,
     /// Probes per second that one upstream may get from the whole fleet.
     pub probes_per_upstream_s: f64,
+    /// What it costs to send one KiB to another zone and back, as a share of a request's worth.
+    pub cross_zone_cost_per_kib: f64,
 }
 
 #[cfg(test)]
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -120,8 +120,10 @@
     pub roster: place::Roster,
     /// Upstreams by service, as they were found to be.
     pub pools: HashMap<ServiceName, place::Pool>,
-    /// How long each kind of request takes.
+    /// What each kind of request takes.
     pub works: place::Works,
+    /// Deadlines that callers state, by kind of request.
+    pub attempts: place::Attempts,
     /// Second sends allowed, by service.
     budgets: HashMap<ServiceName, limit::RetryBudget>,
     /// Configurations that may have no record yet.
@@ -164,6 +166,7 @@
             roster: place::Roster::default(),
             pools: HashMap::new(),
             works: place::Works::default(),
+            attempts: place::Attempts::default(),
             budgets: HashMap::new(),
             unrecorded: crate::record::Unrecorded::default(),
             turns: HashMap::new(),
@@ -192,6 +195,7 @@
         own.retry_ratio = settings.retry_ratio;
         own.retry_slack = settings.retry_slack;
         own.probes_per_upstream_s = settings.probes_per_upstream_s;
+        own.cross_zone_cost_per_kib = settings.cross_zone_cost_per_kib;
     }
 
     /// Returns the version of the configuration in force; 0 before the first.
@@ -242,7 +246,9 @@
         // What is kept by route would pile up with routes that come and go.
         let names: HashSet<&RouteName> = table.route_names().collect();
         self.turns.retain(|name, _| names.contains(name));
-        self.works.retain(|name| names.contains(&RouteName::from(name)));
+        let known = |name: &str| names.contains(&RouteName::from(name));
+        self.works.retain(known);
+        self.attempts.retain(known);
         let table = Rc::new(table);
         let before = self.table.replace(table.clone());
         self.unrecorded.push(before, table);
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -63,6 +63,7 @@
         retry_ratio: 0.2,
         retry_slack: 10.0,
         probes_per_upstream_s: 0.0,
+        cross_zone_cost_per_kib: 0.04,
     }
 }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,12 +6,14 @@
 //! said 20 ms ago is worth more than any average. [`Pool`] therefore ranks
 //! upstreams by a prediction that trusts a report less the older it is, and
 //! names those worth asking first ([`Pool::to_ask`]). [`admit`] decides what
-//! is refused when every prediction is bad. [`Roster`] follows which upstreams
+//! waits and what is refused when every prediction is bad; [`Attempts`] tells for how long a caller
+//! has been trying by then. [`Roster`] follows which upstreams
 //! there are through outages of the store that lists them.
 //!
 //! Everything here is pure: time and randomness are passed in.
 
 mod admit;
+mod attempts;
 mod health;
 mod incarnation;
 mod pool;
@@ -20,6 +22,7 @@
 mod work;
 
 pub use admit::{admit, Room, Verdict};
+pub use attempts::Attempts;
 pub use incarnation::{Incarnation, UpstreamId};
 pub use pool::{Ask, Candidate, Policy, Pool, Reach};
 pub use roster::{Change, Entry, Event, Roster};
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -20,9 +20,8 @@
 /// Part of the objective from which on a request is taken to miss it.
 const LOST_PART: f64 = 1.15;
 
-/// What crossing zones costs, as a share of a request's worth: bytes between
-/// zones are paid for.
-const CROSS_ZONE: f64 = 0.06;
+/// Cost up to which a fresh candidate of the own zone is good enough not to ask others.
+const GOOD_ENOUGH: f64 = 0.25;
 
 /// What a new connection costs, as a share of a request's worth.
 const NEW_CONNECTION: f64 = 0.06;
@@ -103,6 +102,8 @@
     pub objective_left: Duration,
     /// Zone of the entry node.
     pub zone: &'a str,
+    /// What sending it to another zone costs, as a share of its worth.
+    pub cross_zone_cost: f64,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Whether a failure can be mended by sending it again.
@@ -120,6 +121,8 @@
     pub prediction: Prediction,
     /// Whether its report is recent.
     pub fresh: bool,
+    /// Whether it is in the node's own zone.
+    near: bool,
     reach: Reach,
     standing: Standing,
 }
@@ -349,8 +352,9 @@
         let mut cost = miss + late + failure * upstream.health.score(now);
         cost += FULLNESS * prediction.fullness + CHANCE * rng.random::<f64>();
         cost += UNKNOWN * (1.0 - prediction.trust);
-        if upstream.zone != ask.zone {
-            cost += CROSS_ZONE;
+        let near = upstream.zone == ask.zone;
+        if !near {
+            cost += ask.cross_zone_cost;
         }
         let queue = upstream.report(now).is_some_and(|(load, _)| load.waiting > 0);
         cost += match reach {
@@ -359,17 +363,17 @@
             Reach::Kept | Reach::Not => 0.0,
         };
         let fresh = upstream.report(now).is_some_and(|(_, age)| age <= FRESH);
-        Candidate { index, cost, prediction, fresh, reach, standing }
+        Candidate { index, cost, prediction, fresh, near, reach, standing }
     }
 
     /// Returns up to `most` of the best `ranked` upstreams whose report is too old to rely on, at
     /// most `most_new` of them over a new connection.
     ///
-    /// None when the best one's report is fresh and its cost as low as it gets:
-    /// asking others could not improve on it. A new connection is dear, and full upstreams
+    /// None when the best one is near, its report is fresh and its cost low: asking others could
+    /// hardly improve on it. One of another zone may have to give way to one that was not asked. A new connection is dear, and full upstreams
     /// make it wait for a slot: its question is answered too late to be of use.
     pub fn to_ask(&self, ranked: &[Candidate], most: usize, most_new: usize) -> Vec<usize> {
-        if ranked.first().is_some_and(|best| best.fresh && best.cost < CROSS_ZONE) {
+        if ranked.first().is_some_and(|best| best.fresh && best.near && best.cost < GOOD_ENOUGH) {
             return Vec::new();
         }
         let mut new_left = most_new;
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -52,6 +52,11 @@
 }
 
 impl Load {
+    /// Returns true when the machine works at its usual speed.
+    pub fn is_not_slowed(&self) -> bool {
+        self.slowness <= NOT_SLOWED
+    }
+
     /// Returns true when a further request would not wait.
     pub fn has_room(&self) -> bool {
         self.waiting == 0 && self.running < self.slots
@@ -95,6 +100,9 @@
     pub fullness: f64,
 }
 
+/// Slowness up to which a machine counts as not slowed.
+const NOT_SLOWED: f64 = 1.1;
+
 /// How long a request would take at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Prediction {
@@ -108,6 +116,15 @@
     pub trust: f64,
 }
 
+impl Prediction {
+    /// Returns true when the request would be worked on at once, at an upstream that is not nearly
+    /// full: its time then tells how much work it is. Near full the same work takes half as long
+    /// again or more, and would be counted twice: in the work and in the prediction.
+    pub fn is_uncrowded(&self) -> bool {
+        self.fullness <= NEARLY_FULL
+    }
+}
+
 impl Upstream {
     /// Creates an upstream of which nothing is known but its entry in the list.
     pub fn new(incarnation: Incarnation, addr: SocketAddr, zone: SmolStr, slots: u32) -> Upstream {
