cli: oatcove summary counts requests in trouble by route and time

What stood in the way of finding what binds: the logs tell of one request at a time. Per route and span: refusals by reason, those of callers that came back, what was predicted and what they were told; late ones against their prediction. Log lines are read in one place for explain and summary.

--- a/crates/oatcove/src/explain.rs
+++ b/crates/oatcove/src/explain.rs
@@ -4,6 +4,8 @@
 
 use serde_json::Value;
 
+use crate::log_line::{self, Line};
+
 /// How long before a request's first line what its upstreams went through still matters, in ms.
 const CONTEXT_BEFORE_MS: u64 = 10_000;
 
@@ -33,21 +35,13 @@
     "upstream_dropped",
 ];
 
-/// One line of a log.
-struct Line {
-    unix_ms: u64,
-    /// What stood before the JSON object, such as a node's name put there by a collector.
-    prefix: String,
-    value: Value,
-}
-
 /// Returns what is known of `request`, in order: its own lines, and those about the upstreams it
 /// was sent to and about the nodes that took it, around the time.
 ///
 /// `logs` holds the lines of any number of nodes; text before a line's JSON object names its node.
 /// Lines that are no JSON are passed over.
 pub fn explain(request: &str, logs: &str) -> Vec<String> {
-    let lines: Vec<Line> = logs.lines().filter_map(parse).collect();
+    let lines: Vec<Line> = logs.lines().filter_map(log_line::parse).collect();
     let own: Vec<&Line> = lines.iter().filter(|line| line.value["request"] == request).collect();
     let (Some(first), Some(last)) =
         (own.iter().map(|l| l.unix_ms).min(), own.iter().map(|l| l.unix_ms).max())
@@ -97,13 +91,6 @@
         .then(|| format!("  upstream {upstream}, all nodes, other requests: {}", counts.join(" ")))
 }
 
-fn parse(text: &str) -> Option<Line> {
-    let at = text.find('{')?;
-    let value: Value = serde_json::from_str(&text[at..]).ok()?;
-    let unix_ms = value["unix_ms"].as_u64()?;
-    Some(Line { unix_ms, prefix: text[..at].trim().to_owned(), value })
-}
-
 /// Returns the last word of what stands before the JSON object.
 fn node(prefix: &str) -> &str {
     prefix.rsplit(' ').next().unwrap_or_default()
--- a/crates/oatcove/src/lib.rs
+++ b/crates/oatcove/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod apply;
 pub mod drain;
 pub mod explain;
+mod log_line;
+pub mod summary;
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -30,6 +30,18 @@
         #[bpaf(positional("FILE"))]
         files: Vec<PathBuf>,
     },
+    /// Counts by route and time what entry nodes logged about requests in trouble
+    ///
+    /// Example: `oatcove summary --window-s 2 edge-*.log`
+    #[bpaf(command("summary"))]
+    Summary {
+        /// Length of a span, in seconds
+        #[bpaf(long("window-s"), argument("S"), fallback(10))]
+        window_s: u64,
+        /// Log files; standard input when there is none
+        #[bpaf(positional("FILE"))]
+        files: Vec<PathBuf>,
+    },
     /// Prints an entry node's status as JSON
     #[bpaf(command("status"))]
     Status {
@@ -132,23 +144,43 @@
         }
         Command::Status { entry } => status(entry).await,
         Command::Explain { request, files } => explain(&request, &files),
+        Command::Summary { window_s, files } => summary(window_s, &files),
     }
 }
 
-fn explain(request: &str, files: &[PathBuf]) -> i32 {
+/// Reads all of `files`, or standard input when there is none.
+fn read_logs(files: &[PathBuf]) -> Result<String, i32> {
     let mut text = String::new();
     if files.is_empty() {
         if let Err(err) = std::io::Read::read_to_string(&mut std::io::stdin(), &mut text) {
             eprintln!("error: standard input: {err}");
-            return exit::INVALID;
+            return Err(exit::INVALID);
         }
     }
     for file in files {
-        match read(file) {
-            Ok(more) => text.push_str(&more),
-            Err(code) => return code,
-        }
+        text.push_str(&read(file)?);
+    }
+    Ok(text)
+}
+
+fn summary(window_s: u64, files: &[PathBuf]) -> i32 {
+    let text = match read_logs(files) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
+    let told = oatcove::summary::summarize(&text, window_s);
+    if told.is_empty() {
+        eprintln!("no line about a request in trouble");
     }
+    told.iter().for_each(|line| println!("{line}"));
+    0
+}
+
+fn explain(request: &str, files: &[PathBuf]) -> i32 {
+    let text = match read_logs(files) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
     let story = oatcove::explain::explain(request, &text);
     match story.is_empty() {
         true => {
