--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -1,5 +1,6 @@
 //! `oatcove`: the operator command line.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -172,10 +173,16 @@
     if told.is_empty() {
         eprintln!("no line about a request in trouble");
     }
-    told.iter().for_each(|line| println!("{line}"));
+    print_lines(&told);
     0
 }
 
+/// Prints lines until whoever reads them has had enough, such as `head`.
+fn print_lines(lines: &[String]) {
+    let mut out = std::io::stdout().lock();
+    let _closed = lines.iter().try_for_each(|line| writeln!(out, "{line}"));
+}
+
 fn explain(request: &str, files: &[PathBuf]) -> i32 {
     let text = match read_logs(files) {
         Ok(text) => text,
@@ -188,7 +195,7 @@
             exit::INVALID
         }
         false => {
-            story.iter().for_each(|line| println!("{line}"));
+            print_lines(&story);
             0
         }
     }
