--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use web::h1;
 
+use crate::as_ms;
 use crate::exchange::Outcome;
 
 /// One request on its way.
@@ -103,13 +104,9 @@
             .field("request", self.request_id.to_str().unwrap_or("?"))
             .field("route", self.route.name.as_str())
             .field("service", self.service.as_str())
-            .field("age_ms", self.arrived.elapsed().as_millis() as u64)
+            .field("age_ms", as_ms(self.arrived.elapsed()))
             .field("tried_ms", as_ms(self.tried_for))
             .field("left_ms", as_ms(self.left()))
             .field("sends", &*self.sends.borrow())
     }
 }
-
-pub(super) fn as_ms(time: Duration) -> u64 {
-    time.as_millis() as u64
-}
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -14,7 +14,7 @@
 const ASK_ROUNDS: usize = 2;
 
 /// Upstreams asked over a new connection, in the first round only.
-const ASK_NEW: usize = 1;
+const ASK_NEW: usize = 2;
 
 /// Connections that a node may have to an upstream however many nodes there are.
 const CONNECTIONS_LEAST: u32 = 2;
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -7,8 +7,9 @@
 use place::End;
 use web::h1;
 
-use super::call::{as_ms, Call, Choice, SendMade};
+use super::call::{Call, Choice, SendMade};
 use super::Node;
+use crate::as_ms;
 use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
 use crate::state::Outstanding;
 
@@ -121,7 +122,7 @@
                 call.line("answer_lost")
                     .field("upstream", upstream.id())
                     .field("reason", why)
-                    .field("took_ms", took.as_millis() as u64)
+                    .field("took_ms", as_ms(took))
                     .log();
             }
         }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -88,5 +88,10 @@
     pub cross_zone_cost_per_kib: f64,
 }
 
+/// Returns whole milliseconds, as logs and the status give times.
+fn as_ms(time: Duration) -> u64 {
+    time.as_millis() as u64
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -114,8 +114,8 @@
 /// are restarted at once, callers wait, and a node that asked a machine still down would serve
 /// them 0.2 s later than by reading the platform.
 pub fn begins_with_seeds(settings: &Settings) -> bool {
-    let others = settings.seed_addrs.iter().any(|addr| *addr != settings.peer_addr);
-    settings.first_start && others && !settings.seed_addrs.contains(&settings.peer_addr)
+    let seeds = &settings.seed_addrs;
+    settings.first_start && !seeds.is_empty() && !seeds.contains(&settings.peer_addr)
 }
 
 /// Returns true while this node reads through the seeds: the whole fleet starts, and who the
@@ -203,10 +203,10 @@
             }
         }
     };
-    let is_reader = knows_peers(state, now) && is_reader(state, me);
+    let is_known_reader = |state: &State| knows_peers(state, now) && is_reader(state, me);
     match candidates.choose(&mut state.rng) {
         Some(peer) => Way::Via(*peer),
-        None if searching && !state.direct && !is_reader => Way::Later,
+        None if searching && !state.direct && !is_known_reader(state) => Way::Later,
         None => Way::Direct,
     }
 }
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -2,11 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::as_ms;
 use crate::follow::Cursor;
 use crate::state::{Counters, Peer, State};
 
@@ -102,10 +103,6 @@
     pub slowness: f64,
 }
 
-fn as_ms(time: Duration) -> u64 {
-    time.as_millis() as u64
-}
-
 impl Status {
     /// Returns what a node with this state believes.
     pub fn of(state: &State, now: Instant) -> Status {
