--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -44,7 +44,7 @@
 
 impl Health {
     /// Returns recent failures, weighted by age.
-    pub fn score(&self, now: Instant) -> f64 {
+    fn score(&self, now: Instant) -> f64 {
         match self.scored_at {
             Some(at) => {
                 let age = now.saturating_duration_since(at).as_secs_f64();
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -30,18 +30,9 @@
 /// long takes fewer connections and resets the rest.
 const NEW_CONNECTION_AT_A_QUEUE: f64 = 0.3;
 
-/// What each recent failure of an upstream costs a request that can be sent again.
-const FAILURE: f64 = 0.15;
-
-/// The same for a request that cannot be: its failure is final.
-const FAILURE_FINAL: f64 = 0.5;
-
 /// What a full upstream costs beyond its prediction: evens the load out.
 const FULLNESS: f64 = 0.03;
 
-/// What it costs not to know how an upstream is: a mean hides that one in four is slow.
-const UNKNOWN: f64 = 0.05;
-
 /// Random part of a cost, so that entry nodes that see the same do not all go the same way.
 const CHANCE: f64 = 0.01;
 
@@ -348,10 +339,8 @@
         let miss = ((part - SAFE_PART) / (LOST_PART - SAFE_PART)).clamp(0.0, 1.0);
         // Beyond the objective, later is still worse: it may miss the deadline too.
         let late = (part - LOST_PART).max(0.0) * 0.1;
-        let failure = if ask.repeatable { FAILURE } else { FAILURE_FINAL };
-        let mut cost = miss + late + failure * upstream.health.score(now);
+        let mut cost = miss + late;
         cost += FULLNESS * prediction.fullness + CHANCE * rng.random::<f64>();
-        cost += UNKNOWN * (1.0 - prediction.trust);
         let near = upstream.zone == ask.zone;
         if !near {
             cost += ask.cross_zone_cost;
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -114,8 +114,6 @@
     pub fullness: f64,
     /// Whether work takes longer there because of what else the upstream works on.
     pub crowded: bool,
-    /// How far the upstream's report is relied on: 1 when it is of this moment, 0 when there is none.
-    pub trust: f64,
 }
 
 impl Upstream {
@@ -192,7 +190,7 @@
     pub fn predict(&self, work: Duration, usual: Usual, now: Instant) -> Prediction {
         let slots = f64::from(self.slots);
         let usually_occupied = usual.fullness * slots;
-        let (slowness, occupied, trust) = match self.report(now) {
+        let (slowness, occupied) = match self.report(now) {
             Some((load, age)) => {
                 let fading =
                     |fades_in: Duration| (-age.as_secs_f64() / fades_in.as_secs_f64()).exp();
@@ -200,9 +198,9 @@
                 let slowness = trust * load.slowness + (1.0 - trust) * usual.slowness;
                 let kept = fading(OCCUPANCY_FADES_IN);
                 let reported = (i64::from(load.running + load.waiting) + self.since_report) as f64;
-                (slowness, kept * reported + (1.0 - kept) * usually_occupied, trust)
+                (slowness, kept * reported + (1.0 - kept) * usually_occupied)
             }
-            None => (usual.slowness, usually_occupied + f64::from(self.outstanding), 0.0),
+            None => (usual.slowness, usually_occupied + f64::from(self.outstanding)),
         };
         let occupied = occupied.max(f64::from(self.outstanding));
         let fullness = (occupied + 1.0) / slots;
@@ -218,6 +216,6 @@
         let own = work.mul_f64(factor);
         let ahead = (occupied + 1.0 - slots).max(0.0) / slots;
         let wait = own.mul_f64(ahead);
-        Prediction { took: own + wait, wait, fullness, crowded, trust }
+        Prediction { took: own + wait, wait, fullness, crowded }
     }
 }
