--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -8,7 +8,7 @@
 mod send;
 mod sends;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -63,6 +63,22 @@
     probe_budgets: RefCell<HashMap<ServiceName, probe::Budget>>,
 }
 
+/// What is known of the caller of a request.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// When its request had arrived.
+    pub asked_at: Instant,
+    /// Whether it has left. What was sent for it is left to end then, and nothing more is sent.
+    pub left: Rc<Cell<bool>>,
+}
+
+impl Caller {
+    /// Returns a caller that waits for its answer since `asked_at`.
+    pub fn waiting_since(asked_at: Instant) -> Caller {
+        Caller { asked_at, left: Rc::default() }
+    }
+}
+
 /// The body of a caller's request.
 pub enum Body<'a> {
     /// All of it, short enough to be sent again.
@@ -180,13 +196,14 @@
         }
     }
 
-    /// Takes a request that had arrived at `arrived` to its answer.
+    /// Takes a request to its answer.
     pub async fn forward(
         self: &Rc<Node>,
         head: &h1::RequestHead,
         body: Body<'_>,
-        arrived: Instant,
+        caller: Caller,
     ) -> Reply {
+        let arrived = caller.asked_at;
         self.until_started().await;
         let (table, names) = {
             let mut state = self.state.borrow_mut();
@@ -237,6 +254,7 @@
             service,
             most_urgent,
             arrived,
+            caller_left: caller.left,
             tried_for,
             deadline,
             body_bytes,
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -1,7 +1,8 @@
 //! One request on its way: what it asks, what was chosen for it, what was sent.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http::HeaderValue;
@@ -21,6 +22,8 @@
     pub(super) service: ServiceName,
     pub(super) most_urgent: bool,
     pub(super) arrived: Instant,
+    /// Whether its caller has left.
+    pub(super) caller_left: Rc<Cell<bool>>,
     /// How long its caller had been trying by then.
     pub(super) tried_for: Duration,
     pub(super) deadline: Instant,
@@ -73,6 +76,8 @@
 /// Why no upstream was chosen.
 pub(super) enum NoChoice {
     NoUpstream,
+    /// Nobody waits for the answer any more.
+    CallerLeft,
     /// The best one would answer too late.
     Refused {
         come_back: Duration,
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -41,6 +41,10 @@
         let mut looks = 0;
         loop {
             let may_look = (patience == Patience::Waits).then_some(looks);
+            // It may have left while upstreams were asked, or while the request waited.
+            if call.caller_left.get() {
+                return Err(NoChoice::CallerLeft);
+            }
             let best = ranked.first().ok_or(NoChoice::NoUpstream)?;
             match self.judge(call, best, may_look) {
                 Verdict::Send => return self.choice(call, best).ok_or(NoChoice::NoUpstream),
--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -123,6 +123,7 @@
     fn no_choice(&self, call: &Call<'_>, table: &Table, why: NoChoice, so_far: SoFar) -> Reply {
         let line = call.line("refused").field("config", table.version);
         let (line, come_back) = match why {
+            NoChoice::CallerLeft => return give_up(so_far, COME_BACK),
             NoChoice::NoUpstream => (line.field("reason", "no upstream"), COME_BACK_NOT_READY),
             NoChoice::Refused { come_back, best, predicted, wait, report_age } => {
                 let line = line
--- a/crates/edge/src/serve/pipeline.rs
+++ b/crates/edge/src/serve/pipeline.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Instant;
@@ -16,7 +17,7 @@
 use local_sync::oneshot;
 use web::h1;
 
-use crate::forward::{Body, Node, Reply};
+use crate::forward::{Body, Caller, Node, Reply};
 
 /// Requests of one connection that are read and not answered yet, at most. Each may hold a whole
 /// answer of 64 KiB that waits for those before it: half a megabyte for a connection.
@@ -159,19 +160,25 @@
 ///
 /// Work for a caller that left holds a slot that callers who still wait could use, so dropping what
 /// this returns cancels the request at its upstream. A request that must not run twice is left
-/// to end: cancelling cannot undo what it did, and half of it may be worse than all of it.
+/// to end once it was sent: cancelling cannot undo what it did, and half of it may be worse than all
+/// of it. One that still waits for room is not sent any more.
 pub(super) fn forward(node: &Rc<Node>, request: Request) -> Coming {
     let (mut answer, coming) = oneshot::channel();
     let node = node.clone();
     monoio::spawn(async move {
         let Request { head, body, arrived, repeatable, in_flight } = request;
-        let forwarding = node.forward(&head, Body::Whole(body), arrived);
-        let reply = match repeatable {
-            false => Some(forwarding.await),
-            true => monoio::select! {
-                reply = forwarding => Some(reply),
-                () = answer.closed() => None,
-            },
+        let caller = Caller::waiting_since(arrived);
+        let left = caller.left.clone();
+        let mut forwarding = pin!(node.forward(&head, Body::Whole(body), caller));
+        let reply = monoio::select! {
+            reply = &mut forwarding => Some(reply),
+            () = answer.closed() => {
+                left.set(true);
+                if !repeatable {
+                    forwarding.await;
+                }
+                None
+            }
         };
         let taken = reply.is_some_and(|reply| answer.send(reply).is_ok());
         if !taken {
--- a/crates/edge/src/serve/take.rs
+++ b/crates/edge/src/serve/take.rs
@@ -11,7 +11,7 @@
 use web::h1;
 
 use super::pipeline::{self, Answering, Coming, InFlight, Pipeline, Request, Turn};
-use crate::forward::{Body, Node, Reply};
+use crate::forward::{Body, Caller, Node, Reply};
 use crate::reply::Own;
 
 /// A request body up to this size is received in full before it is sent on, so
@@ -95,7 +95,7 @@
             }
             false => {
                 let long = Body::Long { first: body, reader: self.reader, decoder: &mut decoder };
-                let reply = self.node.forward(&head, long, arrived).await;
+                let reply = self.node.forward(&head, long, Caller::waiting_since(arrived)).await;
                 // A body that was not read to its end would be taken for the next request.
                 last |= !decoder.is_done();
                 Coming::Ready(Box::new(reply))
--- a/crates/edge/src/tests/pipelining.rs
+++ b/crates/edge/src/tests/pipelining.rs
@@ -16,11 +16,16 @@
 /// An entry node in front of one upstream that has room for all that a test sends.
 fn start_roomy(upstream: &Upstream) -> Entered {
     let entered = start(&[upstream]);
-    let load = place::Load { running: 0, waiting: 0, slots: 100, slowness: 1.0 };
+    report(&entered, 0, 100);
+    entered
+}
+
+/// Has the first upstream report that it works on `running` requests, of `slots` at once.
+fn report(entered: &Entered, running: u32, slots: u32) {
+    let load = place::Load { running, waiting: 0, slots, slowness: 1.0 };
     let state = &mut *entered.node.state.borrow_mut();
     let pool = state.pools.get_mut("desk").expect("a pool");
     pool.take_report(&up("u0"), Some(load), Instant::now());
-    Entered { node: entered.node.clone(), addr: entered.addr }
 }
 
 /// An answer whose body is the request's id, which must have four characters.
@@ -118,6 +123,48 @@
     });
 }
 
+/// Symptom: a claim takes effect that its caller has given up, seconds later.
+/// Sequence: all slots are busy; a claim waits at the node for one; its caller leaves; a slot is free.
+/// Cause: leaving every claim to end, also one that was not sent yet.
+#[test]
+fn a_claim_that_waits_for_room_is_not_sent_when_its_caller_leaves() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![echo()]]);
+        let entered = start(&[&upstream]);
+        report(&entered, 4, 4);
+        let mut caller = Caller::connect(entered.addr).await;
+        caller.write(&post("one1")).await;
+        monoio::time::sleep(ms(40)).await;
+        assert_eq!((upstream.runs(), entered.node.state.borrow().in_flight), (0, 1), "it waits");
+        drop(caller);
+        monoio::time::sleep(ms(20)).await;
+        report(&entered, 0, 4);
+        until(|| entered.node.state.borrow().in_flight == 0).await;
+        assert_eq!(upstream.runs(), 0);
+        assert_eq!(entered.node.state.borrow().counters.abandoned, 1);
+    });
+}
+
+/// Symptom: a burst of a moment is refused although upstreams are free again at once.
+/// Sequence: all slots are busy when a request comes; 30 ms later one is free.
+/// Cause: refusing, or queueing at one upstream, as soon as all are full.
+#[test]
+fn a_request_waits_for_room_at_the_node() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![echo()]]);
+        let entered = start(&[&upstream]);
+        report(&entered, 4, 4);
+        let mut caller = Caller::connect(entered.addr).await;
+        let sent_at = Instant::now();
+        caller.write(&get("/get/1", "one1")).await;
+        monoio::time::sleep(ms(30)).await;
+        assert_eq!(upstream.runs(), 0, "it waits");
+        report(&entered, 0, 4);
+        assert_eq!(caller.read().await.expect("an answer").body, "one1");
+        assert!(sent_at.elapsed() < ms(120), "{:?}", sent_at.elapsed());
+    });
+}
+
 /// Symptom: a request runs although its caller was told to send it elsewhere.
 /// Sequence: a caller asks for the connection to be closed behind a request, and sends one more.
 /// Cause: reading on behind the last request.
