place: what is late already and would miss its deadline is refused at once

Sent to a slow machine it takes a slot and nobody gets its answer. Callers that wait for the word to send a body get the time for it from then on.

--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -145,7 +145,7 @@
 
     /// Returns the upstreams to ask for their load, within the budget of probes.
     fn to_ask(&self, call: &Call<'_>, ranked: &[Candidate], most_new: usize) -> Vec<Incarnation> {
-        let ids: Vec<Incarnation> = {
+        let upstreams: Vec<Incarnation> = {
             let state = self.state.borrow();
             match state.pools.get(&call.service) {
                 Some(pool)
@@ -160,7 +160,7 @@
                 _ => Vec::new(),
             }
         };
-        let taken = self.take_probes(&call.service, ids.len());
-        ids.into_iter().take(taken).collect()
+        let taken = self.take_probes(&call.service, upstreams.len());
+        upstreams.into_iter().take(taken).collect()
     }
 }
--- a/crates/edge/src/serve/take.rs
+++ b/crates/edge/src/serve/take.rs
@@ -68,7 +68,9 @@
             return self.refuse(own, head.method).await;
         }
         if expects_go_on(&head) && !decoder.is_done() {
-            // Sent when its turn comes, behind the answers to the requests before.
+            // Its turn comes behind the answers to the requests before. The time for the body runs
+            // from then on: until then its caller does not send it.
+            self.wait_until_drained().await?;
             let _ = self.turns.send(Turn::GoOn);
         }
         let body = match begin_body(self.reader, &mut decoder, limits.header_timeout).await {
--- a/crates/place/src/admit.rs
+++ b/crates/place/src/admit.rs
@@ -87,7 +87,8 @@
 /// its turn comes, while here it takes whichever slot is free first. What would miss its
 /// deadline or its objective in a queue is refused at once, so that the slots serve what can be in
 /// time. A request that is late only because every machine is slow is let in: refusing it would
-/// free no slot for others.
+/// free no slot for others. One whose objective has passed, and whose deadline will have, is not:
+/// nobody would get its answer.
 pub fn admit<R: Rng>(best: &Candidate, room: Room, rng: &mut R) -> Verdict {
     let took = best.prediction.took;
     let own = took - best.prediction.wait;
@@ -96,8 +97,9 @@
     let may_wait = best.prediction.wait > own.mul_f64(WAITS_FROM)
         && room.looks.is_some_and(|looks| looks < LOOKS_MOST)
         && room.objective_left >= own.mul_f64(KEEPS) + look_again;
+    let is_lost = room.objective_left.is_zero() && took > room.deadline_left;
     match () {
-        () if best.prediction.wait.is_zero() => Verdict::Send,
+        () if best.prediction.wait.is_zero() && !is_lost => Verdict::Send,
         () if may_wait => Verdict::Wait(look_again),
         () if took > room.deadline_left.mul_f64(DEADLINE_PART) => refuse(best, room, rng),
         () if took > room.objective_left.mul_f64(part) => refuse(best, room, rng),
--- a/crates/place/src/admit/tests.rs
+++ b/crates/place/src/admit/tests.rs
@@ -39,6 +39,9 @@
     less_urgent_and_late = { load(4, 6, 1.0), Room { most_urgent: false, ..ROOM }, false },
     less_urgent_at_a_slow_idle_machine = { load(0, 0, 4.0), Room { most_urgent: false, ..ROOM }, true },
     hopeless = { load(4, 12, 4.0), ROOM, false },
+    late_with_time_for_an_answer = { load(0, 0, 4.0), Room { objective_left: Duration::ZERO, ..ROOM }, true },
+    late_without_time_for_an_answer = { load(0, 0, 4.0), Room { objective_left: Duration::ZERO, deadline_left: Duration::from_millis(390), ..ROOM }, false },
+    short_deadline_but_not_late = { load(0, 0, 4.0), Room { deadline_left: Duration::from_millis(390), ..ROOM }, true },
 )]
 fn requests_are_sent_or_refused(load: Option<Load>, room: Room, sent: bool) {
     assert_eq!(verdict(load, room) == Verdict::Send, sent);
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -359,8 +359,9 @@
     /// most `most_new` of them over a new connection.
     ///
     /// None when the best one is near, its report is fresh and its cost low: asking others could
-    /// hardly improve on it. One of another zone may have to give way to one that was not asked. A new connection is dear, and full upstreams
-    /// make it wait for a slot: its question is answered too late to be of use.
+    /// hardly improve on it. One of another zone may have to give way to one that was not asked. A
+    /// new connection is dear, and full upstreams make it wait for a slot: its question is answered
+    /// too late to be of use.
     pub fn to_ask(&self, ranked: &[Candidate], most: usize, most_new: usize) -> Vec<usize> {
         if ranked.first().is_some_and(|best| best.fresh && best.near && best.cost < GOOD_ENOUGH) {
             return Vec::new();
