edge: lines tell what a request asks, and what was under way at an upstream that ended

After an incident nobody could say whether one request or many were under way at upstreams that ended: each attempt has an id of its own, and a lost answer looks like an end. No decision is changed: the crate quarantine holds the two pure parts (Content, Ends). Ruled out: the path itself in each line (long, and callers' data).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -61,6 +61,17 @@
 /// Why a request got no answer when its connection was reset before any of it came.
 pub const BROKE: &str = "connection broke";
 
+/// Why a request got no answer when its connection was closed before any of it came.
+pub const CLOSED: &str = "closed without an answer";
+
+/// Why a request got no whole answer when its connection ended within it.
+pub const CUT_OFF: &str = "answer cut off";
+
+/// Returns true when a request got no answer since its upstream's side of the connection ended.
+pub fn ends_connection(why: &'static str) -> bool {
+    [BROKE, CLOSED, CUT_OFF].contains(&why)
+}
+
 /// How far the sending of a request got.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Sent {
@@ -103,7 +114,7 @@
     let mut decoder = h1::Decoder::new(head.framing);
     let body = match receive_body(&mut conn.reader, &mut decoder).await {
         Ok(body) => body,
-        Err(_) => return (Outcome::Lost("answer cut off"), None),
+        Err(_) => return (Outcome::Lost(CUT_OFF), None),
     };
     if !decoder.is_done() && body.len() >= WHOLE_ANSWER_BYTES {
         let body = AnswerBody::Begun(body, decoder, Box::new(conn));
@@ -180,7 +191,7 @@
         let head = match reader.response_head(method).await {
             Ok(head) => head,
             Err(h1::ReadError::Malformed(_)) => return Err("answer not readable"),
-            Err(h1::ReadError::Closed) => return Err("closed without an answer"),
+            Err(h1::ReadError::Closed) => return Err(CLOSED),
             Err(h1::ReadError::Io(_)) => return Err(BROKE),
         };
         match head.headers.get(&names.request_id) {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,10 +1,13 @@
 //! Takes one request to its answer: route, sends, hedges, outcome.
 //!
 //! [`sends`] decides on the sends of a request, [`choose`] picks the upstream of each, [`send`] makes
-//! it and learns from its end, [`call`] is what they know of the request.
+//! it and learns from its end, [`call`] is what they know of the request, [`content`] what it asks,
+//! [`ends`] which upstreams ended under requests.
 
 mod call;
 mod choose;
+mod content;
+mod ends;
 mod send;
 mod sends;
 
@@ -100,10 +103,10 @@
 }
 
 impl Body<'_> {
-    /// Returns how many bytes of it were received.
-    fn received_bytes(&self) -> usize {
+    /// Returns what was received of it.
+    fn received(&self) -> &Bytes {
         match self {
-            Body::Whole(body) | Body::Long { first: body, .. } => body.len(),
+            Body::Whole(body) | Body::Long { first: body, .. } => body,
         }
     }
 }
@@ -250,13 +253,15 @@
         let tried_for = stated.map_or(Duration::ZERO, |stated| {
             self.state.borrow_mut().attempts.tried_for(&route.name, stated)
         });
-        let body_bytes = body.received_bytes();
+        let content = content::of(head, &body);
+        let body_bytes = body.received().len();
         let service = self.next_service(route);
         let most_urgent = table.is_most_urgent(route, &service);
         let sends = RefCell::default();
         let call = Call {
             head,
             request_id,
+            content,
             route,
             service,
             most_urgent,
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -18,6 +18,8 @@
 pub(super) struct Call<'a> {
     pub(super) head: &'a h1::RequestHead,
     pub(super) request_id: HeaderValue,
+    /// What it asks: the same under each id that its caller gives it.
+    pub(super) content: quarantine::Content,
     pub(super) route: &'a Route,
     pub(super) service: ServiceName,
     pub(super) most_urgent: bool,
@@ -109,6 +111,7 @@
     pub(super) fn line(&self, event: &'static str) -> trace::Line {
         trace::Line::new(event)
             .field("request", self.request_id.to_str().unwrap_or("?"))
+            .field("content", self.content)
             .field("route", self.route.name.as_str())
             .field("service", self.service.as_str())
             .field("age_ms", as_ms(self.arrived.elapsed()))
--- /dev/null
+++ b/crates/edge/src/forward/content.rs
@@ -0,0 +1,34 @@
+//! What a request asks, as a key that is the same for each attempt.
+
+use http::header;
+use quarantine::Content;
+use web::h1;
+
+use super::Body;
+
+/// Headers by which upstreams tell callers apart.
+const CALLER_HEADERS: [header::HeaderName; 2] = [header::AUTHORIZATION, header::COOKIE];
+
+/// Bytes of a body that count. So much of a long one is at hand before it is sent on, however it
+/// comes in; what follows does not tell two attempts apart.
+const BODY_BYTES: usize = 64 * 1024;
+
+/// Returns what a request asks: its method, host and target, who asks, and its body.
+///
+/// Its id and its deadline are new with each attempt, and from where it is sent says little of who
+/// asks.
+pub(super) fn of(head: &h1::RequestHead, body: &Body<'_>) -> Content {
+    let line = [head.method.as_str(), head.host.as_str(), head.target.as_str()].map(str::as_bytes);
+    let caller =
+        CALLER_HEADERS.map(|name| head.headers.get(name).map_or(&[][..], |v| v.as_bytes()));
+    let length = match head.framing {
+        h1::Framing::Length(length) => length.to_be_bytes(),
+        _ => Default::default(),
+    };
+    let received = body.received();
+    let body = [length.as_slice(), &received[..received.len().min(BODY_BYTES)]];
+    Content::of(line.into_iter().chain(caller).chain(body))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -52,6 +52,7 @@
         let conn = match connecting.await {
             Ok(conn) => conn,
             Err(err) => {
+                self.unconnected(&choice.upstream, &err);
                 call.line("connect_failed")
                     .field("upstream", choice.upstream.id())
                     .field("error", err.to_string())
@@ -120,6 +121,9 @@
             }
             Outcome::NotSent => {}
             Outcome::Lost(why) => {
+                if exchange::ends_connection(why) {
+                    self.lost(call, choice, took);
+                }
                 call.line("answer_lost")
                     .field("upstream", upstream.id())
                     .field("reason", why)
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -14,7 +14,7 @@
 const REQUEST_SECONDS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::Named<Counters>; 17] = [
+const COUNTERS: [meter::Named<Counters>; 18] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -30,6 +30,7 @@
     ("oatcove_reads", "Reads that the platform answered", |c| c.reads),
     ("oatcove_reads_failed", "Reads that the platform did not answer", |c| c.reads_failed),
     ("oatcove_far_sends", "Sends to upstreams of another zone", |c| c.far_sends),
+    ("oatcove_upstreams_ended", "Upstreams that ended under requests", |c| c.upstreams_ended),
     ("oatcove_membership_bytes", "Bytes of membership sent", |c| c.membership_bytes),
     ("oatcove_membership_far_bytes", "Bytes of membership sent to another zone", |c| {
         c.membership_far_bytes
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -101,6 +101,7 @@
     let conn = match node.connection(upstream, target.addr, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(err) => {
+            node.unconnected(upstream, &err);
             trace::Line::new("probe_connect_failed")
                 .field("upstream", upstream.id())
                 .field("error", err.to_string())
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -130,6 +130,8 @@
     pub reads_failed: u64,
     /// Sends to upstreams of another zone.
     pub far_sends: u64,
+    /// Upstreams that were found to have ended under requests of this node.
+    pub upstreams_ended: u64,
     /// Bytes of membership sent, headers of UDP not counted.
     pub membership_bytes: u64,
     /// Those of them that went to another zone.
@@ -164,6 +166,8 @@
     pub works: place::Works,
     /// Deadlines that callers state, by kind of request.
     pub attempts: place::Attempts,
+    /// Upstreams that ended of late, and the requests that were under way there.
+    pub ends: quarantine::Ends,
     /// Second sends allowed, by service.
     sends: HashMap<ServiceName, Sends>,
     /// Configurations that may have no record yet.
@@ -209,6 +213,7 @@
             pools: HashMap::new(),
             works: place::Works::default(),
             attempts: place::Attempts::default(),
+            ends: quarantine::Ends::default(),
             sends: HashMap::new(),
             unrecorded: crate::record::Unrecorded::default(),
             turns: HashMap::new(),
