--- /dev/null
+++ b/crates/edge/src/tests/crashing.rs
@@ -0,0 +1,254 @@
+//! Entry nodes that know each other, before upstreams that crash under one request.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use local_sync::{mpsc::unbounded, oneshot};
+use monoio::io::Splitable;
+use monoio::net::udp::UdpSocket;
+use monoio::net::{TcpListener, TcpStream};
+use place::{Entry, Event};
+use route::ClientLimits;
+use web::h1;
+
+use super::fake::{metrics, ms, settings, table, Caller};
+use crate::forward::Node;
+use crate::state::State;
+use crate::{follow, gossip, serve};
+
+/// Slots of each upstream: so many requests a crash can take with it.
+pub const SLOTS: usize = 4;
+
+/// How long an upstream works on the crashing request before it crashes, and on others.
+const CRASHES_AFTER: Duration = Duration::from_millis(60);
+const WORKS_FOR: Duration = Duration::from_millis(25);
+
+/// Time after which a crashed upstream is back at its address, under another id.
+const BACK_AFTER: Duration = Duration::from_millis(300);
+
+/// Port of the nodes of all clusters; each has addresses of its own.
+const PEER_PORT: u16 = 7_600;
+
+/// Time that a caller gives one attempt, and what it states.
+const DEADLINE: Duration = Duration::from_millis(500);
+
+/// What the upstreams of a cluster saw.
+#[derive(Default)]
+pub struct Seen {
+    /// When each crash happened.
+    pub crashes: Vec<Instant>,
+    /// When the crashing request reached an upstream.
+    pub arrivals: Vec<Instant>,
+}
+
+/// One start of an upstream. Dropping what ends it closes its listener and its connections.
+struct Life {
+    id: String,
+    ends: RefCell<Vec<oneshot::Sender<()>>>,
+    running: Cell<u32>,
+}
+
+impl Life {
+    fn until_end(&self) -> oneshot::Receiver<()> {
+        let (ends, ended) = oneshot::channel();
+        self.ends.borrow_mut().push(ends);
+        ended
+    }
+
+    fn end(&self) {
+        self.ends.borrow_mut().clear();
+    }
+}
+
+/// Entry nodes that are members of one fleet, and their upstreams.
+pub struct Cluster {
+    pub nodes: Vec<Rc<Node>>,
+    pub fronts: Vec<SocketAddr>,
+    pub seen: RefCell<Seen>,
+    /// Part of the path of requests that crash whichever upstream runs them.
+    crashing: &'static str,
+    started: Cell<u32>,
+}
+
+impl Cluster {
+    /// Starts `nodes` nodes on addresses 127.0.`net`.1 and on, before `upstreams` upstreams.
+    pub fn start(net: u8, nodes: u8, upstreams: usize, crashing: &'static str) -> Rc<Cluster> {
+        let at = |n: u8| SocketAddr::from(([127, 0, net, n + 1], PEER_PORT));
+        let started = (0..nodes).map(|n| start_node(at(n), at(0)));
+        let (nodes, fronts) = started.unzip();
+        let (seen, started) = (RefCell::default(), Cell::new(0));
+        let cluster = Rc::new(Cluster { nodes, fronts, seen, crashing, started });
+        for _ in 0..upstreams {
+            cluster.start_upstream("127.0.0.1:0".parse().expect("an address"));
+        }
+        cluster
+    }
+
+    /// Starts an upstream at `addr` and has all nodes know of it.
+    fn start_upstream(self: &Rc<Cluster>, addr: SocketAddr) {
+        let listener = TcpListener::bind(addr).expect("binds");
+        let addr = listener.local_addr().expect("bound");
+        self.started.set(self.started.get() + 1);
+        let id = format!("u{}", self.started.get());
+        let life = Life { id: id.clone(), ends: RefCell::default(), running: Cell::new(0) };
+        let entry = Entry {
+            id: id.into(),
+            born_ms: super::fake::BORN_MS,
+            service: "desk".into(),
+            addr,
+            zone: "a".into(),
+            slots: SLOTS as u32,
+            leaving: false,
+            cold_for: Duration::ZERO,
+        };
+        self.tell(Event::Put(entry));
+        let (cluster, life) = (self.clone(), Rc::new(life));
+        monoio::spawn(async move {
+            cluster.live(listener, &life).await;
+            monoio::time::sleep(BACK_AFTER).await;
+            cluster.tell(Event::Gone(life.id.as_str().into()));
+            cluster.start_upstream(addr);
+        });
+    }
+
+    fn tell(&self, event: Event) {
+        for node in &self.nodes {
+            follow::apply_upstreams(node, vec![event.clone()], Instant::now());
+        }
+    }
+
+    /// Takes connections until the upstream crashes.
+    async fn live(self: &Rc<Cluster>, listener: TcpListener, life: &Rc<Life>) {
+        let mut ended = life.until_end();
+        loop {
+            let stream = monoio::select! {
+                _ = &mut ended => return,
+                taken = listener.accept() => match taken {
+                    Ok((stream, _)) => stream,
+                    Err(_) => return,
+                },
+            };
+            let (cluster, life) = (self.clone(), life.clone());
+            let mut ended = life.until_end();
+            monoio::spawn(async move {
+                monoio::select! {
+                    _ = &mut ended => {}
+                    () = cluster.connection(stream, &life) => {}
+                }
+            });
+        }
+    }
+
+    async fn connection(&self, stream: TcpStream, life: &Life) {
+        let (read, write) = stream.into_split();
+        let (mut reader, mut writer) = (h1::Reader::new(read), h1::Writer::new(write));
+        while let Ok(head) = reader.request_head(64 * 1024).await {
+            let mut decoder = h1::Decoder::new(head.framing);
+            if reader.body(&mut decoder, 64 * 1024).await.is_err() {
+                return;
+            }
+            let text = |name: &str| {
+                let value = head.headers.get(name).and_then(|value| value.to_str().ok());
+                value.unwrap_or_default().to_owned()
+            };
+            let id = text("x-id");
+            if text("x-expect") != life.id {
+                let refusal = "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n";
+                if writer.write(refusal.into()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            life.running.set(life.running.get() + 1);
+            if head.target.contains(self.crashing) {
+                self.seen.borrow_mut().arrivals.push(Instant::now());
+                monoio::time::sleep(CRASHES_AFTER).await;
+                self.seen.borrow_mut().crashes.push(Instant::now());
+                life.end();
+                return;
+            }
+            monoio::time::sleep(WORKS_FOR).await;
+            life.running.set(life.running.get() - 1);
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 5\r\n\r\nbeans"
+            );
+            if writer.write(answer.into_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Returns when the third crash happened, once it has.
+    pub fn third_crash(&self) -> Option<Instant> {
+        self.seen.borrow().crashes.get(2).copied()
+    }
+}
+
+fn start_node(at: SocketAddr, seed: SocketAddr) -> (Rc<Node>, SocketAddr) {
+    let mut settings = settings();
+    settings.peer_addr = at;
+    settings.seed_addrs = vec![seed];
+    // Each service may get a fifth of the first sends again, and sixty more.
+    settings.retry_slack = 60.0;
+    let mut state = State::new(settings);
+    state.apply_table(table(1, ClientLimits::default()));
+    let node = Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()));
+    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let front = listener.local_addr().expect("bound");
+    monoio::spawn(serve::run(listener, node.clone()));
+    let socket = UdpSocket::bind(at).expect("binds");
+    let (inputs, taken) = unbounded::channel();
+    monoio::spawn(gossip::run(socket, node.clone(), inputs, taken));
+    (node, front)
+}
+
+/// One request as its caller saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    /// When it was first sent.
+    pub at: Instant,
+    /// Status of the last attempt; 0 when its connection ended without an answer.
+    pub status: u16,
+    /// How long the last attempt took.
+    pub took: Duration,
+}
+
+/// Asks for `path` at one node, and once more at the next if that fails, as callers do.
+pub async fn ask(cluster: &Cluster, first: usize, path: &str, id: &str) -> Asked {
+    let at = Instant::now();
+    let mut asked = Asked { at, status: 0, took: Duration::ZERO };
+    for attempt in 0..2 {
+        let began = Instant::now();
+        let left = DEADLINE.saturating_sub(at.elapsed());
+        let front = cluster.fronts[(first + attempt) % cluster.fronts.len()];
+        let (status, come_back) = attempt_at(front, path, &format!("{id}-{attempt}"), left).await;
+        (asked.status, asked.took) = (status, began.elapsed());
+        if status == 200 {
+            break;
+        }
+        let left = DEADLINE.saturating_sub(at.elapsed());
+        monoio::time::sleep(come_back.min(left / 3)).await;
+    }
+    asked
+}
+
+/// Makes one attempt; returns its status and when to come back.
+async fn attempt_at(front: SocketAddr, path: &str, id: &str, left: Duration) -> (u16, Duration) {
+    let mut caller = Caller::connect(front).await;
+    let deadline_ms = left.as_millis();
+    caller
+        .write(&format!(
+            "GET {path} HTTP/1.1\r\nHost: seeds.example\r\nx-id: {id}\r\n\
+             x-deadline: {deadline_ms}\r\nConnection: close\r\n\r\n"
+        ))
+        .await;
+    match monoio::time::timeout(left, caller.read()).await {
+        Ok(Some(got)) => {
+            let after = got.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+            (got.status, Duration::from_secs_f64(after.unwrap_or(0.0)))
+        }
+        Ok(None) | Err(_) => (0, ms(0)),
+    }
+}
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod beliefs;
 mod budgets;
+mod crashes;
+mod crashing;
 mod fake;
 mod fleet;
 mod idle;
