--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -63,8 +63,19 @@
 /// `"probe_connect_failed","upstream":"i-1ecf312fd8","error":"Connection refused (os error 111)"`
 #[test]
 fn a_request_that_crashes_upstreams_is_kept_from_them() {
+    keeps_a_crashing_request_from_upstreams(88, 4, 12);
+}
+
+/// As above, where each attempt comes to a node that has seen none before: no node sees a third
+/// crash, and what each of them may send adds up.
+#[test]
+fn sixteen_nodes_keep_a_crashing_request_from_upstreams() {
+    keeps_a_crashing_request_from_upstreams(89, 16, 16);
+}
+
+fn keeps_a_crashing_request_from_upstreams(net: u8, nodes: u8, upstreams: usize) {
     run(async {
-        let cluster = Cluster::start(88, 4, 12, "crash");
+        let cluster = Cluster::start(net, nodes, upstreams, "crash");
         monoio::time::sleep(JOINED).await;
         let done = Rc::new(Cell::new(false));
         let innocent = call(&cluster, "/get/seed/", false, ms(8), &done);
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -7,7 +7,8 @@
 //! at-most-once. `GET /load` reports in-flight work, refreshed only every
 //! `load_lag`, as real load reports are stale. A request whose `x-oatcove-timeout-ms` passes in the queue is not
 //! run, and one whose caller goes away is dropped. `POST /admin/mode` turns it
-//! into a straggler, starts a drain, or makes it fail fast.
+//! into a straggler, starts a drain, makes it fail fast, or has its process crash
+//! under requests of some paths.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -26,6 +27,9 @@
 /// Header carrying the caller's request id.
 pub const REQUEST_ID: &str = "x-request-id";
 
+/// Exit code of a process that crashed under a request.
+pub const EXIT_CRASHED: i32 = 70;
+
 /// Fixed shape of an upstream stand-in.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -60,6 +64,10 @@
     /// `/load` reports zero in-flight whatever the truth.
     #[serde(default)]
     pub lie: bool,
+    /// The whole process crashes under a request whose path contains this, once its service time
+    /// has passed; no request does when empty.
+    #[serde(default)]
+    pub crash_on: SmolStr,
 }
 
 /// What `GET /load` answers.
@@ -160,6 +168,9 @@
         }
         self.count(request);
         monoio::time::sleep(self.service_time(request, &mode)).await;
+        if !mode.crash_on.is_empty() && request.uri().path().contains(mode.crash_on.as_str()) {
+            std::process::exit(EXIT_CRASHED);
+        }
         drop(permit);
         let mut response = web::reply(StatusCode::OK, format!("{}\n", request.uri().path()));
         if let Some(id) = request.headers().get(REQUEST_ID) {
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -196,6 +196,15 @@
         assert!(answer.is_some_and(|a| a.status().is_success()), "mode not set");
     }
 
+    /// Returns how many upstreams have crashed under a request.
+    pub fn crashed(&mut self) -> usize {
+        let crashed = |upstream: &mut Proc| {
+            let ended = upstream.child.try_wait().ok().flatten();
+            ended.and_then(|status| status.code()) == Some(emu::upstream::EXIT_CRASHED)
+        };
+        self.upstreams.iter_mut().map(crashed).filter(|crashed| *crashed).count()
+    }
+
     fn register(&self, spec: &Spec) {
         let upstreams =
             self.upstreams.iter().map(|p| (p, proto::VmRole::Upstream, spec.service.as_str()));
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -374,3 +374,41 @@
     let report = report(&json);
     assert_eq!(report["errors"], serde_json::json!({}), "{report}");
 }
+
+/// The caller of one request makes it again and again, at any entry node. Each upstream that runs it
+/// crashes, with whatever else it was running. The entry nodes sent it on to the next upstream, and
+/// took each return of the caller for a new request, until no upstream was left: nothing remembered
+/// under which requests upstreams had crashed.
+#[test]
+fn a_request_that_crashes_upstreams_is_kept_from_them() {
+    let spec = Spec { entries: 3, upstreams_per_zone: 12, light_ms: 20, ..spec() };
+    let mut cluster = start("crash", &spec, "service: swap-desk\ndefaults:\n  max_attempts: 2\n");
+    for index in 0..cluster.upstreams.len() {
+        cluster.set_upstream_mode(index, &serde_json::json!({"crash_on": "/crash"}));
+    }
+    for (index, other) in [(0, 1), (1, 2), (2, 0)] {
+        let addr = cluster.entries[other].addr;
+        assert!(cluster.wait_for_status(index, SOON, |s| peer_standing(s, addr) == "Alive"));
+    }
+    let ask = |cluster: &Cluster, n: usize, path: &str| {
+        let addr = cluster.entries[n % 3].addr;
+        let answer = xtask::cluster::call(addr, http::Method::GET, path, Vec::new());
+        answer.map_or(0, |answer| answer.status().as_u16())
+    };
+    let mut asked = 0;
+    while cluster.crashed() < 3 {
+        assert!(asked < 20, "three upstreams crash");
+        ask(&cluster, asked, "/s/swap-desk/crash");
+        asked += 1;
+    }
+    // All entry nodes know of it by then.
+    std::thread::sleep(Duration::from_secs(3));
+    let before = cluster.crashed();
+    for n in 0..12 {
+        ask(&cluster, n, "/s/swap-desk/crash");
+    }
+    let more = cluster.crashed() - before;
+    assert!(more <= 3, "{more} more upstreams crashed");
+    let served = (0..30).filter(|n| ask(&cluster, *n, &format!("/s/swap-desk/{n}")) == 200).count();
+    assert_eq!(served, 30, "others are served");
+}
