oatcoved: a call that crashes upstreams is kept from them, by the same decisions

Its calls now go by the crate quarantine too: content (with the team), ends (a refused connection after a lost answer), apart, no hedge, held back with not-run and Retry-After, findings by membership. Three crashes in sequence hold a request back also where starts of an upstream cannot be told apart: its VM list names none.

--- a/crates/edge/src/forward/content.rs
+++ b/crates/edge/src/forward/content.rs
@@ -1,12 +1,8 @@
 //! What a request asks, as a key that is the same for each attempt.
 
-use http::header;
 use quarantine::Content;
 use web::h1;
 
-/// Headers by which upstreams tell callers apart.
-const CALLER_HEADERS: [header::HeaderName; 2] = [header::AUTHORIZATION, header::COOKIE];
-
 /// Bytes of a body that count. So much of a long one is at hand before it is sent on, however it
 /// comes in; what follows does not tell two attempts apart.
 const BODY_BYTES: usize = 64 * 1024;
@@ -17,8 +13,7 @@
 /// asks. `body` is its body as far as it was received before it was sent on.
 pub(super) fn of(head: &h1::RequestHead, body: &[u8]) -> Content {
     let line = [head.method.as_str(), head.host.as_str(), head.target.as_str()].map(str::as_bytes);
-    let caller =
-        CALLER_HEADERS.map(|name| head.headers.get(name).map_or(&[][..], |v| v.as_bytes()));
+    let caller = web::credentials(&head.headers);
     let length = match head.framing {
         h1::Framing::Length(length) => length.to_be_bytes(),
         _ => Default::default(),
--- a/crates/oatcoved/src/follow/history_tests.rs
+++ b/crates/oatcoved/src/follow/history_tests.rs
@@ -98,7 +98,9 @@
     let store = Rc::new(store::Store::new(platform));
     monoio::spawn(follow::config(store, view.clone(), POLL, links));
     let metrics = crate::metrics::Metrics::new().expect("metrics");
-    monoio::spawn(web::serve(listener, Rc::new(proxy::Node::new(view.clone(), metrics))));
+    let (gossip, _) = local_sync::mpsc::unbounded::channel();
+    let node = Rc::new(proxy::Node::new(view.clone(), metrics, gossip));
+    monoio::spawn(web::serve(listener, node));
     (addr, view)
 }
 
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -35,6 +35,8 @@
     Verdict(SocketAddr, wire::Verdict),
     /// This node holds config up to this commit.
     ConfigHead(u64),
+    /// There is news of calls that crash upstreams.
+    Findings,
     /// This node is stopping.
     Leave,
 }
@@ -65,10 +67,17 @@
     };
     while let Some(input) = rx.recv().await {
         let now = Instant::now();
-        let out = handle(&mut members, &view, input, now);
+        let mut out = handle(&mut members, &view, input, now);
         for event in members.take_events() {
-            apply(&mut view.borrow_mut(), event);
+            match event {
+                member::Event::Differs { addr, held_digest } => {
+                    let known = view.borrow().quarantine.to_tell_a_peer(held_digest);
+                    out.extend(members.tell_all(addr, known, now));
+                }
+                event => apply(&mut view.borrow_mut(), event),
+            }
         }
+        out.extend(tell_findings(&mut members, &mut view.borrow_mut().quarantine));
         for member::Outgoing { to, packet } in out {
             let (sent, bytes) = socket.send_to(packet.encode(), to).await;
             let mut view = view.borrow_mut();
@@ -81,6 +90,18 @@
     }
 }
 
+/// Tells peers what is news of calls that crash upstreams.
+fn tell_findings(
+    members: &mut member::Members,
+    ledger: &mut quarantine::Ledger,
+) -> Vec<member::Outgoing> {
+    let now = unix_ms();
+    ledger.expire(now);
+    let news = ledger.take_news(now);
+    members.set_held_digest(ledger.digest());
+    news.into_iter().flat_map(|finding| members.spread(finding)).collect()
+}
+
 fn handle(
     members: &mut member::Members,
     view: &RefCell<View>,
@@ -89,6 +110,7 @@
 ) -> Vec<member::Outgoing> {
     match input {
         Input::Tick => members.tick(now),
+        Input::Findings => Vec::new(),
         Input::Datagram(from, bytes) => {
             view.borrow_mut().counters.peer_bytes_received += bytes.len() as u64;
             match wire::Packet::decode(&bytes) {
@@ -134,7 +156,12 @@
             view.peers.entry(addr).or_default().config_head = config_head;
         }
         member::Event::Note(note) => view.report(note.upstream, note.watcher, note.verdict),
-        member::Event::Finding(_) | member::Event::Differs { .. } => {}
+        member::Event::Finding(finding) => {
+            if let Some(known) = view.quarantine.hear(&finding, unix_ms()) {
+                view.quarantine.pass_on(known);
+            }
+        }
+        member::Event::Differs { .. } => {}
     }
 }
 
@@ -163,6 +190,7 @@
     }
 }
 
-fn unix_ms() -> u64 {
+/// Returns the time of day.
+pub(crate) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
--- a/crates/oatcoved/src/main.rs
+++ b/crates/oatcoved/src/main.rs
@@ -86,7 +86,7 @@
     monoio::spawn(oatcoved::probe::run(view.clone(), probe, probe_inputs, gossip.clone()));
     monoio::spawn(oatcoved::follow::config(store, view.clone(), config_poll, links.clone()));
     monoio::spawn(oatcoved::follow::vms(vm_store, view.clone(), vm_poll, links));
-    let node = Rc::new(oatcoved::proxy::Node::new(view.clone(), metrics));
+    let node = Rc::new(oatcoved::proxy::Node::new(view.clone(), metrics, gossip.clone()));
     monoio::spawn(web::serve(listener, node));
     oatcoved::stop::wait(stop_flag, view, gossip).await;
 }
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -24,7 +24,7 @@
     peers_reachable: Gauge<u64>,
 }
 
-const COUNTERS: [meter::Named<Counters>; 14] = [
+const COUNTERS: [meter::Named<Counters>; 16] = [
     ("oatcove_calls", "Calls received", |c| c.calls),
     ("oatcove_calls_done", "Calls answered by an upstream", |c| c.done),
     ("oatcove_calls_not_run", "Calls told not-run", |c| c.not_run),
@@ -39,6 +39,10 @@
     ("oatcove_peer_packets", "Membership packets sent", |c| c.peer_packets_sent),
     ("oatcove_peer_bytes", "Bytes of membership packets sent", |c| c.peer_bytes_sent),
     ("oatcove_peer_packets_refused", "Datagrams refused", |c| c.peer_packets_refused),
+    ("oatcove_upstreams_ended", "Upstreams that ended under calls", |c| c.upstreams_ended),
+    ("oatcove_refused_crashing", "Calls refused since they crash upstreams", |c| {
+        c.refused_crashing
+    }),
 ];
 
 impl Metrics {
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -9,11 +9,13 @@
 //! after bytes may have reached an upstream.
 //!
 //! [`forward`] takes one call to its answer, [`attempt`] sends it to one
-//! upstream, [`answer`] builds what goes back to the caller.
+//! upstream, [`answer`] builds what goes back to the caller, [`held`] keeps calls that crash
+//! upstreams from them.
 
 mod answer;
 mod attempt;
 mod forward;
+mod held;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,9 +23,11 @@
 use std::rc::Rc;
 
 use http::{HeaderValue, StatusCode};
+use local_sync::mpsc::unbounded::Tx;
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
+use crate::gossip;
 use crate::metrics::Metrics;
 use crate::view::View;
 
@@ -42,11 +46,12 @@
     rng: RefCell<rand::rngs::SmallRng>,
     next_id: Cell<u64>,
     metrics: Metrics,
+    gossip: Tx<gossip::Input>,
 }
 
 impl Node {
-    /// Creates the handler over `view`, recording in `metrics`.
-    pub fn new(view: Rc<RefCell<View>>, metrics: Metrics) -> Node {
+    /// Creates the handler over `view`, recording in `metrics`; `gossip` is told of news for peers.
+    pub fn new(view: Rc<RefCell<View>>, metrics: Metrics, gossip: Tx<gossip::Input>) -> Node {
         Node {
             view,
             idle: attempt::IdleConns::default(),
@@ -54,6 +59,7 @@
             rng: RefCell::new(rand::rngs::SmallRng::from_os_rng()),
             next_id: Cell::new(0),
             metrics,
+            gossip,
         }
     }
 
--- a/crates/oatcoved/src/proxy/answer.rs
+++ b/crates/oatcoved/src/proxy/answer.rs
@@ -59,10 +59,20 @@
 /// is in milliseconds beside it. The caller is told at once: holding the
 /// answer back would only keep it from going elsewhere.
 pub(super) fn refused(text: &'static str, busy_for: Duration, id: &HeaderValue) -> web::Response {
+    held_back(text, busy_for.clamp(COME_BACK.0, COME_BACK.1), id)
+}
+
+/// The same for a call that crashes upstreams, however long that is: coming back each second is of
+/// no use to its caller.
+pub(super) fn held_back(
+    text: &'static str,
+    come_back: Duration,
+    id: &HeaderValue,
+) -> web::Response {
     let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE, text, id);
-    let come_back = busy_for.clamp(COME_BACK.0, COME_BACK.1);
     let headers = response.headers_mut();
-    headers.insert(http::header::RETRY_AFTER, HeaderValue::from_static("1"));
+    let whole_s = come_back.as_millis().div_ceil(1_000) as u64;
+    headers.insert(http::header::RETRY_AFTER, HeaderValue::from(whole_s));
     headers.insert(crate::RETRY_AFTER_MS, HeaderValue::from(come_back.as_millis() as u64));
     response
 }
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -1,5 +1,6 @@
 //! Takes one call to its answer: admission, attempts, hedging, outcome.
 
+use std::cell::OnceCell;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -7,10 +8,11 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderValue, StatusCode};
+use quarantine::{Content, Verdict};
 use smol_str::SmolStr;
 
 use super::attempt::{Attempt, Outstanding};
-use super::{answer, Node};
+use super::{answer, held, Node};
 
 /// A hedge is sent once a call has taken this many times the mean of its kind.
 const HEDGE_AFTER: f64 = 3.0;
@@ -23,10 +25,12 @@
 const SLOW_FROM: f64 = 4.0;
 
 /// One call on its way.
-struct Call<'a> {
+pub(super) struct Call<'a> {
     request: &'a web::Request,
+    /// What it asks, once somebody wanted to know: [`Call::content`].
+    content: OnceCell<Content>,
     request_id: HeaderValue,
-    service: SmolStr,
+    pub(super) service: SmolStr,
     path: &'a str,
     zone: SmolStr,
     params: Rc<config::Params>,
@@ -40,6 +44,11 @@
 }
 
 impl Call<'_> {
+    /// Returns what it asks: the same under each id that its caller gives it.
+    pub(super) fn content(&self) -> Content {
+        *self.content.get_or_init(|| held::content(self.request, &self.service, self.path))
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -49,6 +58,8 @@
 enum Ended {
     /// An upstream answered.
     Answered(web::Response),
+    /// It was not sent, since it crashes upstreams; the caller may come back after this long.
+    HeldBack(Duration),
     /// Every attempt was refused or not sent.
     NotRun {
         /// Whether any upstream refused for want of room.
@@ -127,7 +138,9 @@
             Ended::Answered(_) if self.was_slow(&call, took) => limit::Ended::Slow,
             Ended::Answered(_) => limit::Ended::Served,
             Ended::NotRun { refused: true } => limit::Ended::Refused,
-            Ended::NotRun { refused: false } | Ended::Unknown(_) => limit::Ended::Other,
+            Ended::NotRun { refused: false } | Ended::HeldBack(_) | Ended::Unknown(_) => {
+                limit::Ended::Other
+            }
         });
         let mut view = self.view.borrow_mut();
         match ended {
@@ -135,6 +148,11 @@
                 view.counters.done += 1;
                 (answer::done(response, &request_id), answer::DONE)
             }
+            Ended::HeldBack(come_back) => {
+                view.counters.not_run += 1;
+                let text = "this call crashes the upstreams that run it\n";
+                (answer::held_back(text, come_back, &request_id), answer::NOT_RUN)
+            }
             Ended::NotRun { .. } => {
                 view.counters.not_run += 1;
                 drop(view);
@@ -187,6 +205,7 @@
         let budget_ms = caller_ms.map_or(params.timeout_ms, |ms: u64| ms.min(params.timeout_ms));
         Some(Call {
             request,
+            content: OnceCell::new(),
             request_id: request_id.clone(),
             service: service.into(),
             path,
@@ -225,7 +244,14 @@
         let (mut lost, mut refused) = (None, false);
         let mut broken = None;
         while (tried.len() as u64) < call.params.max_attempts.max(1) {
-            let Some(addr) = self.pick(call, &tried) else { break };
+            match self.held_back(call) {
+                Some(come_back) if lost.is_none() && broken.is_none() => {
+                    return Ended::HeldBack(come_back)
+                }
+                Some(_) => break,
+                None => {}
+            }
+            let Some(addr) = self.pick_apart(call, &tried) else { break };
             if !tried.is_empty() && !self.second_send(call) {
                 break;
             }
@@ -243,7 +269,8 @@
                 Attempt::Answered(response) => return Ended::Answered(response),
                 Attempt::Refused => refused = true,
                 Attempt::NotSent => {}
-                Attempt::Lost(err) if call.idempotent => lost = Some(err),
+                // What has crashed two upstreams would likely crash a third.
+                Attempt::Lost(err) if call.idempotent && !self.is_likely(call) => lost = Some(err),
                 Attempt::Lost(err) => return Ended::Unknown(Some(err)),
             }
         }
@@ -254,6 +281,13 @@
         }
     }
 
+    /// Picks an upstream that was not tried; for a suspected call rather one without another such call.
+    fn pick_apart(&self, call: &Call<'_>, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let mut avoided = self.upstreams_with_suspects(call);
+        avoided.extend_from_slice(tried);
+        self.pick(call, &avoided).or_else(|| self.pick(call, tried))
+    }
+
     /// Picks an upstream that was not tried, or `None` when there is none or no time is left.
     fn pick(&self, call: &Call<'_>, tried: &[SocketAddr]) -> Option<SocketAddr> {
         if call.remaining().is_zero() {
@@ -290,6 +324,7 @@
         let request =
             answer::upstream_request(call.request, call.path, addr, &call.request_id, remaining);
         let outstanding = Outstanding::start(&self.view, &call.service, addr, call.kind);
+        let (known, _under_way) = self.begin_send(call, addr);
         let result = self.idle.send(addr, request, remaining, call.connection_share).await;
         let took = outstanding.took();
         outstanding.finish(match &result {
@@ -311,6 +346,13 @@
             call.request_id.to_str().unwrap_or("-"),
             took.as_micros()
         );
+        match &result {
+            Attempt::Answered(response) if !is_broken(response) => self.ran(call),
+            Attempt::Lost(web::Error::Http(_) | web::Error::Send(_)) => {
+                self.lost(call, addr, known, took).await;
+            }
+            _ => {}
+        }
         result
     }
 
@@ -325,7 +367,11 @@
         tried: &mut Vec<SocketAddr>,
     ) -> Attempt {
         let mut first = pin!(self.attempt(call, addr));
-        let Some(after) = self.hedge_after(call) else { return first.await };
+        // A second copy of a suspected call beside the first could crash a second upstream.
+        let may_hedge = self.verdict(call) == Verdict::Free;
+        let Some(after) = self.hedge_after(call).filter(|_| may_hedge) else {
+            return first.await;
+        };
         monoio::select! {
             result = &mut first => return result,
             _ = monoio::time::sleep(after) => {}
--- /dev/null
+++ b/crates/oatcoved/src/proxy/held.rs
@@ -0,0 +1,166 @@
+//! Keeps calls that crash upstreams from them.
+//!
+//! The decisions are those of the crate `quarantine`; here is what they need to know: which upstreams
+//! ended, and which calls were under way there.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use monoio::net::TcpStream;
+use quarantine::{Content, Known, Lost, Start, Verdict};
+
+use super::forward::Call;
+use super::Node;
+use crate::gossip;
+
+/// Longest time that a call waits to know whether the upstream that lost it has crashed. An address
+/// refuses a connection within a round trip; one that is cut off does not answer at all.
+const LOOK_FOR: Duration = Duration::from_millis(50);
+
+/// A suspected call counted as under way at an upstream while this lives.
+pub(super) struct UnderWay<'a> {
+    node: &'a Node,
+    content: Content,
+    start: Start,
+}
+
+impl Drop for UnderWay<'_> {
+    fn drop(&mut self) {
+        self.node.view.borrow_mut().quarantine.end(self.content, self.start);
+    }
+}
+
+/// Returns what a call asks: the same under each id that its caller gives it.
+pub(super) fn content(request: &web::Request, service: &str, path: &str) -> Content {
+    let team = request.headers().get(crate::TEAM).map_or(&[][..], |team| team.as_bytes());
+    let line = [request.method().as_str(), service, path].map(str::as_bytes);
+    let caller = web::credentials(request.headers());
+    let rest = [team, request.body().as_ref()];
+    Content::of(line.into_iter().chain(caller).chain(rest))
+}
+
+impl Node {
+    /// Returns what is to be done with a call. Which node tries one again whose time is over: the
+    /// first by address of those that are alive.
+    pub(super) fn verdict(&self, call: &Call<'_>) -> Verdict {
+        let view = self.view.borrow();
+        if view.quarantine.is_empty() {
+            return Verdict::Free;
+        }
+        let me = view.settings.listen_addr;
+        let alive = |peer: &crate::view::Peer| peer.standing == Some(wire::Standing::Alive);
+        let may_try = !view.peers.iter().any(|(addr, peer)| *addr < me && alive(peer));
+        view.quarantine.verdict(call.content(), may_try, gossip::unix_ms())
+    }
+
+    /// Returns when to come back for a call that is not to be sent; `None` for others.
+    pub(super) fn held_back(&self, call: &Call<'_>) -> Option<Duration> {
+        let Verdict::Refused(come_back) = self.verdict(call) else { return None };
+        self.view.borrow_mut().counters.refused_crashing += 1;
+        Some(come_back)
+    }
+
+    /// Returns true for a call that has crashed upstreams one after the other.
+    pub(super) fn is_likely(&self, call: &Call<'_>) -> bool {
+        let ledger = &self.view.borrow().quarantine;
+        !ledger.is_empty() && ledger.is_likely(call.content())
+    }
+
+    /// Returns what is known of a call that is being sent, and counts it if it is suspected.
+    pub(super) fn begin_send(
+        &self,
+        call: &Call<'_>,
+        addr: SocketAddr,
+    ) -> (Known, Option<UnderWay<'_>>) {
+        let ledger = &mut self.view.borrow_mut().quarantine;
+        if ledger.is_empty() {
+            return (Known::default(), None);
+        }
+        let (content, start) = (call.content(), start_of(addr));
+        let is_suspected = ledger.verdict(content, true, gossip::unix_ms()) == Verdict::Apart;
+        let under_way = is_suspected.then(|| {
+            ledger.begin(content, start);
+            UnderWay { node: self, content, start }
+        });
+        (ledger.known(content), under_way)
+    }
+
+    /// Returns the upstreams at which a suspected call of this node runs: another is sent elsewhere,
+    /// so that a crash tells which of them it was.
+    pub(super) fn upstreams_with_suspects(&self, call: &Call<'_>) -> Vec<SocketAddr> {
+        if self.verdict(call) != Verdict::Apart {
+            return Vec::new();
+        }
+        let view = self.view.borrow();
+        let upstreams = view.pools.get(&call.service).into_iter().flat_map(|pool| &pool.upstreams);
+        let with_suspects = |addr: &SocketAddr| !view.quarantine.is_apart(start_of(*addr));
+        upstreams.map(|upstream| upstream.addr).filter(with_suspects).collect()
+    }
+
+    /// Takes that an upstream ran a call to its end.
+    pub(super) fn ran(&self, call: &Call<'_>) {
+        let is_empty = self.view.borrow().quarantine.is_empty();
+        let cleared = !is_empty
+            && self.view.borrow_mut().quarantine.answered(call.content(), gossip::unix_ms());
+        if cleared {
+            self.wake_gossip();
+        }
+    }
+
+    /// Records that the answer to a call was lost with its connection, and finds out whether its
+    /// upstream has crashed: only then a new connection to its address is refused.
+    pub(super) async fn lost(
+        &self,
+        call: &Call<'_>,
+        addr: SocketAddr,
+        known: Known,
+        ran: Duration,
+    ) {
+        let lost = Lost { content: call.content(), known, ran_ms: ran.as_millis() as u64 };
+        let has_ended =
+            self.view.borrow_mut().ends.lost(start_of(addr), lost.clone(), Instant::now());
+        if has_ended {
+            return self.ended_under(addr, &[lost]);
+        }
+        let connecting = monoio::time::timeout(LOOK_FOR, TcpStream::connect_addr(addr));
+        let refused = |err: &io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
+        if matches!(connecting.await, Ok(Err(err)) if refused(&err)) {
+            let lost = self.view.borrow_mut().ends.refused(start_of(addr), Instant::now());
+            self.ended_under(addr, &lost);
+        }
+    }
+
+    /// Takes that an upstream ended while calls were under way there.
+    fn ended_under(&self, addr: SocketAddr, lost: &[Lost]) {
+        if lost.is_empty() {
+            return;
+        }
+        let now = gossip::unix_ms();
+        let view = &mut *self.view.borrow_mut();
+        view.counters.upstreams_ended += 1;
+        log::warn!("upstream={addr} ended under calls {lost:?}");
+        // One that was let go before was about to leave: it ended as planned.
+        if !view.pools.values().any(|pool| pool.position(addr).is_some()) {
+            return;
+        }
+        for lost in lost {
+            let held = view.quarantine.crashed(lost.content, lost.known, start_of(addr), now);
+            if let Some(finding) = held {
+                log::warn!("a call is held back, it crashes upstreams: {finding:?}");
+            }
+        }
+        self.wake_gossip();
+    }
+
+    fn wake_gossip(&self) {
+        // The task ends only with the process.
+        let _ = self.gossip.send(gossip::Input::Findings);
+    }
+}
+
+/// Returns the key of the upstream at `addr`. The list does not tell its starts apart: crashes in
+/// sequence count all the same.
+fn start_of(addr: SocketAddr) -> Start {
+    Start::of(&addr.to_string(), 0)
+}
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -53,7 +53,9 @@
         })
         .collect();
     crate::follow::apply_vms(&mut view, &vms);
-    Node::new(Rc::new(RefCell::new(view)), crate::metrics::Metrics::new().expect("metrics"))
+    let (gossip, _) = local_sync::mpsc::unbounded::channel();
+    let metrics = crate::metrics::Metrics::new().expect("metrics");
+    Node::new(Rc::new(RefCell::new(view)), metrics, gossip)
 }
 
 fn request(method: http::Method, path: &str, key: &str) -> web::Request {
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -43,6 +43,10 @@
     pub peer_bytes_received: u64,
     /// Datagrams refused because they could not be read.
     pub peer_packets_refused: u64,
+    /// Upstreams that were found to have ended under calls of this node.
+    pub upstreams_ended: u64,
+    /// Calls refused since they crash upstreams.
+    pub refused_crashing: u64,
 }
 
 /// What is known of another entry node.
@@ -91,6 +95,10 @@
     pub peers: BTreeMap<SocketAddr, Peer>,
     /// Bad verdicts on upstreams, by upstream and watcher.
     pub reports: BTreeMap<SocketAddr, BTreeMap<SocketAddr, wire::Verdict>>,
+    /// Upstreams that ended of late, and the calls that were under way there.
+    pub ends: quarantine::Ends,
+    /// Calls that crash upstreams.
+    pub quarantine: quarantine::Ledger,
     /// Calls being forwarded.
     pub in_flight: u64,
     /// Set once the node is stopping.
@@ -114,6 +122,8 @@
             drain_head: 0,
             peers: Default::default(),
             reports: Default::default(),
+            ends: Default::default(),
+            quarantine: Default::default(),
             in_flight: 0,
             stopping: false,
             counters: Counters::default(),
@@ -138,6 +148,8 @@
     pub in_flight: u64,
     /// Upstreams per service: address, standing, outstanding calls, latency EWMA in ms.
     pub upstreams: HashMap<SmolStr, Vec<UpstreamStatus>>,
+    /// What is known of calls that crashed upstreams, those that are held back first.
+    pub crashing: Vec<quarantine::Finding>,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -249,6 +261,7 @@
                 .collect(),
             in_flight: self.in_flight,
             upstreams,
+            crashing: self.quarantine.findings().into_iter().cloned().collect(),
             counters: self.counters.clone(),
         }
     }
--- a/crates/quarantine/src/finding.rs
+++ b/crates/quarantine/src/finding.rs
@@ -12,9 +12,11 @@
 /// Upstreams of a zone that ends at once take several copies of a popular request with them: that is
 /// one crash in sequence, however many upstreams there were. A second one, of a copy that was sent
 /// when the first was known, is no coincidence of that kind; three upstreams are as many as the
-/// users allow before the request has to be kept from the rest.
+/// users allow before the request has to be kept from the rest. A third crash in sequence tells as much
+/// where there are fewer upstreams, which start again under the same key.
 const WAVES_HELD: u8 = 2;
 const CRASHED_HELD: usize = 3;
+const WAVES_HELD_ALONE: u8 = 3;
 
 /// Crashed upstreams that are told apart: more change nothing.
 pub(crate) const CRASHED_KEPT: usize = 4;
@@ -45,7 +47,8 @@
 
     /// Returns true when the request is to be kept from upstreams.
     pub fn is_held(&self) -> bool {
-        self.waves >= WAVES_HELD && self.crashed.len() >= CRASHED_HELD
+        let on_several = self.waves >= WAVES_HELD && self.crashed.len() >= CRASHED_HELD;
+        on_several || self.waves >= WAVES_HELD_ALONE
     }
 
     /// Returns true when it was cleared and nothing was found since.
--- a/crates/quarantine/src/ledger/tests.rs
+++ b/crates/quarantine/src/ledger/tests.rs
@@ -54,6 +54,17 @@
     assert!(crash(&mut ledger, "a", 9).is_some());
 }
 
+/// Symptom: a request crashes the only upstream of a service again and again.
+/// Sequence: it is back each time at its address, and its list names no starts.
+/// Cause: waiting for three upstreams that can be told apart.
+#[test]
+fn three_crashes_in_sequence_of_one_upstream_are_enough() {
+    let mut ledger = Ledger::default();
+    assert_eq!(crash(&mut ledger, "a", 1), None);
+    assert_eq!(crash(&mut ledger, "a", 1), None);
+    assert!(crash(&mut ledger, "a", 1).is_some());
+}
+
 /// Symptom: one upstream whose end two nodes see counts as two.
 /// Sequence: both had a copy of the request there.
 /// Cause: counting what nodes saw, not what crashed.
--- a/crates/web/src/hop.rs
+++ b/crates/web/src/hop.rs
@@ -1,6 +1,6 @@
-//! Headers that concern one connection only.
+//! Headers that concern one connection only, and those that tell who asks.
 
-use http::header::HeaderName;
+use http::header::{HeaderName, AUTHORIZATION, COOKIE};
 use http::HeaderMap;
 
 /// Headers that concern one connection only and are never passed on.
@@ -33,3 +33,8 @@
     }
     headers.remove(http::header::CONTENT_LENGTH);
 }
+
+/// Returns the values by which upstreams tell callers apart, empty where there is none.
+pub fn credentials(headers: &HeaderMap) -> [&[u8]; 2] {
+    [AUTHORIZATION, COOKIE].map(|name| headers.get(name).map_or(&[][..], |value| value.as_bytes()))
+}
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -12,7 +12,7 @@
 mod server;
 
 pub use client::{Conn, Error, KeepAlive};
-pub use hop::strip_connection_headers;
+pub use hop::{credentials, strip_connection_headers};
 pub use server::{serve, Handler};
 
 use bytes::Bytes;
