edge, platform: requests that are held back are kept at the platform, and lifted by an operator

After a restart of all nodes a request crashed three upstreams more, after each restart anew: what only nodes knew was gone. The node that is first among those that serve writes what is held back to the platform's store, under a condition; nodes that start and read the platform themselves read it, the others hear of it from them. While nothing is held back no call is made. status has what is known.

Ruled out: deleting the row to lift (a node that missed it would write it again: a clearance is a finding of a later epoch, and wins); each node writing; reading at every start (three calls for each of hundreds of nodes).

--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -127,15 +127,15 @@
         }
     }
 
-    /// Takes what another node knows of a request.
-    pub(crate) fn hear_finding(&self, finding: &Finding) {
+    /// Takes what `teller` knows of a request.
+    pub(crate) fn hear_finding(&self, finding: &Finding, teller: &'static str) {
         let content = finding.content;
         let was_held = self.is_held(content);
         let news = self.state.borrow_mut().quarantine.hear(finding, unix_ms());
         let Some(known) = news else { return };
         match (was_held, known.is_held()) {
-            (false, true) => log_held(&known, "a peer"),
-            (true, false) => log_cleared(content, "a peer"),
+            (false, true) => log_held(&known, teller),
+            (true, false) => log_cleared(content, teller),
             _ => {}
         }
         self.state.borrow_mut().quarantine.pass_on(known);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -63,7 +63,7 @@
         out.extend(handle(&mut members, input, now));
         for event in members.take_events() {
             match event {
-                member::Event::Finding(finding) => node.hear_finding(&finding),
+                member::Event::Finding(finding) => node.hear_finding(&finding, "a peer"),
                 member::Event::Differs { addr, held_digest } => {
                     let known = node.state.borrow().quarantine.to_tell_a_peer(held_digest);
                     out.extend(members.tell_all(addr, known, now));
--- /dev/null
+++ b/crates/edge/src/holds.rs
@@ -0,0 +1,195 @@
+//! Keeps at the platform which requests are held back.
+//!
+//! What only nodes know is gone once all of them are restarted at the same moment, and the request
+//! would crash upstreams anew. The node that is first among those that serve writes each such
+//! request to the platform, and while there is one it waits there for an operator's word that lifts
+//! it. Nodes that start and read the platform themselves read what is kept; the others hear of it
+//! from them. While nothing is held back, no call is made.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use quarantine::{Content, Finding};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::follow::{Cursor, SourceError};
+use crate::forward::Node;
+use crate::record;
+use crate::state::State;
+use crate::unix_ms;
+
+/// How often a node looks whether there is something for it to do.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Longest time that one wait for an operator's word lasts.
+const WAIT: Duration = Duration::from_secs(25);
+
+/// Pause after a failed call.
+const RETRY: Duration = Duration::from_secs(2);
+
+/// A finding as it is kept, and who wrote it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hold {
+    /// What was found.
+    pub finding: Finding,
+    /// The entry node that wrote it, or the operator who lifted it.
+    pub written_by: SmolStr,
+    /// When it was written.
+    pub at_unix_ms: u64,
+}
+
+/// A finding that is kept, and the version of its row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kept {
+    /// What is kept.
+    pub hold: Hold,
+    /// Version that last changed its row.
+    pub version: Cursor,
+}
+
+/// Findings that are kept, as of a moment.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// The findings that were read.
+    pub kept: Vec<Kept>,
+    /// Where to wait for changes from.
+    pub cursor: Cursor,
+}
+
+/// Where findings are kept.
+pub trait Holds: 'static {
+    /// Reads all of them.
+    fn all(&self) -> impl Future<Output = Result<Batch, SourceError>>;
+
+    /// Waits up to `wait` for those that changed after `cursor`.
+    fn changes(
+        &self,
+        cursor: Cursor,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Batch, SourceError>>;
+
+    /// Writes one in place of what has this version, or of nothing if that is 0; false when it has
+    /// another by now.
+    fn keep(&self, hold: &Hold, over: Cursor) -> impl Future<Output = Result<bool, SourceError>>;
+}
+
+/// What this node knows of what is kept.
+#[derive(Default)]
+struct Known {
+    rows: HashMap<Content, Kept>,
+    cursor: Cursor,
+}
+
+impl Known {
+    fn take(&mut self, node: &Node, batch: Batch) {
+        self.cursor = self.cursor.max(batch.cursor);
+        for kept in batch.kept {
+            node.hear_finding(&kept.hold.finding, "the platform");
+            self.rows.insert(kept.hold.finding.content, kept);
+        }
+        node.wake_gossip();
+    }
+
+    /// Returns the next finding that this node has to write, and over which version.
+    fn due(&self, node: &Node) -> Option<(Hold, Cursor)> {
+        let state = node.state.borrow();
+        if !is_keeper(&state) {
+            return None;
+        }
+        let is_due = |finding: &&Finding| match self.rows.get(&finding.content) {
+            Some(kept) => {
+                let kept = &kept.hold.finding;
+                kept.epoch < finding.epoch || kept.is_held() != finding.is_held()
+            }
+            None => finding.is_held(),
+        };
+        let finding = state.quarantine.all().find(is_due)?.clone();
+        let over = self.rows.get(&finding.content).map_or(0, |kept| kept.version);
+        let written_by = state.settings.node_id.clone();
+        Some((Hold { finding, written_by, at_unix_ms: unix_ms() }, over))
+    }
+}
+
+/// Returns true when this node is the one that writes findings and waits for an operator's word.
+fn is_keeper(state: &State) -> bool {
+    record::is_recorder(state, Duration::ZERO) && !state.roster.store_is_away()
+}
+
+/// Returns true when a node that has just started must read what is kept: it reads the platform
+/// itself, and not all of the fleet starts for the first time.
+fn reads_at_start(state: &State) -> bool {
+    !state.settings.first_start && state.direct && state.is_in_step()
+}
+
+/// Keeps findings forever.
+pub async fn run<H: Holds>(holds: H, node: Rc<Node>) {
+    let mut known: Option<Known> = None;
+    loop {
+        monoio::time::sleep(LOOK).await;
+        let (is_keeper, holds_any, must_read) = {
+            let state = node.state.borrow();
+            let holds_any = state.quarantine.held().next().is_some();
+            (is_keeper(&state), holds_any, known.is_none() && reads_at_start(&state))
+        };
+        let done = match &mut known {
+            None if must_read || (is_keeper && holds_any) => {
+                let read = holds.all().await;
+                read.map(|batch| known.insert(Known::default()).take(&node, batch))
+            }
+            Some(known) if is_keeper && (holds_any || known.due(&node).is_some()) => {
+                match keep_or_wait(&holds, &node, known).await {
+                    // Somebody else wrote, or the history is gone: everything is read again.
+                    Ok(true) => Ok(()),
+                    Ok(false) | Err(SourceError::HistoryGone) => holds.all().await.map(|batch| {
+                        *known = Known::default();
+                        known.take(&node, batch);
+                    }),
+                    Err(err) => Err(err),
+                }
+            }
+            _ => Ok(()),
+        };
+        if let Err(err) = done {
+            trace::Line::new("holds_failed").field("error", err.to_string()).log();
+            monoio::time::sleep(RETRY).await;
+        }
+    }
+}
+
+/// Writes what is due, or waits for changes; false when what is kept must be read again.
+async fn keep_or_wait<H: Holds>(
+    holds: &H,
+    node: &Node,
+    known: &mut Known,
+) -> Result<bool, SourceError> {
+    if let Some((hold, over)) = known.due(node) {
+        let written = holds.keep(&hold, over).await?;
+        if written {
+            trace::Line::new("hold_kept")
+                .field("content", hold.finding.content)
+                .field("held", hold.finding.is_held())
+                .log();
+            // The version of its row is not known: to write it again, it is read again.
+            let (content, version) = (hold.finding.content, Cursor::MAX);
+            known.rows.insert(content, Kept { hold, version });
+        }
+        return Ok(written);
+    }
+    let cursor = known.cursor;
+    let changes = monoio::select! {
+        changes = holds.changes(cursor, WAIT) => changes?,
+        () = until_due(node, known) => return Ok(true),
+    };
+    known.take(node, changes);
+    Ok(true)
+}
+
+/// Ends once this node has something to write, or is not the one that waits any more.
+async fn until_due(node: &Node, known: &Known) {
+    while known.due(node).is_none() && is_keeper(&node.state.borrow()) {
+        monoio::time::sleep(LOOK).await;
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,7 +7,7 @@
 //! keeps the node's beliefs in step with the platform, whatever that platform
 //! is: it is reached through the trait [`follow::Source`] only; most nodes read it
 //! through a peer ([`readers`], [`relay`]). [`record`] keeps the
-//! record of configurations. [`gossip`] knows the other entry nodes, [`directory`] tells callers which of them to
+//! record of configurations, [`holds`] which requests are held back since they crash upstreams. [`gossip`] knows the other entry nodes, [`directory`] tells callers which of them to
 //! use, [`status`] tells operators what the node believes, [`stop`] ends the process without cutting a request.
 //!
 //! All tasks run on one thread. What the request path reads is one
@@ -19,6 +19,7 @@
 pub mod follow;
 pub mod forward;
 pub mod gossip;
+pub mod holds;
 pub mod metrics;
 pub mod probe;
 pub mod readers;
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -40,6 +40,8 @@
     pub peers: BTreeMap<SocketAddr, PeerStatus>,
     /// Upstreams by service.
     pub upstreams: BTreeMap<SmolStr, Vec<UpstreamStatus>>,
+    /// What is known of requests that crashed upstreams, those that are held back first.
+    pub crashing: Vec<quarantine::Finding>,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -130,6 +132,7 @@
             in_flight: state.in_flight,
             peers: state.peers.iter().map(peer).collect(),
             upstreams: upstreams.collect(),
+            crashing: state.quarantine.findings().into_iter().cloned().collect(),
             counters: state.counters,
         }
     }
--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -110,3 +110,191 @@
         assert!(crashing.borrow().iter().filter(late).count() > 10, "it went on coming");
     });
 }
+
+/// Stops the test as soon as something holds.
+async fn until(what: &str, within: Duration, holds: impl Fn() -> bool) {
+    let began = std::time::Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < within, "{what}");
+        monoio::time::sleep(ms(10)).await;
+    }
+}
+
+/// Has a cluster hold the request back, by making it again and again.
+async fn hold_back(cluster: &Rc<Cluster>) {
+    let done = Rc::new(Cell::new(false));
+    call(cluster, "/get/crash", true, ms(120), &done);
+    until("all nodes hold it back", ms(5_000), || cluster.all_hold_back(1)).await;
+    done.set(true);
+}
+
+/// A request that is held back is refused at once and truly, with a time to come back that does not
+/// make it come again each second; another one of the same caller and route is served.
+#[test]
+fn a_request_that_is_held_back_is_refused_at_once() {
+    run(async {
+        let cluster = Cluster::start(90, 3, 8, "crash");
+        monoio::time::sleep(JOINED).await;
+        hold_back(&cluster).await;
+        monoio::time::sleep(ms(500)).await;
+        let reached = cluster.seen.borrow().arrivals.len();
+        for front in &cluster.fronts {
+            let mut caller = super::fake::Caller::connect(*front).await;
+            let began = std::time::Instant::now();
+            let got = caller.ask(&super::fake::get("/get/crash", "c")).await;
+            assert!(began.elapsed() < ms(50), "at once");
+            let after = got.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
+            assert!(got.status == 503 && after.is_some_and(|s: f64| s > 60.0), "{got:?}");
+            let got = caller.ask(&super::fake::get("/get/crosh", "d")).await;
+            assert_eq!(got.status, 200, "{got:?}");
+        }
+        assert_eq!(cluster.seen.borrow().arrivals.len(), reached);
+        let refused =
+            |node: &Rc<crate::forward::Node>| node.state.borrow().counters.refused_crashing;
+        assert!(cluster.nodes.iter().all(|node| refused(node) > 0));
+    });
+}
+
+/// Callers of a popular request are refused for minutes although it never did anything: half of the
+/// upstreams ended at once, each of them was running a copy of it, and copies sent since ran at others
+/// that ended a moment later. Copies that were sent before the first end was known are no evidence of
+/// their own, and each answer clears the request.
+#[test]
+fn a_popular_request_outlives_the_end_of_half_of_the_upstreams() {
+    run(async {
+        let cluster = Cluster::start(91, 4, 12, "crash");
+        monoio::time::sleep(JOINED).await;
+        let done = Rc::new(Cell::new(false));
+        let popular = call(&cluster, "/get/popular/long", true, ms(15), &done);
+        monoio::time::sleep(ms(600)).await;
+        cluster.end_some(6);
+        monoio::time::sleep(ms(120)).await;
+        cluster.end_some(3);
+        // The copies under way by then have ended.
+        let settled = std::time::Instant::now() + ms(300);
+        monoio::time::sleep(ms(1_500)).await;
+        done.set(true);
+        monoio::time::sleep(ms(600)).await;
+        assert!(cluster.all_hold_back(0));
+        let popular = popular.borrow();
+        let later: Vec<u16> =
+            popular.iter().filter(|asked| asked.at > settled).map(|asked| asked.status).collect();
+        assert!(later.len() > 50 && later.iter().all(|status| *status == 200), "{later:?}");
+    });
+}
+
+/// Callers whose requests ran beside the crashing one are refused for minutes: they were lost at three
+/// upstreams one after the other, since all nodes sent what was lost on to the same upstream, the one
+/// that crashed next.
+#[test]
+fn requests_that_ran_beside_a_crashing_one_are_not_held_back() {
+    run(async {
+        let cluster = Cluster::start(92, 4, 8, "crash");
+        monoio::time::sleep(JOINED).await;
+        let done = Rc::new(Cell::new(false));
+        let beside = call(&cluster, "/get/beside/long", false, ms(10), &done);
+        monoio::time::sleep(ms(600)).await;
+        hold_back(&cluster).await;
+        monoio::time::sleep(ms(1_500)).await;
+        done.set(true);
+        monoio::time::sleep(ms(600)).await;
+        assert!(cluster.all_hold_back(1), "the crashing one alone");
+        assert!(beside.borrow().len() > 100);
+    });
+}
+
+/// A node that started after the others knew, or was cut off meanwhile, sends the request on and three
+/// more upstreams crash: it never heard of what was told before.
+#[test]
+fn a_node_that_joins_late_holds_back_what_the_others_do() {
+    run(async {
+        let cluster = Cluster::start(93, 4, 8, "crash");
+        monoio::time::sleep(JOINED).await;
+        hold_back(&cluster).await;
+        // News is not told any more by then.
+        monoio::time::sleep(ms(6_000)).await;
+        let late = cluster.join_another();
+        let knows = || late.state.borrow().quarantine.held().count() == 1;
+        until("it is told", ms(3_000), knows).await;
+    });
+}
+
+/// All nodes are restarted at the same moment and the request crashes three more upstreams, after each
+/// restart anew: what only nodes knew is gone with them.
+#[test]
+fn a_restart_of_all_nodes_forgets_nothing_that_is_held_back() {
+    run(async {
+        let platform = super::crashing::Platform::default();
+        let cluster = Cluster::start(94, 3, 8, "crash");
+        cluster.nodes.iter().for_each(|node| platform.serve(node));
+        monoio::time::sleep(JOINED).await;
+        hold_back(&cluster).await;
+        until("it is kept", ms(3_000), || platform.kept.borrow().len() == 1).await;
+        monoio::time::sleep(ms(1_000)).await;
+        // Each node reads at its start, one writes and is told its own row, then waits.
+        assert_eq!(platform.calls.get(), 3 + 1 + 2);
+
+        let after = Cluster::start(95, 3, 8, "crash");
+        after.nodes.iter().for_each(|node| platform.serve(node));
+        until("all nodes know again", ms(3_000), || after.all_hold_back(1)).await;
+
+        let mut finding = platform.kept.borrow()[0].hold.finding.clone();
+        finding = finding.cleared(finding.until_unix_ms);
+        platform.put(finding);
+        until("an operator lifts it", ms(3_000), || after.all_hold_back(0)).await;
+    });
+}
+
+/// While nothing is held back, what is kept costs no call.
+#[test]
+fn what_is_kept_costs_no_call_while_nothing_is_held_back() {
+    run(async {
+        let platform = super::crashing::Platform::default();
+        let cluster = Cluster::start(96, 3, 4, "crash");
+        for node in &cluster.nodes {
+            node.state.borrow_mut().settings.first_start = true;
+            platform.serve(node);
+        }
+        monoio::time::sleep(ms(1_500)).await;
+        assert_eq!(platform.calls.get(), 0);
+    });
+}
+
+/// Callers are refused for minutes since some upstream loses answers: it closes connections under the
+/// same request again and again, and serves all others. Nothing crashed there.
+#[test]
+fn lost_answers_hold_nothing_back() {
+    run(async {
+        let upstream = super::fake::Upstream::start(vec![vec![super::fake::Act::Close]]);
+        let other = super::fake::Upstream::start(vec![vec![super::fake::Act::Close]]);
+        let entered = super::fake::start(&[&upstream, &other]);
+        for n in 0..6 {
+            let mut caller = super::fake::Caller::connect(entered.addr).await;
+            let got = caller.ask(&super::fake::get("/get/1", &n.to_string())).await;
+            assert_eq!(got.status, 502, "it may have run");
+        }
+        let state = entered.node.state.borrow();
+        assert!(state.quarantine.is_empty());
+        assert_eq!(state.counters.upstreams_ended, 0);
+    });
+}
+
+/// A request is held back since it was cut three times when upstreams ended as planned: they had been
+/// let go before, and ended while they still worked on it.
+#[test]
+fn an_upstream_that_was_let_go_before_it_ends_is_no_evidence() {
+    run(async {
+        let cluster = Cluster::start(97, 1, 2, "crash");
+        let done = Rc::new(Cell::new(false));
+        let long = call(&cluster, "/get/popular/long", true, ms(60), &done);
+        monoio::time::sleep(ms(150)).await;
+        cluster.let_all_go();
+        monoio::time::sleep(ms(20)).await;
+        cluster.end_some(2);
+        monoio::time::sleep(ms(300)).await;
+        done.set(true);
+        assert!(long.borrow().iter().any(|asked| asked.status != 200));
+        let state = cluster.nodes[0].state.borrow();
+        assert!(state.quarantine.is_empty(), "{:?}", state.quarantine.findings());
+    });
+}
--- a/crates/edge/src/tests/crashing.rs
+++ b/crates/edge/src/tests/crashing.rs
@@ -14,9 +14,11 @@
 use web::h1;
 
 use super::fake::{metrics, ms, settings, table, Caller};
+use crate::follow::{Cursor, SourceError};
 use crate::forward::Node;
-use crate::state::State;
-use crate::{follow, gossip, serve};
+use crate::holds::{Hold, Holds, Kept};
+use crate::state::{self, State};
+use crate::{follow, gossip, holds, serve};
 
 /// Slots of each upstream: so many requests a crash can take with it.
 pub const SLOTS: usize = 4;
@@ -25,6 +27,9 @@
 const CRASHES_AFTER: Duration = Duration::from_millis(60);
 const WORKS_FOR: Duration = Duration::from_millis(25);
 
+/// The same for paths that end in `long`.
+const WORKS_LONG_FOR: Duration = Duration::from_millis(200);
+
 /// Time after which a crashed upstream is back at its address, under another id.
 const BACK_AFTER: Duration = Duration::from_millis(300);
 
@@ -70,16 +75,18 @@
     /// Part of the path of requests that crash whichever upstream runs them.
     crashing: &'static str,
     started: Cell<u32>,
+    lives: RefCell<Vec<Rc<Life>>>,
+    /// First three numbers of the nodes' addresses.
+    net: u8,
 }
 
 impl Cluster {
     /// Starts `nodes` nodes on addresses 127.0.`net`.1 and on, before `upstreams` upstreams.
     pub fn start(net: u8, nodes: u8, upstreams: usize, crashing: &'static str) -> Rc<Cluster> {
-        let at = |n: u8| SocketAddr::from(([127, 0, net, n + 1], PEER_PORT));
-        let started = (0..nodes).map(|n| start_node(at(n), at(0)));
+        let started = (0..nodes).map(|n| start_node(addr(net, n), addr(net, 0)));
         let (nodes, fronts) = started.unzip();
-        let (seen, started) = (RefCell::default(), Cell::new(0));
-        let cluster = Rc::new(Cluster { nodes, fronts, seen, crashing, started });
+        let (seen, started, lives) = Default::default();
+        let cluster = Rc::new(Cluster { nodes, fronts, seen, crashing, started, lives, net });
         for _ in 0..upstreams {
             cluster.start_upstream("127.0.0.1:0".parse().expect("an address"));
         }
@@ -105,8 +112,10 @@
         };
         self.tell(Event::Put(entry));
         let (cluster, life) = (self.clone(), Rc::new(life));
+        self.lives.borrow_mut().push(life.clone());
         monoio::spawn(async move {
             cluster.live(listener, &life).await;
+            cluster.lives.borrow_mut().retain(|other| !Rc::ptr_eq(other, &life));
             monoio::time::sleep(BACK_AFTER).await;
             cluster.tell(Event::Gone(life.id.as_str().into()));
             cluster.start_upstream(addr);
@@ -169,7 +178,8 @@
                 life.end();
                 return;
             }
-            monoio::time::sleep(WORKS_FOR).await;
+            let is_long = head.path().contains("long");
+            monoio::time::sleep(if is_long { WORKS_LONG_FOR } else { WORKS_FOR }).await;
             life.running.set(life.running.get() - 1);
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 5\r\n\r\nbeans"
@@ -180,12 +190,97 @@
         }
     }
 
+    /// Has so many upstreams end by themselves.
+    pub fn end_some(&self, count: usize) {
+        self.lives.borrow().iter().take(count).for_each(|life| life.end());
+    }
+
+    /// Has the list say of all upstreams that they leave.
+    pub fn let_all_go(&self) {
+        let ids: Vec<String> = self.lives.borrow().iter().map(|life| life.id.clone()).collect();
+        ids.iter().for_each(|id| self.tell(Event::Gone(id.as_str().into())));
+    }
+
+    /// Starts one more node, which knows of no upstreams.
+    pub fn join_another(&self) -> Rc<Node> {
+        let number = self.nodes.len() as u8;
+        start_node(addr(self.net, number), addr(self.net, 0)).0
+    }
+
+    /// Returns true when each node holds back so many requests.
+    pub fn all_hold_back(&self, count: usize) -> bool {
+        let held = |node: &Rc<Node>| node.state.borrow().quarantine.held().count();
+        self.nodes.iter().all(|node| held(node) == count)
+    }
+
     /// Returns when the third crash happened, once it has.
     pub fn third_crash(&self) -> Option<Instant> {
         self.seen.borrow().crashes.get(2).copied()
     }
 }
 
+fn addr(net: u8, node: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, net, node + 1], PEER_PORT))
+}
+
+/// A platform that keeps findings and counts the calls.
+#[derive(Clone, Default)]
+pub struct Platform {
+    pub kept: Rc<RefCell<Vec<Kept>>>,
+    pub calls: Rc<Cell<u32>>,
+    version: Rc<Cell<Cursor>>,
+}
+
+impl Platform {
+    /// Has a node keep what it finds here, as one that reads the platform itself.
+    pub fn serve(&self, node: &Rc<Node>) {
+        {
+            let state = &mut *node.state.borrow_mut();
+            state.direct = true;
+            state.config_seen = state::Seen { up_to: 7, newest: 7, read: true };
+            state.list_seen = state.config_seen;
+        }
+        monoio::spawn(holds::run(self.clone(), node.clone()));
+    }
+
+    /// Writes a finding, as an operator does.
+    pub fn put(&self, finding: quarantine::Finding) {
+        self.version.set(self.version.get() + 1);
+        let hold = Hold { finding, written_by: "ana".into(), at_unix_ms: 0 };
+        let kept = Kept { hold, version: self.version.get() };
+        *self.kept.borrow_mut() = vec![kept];
+    }
+
+    fn batch(&self) -> holds::Batch {
+        holds::Batch { kept: self.kept.borrow().clone(), cursor: self.version.get() }
+    }
+}
+
+impl Holds for Platform {
+    async fn all(&self) -> Result<holds::Batch, SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        Ok(self.batch())
+    }
+
+    async fn changes(&self, cursor: Cursor, wait: Duration) -> Result<holds::Batch, SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        let began = Instant::now();
+        while self.version.get() == cursor && began.elapsed() < wait {
+            monoio::time::sleep(ms(10)).await;
+        }
+        Ok(self.batch())
+    }
+
+    async fn keep(&self, hold: &Hold, over: Cursor) -> Result<bool, SourceError> {
+        self.calls.set(self.calls.get() + 1);
+        let is_free = over == 0 && self.kept.borrow().is_empty();
+        if is_free {
+            self.put(hold.finding.clone());
+        }
+        Ok(is_free)
+    }
+}
+
 fn start_node(at: SocketAddr, seed: SocketAddr) -> (Rc<Node>, SocketAddr) {
     let mut settings = settings();
     settings.peer_addr = at;
