--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -25,6 +25,8 @@
 use route::{Route, ServiceName};
 use web::h1;
 
+#[cfg(test)]
+pub(crate) use self::content::of as content_of;
 pub use self::send::CONNECT_TIMEOUT;
 
 use self::call::Call;
--- a/crates/edge/src/forward/content.rs
+++ b/crates/edge/src/forward/content.rs
@@ -11,7 +11,7 @@
 ///
 /// Its id and its deadline are new with each attempt, and from where it is sent says little of who
 /// asks. `body` is its body as far as it was received before it was sent on.
-pub(super) fn of(head: &h1::RequestHead, body: &[u8]) -> Content {
+pub(crate) fn of(head: &h1::RequestHead, body: &[u8]) -> Content {
     let line = [head.method.as_str(), head.host.as_str(), head.target.as_str()].map(str::as_bytes);
     let caller = web::credentials(&head.headers);
     let length = match head.framing {
--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -2,10 +2,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use super::crashing::{ask, Asked, Cluster, SLOTS};
-use super::fake::{ms, run};
+use quarantine::{Ledger, Start};
+use web::h1;
+
+use super::crashing::{ask, Asked, Cluster, Platform, SLOTS};
+use super::fake::{get, ms, run, start, Act, Caller, Upstream};
+use crate::forward::{content_of, Node};
 
 /// Time in which all nodes must know of a request that has crashed its third upstream.
 const KNOWN_WITHIN: Duration = Duration::from_millis(3_000);
@@ -113,7 +117,7 @@
 
 /// Stops the test as soon as something holds.
 async fn until(what: &str, within: Duration, holds: impl Fn() -> bool) {
-    let began = std::time::Instant::now();
+    let began = Instant::now();
     while !holds() {
         assert!(began.elapsed() < within, "{what}");
         monoio::time::sleep(ms(10)).await;
@@ -139,18 +143,17 @@
         monoio::time::sleep(ms(500)).await;
         let reached = cluster.seen.borrow().arrivals.len();
         for front in &cluster.fronts {
-            let mut caller = super::fake::Caller::connect(*front).await;
-            let began = std::time::Instant::now();
-            let got = caller.ask(&super::fake::get("/get/crash", "c")).await;
+            let mut caller = Caller::connect(*front).await;
+            let began = Instant::now();
+            let got = caller.ask(&get("/get/crash", "c")).await;
             assert!(began.elapsed() < ms(50), "at once");
             let after = got.headers.get("retry-after").and_then(|v| v.to_str().ok()?.parse().ok());
             assert!(got.status == 503 && after.is_some_and(|s: f64| s > 60.0), "{got:?}");
-            let got = caller.ask(&super::fake::get("/get/crosh", "d")).await;
+            let got = caller.ask(&get("/get/crosh", "d")).await;
             assert_eq!(got.status, 200, "{got:?}");
         }
         assert_eq!(cluster.seen.borrow().arrivals.len(), reached);
-        let refused =
-            |node: &Rc<crate::forward::Node>| node.state.borrow().counters.refused_crashing;
+        let refused = |node: &Rc<Node>| node.state.borrow().counters.refused_crashing;
         assert!(cluster.nodes.iter().all(|node| refused(node) > 0));
     });
 }
@@ -171,7 +174,7 @@
         monoio::time::sleep(ms(120)).await;
         cluster.end_some(3);
         // The copies under way by then have ended.
-        let settled = std::time::Instant::now() + ms(300);
+        let settled = Instant::now() + ms(300);
         monoio::time::sleep(ms(1_500)).await;
         done.set(true);
         monoio::time::sleep(ms(600)).await;
@@ -224,7 +227,7 @@
 #[test]
 fn a_restart_of_all_nodes_forgets_nothing_that_is_held_back() {
     run(async {
-        let platform = super::crashing::Platform::default();
+        let platform = Platform::default();
         let cluster = Cluster::start(94, 3, 8, "crash");
         cluster.nodes.iter().for_each(|node| platform.serve(node));
         monoio::time::sleep(JOINED).await;
@@ -249,7 +252,7 @@
 #[test]
 fn what_is_kept_costs_no_call_while_nothing_is_held_back() {
     run(async {
-        let platform = super::crashing::Platform::default();
+        let platform = Platform::default();
         let cluster = Cluster::start(96, 3, 4, "crash");
         for node in &cluster.nodes {
             node.state.borrow_mut().settings.first_start = true;
@@ -265,12 +268,12 @@
 #[test]
 fn lost_answers_hold_nothing_back() {
     run(async {
-        let upstream = super::fake::Upstream::start(vec![vec![super::fake::Act::Close]]);
-        let other = super::fake::Upstream::start(vec![vec![super::fake::Act::Close]]);
-        let entered = super::fake::start(&[&upstream, &other]);
+        let upstream = Upstream::start(vec![vec![Act::Close]]);
+        let other = Upstream::start(vec![vec![Act::Close]]);
+        let entered = start(&[&upstream, &other]);
         for n in 0..6 {
-            let mut caller = super::fake::Caller::connect(entered.addr).await;
-            let got = caller.ask(&super::fake::get("/get/1", &n.to_string())).await;
+            let mut caller = Caller::connect(entered.addr).await;
+            let got = caller.ask(&get("/get/1", &n.to_string())).await;
             assert_eq!(got.status, 502, "it may have run");
         }
         let state = entered.node.state.borrow();
@@ -298,3 +301,67 @@
         assert!(state.quarantine.is_empty(), "{:?}", state.quarantine.findings());
     });
 }
+
+/// The same for requests that must not run twice, which no node and no caller sends again by itself, and for
+/// bodies that are still coming in when they are sent on: each return is a request of its own.
+#[yare::parameterized(
+    claims = { 98, 4 },
+    long_bodies = { 99, 200 * 1024 },
+)]
+fn what_is_never_sent_again_is_held_back_too(net: u8, body_bytes: usize) {
+    run(async {
+        let cluster = Cluster::start(net, 3, 8, "crash");
+        monoio::time::sleep(JOINED).await;
+        let claim = |n: usize| {
+            format!(
+                "POST /post/crash HTTP/1.1\r\nHost: seeds.example\r\nx-id: {n}\r\nx-deadline: 500\r\n\
+                 Content-Length: {body_bytes}\r\n\r\n{}",
+                "x".repeat(body_bytes)
+            )
+        };
+        let mut last = 0;
+        for n in 0..14 {
+            let mut caller = Caller::connect(cluster.fronts[n % 3]).await;
+            last = caller.ask(&claim(n)).await.status;
+            monoio::time::sleep(ms(100)).await;
+        }
+        assert_eq!(last, 503, "told that it has not run");
+        assert!(cluster.all_hold_back(1));
+        // A first crash is told to others after 0.4 s: until then each node may see one of its own.
+        let crashed = cluster.seen.borrow().crashes.len();
+        assert!((3..=6).contains(&crashed), "{crashed} crashed");
+    });
+}
+
+/// A request that waits at the node for room crashes one more upstream: it came before the word that holds
+/// it back, and was sent when a slot was free.
+#[test]
+fn what_waits_for_room_is_refused_when_the_word_comes() {
+    run(async {
+        let cluster = Cluster::start(87, 1, 1, "crash");
+        let node = cluster.nodes[0].clone();
+        let load =
+            place::Load { running: SLOTS as u32, waiting: 1, slots: SLOTS as u32, slowness: 1.0 };
+        let upstream = node.state.borrow().pools["desk"].upstreams()[0].incarnation.clone();
+        let mut state = node.state.borrow_mut();
+        let pool = state.pools.get_mut("desk").expect("a pool");
+        pool.take_report(&upstream, Some(load), Instant::now());
+        drop(state);
+        let mut caller = Caller::connect(cluster.fronts[0]).await;
+        caller.write(&get("/get/crash", "1")).await;
+        monoio::time::sleep(ms(4)).await;
+        let mut other = Ledger::default();
+        let head = get("/get/crash", "2");
+        let (head, _) =
+            h1::parse_request(head.as_bytes(), 4_096).expect("a request").expect("whole");
+        let content = content_of(&head, &[]);
+        for n in 0..3 {
+            let known = other.known(content);
+            other.crashed(content, known, Start::of("u", n), crate::unix_ms());
+        }
+        let finding = other.held().next().expect("it is held back").clone();
+        node.hear_finding(&finding, "a peer");
+        let got = caller.read().await.expect("an answer");
+        assert_eq!((got.status, cluster.seen.borrow().arrivals.len()), (503, 0));
+    });
+}
--- a/crates/edge/src/tests/crashing.rs
+++ b/crates/edge/src/tests/crashing.rs
@@ -155,7 +155,7 @@
         let (mut reader, mut writer) = (h1::Reader::new(read), h1::Writer::new(write));
         while let Ok(head) = reader.request_head(64 * 1024).await {
             let mut decoder = h1::Decoder::new(head.framing);
-            if reader.body(&mut decoder, 64 * 1024).await.is_err() {
+            if reader.body(&mut decoder, 1024 * 1024).await.is_err() {
                 return;
             }
             let text = |name: &str| {
--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -1,5 +1,6 @@
 //! Members against each other over a small fake network with loss, cuts and pauses.
 
+mod findings;
 mod large;
 
 use std::collections::BTreeSet;
@@ -32,6 +33,8 @@
     /// Datagrams that came while paused: the socket buffer keeps them.
     waiting: Vec<(SocketAddr, Packet)>,
     heard: Vec<Event>,
+    /// What it knows of requests that crash upstreams.
+    ledger: quarantine::Ledger,
 }
 
 struct Net {
@@ -84,7 +87,8 @@
         let mut members =
             Members::new(addr(index), self.zone(index), incarnation, Timing::default(), rng);
         members.set_listed((0..count).map(|i| (addr(i), self.zone(i))));
-        Node { members, running: true, paused: false, waiting: Vec::new(), heard: Vec::new() }
+        let (waiting, heard, ledger) = Default::default();
+        Node { members, running: true, paused: false, waiting, heard, ledger }
     }
 
     fn zone(&self, index: usize) -> SmolStr {
@@ -147,12 +151,37 @@
                 }
                 out.extend(self.nodes[index].members.tick(now));
                 let events = self.nodes[index].members.take_events();
+                out.extend(self.take_findings(index, &events));
                 self.nodes[index].heard.extend(events);
                 self.send(index, out);
             }
         }
     }
 
+    /// Has a node take what it heard of requests that crash upstreams, and tell what is news.
+    fn take_findings(&mut self, index: usize, events: &[Event]) -> Vec<Outgoing> {
+        let unix_ms = (self.now - self.start).as_millis() as u64;
+        let Node { members, ledger, .. } = &mut self.nodes[index];
+        let mut out = Vec::new();
+        for event in events {
+            match event {
+                Event::Finding(finding) => {
+                    let known = ledger.hear(finding, unix_ms);
+                    known.into_iter().for_each(|known| ledger.pass_on(known));
+                }
+                Event::Differs { addr, held_digest } => {
+                    let known = ledger.to_tell_a_peer(*held_digest);
+                    out.extend(members.tell_all(*addr, known, self.now));
+                }
+                _ => {}
+            }
+        }
+        let news = ledger.take_news(unix_ms);
+        members.set_held_digest(ledger.digest());
+        out.extend(news.into_iter().flat_map(|finding| members.spread(finding)));
+        out
+    }
+
     /// Returns what running node `at` believes of node `of`.
     fn view(&self, at: usize, of: usize) -> Option<Standing> {
         self.nodes[at].members.standing(addr(of))
