tests: the choice apart is seen failing without it

One upstream now looks best to all: without the choice apart all three suspected requests run there, with it one at each.

--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -353,6 +353,14 @@
             let known = ledger.known(content(path));
             ledger.crashed(content(path), known, Start::of("u", 1), crate::unix_ms());
         }
+        // One looks best to all of them.
+        for (index, slowness) in [(0, 1.0), (1, 2.0), (2, 2.0)] {
+            let state = &mut *cluster.nodes[0].state.borrow_mut();
+            let pool = state.pools.get_mut("desk").expect("a pool");
+            let upstream = pool.upstreams()[index].incarnation.clone();
+            let load = place::Load { running: 0, waiting: 0, slots: SLOTS as u32, slowness };
+            pool.take_report(&upstream, Some(load), Instant::now());
+        }
         let mut callers = Vec::new();
         for path in paths {
             let mut caller = Caller::connect(cluster.fronts[0]).await;
