edge: a request that waits for room is refused as soon as the word comes; explain by what a request asks

What waited at the node was held until there was room and refused only then. The word is looked for before each choice and each look, in one place. Found by removing a guard that no test missed. oatcove explain takes the key of what a request asks too, and tells why it was held back.

--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -85,6 +85,10 @@
     NoUpstream,
     /// Nobody waits for the answer any more.
     CallerLeft,
+    /// It crashes upstreams.
+    HeldBack {
+        come_back: Duration,
+    },
     /// The best one would answer too late.
     Refused {
         come_back: Duration,
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -46,16 +46,19 @@
         tried: &[Incarnation],
         patience: Patience,
     ) -> Result<Choice, NoChoice> {
+        self.not_held_back(call)?;
         let mut ranked = self.ask_and_rank(call, tried, ASK_ROUNDS, ASK_NEW).await;
         let mut looks = 0;
         loop {
             let may_look = (patience == Patience::Waits).then_some(looks);
-            // It may have left while upstreams were asked, or while the request waited.
+            // The word that holds it back may come while upstreams are asked, or while it waits.
+            let verdict = self.not_held_back(call)?;
+            // Its caller may have left meanwhile.
             if call.caller_left.get() {
                 return Err(NoChoice::CallerLeft);
             }
             let mut best = ranked.first().ok_or(NoChoice::NoUpstream)?;
-            if self.verdict(call) == quarantine::Verdict::Apart {
+            if verdict == quarantine::Verdict::Apart {
                 best = self.apart(call, &ranked).unwrap_or(best);
             }
             match self.judge(call, best, may_look) {
--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -6,7 +6,7 @@
 use place::{Candidate, Incarnation};
 use quarantine::{Content, Finding, Known, Lost, Start, Verdict};
 
-use super::call::Call;
+use super::call::{Call, NoChoice};
 use super::ends::start_of;
 use super::Node;
 use crate::state::Shared;
@@ -43,15 +43,12 @@
         }
     }
 
-    /// Returns when to come back for a request that is not to be sent; `None` for others.
-    pub(super) fn held_back(&self, call: &Call<'_>) -> Option<Duration> {
-        let Verdict::Refused(come_back) = self.verdict(call) else { return None };
-        self.state.borrow_mut().counters.refused_crashing += 1;
-        call.line("refused")
-            .field("reason", "crashes upstreams")
-            .field("come_back_ms", as_ms(come_back))
-            .log();
-        Some(come_back)
+    /// Returns what is to be done with a request that may be sent.
+    pub(super) fn not_held_back(&self, call: &Call<'_>) -> Result<Verdict, NoChoice> {
+        match self.verdict(call) {
+            Verdict::Refused(come_back) => Err(NoChoice::HeldBack { come_back }),
+            verdict => Ok(verdict),
+        }
     }
 
     /// Returns true for a request that has crashed upstreams one after the other.
--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -87,17 +87,10 @@
         let mut tried = Tried::default();
         let mut so_far = SoFar::NotRun;
         loop {
-            // Before it waits for room, and after.
-            if let Some(come_back) = self.held_back(call) {
-                return give_up(so_far, come_back);
-            }
             let choice = match self.choose(call, &tried.upstreams, Patience::Waits).await {
                 Ok(choice) => choice,
                 Err(why) => return self.no_choice(call, table, why, so_far),
             };
-            if let Some(come_back) = self.held_back(call) {
-                return give_up(so_far, come_back);
-            }
             if tried.upstreams.is_empty() {
                 self.state.borrow_mut().first_send(&call.service);
             } else if tried.arrived > 0 && !self.state.borrow_mut().second_send(&call.service) {
@@ -134,6 +127,10 @@
         let line = call.line("refused").field("config", table.version);
         let (line, come_back) = match why {
             NoChoice::CallerLeft => return give_up(so_far, COME_BACK),
+            NoChoice::HeldBack { come_back } => {
+                self.state.borrow_mut().counters.refused_crashing += 1;
+                (line.field("reason", "crashes upstreams"), come_back)
+            }
             NoChoice::NoUpstream => (line.field("reason", "no upstream"), COME_BACK_NOT_READY),
             NoChoice::Refused { come_back, best, predicted, wait, report_age } => {
                 let line = line
@@ -237,16 +234,10 @@
         reader: &mut h1::Reader,
         decoder: &mut h1::Decoder,
     ) -> Reply {
-        if let Some(come_back) = self.held_back(call) {
-            return give_up(SoFar::NotRun, come_back);
-        }
         let choice = match self.choose(call, &[], Patience::Waits).await {
             Ok(choice) => choice,
             Err(why) => return self.no_choice(call, table, why, SoFar::NotRun),
         };
-        if let Some(come_back) = self.held_back(call) {
-            return give_up(SoFar::NotRun, come_back);
-        }
         self.state.borrow_mut().first_send(&call.service);
         let chunked = !matches!(call.head.framing, h1::Framing::Length(_));
         let (framing, first) = match call.head.framing {
--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -1,6 +1,7 @@
 //! Requests that crash every upstream that runs them.
 
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +9,7 @@
 use web::h1;
 
 use super::crashing::{ask, Asked, Cluster, Platform, SLOTS};
-use super::fake::{get, ms, run, start, Act, Caller, Upstream};
+use super::fake::{get, ms, run, start, up, Act, Caller, Upstream};
 use crate::forward::{content_of, Node};
 
 /// Time in which all nodes must know of a request that has crashed its third upstream.
@@ -282,6 +283,23 @@
     });
 }
 
+/// A request is held back though nothing crashed: its answer was lost in a cut, and connections to the
+/// upstream were not made in time. Only an address that refuses connections is one of a process that has ended.
+#[test]
+fn an_upstream_that_cannot_be_reached_has_not_crashed() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![Act::Close]]);
+        let entered = start(&[&upstream]);
+        let mut caller = Caller::connect(entered.addr).await;
+        assert_eq!(caller.ask(&get("/get/1", "1")).await.status, 502);
+        let knows_any = || !entered.node.state.borrow().quarantine.is_empty();
+        entered.node.unconnected(&up("u0"), &io::ErrorKind::TimedOut.into());
+        assert!(!knows_any());
+        entered.node.unconnected(&up("u0"), &io::ErrorKind::ConnectionRefused.into());
+        assert!(knows_any());
+    });
+}
+
 /// A request is held back since it was cut three times when upstreams ended as planned: they had been
 /// let go before, and ended while they still worked on it.
 #[test]
@@ -405,7 +423,10 @@
         }
         let finding = other.held().next().expect("it is held back").clone();
         node.hear_finding(&finding, "a peer");
+        let heard_at = Instant::now();
         let got = caller.read().await.expect("an answer");
         assert_eq!((got.status, cluster.seen.borrow().arrivals.len()), (503, 0));
+        assert_eq!(node.state.borrow().counters.refused_crashing, 1);
+        assert!(heard_at.elapsed() < ms(60), "at once, not when there is room");
     });
 }
--- a/crates/oatcove/src/explain.rs
+++ b/crates/oatcove/src/explain.rs
@@ -26,7 +26,8 @@
 ];
 
 /// Events that tell of trouble with an upstream.
-const TROUBLE_EVENTS: [&str; 6] = [
+const TROUBLE_EVENTS: [&str; 7] = [
+    "upstream_ended",
     "answer_lost",
     "connect_failed",
     "probe_connect_failed",
@@ -36,13 +37,14 @@
 ];
 
 /// Returns what is known of `request`, in order: its own lines, and those about the upstreams it
-/// was sent to and about the nodes that took it, around the time.
+/// was sent to and about the nodes that took it, around the time. `request` is the id of one attempt,
+/// or the key of what a request asks (`content`): all its attempts are told then, on all nodes.
 ///
 /// `logs` holds the lines of any number of nodes; text before a line's JSON object names its node.
 /// Lines that are no JSON are passed over.
 pub fn explain(request: &str, logs: &str) -> Vec<String> {
     let lines: Vec<Line> = logs.lines().filter_map(log_line::parse).collect();
-    let own: Vec<&Line> = lines.iter().filter(|line| line.value["request"] == request).collect();
+    let own: Vec<&Line> = lines.iter().filter(|line| is_about(&line.value, request)).collect();
     let (Some(first), Some(last)) =
         (own.iter().map(|l| l.unix_ms).min(), own.iter().map(|l| l.unix_ms).max())
     else {
@@ -51,17 +53,23 @@
     let span = first.saturating_sub(CONTEXT_BEFORE_MS)..=last + CONTEXT_AFTER_MS;
     let nodes: BTreeSet<&str> = own.iter().map(|line| node(&line.prefix)).collect();
     let upstreams: BTreeSet<&str> = own.iter().flat_map(|line| upstreams(&line.value)).collect();
+    let contents: BTreeSet<&str> =
+        own.iter().filter_map(|line| line.value["content"].as_str()).collect();
     let mut story: Vec<&Line> = lines
         .iter()
         .filter(|line| {
-            let about_it = line.value["request"] == request;
+            let about_it = is_about(&line.value, request);
             let event = line.value["event"].as_str().unwrap_or_default();
             let of_node = nodes.contains(node(&line.prefix)) && NODE_EVENTS.contains(&event);
             let upstream = line.value["upstream"].as_str();
             let of_upstream = line.value["request"].is_null()
                 && nodes.contains(node(&line.prefix))
                 && upstream.is_some_and(|u| upstreams.contains(u));
-            about_it || (span.contains(&line.unix_ms) && (of_node || of_upstream))
+            // Why it was held back, or no longer, on any node and however long before.
+            let of_content = line.value["request"].is_null()
+                && line.value["content"].as_str().is_some_and(|c| contents.contains(c));
+            let in_span = span.contains(&line.unix_ms);
+            about_it || of_content || (in_span && (of_node || of_upstream))
         })
         .collect();
     story.sort_by_key(|line| line.unix_ms);
@@ -72,6 +80,13 @@
     told
 }
 
+/// Returns true for a line about `request`, by its id or by what it asks.
+fn is_about(line: &Value, request: &str) -> bool {
+    let under_way = line["under_way"].as_array().into_iter().flatten();
+    let mut contents = under_way.map(|lost| &lost["content"]).chain([&line["content"]]);
+    line["request"] == request || contents.any(|content| content == request)
+}
+
 /// Returns how other requests and nodes fared with `upstream` around the time; `None` when well.
 fn trouble_elsewhere<'a>(
     upstream: &str,
@@ -81,7 +96,7 @@
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
     for line in lines {
         let event = line.value["event"].as_str().unwrap_or_default();
-        let about = line.value["upstream"] == upstream && line.value["request"] != request;
+        let about = line.value["upstream"] == upstream && !is_about(&line.value, request);
         if about && TROUBLE_EVENTS.contains(&event) {
             *counts.entry(event).or_default() += 1;
         }
@@ -104,14 +119,16 @@
 
 fn tell(line: &Line, request: &str, first_ms: u64) -> String {
     let offset_ms = line.unix_ms as i64 - first_ms as i64;
-    let mark = if line.value["request"] == request { "*" } else { " " };
+    let mark = if is_about(&line.value, request) { "*" } else { " " };
     let event = line.value["event"].as_str().unwrap_or("?");
     let fields: Vec<String> = line
         .value
         .as_object()
         .into_iter()
         .flatten()
-        .filter(|(name, _)| !["unix_ms", "event", "request"].contains(&name.as_str()))
+        .filter(|(name, value)| {
+            !["unix_ms", "event"].contains(&name.as_str()) && value.as_str() != Some(request)
+        })
         .map(|(name, value)| format!("{name}={value}"))
         .collect();
     format!("{mark} {offset_ms:+6} ms  {}  {event}  {}", node(&line.prefix), fields.join(" "))
--- a/crates/oatcove/src/explain/tests.rs
+++ b/crates/oatcove/src/explain/tests.rs
@@ -28,3 +28,23 @@
     assert!(explain("cc", LOGS).is_empty());
     assert!(explain("aa", "").is_empty());
 }
+
+const CRASHES: &str = r#"
+node-1 {"unix_ms":1000,"event":"answer_lost","request":"aa","content":"00ab","upstream":"u1","reason":"closed without an answer","sends":[]}
+node-1 {"unix_ms":1002,"event":"upstream_ended","upstream":"u1","under_way":[{"content":"00ab","ran_ms":60},{"content":"00cd","ran_ms":5}]}
+node-2 {"unix_ms":1300,"event":"answer_lost","request":"bb","content":"00ab","upstream":"u2","reason":"closed without an answer","sends":[]}
+node-3 {"unix_ms":1400,"event":"held_back","content":"00ab","in_sequence":3,"crashed":3}
+node-3 {"unix_ms":99000,"event":"refused","request":"cc","content":"00ab","reason":"crashes upstreams","sends":[]}
+node-3 {"unix_ms":99001,"event":"refused","request":"dd","content":"00ef","reason":"would be too late","sends":[]}
+"#;
+
+/// An operator asks why a request is refused: by its id, and by what it asks.
+#[test]
+fn a_request_that_is_held_back_is_explained() {
+    let by_id = explain("cc", CRASHES).join("\n");
+    assert!(by_id.contains("held_back") && by_id.contains("crashes upstreams"), "{by_id}");
+    let by_content = explain("00ab", CRASHES);
+    let text = by_content.join("\n");
+    assert_eq!(by_content.iter().filter(|line| line.starts_with('*')).count(), 5, "{text}");
+    assert!(!text.contains("00ef") && text.contains("upstream_ended"), "{text}");
+}
