--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -10,7 +10,7 @@
 use super::ends::start_of;
 use super::Node;
 use crate::state::Shared;
-use crate::{as_ms, gossip, record, unix_ms};
+use crate::{gossip, record, unix_ms};
 
 /// A suspected request counted as under way at an upstream while this lives.
 pub(super) struct UnderWay {
--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -407,11 +407,12 @@
         let node = cluster.nodes[0].clone();
         let load =
             place::Load { running: SLOTS as u32, waiting: 1, slots: SLOTS as u32, slowness: 1.0 };
-        let upstream = node.state.borrow().pools["desk"].upstreams()[0].incarnation.clone();
-        let mut state = node.state.borrow_mut();
-        let pool = state.pools.get_mut("desk").expect("a pool");
-        pool.take_report(&upstream, Some(load), Instant::now());
-        drop(state);
+        {
+            let state = &mut *node.state.borrow_mut();
+            let pool = state.pools.get_mut("desk").expect("a pool");
+            let upstream = pool.upstreams()[0].incarnation.clone();
+            pool.take_report(&upstream, Some(load), Instant::now());
+        }
         let mut caller = Caller::connect(cluster.fronts[0]).await;
         caller.write(&get("/get/crash", "1")).await;
         monoio::time::sleep(ms(4)).await;
