edge: an upstream that is back at once under its id has crashed all the same; who tries is asked only where somebody may

A process that starts again at its address before a connection could be refused left no evidence; the list tells of its new start, which counts now. Whether this node is the one that tries a request again took a look at all peers for each request while anything was known. Failed reads of what is kept are spread up to 30 s.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -452,6 +452,14 @@
     node.subscribers.tell(&relay::Frame::changes(&node.state.borrow(), changes));
     let mut listed = Vec::new();
     for change in changes {
+        match change {
+            // It crashed if it lost requests a moment ago; its address may have taken connections
+            // again before anybody tried.
+            place::Change::Drop { upstream, why, .. } if *why == place::RESTARTED => {
+                node.has_ended(upstream);
+            }
+            place::Change::Drop { .. } | place::Change::Put(_) => {}
+        }
         let known = node.state.borrow_mut().apply_change(change, now);
         match change {
             // An upstream that warms up is told of again and again.
--- a/crates/edge/src/forward/ends.rs
+++ b/crates/edge/src/forward/ends.rs
@@ -61,8 +61,9 @@
         }
     }
 
-    /// Records that an upstream has ended: its address refuses connections, or is another's now.
-    pub(super) fn has_ended(&self, upstream: &Incarnation) {
+    /// Records that an upstream has ended: its address refuses connections, or is
+    /// another's now, or it has started again.
+    pub(crate) fn has_ended(&self, upstream: &Incarnation) {
         let lost = self.state.borrow_mut().ends.refused(start_of(upstream), Instant::now());
         if !lost.is_empty() {
             self.state.borrow_mut().counters.upstreams_ended += 1;
--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -37,7 +37,7 @@
         match state.quarantine.is_empty() {
             true => Verdict::Free,
             false => {
-                let may_try = record::is_recorder(&state, Duration::ZERO);
+                let may_try = || record::is_recorder(&state, Duration::ZERO);
                 state.quarantine.verdict(call.content(), may_try, unix_ms())
             }
         }
@@ -69,7 +69,7 @@
         }
         let (content, start) = (call.content(), start_of(upstream));
         let known = ledger.known(content);
-        let is_suspected = ledger.verdict(content, true, unix_ms()) == Verdict::Apart;
+        let is_suspected = ledger.verdict(content, || true, unix_ms()) == Verdict::Apart;
         let under_way = is_suspected.then(|| {
             ledger.begin(content, start);
             UnderWay { state: self.state.clone(), content, start }
--- a/crates/edge/src/holds.rs
+++ b/crates/edge/src/holds.rs
@@ -27,8 +27,8 @@
 /// Longest time that one wait for an operator's word lasts.
 const WAIT: Duration = Duration::from_secs(25);
 
-/// Pause after a failed call.
-const RETRY: Duration = Duration::from_secs(2);
+/// Pause after a failed call, and after several: each is paid for, refused ones too.
+const RETRY: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(30));
 
 /// A finding as it is kept, and who wrote it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -127,6 +127,7 @@
 /// Keeps findings forever.
 pub async fn run<H: Holds>(holds: H, node: Rc<Node>) {
     let mut known: Option<Known> = None;
+    let mut pause = RETRY.0;
     loop {
         monoio::time::sleep(LOOK).await;
         let (is_keeper, holds_any, must_read) = {
@@ -152,9 +153,13 @@
             }
             _ => Ok(()),
         };
-        if let Err(err) = done {
-            trace::Line::new("holds_failed").field("error", err.to_string()).log();
-            monoio::time::sleep(RETRY).await;
+        match done {
+            Ok(()) => pause = RETRY.0,
+            Err(err) => {
+                trace::Line::new("holds_failed").field("error", err.to_string()).log();
+                monoio::time::sleep(pause).await;
+                pause = (pause * 2).min(RETRY.1);
+            }
         }
     }
 }
--- a/crates/edge/src/tests/restarts.rs
+++ b/crates/edge/src/tests/restarts.rs
@@ -58,3 +58,19 @@
         assert_eq!((upstream.outstanding, upstream.is_ejected(Instant::now())), (0, false));
     });
 }
+
+/// A request crashes its upstream again and again, and none of the crashes counts: the process is back
+/// under its id, at its address, before a connection could be refused. The list tells of the new start.
+#[test]
+fn an_upstream_that_is_back_at_once_has_crashed_all_the_same() {
+    run(async {
+        let earlier = Upstream::start(vec![vec![Act::Wait(ms(20)), Act::Close]]);
+        let entered = start(&[&earlier]);
+        let mut caller = Caller::connect(entered.addr).await;
+        assert_eq!(caller.ask(&get("/get/1", "1")).await.status, 502);
+        let knows_any = || !entered.node.state.borrow().quarantine.is_empty();
+        assert!(!knows_any(), "connections are taken");
+        restart(&entered, earlier.addr);
+        assert!(knows_any());
+    });
+}
--- a/crates/oatcoved/src/proxy/held.rs
+++ b/crates/oatcoved/src/proxy/held.rs
@@ -50,7 +50,7 @@
         }
         let me = view.settings.listen_addr;
         let alive = |peer: &crate::view::Peer| peer.standing == Some(wire::Standing::Alive);
-        let may_try = !view.peers.iter().any(|(addr, peer)| *addr < me && alive(peer));
+        let may_try = || !view.peers.iter().any(|(addr, peer)| *addr < me && alive(peer));
         view.quarantine.verdict(call.content(), may_try, gossip::unix_ms())
     }
 
@@ -78,7 +78,7 @@
             return (Known::default(), None);
         }
         let (content, start) = (call.content(), start_of(addr));
-        let is_suspected = ledger.verdict(content, true, gossip::unix_ms()) == Verdict::Apart;
+        let is_suspected = ledger.verdict(content, || true, gossip::unix_ms()) == Verdict::Apart;
         let under_way = is_suspected.then(|| {
             ledger.begin(content, start);
             UnderWay { node: self, content, start }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -27,7 +27,7 @@
 pub use incarnation::{Incarnation, UpstreamId};
 pub use pool::{Ask, Candidate, Policy, Pool, Reach};
 pub use rate::Rate;
-pub use roster::{Change, Entry, Event, Roster};
+pub use roster::{Change, Entry, Event, Roster, RESTARTED};
 pub use upstream::{Load, Upstream};
 pub use work::Works;
 
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -9,6 +9,9 @@
 
 use crate::{Incarnation, UpstreamId};
 
+/// Why an upstream is dropped that has started again under its id.
+pub const RESTARTED: &str = "restarted";
+
 /// An upstream whose entry vanished with an outage of the store is kept for
 /// this long after the outage: those that live are listed again by then. The
 /// outage may have been of this node's path alone, and the upstream may have
@@ -242,7 +245,7 @@
     fn put(&mut self, entry: Entry, now: Instant) -> Vec<Change> {
         self.vanished.remove(&entry.id);
         let replaced = self.entries.get(&entry.id).and_then(|held| match () {
-            () if held.born_ms != entry.born_ms => Some("restarted"),
+            () if held.born_ms != entry.born_ms => Some(RESTARTED),
             () if (&held.service, held.addr) != (&entry.service, entry.addr) => Some("moved"),
             () => None,
         });
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -122,8 +122,13 @@
     }
 
     /// Returns what is to be done with a request. `may_try` tells whether this node is the one of
-    /// the fleet that tries a request again whose time is over.
-    pub fn verdict(&self, content: Content, may_try: bool, now: UnixMs) -> Verdict {
+    /// the fleet that tries a request again whose time is over; it is asked only for such a one.
+    pub fn verdict(
+        &self,
+        content: Content,
+        may_try: impl FnOnce() -> bool,
+        now: UnixMs,
+    ) -> Verdict {
         let Some(Held { finding, .. }) = self.known.get(&content) else { return Verdict::Free };
         let is_under_way = self.under_way.contains_key(&content);
         let left = Duration::from_millis(finding.until_unix_ms.saturating_sub(now));
@@ -134,7 +139,7 @@
         match finding.is_held() {
             _ if finding.is_clear() => Verdict::Free,
             true if !until_trial.is_zero() => Verdict::Refused(until_trial),
-            true if !may_try => Verdict::Refused(LEFT_TO_ANOTHER),
+            true if !may_try() => Verdict::Refused(LEFT_TO_ANOTHER),
             false if left.is_zero() => Verdict::Free,
             _ if finding.waves > 1 && is_under_way => Verdict::Refused(BUSY_FOR),
             _ => Verdict::Apart,
--- a/crates/quarantine/src/ledger/tests.rs
+++ b/crates/quarantine/src/ledger/tests.rs
@@ -24,7 +24,7 @@
 }
 
 fn verdict(ledger: &Ledger, text: &str) -> Verdict {
-    ledger.verdict(content(text), false, NOW)
+    ledger.verdict(content(text), || false, NOW)
 }
 
 #[test]
@@ -117,7 +117,7 @@
     // Not for ever.
     let known = one.known(content("a"));
     one.crashed(content("a"), known, start(5), NOW + 5_000);
-    assert_eq!(one.verdict(content("a"), false, NOW + 5_000), Verdict::Apart);
+    assert_eq!(one.verdict(content("a"), || false, NOW + 5_000), Verdict::Apart);
 }
 
 /// Symptom: an innocent request is held back though it was answered meanwhile.
@@ -133,7 +133,7 @@
     assert!(ledger.answered(content("a"), NOW));
     let later = NOW + 10_000;
     assert_eq!(ledger.crashed(content("a"), known, start(3), later), None);
-    assert_eq!(ledger.verdict(content("a"), false, later), Verdict::Free);
+    assert_eq!(ledger.verdict(content("a"), || false, later), Verdict::Free);
 }
 
 /// Symptom: hundreds of requests are told to all nodes when a zone of upstreams ends, and cleared
@@ -167,7 +167,7 @@
     let mut ledger = Ledger::default();
     (1..=3).for_each(|n| drop(crash(&mut ledger, "a", n)));
     let later = NOW + as_ms(FIRST_TRIAL_AFTER);
-    let verdict = |ledger: &Ledger, may_try| ledger.verdict(content("a"), may_try, later);
+    let verdict = |ledger: &Ledger, may_try| ledger.verdict(content("a"), || may_try, later);
     assert!(matches!(verdict(&ledger, false), Verdict::Refused(_)));
     assert_eq!(verdict(&ledger, true), Verdict::Apart);
     ledger.begin(content("a"), start(4));
--- a/crates/sim/src/crashes.rs
+++ b/crates/sim/src/crashes.rs
@@ -312,7 +312,7 @@
 
     fn send(&mut self, index: usize, now: Duration) {
         let Request { content, node, .. } = self.requests[index];
-        let verdict = self.ledgers[node].verdict(content, node == 0, unix_ms(now));
+        let verdict = self.ledgers[node].verdict(content, || node == 0, unix_ms(now));
         if matches!(verdict, Verdict::Refused(_)) {
             return self.lost(index, true, now);
         }
