--- a/crates/edge/src/holds.rs
+++ b/crates/edge/src/holds.rs
@@ -3,8 +3,8 @@
 //! What only nodes know is gone once all of them are restarted at the same moment, and the request
 //! would crash upstreams anew. The node that is first among those that serve writes each such
 //! request to the platform, and while there is one it waits there for an operator's word that lifts
-//! it. Nodes that start and read the platform themselves read what is kept; the others hear of it
-//! from them. While nothing is held back, no call is made.
+//! it. After a restart of all nodes that node reads what is kept, and the others hear of it from it.
+//! While nothing is held back, no other call is made.
 
 use std::collections::HashMap;
 use std::future::Future;
@@ -24,6 +24,10 @@
 /// How often a node looks whether there is something for it to do.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// Time from its start after which a node knows its peers: sooner each would take itself for the first.
+/// Within the three seconds after its start in which nothing is asked of it.
+const SETTLED: Duration = Duration::from_millis(1_500);
+
 /// Longest time that one wait for an operator's word lasts.
 const WAIT: Duration = Duration::from_secs(25);
 
@@ -118,10 +122,11 @@
     record::is_recorder(state, Duration::ZERO) && !state.roster.store_is_away()
 }
 
-/// Returns true when a node that has just started must read what is kept: it reads the platform
-/// itself, and not all of the fleet starts for the first time.
+/// Returns true when a node that was restarted must read what is kept, since it is the one that keeps
+/// it: the others may have been restarted at the same moment.
 fn reads_at_start(state: &State) -> bool {
-    !state.settings.first_start && state.direct && state.is_in_step()
+    let is_settled = state.started_at.elapsed() >= SETTLED;
+    !state.settings.first_start && is_settled && is_keeper(state)
 }
 
 /// Keeps findings forever.
