--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -250,9 +250,7 @@
 
 /// Ends when others begin to read the upstreams through this node.
 async fn until_read_through(node: &Node, topic: Topic) {
-    while topic != Topic::Upstreams || node.subscribers.is_empty() {
-        monoio::time::sleep(LOOK).await;
-    }
+    wait_while(LOOK, || topic != Topic::Upstreams || node.subscribers.is_empty()).await;
 }
 
 /// Waits a little after everything was read: usually a peer is found meanwhile that passes the
@@ -269,14 +267,17 @@
         };
         state.direct && !node.subscribers.are_waiting() && since.elapsed() < longest
     };
-    while may_wait() {
-        monoio::time::sleep(LOOK).await;
-    }
+    wait_while(LOOK, may_wait).await;
 }
 
 async fn until_indirect(node: &Node) {
-    while node.state.borrow().direct {
-        monoio::time::sleep(LOOK).await;
+    wait_while(LOOK, || node.state.borrow().direct).await;
+}
+
+/// Waits while something holds, and looks again each `look`.
+async fn wait_while(look: Duration, holds: impl Fn() -> bool) {
+    while holds() {
+        monoio::time::sleep(look).await;
     }
 }
 
@@ -292,17 +293,14 @@
         let serves = state.direct && state.is_in_step();
         serves && !state.list_is_own && since.elapsed() < WAIT_FOR_OTHER
     };
-    while may_wait() {
-        monoio::time::sleep(LOOK_AT_START).await;
-    }
+    wait_while(LOOK_AT_START, may_wait).await;
 }
 
 /// Waits while the platform does not answer the follower of the upstreams either.
 async fn wait_for_other(node: &Node) {
     let since = Instant::now();
-    while node.state.borrow().roster.store_is_away() && since.elapsed() < WAIT_FOR_OTHER {
-        monoio::time::sleep(LOOK).await;
-    }
+    let is_away = || node.state.borrow().roster.store_is_away();
+    wait_while(LOOK, || is_away() && since.elapsed() < WAIT_FOR_OTHER).await;
 }
 
 /// Ends once a peer has seen changes of the topic that this node has not, for a while.
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -154,12 +154,12 @@
         let now = Instant::now();
         let carries = state.first_sends_per_s(&call.service, now) * RESTS_FOR.as_secs_f64()
             / pool.compared() as f64;
-        let reach = |upstream: &Incarnation| match () {
-            () if self.conns.has(upstream) => Reach::Kept,
-            () if self.conns.open_count(upstream) == 0 => Reach::New,
-            () if self.conns.open_count(upstream) < share && carries >= CARRIES_LEAST => Reach::New,
-            () if self.conns.open_count(upstream) < share => Reach::NewBeside,
-            () => Reach::Not,
+        let reach = |upstream: &Incarnation| match self.conns.open_count(upstream) {
+            0 => Reach::New,
+            _ if self.conns.has(upstream) => Reach::Kept,
+            open if open < share && carries >= CARRIES_LEAST => Reach::New,
+            open if open < share => Reach::NewBeside,
+            _ => Reach::Not,
         };
         pool.rank(ask, reach, now, &mut state.rng)
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -13,6 +13,7 @@
 //! a promise. The probe budget rests on the platform's list instead (crate
 //! `watch`).
 
+mod findings;
 mod notes;
 mod queue;
 
@@ -50,14 +51,6 @@
 /// then asks the platform itself and tells as many.
 const TOLD_OF_HEADS: usize = 6;
 
-/// Peers told at once of a finding that is news to this node: each of them does the same. With four,
-/// one node in fifty is told by none, and a fleet of 312 knows after five steps of a few milliseconds.
-const TOLD_OF_FINDINGS: usize = 4;
-
-/// A peer whose digest differs is told all findings this often at most: while news is spreading, the
-/// digests of most nodes differ for a moment.
-const TOLD_ALL_EVERY: Duration = Duration::from_millis(700);
-
 /// Pings relayed for others and not answered yet, beyond which the oldest is forgotten.
 const MAX_RELAYS: usize = 64;
 
@@ -259,37 +252,6 @@
         told.into_iter().map(|to| self.pack(to, Body::News)).collect()
     }
 
-    /// Tells peers from now on, with each packet, the digest of the requests that this node holds back.
-    pub fn set_held_digest(&mut self, held_digest: u64) {
-        self.me.held_digest = held_digest;
-    }
-
-    /// Spreads what is known of a request that crashed upstreams: a few peers are told at once.
-    pub fn spread(&mut self, finding: Finding) -> Vec<Outgoing> {
-        self.queue.push_finding(finding);
-        if self.leaving {
-            return Vec::new();
-        }
-        let reachable: Vec<SocketAddr> = self.reachable().collect();
-        let told = reachable.into_iter().choose_multiple(&mut self.rng, TOLD_OF_FINDINGS);
-        told.into_iter().map(|to| self.pack(to, Body::News)).collect()
-    }
-
-    /// Tells a peer all findings.
-    pub fn tell_all(
-        &mut self,
-        to: SocketAddr,
-        findings: Vec<Finding>,
-        now: Instant,
-    ) -> Vec<Outgoing> {
-        if let Some(peer) = self.peers.get_mut(&to) {
-            peer.told_all_at = Some(now);
-        }
-        let parts = queue::split_findings(&self.me, findings);
-        let outgoing = |findings| Outgoing { to, packet: Packet { findings, ..self.news() } };
-        parts.into_iter().map(outgoing).collect()
-    }
-
     /// Spreads what this node learned by watching an upstream.
     pub fn set_note(
         &mut self,
@@ -362,11 +324,7 @@
                 self.events.push(Event::Note(*note));
             }
         }
-        self.events.extend(packet.findings.into_iter().map(Event::Finding));
-        if packet.sender.held_digest != self.me.held_digest && self.may_tell_all(from, now) {
-            let held_digest = packet.sender.held_digest;
-            self.events.push(Event::Differs { addr: from, held_digest });
-        }
+        self.hear_findings(&packet.sender, packet.findings, now);
         if newcomer && !self.leaving {
             self.greet(from, &mut out);
         }
@@ -688,11 +646,6 @@
         }
     }
 
-    fn may_tell_all(&self, to: SocketAddr, now: Instant) -> bool {
-        let told_at = self.peers.get(&to).and_then(|peer| peer.told_all_at);
-        told_at.is_none_or(|at| now.duration_since(at) >= TOLD_ALL_EVERY)
-    }
-
     fn take_seq(&mut self) -> PingSeq {
         self.next_seq = self.next_seq.wrapping_add(1);
         self.next_seq
--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -69,7 +69,9 @@
 
     /// Returns the longest deadline but for those that are left out as too long.
     fn usual_longest_s(&self) -> f64 {
-        let mut sorted_s = self.newest_s.clone();
+        let mut sorted_s = [0.0; REMEMBERED];
+        let sorted_s = &mut sorted_s[..self.newest_s.len()];
+        sorted_s.copy_from_slice(&self.newest_s);
         let left_out = match sorted_s.len() {
             1 => 0,
             count => (count / LEFT_OUT).max(1),
