--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -115,7 +115,7 @@
         if self.state.borrow().quarantine.is_empty() {
             return;
         }
-        let was_held = self.is_held(call.content());
+        let was_held = self.state.borrow().quarantine.is_held(call.content());
         if self.state.borrow_mut().quarantine.answered(call.content(), unix_ms()) {
             if was_held {
                 log_cleared(call.content(), "an answer");
@@ -127,7 +127,7 @@
     /// Takes what `teller` knows of a request.
     pub(crate) fn hear_finding(&self, finding: &Finding, teller: &'static str) {
         let content = finding.content;
-        let was_held = self.is_held(content);
+        let was_held = self.state.borrow().quarantine.is_held(content);
         let news = self.state.borrow_mut().quarantine.hear(finding, unix_ms());
         let Some(known) = news else { return };
         match (was_held, known.is_held()) {
@@ -138,11 +138,6 @@
         self.state.borrow_mut().quarantine.pass_on(known);
     }
 
-    /// Returns true for a request that is held back.
-    fn is_held(&self, content: Content) -> bool {
-        self.state.borrow().quarantine.held().any(|finding| finding.content == content)
-    }
-
     /// Has the membership task tell what is news.
     pub(crate) fn wake_gossip(&self) {
         if let Some(gossip) = self.gossip.get() {
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -9,8 +9,8 @@
 use crate::{Content, Start, UnixMs};
 
 /// For how long crashes count against a request that is not held back, and a clearance is
-/// remembered. Some callers come back after
-/// half an hour; an innocent request is cleared by its next answer.
+/// remembered. Some callers come back after half an hour; an innocent request is cleared by its next
+/// answer.
 pub const SUSPECT_FOR: Duration = Duration::from_secs(3_600);
 
 /// For how long a request is held back, the first time and at most: twice as long after each later
@@ -62,8 +62,8 @@
 pub enum Verdict {
     /// It is sent like any other.
     Free,
-    /// An upstream crashed while it ran there. It is sent to an upstream at which no other such
-    /// request runs, and to one at a time: if it crashes too, it is clear which of them does that.
+    /// An upstream crashed while it ran there. It is sent to one at which no other such request of
+    /// this node runs: if that crashes too, it is clear which of them does it.
     Apart,
     /// It is not sent; its caller may come back after this long.
     Refused(Duration),
@@ -146,6 +146,11 @@
         }
     }
 
+    /// Returns true for a request that is held back.
+    pub fn is_held(&self, content: Content) -> bool {
+        self.known.get(&content).is_some_and(|held| held.finding.is_held())
+    }
+
     /// Returns true for a request that has crashed upstreams one after the other: sent once more by
     /// the node itself, it would likely crash another.
     pub fn is_likely(&self, content: Content) -> bool {
