quarantine, member: first crashes are not told while many upstreams end

Each node had lost other requests with them, some 1,200 in all, and told all nodes of each: more than the 512 that a node keeps, so that each that was pushed out was news again when the next peer told it, and was passed on anew, without end.

What is known gives way only to what weighs more. First crashes are told once to four peers, ride on no pings, and are told no more while eight others were seen or heard of within five seconds: what upstreams do by themselves is nobody's fault. Each is kept for a time of its own, so that nodes hear of the first few before they tell their own. What has crashed a second upstream, is held back or was cleared of that goes to all as before. Ruled out: a bucket for each node (312 of them are as many at once), a larger memory.

Test first (member::tests::findings): it ran out of its time before; now 312 nodes with four losses each send less than 0.7 kB/s more than at rest in the ten seconds after.

--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -135,7 +135,6 @@
             (true, false) => log_cleared(content, teller),
             _ => {}
         }
-        self.state.borrow_mut().quarantine.pass_on(known);
     }
 
     /// Has the membership task tell what is news.
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -93,7 +93,7 @@
     let ledger = &mut node.state.borrow_mut().quarantine;
     let news = ledger.take_news(unix_ms());
     members.set_held_digest(ledger.digest());
-    news.into_iter().flat_map(|finding| members.spread(finding)).collect()
+    news.into_iter().flat_map(|news| members.spread(news)).collect()
 }
 
 fn handle(members: &mut member::Members, input: Input, now: Instant) -> Vec<member::Outgoing> {
--- a/crates/member/src/findings.rs
+++ b/crates/member/src/findings.rs
@@ -7,9 +7,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use quarantine::Finding;
+use quarantine::{Finding, News};
 use rand::seq::IteratorRandom;
-use wire::{Body, Packet, Sender};
+use wire::{Packet, Sender};
 
 use crate::{queue, Event, Members, Outgoing};
 
@@ -27,15 +27,19 @@
         self.me.held_digest = held_digest;
     }
 
-    /// Spreads what is known of a request that crashed upstreams: a few peers are told at once.
-    pub fn spread(&mut self, finding: Finding) -> Vec<Outgoing> {
-        self.queue.push_finding(finding);
+    /// Spreads what is known of a request that crashed upstreams: a few peers are told at once, and
+    /// what is of weight rides on pings too.
+    pub fn spread(&mut self, news: News) -> Vec<Outgoing> {
+        if news.is_weighty {
+            self.queue.push_finding(news.finding.clone());
+        }
         if self.leaving {
             return Vec::new();
         }
         let reachable: Vec<SocketAddr> = self.reachable().collect();
         let told = reachable.into_iter().choose_multiple(&mut self.rng, TOLD_OF_FINDINGS);
-        told.into_iter().map(|to| self.pack(to, Body::News)).collect()
+        let packet = Packet { findings: vec![news.finding], ..self.news() };
+        told.into_iter().map(|to| Outgoing { to, packet: packet.clone() }).collect()
     }
 
     /// Tells a peer all findings.
--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -166,8 +166,7 @@
         for event in events {
             match event {
                 Event::Finding(finding) => {
-                    let known = ledger.hear(finding, unix_ms);
-                    known.into_iter().for_each(|known| ledger.pass_on(known));
+                    ledger.hear(finding, unix_ms);
                 }
                 Event::Differs { addr, held_digest } => {
                     let known = ledger.to_tell_a_peer(*held_digest);
@@ -178,7 +177,7 @@
         }
         let news = ledger.take_news(unix_ms);
         members.set_held_digest(ledger.digest());
-        out.extend(news.into_iter().flat_map(|finding| members.spread(finding)));
+        out.extend(news.into_iter().flat_map(|news| members.spread(news)));
         out
     }
 
--- a/crates/member/src/tests/findings.rs
+++ b/crates/member/src/tests/findings.rs
@@ -7,6 +7,9 @@
 /// Time in which all nodes must know that a request is held back.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
+/// What a node may send for control, in bytes a second: a tenth of the 7 kB that all control may take.
+const CONTROL_BYTES_PER_S: u64 = 700;
+
 /// Longest encoding of a digest, which each packet has.
 const DIGEST_BYTES: u64 = 10;
 
@@ -119,3 +122,34 @@
     net.run(2 * KNOWN_WITHIN);
     assert_eq!(net.holding(0), 16);
 }
+
+/// Symptom: a fleet of hundreds does nothing but tell its nodes of requests, for minutes.
+/// Sequence: half of the upstreams end at once; each node has lost a few requests, each of them another.
+/// Cause: telling all of them. There are more than a node keeps: each that is pushed out is news again when
+/// the next peer tells it, and is passed on anew. What upstreams did by themselves need not be told at all.
+#[test]
+fn an_end_of_many_upstreams_is_not_told_request_by_request() {
+    let mut net = Net::in_zones(312, 5, 11);
+    net.run(Duration::from_secs(40));
+    let at_rest = {
+        net.bytes = 0;
+        net.run(Duration::from_secs(10));
+        net.bytes
+    };
+    net.bytes = 0;
+    for node in 0..312 {
+        let unix_ms = (net.now - net.start).as_millis() as u64;
+        for lost in 0..4 {
+            let (request, start) = (1_000 + 4 * node + lost, (7 * node + lost) % 160);
+            let ledger = &mut net.nodes[node as usize].ledger;
+            let known = ledger.known(content(request));
+            ledger.crashed(content(request), known, Start::of("u", start), unix_ms);
+        }
+    }
+    net.run(Duration::from_secs(10));
+    let per_node_s = (net.bytes - at_rest) / 312 / 10;
+    assert!(per_node_s < CONTROL_BYTES_PER_S, "{per_node_s} B/s a node more than at rest");
+    net.bytes = 0;
+    net.run(Duration::from_secs(10));
+    assert!(net.bytes < 2 * at_rest, "{} B in ten seconds, {at_rest} at rest", net.bytes);
+}
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -99,7 +99,7 @@
     ledger.expire(now);
     let news = ledger.take_news(now);
     members.set_held_digest(ledger.digest());
-    news.into_iter().flat_map(|finding| members.spread(finding)).collect()
+    news.into_iter().flat_map(|news| members.spread(news)).collect()
 }
 
 fn handle(
@@ -157,9 +157,7 @@
         }
         member::Event::Note(note) => view.report(note.upstream, note.watcher, note.verdict),
         member::Event::Finding(finding) => {
-            if let Some(known) = view.quarantine.hear(&finding, unix_ms()) {
-                view.quarantine.pass_on(known);
-            }
+            view.quarantine.hear(&finding, unix_ms());
         }
         member::Event::Differs { .. } => {}
     }
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -39,9 +39,19 @@
 /// sixty upstreams ends, some three hundred requests would be told to all nodes, and cleared again.
 const KEPT_TO_ITSELF: Duration = Duration::from_millis(400);
 
-/// Such crashes that a node tells each second, and saves up at most.
-const TOLD_PER_S: f64 = 10.0;
-const TOLD_AT_ONCE: f64 = 20.0;
+/// Beyond that, each request is kept for a time of its own up to this. Where many upstreams end at
+/// once, nodes hear of the first few requests before they would tell of their own.
+const KEPT_LONGER: Duration = Duration::from_millis(300);
+
+/// First crashes, seen or heard of within this time, from which on a node tells no more of them: many
+/// upstreams end by themselves, and each node has lost other requests with them. Told one by one, 1,200
+/// requests of 312 nodes kept these busy for minutes. A request that crashes upstreams is told all the
+/// same once it has crashed a second one.
+const FIRSTS_MOST: usize = 8;
+const FIRSTS_WITHIN: Duration = Duration::from_secs(5);
+
+/// A first crash that could not be told within this time is kept to the node.
+const TOLD_WITHIN: Duration = Duration::from_secs(5);
 
 /// Answers that are remembered, and for how long. A crash says nothing of a request that was answered
 /// a moment before or after: where half of the upstreams end, copies of popular requests are lost
@@ -76,6 +86,16 @@
     waves: u8,
 }
 
+/// A finding to be told to other nodes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// What was found.
+    pub finding: Finding,
+    /// Whether all nodes must come to know it: the request has crashed several upstreams, or had. Of
+    /// others it is enough that most nodes hear.
+    pub is_weighty: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Held {
     finding: Finding,
@@ -86,7 +106,7 @@
 }
 
 /// What a node knows of requests that crashed upstreams.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Ledger {
     known: HashMap<Content, Held>,
     /// Copies of such requests under way, by request and by upstream.
@@ -95,24 +115,9 @@
     /// Requests answered of late, while anything was known of any.
     answered: VecDeque<(Content, UnixMs)>,
     /// Findings to be told to other nodes.
-    news: Vec<Finding>,
-    /// First crashes that may still be told.
-    may_tell: f64,
-    told_unix_ms: UnixMs,
-}
-
-impl Default for Ledger {
-    fn default() -> Self {
-        Ledger {
-            known: HashMap::new(),
-            under_way: HashMap::new(),
-            running_at: HashMap::new(),
-            answered: VecDeque::new(),
-            news: Vec::new(),
-            may_tell: TOLD_AT_ONCE,
-            told_unix_ms: 0,
-        }
-    }
+    news: Vec<News>,
+    /// When first crashes of requests were seen or heard of.
+    firsts: VecDeque<UnixMs>,
 }
 
 impl Ledger {
@@ -192,7 +197,13 @@
         if self.was_answered(content, now) {
             return None;
         }
-        self.make_room(content, now);
+        if !self.known.contains_key(&content) {
+            self.note_first(now);
+            // In the place of another that has crashed one upstream, if there is no room.
+            if !self.make_room(now, 2) {
+                return None;
+            }
+        }
         let held = self.known.entry(content).or_insert_with(|| Held {
             finding: Finding { epoch: known.epoch, ..Finding::none(content) },
             is_shared: false,
@@ -213,7 +224,8 @@
         finding.until_unix_ms = finding.until_unix_ms.max(now + as_ms(counts_for));
         if held.is_shared || finding.waves > 1 {
             held.is_shared = true;
-            self.news.push(held.finding.clone());
+            let is_weighty = finding.waves > 1;
+            self.news.push(News { finding: finding.clone(), is_weighty });
         }
         (!was_held && held.finding.is_held()).then(|| held.finding.clone())
     }
@@ -236,13 +248,15 @@
     /// Clears a request by an operator's word; false when nothing was known of it.
     pub fn clear(&mut self, content: Content, now: UnixMs) -> bool {
         let Some(held) = self.known.get_mut(&content) else { return false };
+        let is_weighty = held.finding.waves > 1;
         held.finding = held.finding.cleared(now + as_ms(SUSPECT_FOR));
         held.is_shared = true;
-        self.news.push(held.finding.clone());
+        let finding = held.finding.clone();
+        self.tell(finding, is_weighty, now);
         true
     }
 
-    /// Takes another node's finding; returns it as known now if that is news to be passed on.
+    /// Takes another node's finding; returns it as known now if that is news, which is passed on.
     pub fn hear(&mut self, heard: &Finding, now: UnixMs) -> Option<Finding> {
         let most_unix_ms = now + as_ms(HELD_MOST);
         let until_unix_ms = heard.until_unix_ms.min(most_unix_ms);
@@ -250,21 +264,54 @@
         if !heard.is_sound() || is_over(&heard, now) {
             return None;
         }
-        self.make_room(heard.content, now);
+        if !self.known.contains_key(&heard.content) {
+            if heard.waves == 1 {
+                self.note_first(now);
+            }
+            // Pushed out by it, another would be news again when the next peer tells it.
+            if !self.make_room(now, heard.waves) {
+                return None;
+            }
+        }
         let held = self.known.entry(heard.content).or_insert_with(|| Held {
             finding: Finding::none(heard.content),
             is_shared: false,
             found_unix_ms: now,
         });
+        let waves_before = held.finding.waves;
         let is_news = held.finding.merge(&heard) || !held.is_shared;
         held.is_shared = true;
         if !is_news {
             return None;
         }
-        if self.was_answered(heard.content, now) && !self.known[&heard.content].finding.is_clear() {
-            self.clear(heard.content, now);
+        let known = held.finding.clone();
+        if self.was_answered(known.content, now) && !known.is_clear() {
+            self.clear(known.content, now);
+            return self.known.get(&known.content).map(|held| held.finding.clone());
+        }
+        let is_weighty = known.waves.max(waves_before) > 1;
+        self.tell(known.clone(), is_weighty, now);
+        Some(known)
+    }
+
+    /// Has other nodes told of a finding, unless many upstreams end and it is none of weight.
+    fn tell(&mut self, finding: Finding, is_weighty: bool, now: UnixMs) {
+        if is_weighty || !self.many_end(now) {
+            self.news.push(News { finding, is_weighty });
+        }
+    }
+
+    fn note_first(&mut self, now: UnixMs) {
+        if self.firsts.len() > FIRSTS_MOST {
+            self.firsts.pop_front();
         }
-        self.known.get(&heard.content).map(|held| held.finding.clone())
+        self.firsts.push_back(now);
+    }
+
+    /// Returns true while so many requests had a first crash that upstreams end by themselves.
+    fn many_end(&self, now: UnixMs) -> bool {
+        let since = now.saturating_sub(as_ms(FIRSTS_WITHIN));
+        self.firsts.iter().filter(|at| **at >= since).count() > FIRSTS_MOST
     }
 
     /// Returns true when a request was answered by an upstream a moment ago.
@@ -273,22 +320,14 @@
         self.answered.iter().rev().any(|(other, at)| *other == content && *at >= since)
     }
 
-    /// Has a finding told to other nodes.
-    pub fn pass_on(&mut self, finding: Finding) {
-        self.news.push(finding);
-    }
-
     /// Returns the findings to be told to other nodes since the last call.
-    pub fn take_news(&mut self, now: UnixMs) -> Vec<Finding> {
-        let passed_ms = now.saturating_sub(self.told_unix_ms);
-        self.told_unix_ms = now;
-        self.may_tell = (self.may_tell + passed_ms as f64 / 1_000.0 * TOLD_PER_S).min(TOLD_AT_ONCE);
-        for held in self.known.values_mut().filter(|held| !held.is_shared) {
-            let is_due = held.found_unix_ms + as_ms(KEPT_TO_ITSELF) <= now;
-            if is_due && self.may_tell >= 1.0 {
-                self.may_tell -= 1.0;
+    pub fn take_news(&mut self, now: UnixMs) -> Vec<News> {
+        let may_tell = !self.many_end(now);
+        for held in self.known.values_mut().filter(|held| may_tell && !held.is_shared) {
+            let due = held.found_unix_ms + as_ms(KEPT_TO_ITSELF) + kept_longer_ms(held);
+            if (due..due + as_ms(TOLD_WITHIN)).contains(&now) {
                 held.is_shared = true;
-                self.news.push(held.finding.clone());
+                self.news.push(News { finding: held.finding.clone(), is_weighty: false });
             }
         }
         std::mem::take(&mut self.news)
@@ -343,21 +382,29 @@
         self.known.retain(|_, held| !is_over(&held.finding, now));
     }
 
-    /// Makes room for one more finding, unless `content` has one.
-    fn make_room(&mut self, content: Content, now: UnixMs) {
-        if self.known.len() < KNOWN_MOST || self.known.contains_key(&content) {
-            return;
+    /// Makes room for a finding of `waves` crashes in sequence; false when all that is known weighs as
+    /// much.
+    fn make_room(&mut self, now: UnixMs, waves: u8) -> bool {
+        if self.known.len() < KNOWN_MOST {
+            return true;
         }
         self.expire(now);
         let weight =
             |held: &Held| (held.finding.is_held(), held.finding.waves, held.finding.until_unix_ms);
         let least = self.known.iter().min_by_key(|(_, held)| weight(held));
-        if let Some(content) = least.map(|(content, _)| *content) {
-            self.known.remove(&content);
+        match least.map(|(content, held)| (*content, held.finding.waves)) {
+            Some((content, least)) if least < waves => self.known.remove(&content).is_some(),
+            Some(_) => self.known.len() < KNOWN_MOST,
+            None => true,
         }
     }
 }
 
+/// Returns how much longer than others a node keeps a first crash to itself.
+fn kept_longer_ms(held: &Held) -> UnixMs {
+    held.finding.digest() % as_ms(KEPT_LONGER)
+}
+
 /// Returns for how long a request is held back that crashed upstreams `waves` times in sequence.
 fn held_for(waves: u8) -> Duration {
     let trials = u32::from(waves.saturating_sub(WAVES_TRIED_SOON)).min(u32::BITS - 1);
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -19,7 +19,7 @@
 pub use content::Content;
 pub use ends::{Ends, Lost, Start};
 pub use finding::Finding;
-pub use ledger::{Known, Ledger, Verdict, SUSPECT_FOR};
+pub use ledger::{Known, Ledger, News, Verdict, SUSPECT_FOR};
 
 /// Time of day, in milliseconds since 1970. Nodes' clocks may differ by seconds: what is measured by
 /// it lasts minutes.
