quarantine: a harmless request beside a crashing one is not held back

Callers of a request that did nothing were refused for two minutes: it had run at three upstreams, each time beside the request that crashed them.

Cause: suspected requests were kept apart at each node, not between nodes. Two nodes send what an upstream took with it on at the same moment, each by the request's own preference: one in seven meets the crashing one again, one in six once more on its caller's return. Traced with the findings of all nodes printed: the harmless request's crashes were always some of the other's.

Change: (1) evidence is weighed by who else was there: a request that is held back, weighs more, and crashed every upstream that crashed under another, explains it; the other is not held back. Of two that share all crashes the one of the lower key runs once more alone; its answer, or a crash that makes it the heavier one, decides. (2) requests that crashed in sequence get an upstream each that all nodes deal out alike (Places). (3) eight starts are kept, not four: the fifth crash of the crashing one hid the explanation. Packets with more starts are unsound to older nodes: wire version 4.

--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -77,27 +77,20 @@
         (known, under_way)
     }
 
-    /// Returns where a suspected request goes: an upstream at which no other such request of this
-    /// node runs, and which other nodes would choose for it, and others for other requests. It
-    /// crashes alone then, if it does, and is cleared by its answer if another one did.
+    /// Returns the candidate that a suspected request goes to, apart from other such requests.
     pub(super) fn apart<'a>(
         &self,
         call: &Call<'_>,
         ranked: &'a [Candidate],
     ) -> Option<&'a Candidate> {
         let state = self.state.borrow();
-        let pool = state.pools.get(&call.service)?;
-        let in_time = call.left().min(call.objective_left().max(call.route.objective));
-        let content = call.content();
-        ranked
-            .iter()
-            .filter(|candidate| candidate.prediction.took <= in_time)
-            .filter_map(|candidate| {
-                let start = start_of(&pool.upstreams().get(candidate.index)?.incarnation);
-                state.quarantine.is_apart(start).then_some((start.preference(content), candidate))
-            })
-            .max_by_key(|(preference, _)| *preference)
-            .map(|(_, candidate)| candidate)
+        let upstreams = state.pools.get(&call.service)?.upstreams();
+        let starts: Vec<Start> = upstreams.iter().map(|u| start_of(&u.incarnation)).collect();
+        let most = call.left().min(call.objective_left().max(call.route.objective));
+        let in_time = ranked.iter().filter(|candidate| candidate.prediction.took <= most);
+        let in_time = in_time.map(|candidate| candidate.index);
+        let chosen = state.quarantine.choose_apart(call.content(), &starts, in_time)?;
+        ranked.iter().find(|candidate| candidate.index == chosen)
     }
 
     /// Takes that an upstream crashed while it ran a request.
@@ -130,7 +123,8 @@
         let was_held = self.state.borrow().quarantine.is_held(content);
         let news = self.state.borrow_mut().quarantine.hear(finding, unix_ms());
         let Some(known) = news else { return };
-        match (was_held, known.is_held()) {
+        let is_held = self.state.borrow().quarantine.is_held(content);
+        match (was_held, is_held) {
             (false, true) => log_held(&known, teller),
             (true, false) => log_cleared(content, teller),
             _ => {}
--- a/crates/edge/src/holds.rs
+++ b/crates/edge/src/holds.rs
@@ -108,7 +108,7 @@
                 let kept = &kept.hold.finding;
                 kept.epoch < finding.epoch || kept.is_held() != finding.is_held()
             }
-            None => finding.is_held(),
+            None => state.quarantine.is_held(finding.content),
         };
         let finding = state.quarantine.all().find(is_due)?.clone();
         let over = self.rows.get(&finding.content).map_or(0, |kept| kept.version);
--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -117,9 +117,14 @@
 
 /// Stops the test as soon as something holds.
 async fn until(what: &str, within: Duration, holds: impl Fn() -> bool) {
+    until_or(|| what.to_owned(), within, holds).await;
+}
+
+/// The same; says `what` was seen instead.
+async fn until_or(what: impl Fn() -> String, within: Duration, holds: impl Fn() -> bool) {
     let began = Instant::now();
     while !holds() {
-        assert!(began.elapsed() < within, "{what}");
+        assert!(began.elapsed() < within, "{}", what());
         monoio::time::sleep(ms(10)).await;
     }
 }
@@ -128,7 +133,8 @@
 async fn hold_back(cluster: &Rc<Cluster>) {
     let done = Rc::new(Cell::new(false));
     call(cluster, "/get/crash", true, ms(120), &done);
-    until("all nodes hold it back", ms(5_000), || cluster.all_hold_back(1)).await;
+    let known = || format!("all nodes hold it back: {:#?}", cluster.findings());
+    until_or(known, ms(5_000), || cluster.all_hold_back(1)).await;
     done.set(true);
 }
 
@@ -188,7 +194,12 @@
 
 /// Callers whose requests ran beside the crashing one are refused for minutes: they were lost at three
 /// upstreams one after the other, since all nodes sent what was lost on to the same upstream, the one
-/// that crashed next.
+/// that crashes next. Kept apart by each node alone, requests of two nodes still met by chance, twice:
+/// in one run of twelve all nodes held back a harmless request that had run at three of the five
+/// upstreams which the other had crashed, and nowhere else:
+///
+/// `content 6340…, waves 3, crashed 2258…, 5863…, 16899…`
+/// `content 83bd…, waves 3, crashed 885…, 2258…, 2923…, 5863…, 16899…`
 #[test]
 fn requests_that_ran_beside_a_crashing_one_are_not_held_back() {
     run(async {
@@ -201,7 +212,7 @@
         monoio::time::sleep(ms(1_500)).await;
         done.set(true);
         monoio::time::sleep(ms(600)).await;
-        assert!(cluster.all_hold_back(1), "the crashing one alone");
+        assert!(cluster.all_hold_back(1), "the crashing one alone: {:#?}", cluster.findings());
         assert!(beside.borrow().len() > 100);
     });
 }
--- a/crates/edge/src/tests/crashing.rs
+++ b/crates/edge/src/tests/crashing.rs
@@ -236,6 +236,14 @@
         self.nodes.iter().all(|node| held(node) == count)
     }
 
+    /// Returns what each node knows of requests that crashed upstreams.
+    pub fn findings(&self) -> Vec<Vec<quarantine::Finding>> {
+        let known = |node: &Rc<Node>| {
+            node.state.borrow().quarantine.findings().into_iter().cloned().collect()
+        };
+        self.nodes.iter().map(known).collect()
+    }
+
     /// Returns when the third crash happened, once it has.
     pub fn third_crash(&self) -> Option<Instant> {
         self.seen.borrow().crashes.get(2).copied()
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -290,9 +290,10 @@
 
     /// Picks an upstream that was not tried; for a suspected call rather one without another such call.
     fn pick_apart(&self, call: &Call<'_>, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        let mut avoided = self.upstreams_with_suspects(call);
-        avoided.extend_from_slice(tried);
-        self.pick(call, &avoided).or_else(|| self.pick(call, tried))
+        let pick = |avoided: &[SocketAddr]| self.pick(call, &[avoided, tried].concat());
+        let Some(apart) = self.apart(call) else { return self.pick(call, tried) };
+        let set_aside = apart.elsewhere.and_then(|elsewhere| pick(&elsewhere));
+        set_aside.or_else(|| pick(&apart.taken)).or_else(|| self.pick(call, tried))
     }
 
     /// Picks an upstream that was not tried, or `None` when there is none or no time is left.
--- a/crates/oatcoved/src/proxy/held.rs
+++ b/crates/oatcoved/src/proxy/held.rs
@@ -40,6 +40,14 @@
     Content::of(line.into_iter().chain(caller).chain(rest))
 }
 
+/// Where a suspected call does not run, so that a crash tells which call it was.
+pub(super) struct Apart {
+    /// All upstreams but the one that is set aside for it, if one is.
+    pub(super) elsewhere: Option<Vec<SocketAddr>>,
+    /// Upstreams at which another suspected call of this node runs, or that are set aside for one.
+    pub(super) taken: Vec<SocketAddr>,
+}
+
 impl Node {
     /// Returns what is to be done with a call. Which node tries one again whose time is over: the
     /// first by address of those that are alive.
@@ -86,16 +94,25 @@
         (ledger.known(content), under_way)
     }
 
-    /// Returns the upstreams at which a suspected call of this node runs: another is sent elsewhere,
-    /// so that a crash tells which of them it was.
-    pub(super) fn upstreams_with_suspects(&self, call: &Call<'_>) -> Vec<SocketAddr> {
+    /// Returns where a suspected call is to run apart from other such calls; `None` for any other.
+    pub(super) fn apart(&self, call: &Call<'_>) -> Option<Apart> {
         if self.verdict(call) != Verdict::Apart {
-            return Vec::new();
+            return None;
         }
         let view = self.view.borrow();
-        let upstreams = view.pools.get(&call.service).into_iter().flat_map(|pool| &pool.upstreams);
-        let with_suspects = |addr: &SocketAddr| !view.quarantine.is_apart(start_of(*addr));
-        upstreams.map(|upstream| upstream.addr).filter(with_suspects).collect()
+        let pool = view.pools.get(&call.service)?;
+        let addrs = pool.upstreams.iter().map(|upstream| upstream.addr);
+        let starts: Vec<Start> = addrs.clone().map(start_of).collect();
+        let (content, places) = (call.content(), view.quarantine.places(&starts));
+        let is_taken = |addr: &SocketAddr| {
+            let start = start_of(*addr);
+            !view.quarantine.is_apart(start) || places.is_for_another(start, content)
+        };
+        let is_elsewhere = |addr: &SocketAddr| !places.is_for(start_of(*addr), content);
+        Some(Apart {
+            elsewhere: places.of(content).map(|_| addrs.clone().filter(is_elsewhere).collect()),
+            taken: addrs.clone().filter(is_taken).collect(),
+        })
     }
 
     /// Takes that an upstream ran a call to its end.
--- a/crates/quarantine/src/finding.rs
+++ b/crates/quarantine/src/finding.rs
@@ -18,8 +18,9 @@
 const CRASHED_HELD: usize = 3;
 const WAVES_HELD_ALONE: u8 = 3;
 
-/// Crashed upstreams that are told apart: more change nothing.
-pub(crate) const CRASHED_KEPT: usize = 4;
+/// Crashed upstreams that are told apart: more than one request crashes until all nodes hold it back.
+/// Where some are left out, a harmless request that ran there seems to have crashed them alone.
+pub(crate) const CRASHED_KEPT: usize = 8;
 
 /// What is known of one request.
 ///
@@ -51,6 +52,20 @@
         on_several || self.waves >= WAVES_HELD_ALONE
     }
 
+    /// Returns true when this request, which is held back, crashed each upstream that crashed under
+    /// the `other`, and weighs more.
+    ///
+    /// Two nodes may send a harmless request and the one that crashes upstreams to the same
+    /// upstream, by chance and more than once. Nothing then speaks against the harmless one alone.
+    /// Of two that share all their crashes one weighs more by its key: the other runs once more, and
+    /// its answer, or a crash that makes it the heavier one, tells which of them it is.
+    pub(crate) fn explains(&self, other: &Finding) -> bool {
+        let weight = |finding: &Finding| (finding.waves, finding.crashed.len(), finding.content);
+        self.is_held()
+            && weight(self) > weight(other)
+            && other.crashed.iter().all(|start| self.crashed.contains(start))
+    }
+
     /// Returns the finding of the same request once it is cleared.
     pub fn cleared(&self, until_unix_ms: UnixMs) -> Finding {
         let epoch = self.epoch.saturating_add(1);
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::finding::Finding;
-use crate::{Content, Start, UnixMs};
+use crate::{Content, Places, Start, UnixMs};
 
 /// For how long crashes count against a request that is not held back, and a clearance is
 /// remembered. Some callers come back after half an hour; an innocent request is cleared by its next
@@ -141,7 +141,7 @@
             true => left.saturating_sub(HELD_FOR - FIRST_TRIAL_AFTER),
             false => left,
         };
-        match finding.is_held() {
+        match self.holds(finding) {
             _ if finding.is_clear() => Verdict::Free,
             true if !until_trial.is_zero() => Verdict::Refused(until_trial),
             true if !may_try() => Verdict::Refused(LEFT_TO_ANOTHER),
@@ -153,7 +153,13 @@
 
     /// Returns true for a request that is held back.
     pub fn is_held(&self, content: Content) -> bool {
-        self.known.get(&content).is_some_and(|held| held.finding.is_held())
+        self.known.get(&content).is_some_and(|held| self.holds(&held.finding))
+    }
+
+    /// Returns true when what was found holds the request back.
+    fn holds(&self, finding: &Finding) -> bool {
+        let is_heavier = |other: &Finding| other.explains(finding);
+        finding.is_held() && !self.all().any(is_heavier)
     }
 
     /// Returns true for a request that has crashed upstreams one after the other: sent once more by
@@ -185,6 +191,36 @@
         !self.running_at.contains_key(&start)
     }
 
+    /// Returns which of `starts` are set aside for requests that crashed upstreams one after the
+    /// other: any other suspected request that ran there would be lost with it again.
+    pub fn places(&self, starts: &[Start]) -> Places {
+        Places::deal(self.all().filter(|finding| finding.waves > 1), starts)
+    }
+
+    /// Returns which of `candidates`, places in `starts`, a suspected request goes to: the upstream
+    /// that is set aside for it on all nodes, or else one at which no other suspected request of this
+    /// node runs and which is not set aside for another. It crashes alone then, if it does, and is
+    /// cleared by its answer if another one did.
+    pub fn choose_apart(
+        &self,
+        content: Content,
+        starts: &[Start],
+        candidates: impl Iterator<Item = usize>,
+    ) -> Option<usize> {
+        let places = self.places(starts);
+        let is_free = |start: Start| {
+            let is_apart = self.is_apart(start) && !places.is_for_another(start, content);
+            // Copies at several nodes stay together: one that gave way here to another request of
+            // this node would meet a third one elsewhere.
+            is_apart || places.is_for(start, content)
+        };
+        candidates
+            .filter_map(|index| Some((index, *starts.get(index)?)))
+            .filter(|(_, start)| is_free(*start))
+            .max_by_key(|(_, start)| (places.is_for(*start, content), start.preference(content)))
+            .map(|(index, _)| index)
+    }
+
     /// Takes that an upstream crashed while it ran a request of which `known` was known when it was
     /// sent there. Returns the finding if the request is held back from now on.
     pub fn crashed(
@@ -197,6 +233,7 @@
         if self.was_answered(content, now) {
             return None;
         }
+        let was_held = self.is_held(content);
         if !self.known.contains_key(&content) {
             self.note_first(now);
             // In the place of another that has crashed one upstream, if there is no room.
@@ -214,7 +251,6 @@
             // It was cleared since it was sent there: something else crashed that upstream.
             return None;
         }
-        let was_held = finding.is_held();
         finding.waves = finding.waves.max(known.waves.saturating_add(1));
         finding.add(start);
         let counts_for = match finding.is_held() {
@@ -227,7 +263,8 @@
             let is_weighty = finding.waves > 1;
             self.news.push(News { finding: finding.clone(), is_weighty });
         }
-        (!was_held && held.finding.is_held()).then(|| held.finding.clone())
+        let found = held.finding.clone();
+        (!was_held && self.holds(&found)).then_some(found)
     }
 
     /// Takes that an upstream ran a request to its end. Whatever crashed upstreams while they ran
@@ -355,7 +392,7 @@
     /// Returns what is known of requests that crashed upstreams, those held back first.
     pub fn findings(&self) -> Vec<&Finding> {
         let mut findings: Vec<&Finding> = self.all().filter(|f| !f.is_clear()).collect();
-        findings.sort_by_key(|f| (!f.is_held(), f.content));
+        findings.sort_by_cached_key(|f| (!self.holds(f), f.content));
         findings
     }
 
@@ -366,7 +403,7 @@
 
     /// Returns the requests that are held back.
     pub fn held(&self) -> impl Iterator<Item = &Finding> {
-        self.all().filter(|finding| finding.is_held())
+        self.all().filter(|finding| self.holds(finding))
     }
 
     /// Returns a number that differs, most likely, from that of a node that holds back others.
@@ -374,7 +411,8 @@
     /// A node that was cut off, paused or started late has missed what was told meanwhile; by this
     /// number its peers notice at the next ping, and tell it all that they know.
     pub fn digest(&self) -> u64 {
-        self.held().fold(0, |digest, finding| digest ^ finding.digest())
+        let held = self.all().filter(|finding| finding.is_held());
+        held.fold(0, |digest, finding| digest ^ finding.digest())
     }
 
     /// Forgets what no longer counts.
--- a/crates/quarantine/src/ledger/tests.rs
+++ b/crates/quarantine/src/ledger/tests.rs
@@ -239,6 +239,51 @@
     assert_eq!(verdict(&ledger, "a"), Verdict::Apart);
 }
 
+/// Symptom: a harmless request is refused for minutes, on all nodes.
+/// Sequence: it runs at three upstreams one after the other, each time beside the request that
+/// crashes them, which two nodes sent to the same upstream by chance.
+/// Cause: each crash counts against all that ran there, though one of them explains them all.
+#[test]
+fn what_shares_all_its_crashes_with_a_heavier_request_is_not_held_back() {
+    let mut ledger = Ledger::default();
+    crash(&mut ledger, "crashing", 1);
+    for n in 2..=4 {
+        crash(&mut ledger, "crashing", n);
+        assert_eq!(crash(&mut ledger, "beside", n), None);
+    }
+    assert!(ledger.is_held(content("crashing")) && !ledger.is_held(content("beside")));
+    assert_eq!(verdict(&ledger, "beside"), Verdict::Apart);
+    // Alone it crashes another: it was not the other request.
+    assert!(crash(&mut ledger, "beside", 5).is_some());
+}
+
+/// Symptom: of two requests one is refused for minutes though it is harmless, or both go on.
+/// Sequence: they run at the same three upstreams, one after the other.
+/// Cause: nothing tells them apart but one more run, which only one of them may get at a time.
+#[yare::parameterized(
+    the_lighter_one_is_harmless = { true },
+    the_lighter_one_crashes_them = { false },
+)]
+fn of_two_that_share_all_crashes_one_runs_once_more(is_harmless: bool) {
+    let mut ledger = Ledger::default();
+    for n in 1..=3 {
+        crash(&mut ledger, "a", n);
+        crash(&mut ledger, "b", n);
+    }
+    let (runs, waits) = match verdict(&ledger, "a") {
+        Verdict::Apart => ("a", "b"),
+        _ => ("b", "a"),
+    };
+    assert_eq!(verdict(&ledger, runs), Verdict::Apart);
+    assert!(matches!(verdict(&ledger, waits), Verdict::Refused(_)));
+    match is_harmless {
+        true => assert!(ledger.answered(content(runs), NOW)),
+        false => assert!(crash(&mut ledger, runs, 4).is_some()),
+    }
+    let held = if is_harmless { waits } else { runs };
+    assert_eq!(ledger.held().map(|f| f.content).collect::<Vec<_>>(), [content(held)]);
+}
+
 #[test]
 fn suspected_requests_are_kept_apart_from_each_other() {
     let mut ledger = Ledger::default();
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -15,11 +15,13 @@
 mod ends;
 mod finding;
 mod ledger;
+mod places;
 
 pub use content::Content;
 pub use ends::{Ends, Lost, Start};
 pub use finding::Finding;
 pub use ledger::{Known, Ledger, News, Verdict, SUSPECT_FOR};
+pub use places::Places;
 
 /// Time of day, in milliseconds since 1970. Nodes' clocks may differ by seconds: what is measured by
 /// it lasts minutes.
--- a/crates/sim/src/crashes.rs
+++ b/crates/sim/src/crashes.rs
@@ -348,17 +348,17 @@
         Start::of(&format!("u{upstream}"), self.upstreams[upstream].life)
     }
 
-    /// Returns an upstream with room; for a suspected request the preferred one without another.
+    /// Returns an upstream with room; for a suspected request one apart from others.
     fn choose(&mut self, index: usize, is_suspected: bool) -> Option<usize> {
         let Request { content, node, .. } = self.requests[index];
         let has_room = |u: &Upstream| u.is_up && u.running.len() < self.pattern.slots;
         let free = (0..self.upstreams.len()).filter(|u| has_room(&self.upstreams[*u]));
         if is_suspected && self.pattern.apart {
-            let is_apart = |u: &usize| self.ledgers[node].is_apart(self.start_of(*u));
-            let apart = free.clone().filter(is_apart);
-            let preferred = apart.max_by_key(|u| self.start_of(*u).preference(content));
-            if preferred.is_some() {
-                return preferred;
+            let starts: Vec<Start> =
+                (0..self.upstreams.len()).map(|upstream| self.start_of(upstream)).collect();
+            let apart = self.ledgers[node].choose_apart(content, &starts, free.clone());
+            if apart.is_some() {
+                return apart;
             }
         }
         free.choose(&mut self.rng)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,7 +22,7 @@
 pub const MAX_PACKET_BYTES: usize = 1_200;
 
 /// First byte of every packet; another value is a different protocol version.
-const PROTOCOL_VERSION: u8 = 3;
+const PROTOCOL_VERSION: u8 = 4;
 
 /// Longest zone name accepted from a peer, in bytes.
 pub const MAX_ZONE_BYTES: usize = 63;
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -2,7 +2,9 @@
 
 use proptest::prelude::*;
 
-use crate::{Body, DecodeError, MemberUpdate, Note, Packet, Sender, Standing, Verdict};
+use crate::{
+    Body, DecodeError, MemberUpdate, Note, Packet, Sender, Standing, Verdict, PROTOCOL_VERSION,
+};
 
 fn addr(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
@@ -64,7 +66,7 @@
     longer.push(0);
     assert!(matches!(Packet::decode(&longer), Err(DecodeError::Malformed(_))));
     let mut other_version = whole.clone();
-    for version in [2, 4] {
+    for version in [PROTOCOL_VERSION - 1, PROTOCOL_VERSION + 1] {
         other_version[0] = version;
         assert_eq!(Packet::decode(&other_version), Err(DecodeError::Version(version)));
     }
