place, edge: nothing is sent to the upstreams of an evacuated availability zone

Cause: nodes followed the operator's table for the configuration's row alone.

Change: rows `evacuate/ZONE` are events of the same topic, so that they cost no call; what they hold says nothing, that they are there counts. `place::Evacuations` decides which zones count; a pool leaves their upstreams out wherever it counts or ranks upstreams (first sends, second sends, hedges, waiting requests, questions, ejection, budget of probes). What runs ends. Where nothing is left, a request is refused at once with a time to return. Nodes that read through a peer get the zones with their first frames and with each change, also where only the place in the history moved.

Ruled out: dropping the upstreams from the pool: their records, connections and requests under way would go with them.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -74,7 +74,7 @@
 /// What can be followed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Topic {
-    /// The configuration.
+    /// The configuration, and which availability zones are evacuated.
     Config,
     /// The list of upstreams.
     Upstreams,
@@ -97,6 +97,13 @@
 pub enum Event {
     /// The configuration as it is now.
     Config(route::Table),
+    /// An availability zone is evacuated from now on, or no longer; of topic [`Topic::Config`].
+    Evacuation {
+        /// The zone.
+        zone: place::Zone,
+        /// Whether its upstreams get nothing.
+        is_evacuated: bool,
+    },
     /// Something about one upstream.
     Upstream(place::Event),
 }
@@ -345,6 +352,10 @@
                 apply_table(node, table);
             }
         }
+        relay::Frame::Evacuated { up_to, newest, zones } => {
+            seen(node, Topic::Config, up_to, newest);
+            change_evacuations(node, |evacuations| evacuations.adopt(zones));
+        }
         relay::Frame::Read { up_to, newest } => {
             seen(node, Topic::Upstreams, up_to, newest);
             apply_changes(node, &[], now);
@@ -399,10 +410,13 @@
 
 fn apply(node: &Node, topic: Topic, events: Vec<Event>, whole: bool) {
     let now = Instant::now();
+    let is_news = !events.is_empty();
     let mut rows = Vec::new();
+    let mut evacuations = Vec::new();
     for event in events {
         match event {
             Event::Config(table) => apply_table(node, table),
+            Event::Evacuation { zone, is_evacuated } => evacuations.push((zone, is_evacuated)),
             Event::Upstream(event) => rows.push(event),
         }
     }
@@ -412,10 +426,36 @@
             apply_changes(node, &changes, now);
         }
         Topic::Upstreams => apply_upstreams(node, rows, now),
+        Topic::Config if whole || is_news => apply_evacuations(node, evacuations, whole),
         Topic::Config => {}
     }
 }
 
+fn apply_evacuations(node: &Node, changes: Vec<(place::Zone, bool)>, whole: bool) {
+    change_evacuations(node, |evacuations| match whole {
+        true => {
+            let is_listed = |(zone, listed): (place::Zone, bool)| listed.then_some(zone);
+            evacuations.whole(changes.into_iter().filter_map(is_listed).collect());
+        }
+        false => {
+            changes.into_iter().for_each(|(zone, evacuated)| evacuations.set(zone, evacuated));
+        }
+    });
+}
+
+/// Takes which availability zones are evacuated. Subscribers are told also where nothing changed: those
+/// that do not hear how far this node has read take themselves to be behind it.
+fn change_evacuations(node: &Node, change: impl FnOnce(&mut place::Evacuations)) {
+    let news = node.state.borrow_mut().change_evacuations(change);
+    node.subscribers.tell(&relay::Frame::evacuated(&node.state.borrow()));
+    for (zone, is_evacuated) in news {
+        trace::Line::new(if is_evacuated { "zone_evacuated" } else { "zone_restored" })
+            .field("zone", zone.as_str())
+            .field("up_to", node.state.borrow().config_seen.up_to)
+            .log();
+    }
+}
+
 /// Takes what the platform tells of upstreams.
 pub(crate) fn apply_upstreams(node: &Node, events: Vec<place::Event>, now: Instant) {
     let changes = node.state.borrow_mut().roster.apply(events, now);
@@ -497,8 +537,13 @@
     }
 }
 
-/// Lets go of upstreams that were kept through an outage and did not come back.
+/// Lets go of upstreams that were kept through an outage and did not come back, and has an older copy
+/// of the evacuations count once nobody has written it anew.
 pub fn expire(node: &Node, now: Instant) {
+    let is_due = node.state.borrow().evacuations.is_due(now);
+    if is_due {
+        change_evacuations(node, |evacuations| evacuations.expire(now));
+    }
     let changes = node.state.borrow_mut().roster.expire(now);
     if !changes.is_empty() {
         apply_changes(node, &changes, now);
--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -131,7 +131,11 @@
                 self.state.borrow_mut().counters.refused_crashing += 1;
                 (line.field("reason", "crashes upstreams"), come_back)
             }
-            NoChoice::NoUpstream => (line.field("reason", "no upstream"), COME_BACK_NOT_READY),
+            NoChoice::NoUpstream => {
+                let evacuated = self.state.borrow().evacuations.zones().clone();
+                let line = line.field("reason", "no upstream").field("evacuated", evacuated);
+                (line, COME_BACK_NOT_READY)
+            }
             NoChoice::Refused { come_back, best, predicted, wait, report_age } => {
                 let line = line
                     .field("reason", "would be too late")
--- a/crates/edge/src/relay/frame.rs
+++ b/crates/edge/src/relay/frame.rs
@@ -1,11 +1,12 @@
 //! What nodes that read the platform through each other say.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
 
 use monoio::io::AsyncReadRentExt;
 use monoio::net::TcpStream;
-use place::{Change, Entry, Event};
+use place::{Change, Entry, Event, Zone};
 use route::Table;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -70,6 +71,16 @@
         /// The configuration, if there is one yet.
         table: Option<Table>,
     },
+    /// The availability zones that are evacuated, and that nothing else about the operator's words is
+    /// new.
+    Evacuated {
+        /// How much of the configuration's history the peer has seen.
+        up_to: Cursor,
+        /// The newest change among that.
+        newest: Cursor,
+        /// The zones.
+        zones: BTreeSet<Zone>,
+    },
     /// The peer has read on, and nothing about upstreams has changed for it.
     Read {
         /// How much of its history the peer has seen.
@@ -110,6 +121,12 @@
         Frame::Config { up_to: seen.up_to, newest: seen.newest, table }
     }
 
+    /// Returns the frame of the evacuated zones.
+    pub fn evacuated(state: &State) -> Frame {
+        let (seen, zones) = (state.config_seen, state.evacuations.zones().clone());
+        Frame::Evacuated { up_to: seen.up_to, newest: seen.newest, zones }
+    }
+
     /// Returns the frame that tells how far the list was read.
     pub fn read(state: &State) -> Frame {
         let seen = state.list_seen;
@@ -130,7 +147,9 @@
     /// Returns true when the frame lacks a change that this node has seen already.
     pub(super) fn is_stale(&self, state: &State) -> bool {
         match self {
-            Frame::Config { up_to, .. } => *up_to < state.config_seen.newest,
+            Frame::Config { up_to, .. } | Frame::Evacuated { up_to, .. } => {
+                *up_to < state.config_seen.newest
+            }
             Frame::List { up_to, .. } => *up_to < state.list_seen.newest,
             Frame::MayBeLate => true,
             Frame::Alive | Frame::Read { .. } | Frame::Changes { .. } | Frame::Ask { .. } => false,
--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -138,6 +138,7 @@
     let mut first = {
         let state = node.state.borrow();
         let mut bytes = encode(&Frame::config(&state));
+        bytes.extend_from_slice(&encode(&Frame::evacuated(&state)));
         bytes.extend_from_slice(&encode(&node.subscribers.list(&state)));
         bytes
     };
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -162,6 +162,8 @@
     pub table: Option<Rc<route::Table>>,
     /// Which upstreams there are.
     pub roster: place::Roster,
+    /// Which availability zones are evacuated.
+    pub evacuations: place::Evacuations,
     /// Upstreams by service, as they were found to be.
     pub pools: HashMap<ServiceName, place::Pool>,
     /// What each kind of request takes.
@@ -214,6 +216,7 @@
             settings,
             table: None,
             roster: place::Roster::default(),
+            evacuations: place::Evacuations::default(),
             pools: HashMap::new(),
             works: place::Works::default(),
             attempts: place::Attempts::default(),
@@ -318,9 +321,13 @@
         let known = self.pools.get(service).is_some_and(|pool| pool.position(&upstream).is_some());
         match change {
             place::Change::Put(entry) => {
-                let seed = self.node_seed;
-                let pool = self.pools.entry(service.clone());
-                pool.or_insert_with(|| place::Pool::of_node(seed)).put(entry, now);
+                let (seed, zones) = (self.node_seed, self.evacuations.zones());
+                let new_pool = || {
+                    let mut pool = place::Pool::of_node(seed);
+                    pool.evacuate(zones);
+                    pool
+                };
+                self.pools.entry(service.clone()).or_insert_with(new_pool).put(entry, now);
             }
             place::Change::Drop { .. } => {
                 if let Some(pool) = self.pools.get_mut(service) {
@@ -331,6 +338,23 @@
         known
     }
 
+    /// Takes which zones are evacuated by `change`; returns those for which that is news, and whether
+    /// each is evacuated now.
+    pub fn change_evacuations(
+        &mut self,
+        change: impl FnOnce(&mut place::Evacuations),
+    ) -> Vec<(place::Zone, bool)> {
+        let before = self.evacuations.zones().clone();
+        change(&mut self.evacuations);
+        let now = self.evacuations.zones();
+        let news = before.symmetric_difference(now).map(|zone| (zone.clone(), now.contains(zone)));
+        let news: Vec<(place::Zone, bool)> = news.collect();
+        if !news.is_empty() {
+            self.pools.values_mut().for_each(|pool| pool.evacuate(self.evacuations.zones()));
+        }
+        news
+    }
+
     /// Counts the first send of a request to `service`.
     pub fn first_send(&mut self, service: &ServiceName) {
         let part = match self.fleet_size() as f64 <= self.settings.retry_slack {
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -38,6 +38,8 @@
     pub in_flight: u64,
     /// Other entry nodes by address.
     pub peers: BTreeMap<SocketAddr, PeerStatus>,
+    /// Availability zones whose upstreams get nothing, by an operator's word.
+    pub evacuated: Vec<place::Zone>,
     /// Upstreams by service.
     pub upstreams: BTreeMap<SmolStr, Vec<UpstreamStatus>>,
     /// What is known of requests that crashed upstreams, those that are held back first.
@@ -131,6 +133,7 @@
             store_away_ms: as_ms(state.roster.store_away_for(now)),
             in_flight: state.in_flight,
             peers: state.peers.iter().map(peer).collect(),
+            evacuated: state.evacuations.zones().iter().cloned().collect(),
             upstreams: upstreams.collect(),
             crashing: state.quarantine.findings().into_iter().cloned().collect(),
             counters: state.counters,
--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -55,6 +55,8 @@
 #[derive(Clone, Default)]
 pub struct Platform {
     pub config: Rc<Cell<Cursor>>,
+    /// Evacuated zones; [`Platform::config`] counts their changes too.
+    pub evacuated: Rc<RefCell<Vec<place::Zone>>>,
     pub list: Rc<RefCell<Vec<place::Entry>>>,
     pub list_version: Rc<Cell<Cursor>>,
     pub waits: Rc<Cell<u32>>,
@@ -69,8 +71,12 @@
         match topic {
             Topic::Config => {
                 let newest = self.config.get();
-                let events = vec![Event::Config(table(newest, ClientLimits::default()))];
-                Batch { events, cursor: newest, newest }
+                let evacuated = self.evacuated.borrow();
+                let zones = evacuated
+                    .iter()
+                    .map(|zone| Event::Evacuation { zone: zone.clone(), is_evacuated: true });
+                let table = Event::Config(table(newest, ClientLimits::default()));
+                Batch { events: [table].into_iter().chain(zones).collect(), cursor: newest, newest }
             }
             Topic::Upstreams => {
                 let put = |entry: &place::Entry| Event::Upstream(place::Event::Put(entry.clone()));
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod crashes;
 mod crashing;
+mod evacuation;
 mod fake;
 mod fleet;
 mod idle;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,7 @@
 
 mod admit;
 mod attempts;
+mod evacuations;
 mod health;
 mod incarnation;
 mod pool;
@@ -24,6 +25,7 @@
 
 pub use admit::{admit, Room, Verdict};
 pub use attempts::Attempts;
+pub use evacuations::{Evacuations, Zone};
 pub use incarnation::{Incarnation, UpstreamId};
 pub use pool::{Ask, Candidate, Policy, Pool, Reach};
 pub use rate::Rate;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -1,6 +1,7 @@
 //! The upstreams of one service, ranked for one request.
 
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::hash::Hasher;
 use std::time::{Duration, Instant};
 
@@ -8,7 +9,7 @@
 
 use crate::health::Standing;
 use crate::upstream::{Load, Prediction, Upstream, Usual};
-use crate::{End, Entry, Incarnation};
+use crate::{End, Entry, Incarnation, Zone};
 
 /// A report of this age or younger is not worth asking for again: the answer
 /// would come back about as old.
@@ -130,6 +131,8 @@
     usual: Usual,
     /// Whether upstreams of this service report their load; `None` before any answered.
     reports: Option<bool>,
+    /// Zones whose upstreams get nothing.
+    evacuated: BTreeSet<Zone>,
     /// Next upstream in turn, for [`Policy::RoundRobin`].
     turn: Cell<usize>,
 }
@@ -141,6 +144,7 @@
             node_seed: 0,
             usual: USUAL_FIRST,
             reports: None,
+            evacuated: BTreeSet::new(),
             turn: Cell::new(0),
         }
     }
@@ -181,6 +185,22 @@
         upstream.cold_until = (!entry.cold_for.is_zero()).then(|| now + entry.cold_for);
     }
 
+    /// Takes which zones are evacuated: their upstreams stay in the pool and get nothing.
+    pub fn evacuate(&mut self, zones: &BTreeSet<Zone>) {
+        self.evacuated = zones.clone();
+    }
+
+    /// Returns the upstreams that may get requests, with their places in the pool.
+    fn in_service(&self) -> impl Iterator<Item = (usize, &Upstream)> {
+        let upstreams = self.upstreams.iter().enumerate();
+        upstreams.filter(|(_, upstream)| !self.evacuated.contains(&upstream.zone))
+    }
+
+    /// Returns how many upstreams may get requests.
+    pub fn in_service_count(&self) -> usize {
+        self.in_service().count()
+    }
+
     /// Drops an upstream: it gets no further request.
     pub fn remove(&mut self, upstream: &Incarnation) {
         self.upstreams.retain(|u| u.incarnation != *upstream);
@@ -198,7 +218,7 @@
 
     /// Returns how many upstreams a node compares for a request, at least one.
     pub fn compared(&self) -> usize {
-        self.upstreams.len().clamp(1, OWN_ZONE_MOST + OTHER_ZONES_MOST)
+        self.in_service_count().clamp(1, OWN_ZONE_MOST + OTHER_ZONES_MOST)
     }
 
     /// Returns whether upstreams of this service report their load, once one answered.
@@ -264,13 +284,10 @@
     /// Without this bound an overload, in which every upstream fails requests,
     /// would eject them all and turn a slow service into one that is down.
     fn may_eject(&self, index: usize, now: Instant) -> bool {
-        let out = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .filter(|(i, u)| *i != index && u.health.standing(now) != Standing::Good)
-            .count();
-        2 * (out + 1) <= self.upstreams.len()
+        let is_out =
+            |(i, u): &(usize, &Upstream)| *i != index && u.health.standing(now) != Standing::Good;
+        let out = self.in_service().filter(is_out).count();
+        2 * (out + 1) <= self.in_service_count()
     }
 
     /// Returns the upstreams that a request could go to, best first.
@@ -325,7 +342,7 @@
     fn in_zone<'a>(&'a self, ask: Ask<'a>, own: bool) -> impl Iterator<Item = usize> + 'a {
         let wanted =
             move |u: &Upstream| (u.zone == ask.zone) == own && !ask.tried.contains(&u.incarnation);
-        self.upstreams.iter().enumerate().filter(move |(_, u)| wanted(u)).map(|(index, _)| index)
+        self.in_service().filter(move |(_, u)| wanted(u)).map(|(index, _)| index)
     }
 
     fn candidate<R: Rng>(
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -16,7 +16,7 @@
 /// this long after the outage: those that live are listed again by then. The
 /// outage may have been of this node's path alone, and the upstream may have
 /// left long ago, so the time counts from the last call without an answer.
-const KEEP_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
+pub(crate) const KEEP_AFTER_OUTAGE: Duration = Duration::from_millis(2_200);
 
 /// The same when many entries vanish at once and no outage was noticed. An
 /// upstream that really left must get no request two seconds later.
