place, edge: cold upstreams get what they bear, dealt out to all nodes in turns

Cause: a cold upstream was predicted to be slow, and otherwise looked as free as any; nothing added up what a hundred nodes sent it. `WarmupPerS` and `X-Warmup-Ms` were not read.

Change: time is cut into turns in which an upstream bears one request; of N nodes each holds one turn in N, by a hash of its own number, and uses it once. Nothing is saved up, and no agreement is needed: clocks, who lives and who reaches whom don't matter. Nodes that don't answer count too, since they may be cut off only; a node that has just started sends cold ones nothing until it knows its peers. Cold is what the list or an upstream's answer to a probe says, and for three seconds a zone that was evacuated until now.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -60,6 +60,9 @@
 /// When to come back to a node that has no configuration or no upstreams.
 const COME_BACK_NOT_READY: Duration = Duration::from_millis(300);
 
+/// Longest time that an upstream is believed to be cold by its own word.
+const COLD_MOST: Duration = Duration::from_secs(3_600);
+
 /// When to come back to another node.
 const COME_BACK_ELSEWHERE: Duration = Duration::from_millis(20);
 
@@ -212,6 +215,22 @@
         }
     }
 
+    /// Takes what an upstream's answer to a probe says of how long it is cold. One that says nothing is
+    /// warm, where upstreams of its service have to be spared while they are not.
+    pub fn take_cold(&self, service: &ServiceName, upstream: &Incarnation, headers: &HeaderMap) {
+        let state = &mut *self.state.borrow_mut();
+        let now = Instant::now();
+        if state.warm_up(service, now).is_none() {
+            return;
+        }
+        let value = headers.get(&state.settings.headers.cold_ms);
+        let cold_for = value.and_then(|value| value.to_str().ok()?.parse().ok());
+        let cold_for = cold_for.filter(|ms| *ms > 0).map(Duration::from_millis);
+        if let Some(pool) = state.pools.get_mut(service) {
+            pool.take_cold(upstream, cold_for.map(|time| time.min(COLD_MOST)), now);
+        }
+    }
+
     /// Takes a request to its answer.
     pub async fn forward(
         self: &Rc<Node>,
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -104,8 +104,10 @@
 
     /// Returns the choice of a candidate that was ranked just now.
     fn choice(&self, call: &Call<'_>, best: &Candidate) -> Option<Choice> {
-        let state = self.state.borrow();
-        let upstream = state.pools.get(&call.service)?.upstreams().get(best.index)?;
+        let state = &mut *self.state.borrow_mut();
+        let pool = state.pools.get_mut(&call.service)?;
+        pool.chosen(best);
+        let upstream = pool.upstreams().get(best.index)?;
         let report = upstream.report(Instant::now());
         let at_its_best = |(load, _): (place::Load, _)| load.is_not_slowed() && load.has_room();
         Some(Choice {
@@ -135,6 +137,7 @@
 
     fn rank(&self, call: &Call<'_>, tried: &[Incarnation]) -> Vec<Candidate> {
         let state = &mut *self.state.borrow_mut();
+        let now = Instant::now();
         let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
         let ask = place::Ask {
             policy: state.settings.policy,
@@ -143,6 +146,7 @@
             zone: &state.settings.zone,
             cross_zone_cost: state.settings.cross_zone_cost_per_kib
                 * state.works.size_kib(&call.route.name),
+            warm_up: state.warm_up(&call.service, now),
             tried,
             repeatable: call.repeatable(),
         };
@@ -151,7 +155,6 @@
         let service = state.table.as_ref().and_then(|table| table.services.get(&call.service));
         let most = service.map_or(u32::MAX, |service| service.max_connections);
         let share = (most / state.fleet_size() as u32).max(CONNECTIONS_LEAST);
-        let now = Instant::now();
         let carries = state.first_sends_per_s(&call.service, now) * RESTS_FOR.as_secs_f64()
             / pool.compared() as f64;
         let reach = |upstream: &Incarnation| match self.conns.open_count(upstream) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -52,6 +52,8 @@
     pub not_run: HeaderName,
     /// Load of the upstream that answers.
     pub load: HeaderName,
+    /// For how many milliseconds more the upstream that answers a probe is cold.
+    pub cold_ms: HeaderName,
 }
 
 /// What one entry node is told at start.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -156,6 +156,7 @@
     let mut decoder = h1::Decoder::new(head.framing);
     while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
     node.take_load(service, upstream, &head.headers);
+    node.take_cold(service, upstream, &head.headers);
     let reusable = head.keep_alive && !conn.reader.has_buffered();
     conn.answered(&head.headers);
     reusable.then_some(conn)
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -269,6 +269,21 @@
         1 + self.peers.values().filter(|p| p.standing <= wire::Standing::Suspect).count()
     }
 
+    /// Returns how many entry nodes may send requests: those that are not heard from too, since they may
+    /// only be cut off from this one. `None` while this node has just started and knows few of them.
+    pub fn nodes_sending(&self, now: Instant) -> Option<usize> {
+        let may_send = |peer: &&Peer| peer.standing != wire::Standing::Left;
+        let sending = 1 + self.peers.values().filter(may_send).count();
+        crate::readers::knows_peers(self, now).then_some(sending)
+    }
+
+    /// Returns what the cold upstreams of a service bear.
+    pub fn warm_up(&self, service: &str, now: Instant) -> Option<place::WarmUp> {
+        let service = self.table.as_ref()?.services.get(service)?;
+        let (nodes, since) = (self.nodes_sending(now), self.started_at);
+        service.warm_up_per_s.map(|per_s| place::WarmUp { per_s, nodes, since })
+    }
+
     /// Returns what was seen of a topic.
     pub fn seen_mut(&mut self, topic: Topic) -> &mut Seen {
         match topic {
@@ -324,7 +339,7 @@
                 let (seed, zones) = (self.node_seed, self.evacuations.zones());
                 let new_pool = || {
                     let mut pool = place::Pool::of_node(seed);
-                    pool.evacuate(zones);
+                    pool.evacuate(zones, now);
                     pool
                 };
                 self.pools.entry(service.clone()).or_insert_with(new_pool).put(entry, now);
@@ -350,7 +365,8 @@
         let news = before.symmetric_difference(now).map(|zone| (zone.clone(), now.contains(zone)));
         let news: Vec<(place::Zone, bool)> = news.collect();
         if !news.is_empty() {
-            self.pools.values_mut().for_each(|pool| pool.evacuate(self.evacuations.zones()));
+            let (zones, now) = (self.evacuations.zones(), Instant::now());
+            self.pools.values_mut().for_each(|pool| pool.evacuate(zones, now));
         }
         news
     }
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -43,6 +43,7 @@
         expect_upstream: HeaderName::from_static("x-expect"),
         not_run: HeaderName::from_static("x-not-run"),
         load: HeaderName::from_static("x-load"),
+        cold_ms: HeaderName::from_static("x-cold-ms"),
     }
 }
 
@@ -83,8 +84,12 @@
         ("seeds.example".into(), route("/get/", Repeat::Idempotent)),
         ("seeds.example".into(), route("/post/", Repeat::AtMostOnce)),
     ];
-    let service =
-        Service { name: "desk".into(), probe_path: "/healthz".into(), max_connections: 100 };
+    let service = Service {
+        name: "desk".into(),
+        probe_path: "/healthz".into(),
+        max_connections: 100,
+        warm_up_per_s: None,
+    };
     Table::new(version, limits, vec![service], routes)
 }
 
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -21,6 +21,7 @@
 mod rate;
 mod roster;
 mod upstream;
+mod warm_up;
 mod work;
 
 pub use admit::{admit, Room, Verdict};
@@ -31,6 +32,7 @@
 pub use rate::Rate;
 pub use roster::{Change, Entry, Event, Roster, RESTARTED};
 pub use upstream::{Load, Upstream};
+pub use warm_up::WarmUp;
 pub use work::Works;
 
 /// How a request to an upstream ended, as far as it speaks for the upstream's health.
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -9,6 +9,7 @@
 
 use crate::health::Standing;
 use crate::upstream::{Load, Prediction, Upstream, Usual};
+use crate::warm_up::{Turn, WarmUp, DOUBTED_FOR};
 use crate::{End, Entry, Incarnation, Zone};
 
 /// A report of this age or younger is not worth asking for again: the answer
@@ -98,6 +99,8 @@
     pub zone: &'a str,
     /// What sending it to another zone costs, as a share of its worth.
     pub cross_zone_cost: f64,
+    /// What cold upstreams bear; `None` where they bear as much as others.
+    pub warm_up: Option<WarmUp>,
     /// Upstreams that were tried already.
     pub tried: &'a [Incarnation],
     /// Whether a failure can be mended by sending it again.
@@ -119,8 +122,13 @@
     near: bool,
     reach: Reach,
     standing: Standing,
+    /// The turn that the request uses up, at an upstream that is cold.
+    turn: Option<Turn>,
 }
 
+/// It is not this node's turn at an upstream that is cold.
+struct NotNow;
+
 /// The upstreams of one service.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -185,8 +193,13 @@
         upstream.cold_until = (!entry.cold_for.is_zero()).then(|| now + entry.cold_for);
     }
 
-    /// Takes which zones are evacuated: their upstreams stay in the pool and get nothing.
-    pub fn evacuate(&mut self, zones: &BTreeSet<Zone>) {
+    /// Takes which zones are evacuated: their upstreams stay in the pool and get nothing. Those of a
+    /// zone that was evacuated until now may have become cold.
+    pub fn evacuate(&mut self, zones: &BTreeSet<Zone>, now: Instant) {
+        let is_restored = |zone: &Zone| self.evacuated.contains(zone) && !zones.contains(zone);
+        for upstream in self.upstreams.iter_mut().filter(|u| is_restored(&u.zone)) {
+            upstream.doubted_until = Some(now + DOUBTED_FOR);
+        }
         self.evacuated = zones.clone();
     }
 
@@ -240,6 +253,22 @@
         }
     }
 
+    /// Takes what an upstream says itself of how long it is cold; `None` when it is not.
+    pub fn take_cold(&mut self, upstream: &Incarnation, cold_for: Option<Duration>, now: Instant) {
+        if let Some(index) = self.position(upstream) {
+            self.upstreams[index].take_cold(cold_for, now);
+        }
+    }
+
+    /// Records that a request goes to a candidate that was ranked just now.
+    pub fn chosen(&mut self, candidate: &Candidate) {
+        if let (Some(turn), Some(upstream)) =
+            (candidate.turn, self.upstreams.get_mut(candidate.index))
+        {
+            upstream.turn_used = Some(turn);
+        }
+    }
+
     /// Records that a request was sent.
     pub fn sent(&mut self, upstream: &Incarnation) {
         if let Some(index) = self.position(upstream) {
@@ -309,9 +338,13 @@
                 .collect();
             let exhausted = next.is_empty();
             for index in next {
-                match reach(&self.upstreams[index].incarnation) {
-                    Reach::Not => {}
-                    reach => ranked.push(self.candidate(index, ask, reach, now, rng)),
+                let upstream = &self.upstreams[index];
+                match (reach(&upstream.incarnation), self.turn(upstream, ask.warm_up, now)) {
+                    (Reach::Not, _) | (_, Err(NotNow)) => {}
+                    (reach, Ok(turn)) => {
+                        let candidate = self.candidate(index, ask, reach, now, rng);
+                        ranked.push(Candidate { turn, ..candidate });
+                    }
                 }
             }
             if exhausted || ranked.iter().any(|c| c.cost < WIDEN_FROM) {
@@ -338,6 +371,23 @@
         ranked
     }
 
+    /// Returns the turn that a request to an upstream uses up; `None` where it needs none.
+    fn turn(
+        &self,
+        upstream: &Upstream,
+        warm_up: Option<WarmUp>,
+        now: Instant,
+    ) -> Result<Option<Turn>, NotNow> {
+        match warm_up {
+            Some(warm_up) if upstream.may_be_cold(now) => {
+                let turn = warm_up.turn(self.node_seed, &upstream.incarnation, now);
+                let turn = turn.filter(|turn| upstream.turn_used != Some(*turn));
+                turn.map(Some).ok_or(NotNow)
+            }
+            _ => Ok(None),
+        }
+    }
+
     /// Returns the upstreams in or outside the node's zone that were not tried, in order.
     fn in_zone<'a>(&'a self, ask: Ask<'a>, own: bool) -> impl Iterator<Item = usize> + 'a {
         let wanted =
@@ -376,7 +426,7 @@
             Reach::Kept | Reach::Not => 0.0,
         };
         let fresh = upstream.report(now).is_some_and(|(_, age)| age <= FRESH);
-        Candidate { index, cost, prediction, fresh, near, reach, standing }
+        Candidate { index, cost, prediction, fresh, near, reach, standing, turn: None }
     }
 
     /// Returns up to `most` of the best `ranked` upstreams whose report is too old to rely on, at
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -6,6 +6,7 @@
 use smol_str::SmolStr;
 
 use crate::health::{Health, Standing};
+use crate::warm_up::Turn;
 use crate::Incarnation;
 
 /// Time in which a report loses most of its worth. Machines that change speed
@@ -84,6 +85,10 @@
     /// Its record of answers.
     pub(crate) health: Health,
     pub(crate) cold_until: Option<Instant>,
+    /// Until when it may be cold although it has not said so.
+    pub(crate) doubted_until: Option<Instant>,
+    /// The last turn that this node used while it was cold.
+    pub(crate) turn_used: Option<Turn>,
     report: Option<(Load, Instant)>,
     /// Requests sent less those ended since the report.
     since_report: i64,
@@ -127,6 +132,8 @@
             outstanding: 0,
             health: Health::default(),
             cold_until: None,
+            doubted_until: None,
+            turn_used: None,
             report: None,
             since_report: 0,
             drag: 1.0,
@@ -146,6 +153,18 @@
         self.health.standing(now) != Standing::Good
     }
 
+    /// Returns true while it is cold, or may be.
+    pub(crate) fn may_be_cold(&self, now: Instant) -> bool {
+        let until = self.cold_until.max(self.doubted_until);
+        until.is_some_and(|until| until > now)
+    }
+
+    /// Takes its word that it is cold for so long, or not at all.
+    pub(crate) fn take_cold(&mut self, cold_for: Option<Duration>, now: Instant) {
+        self.cold_until = cold_for.map(|cold_for| now + cold_for);
+        self.doubted_until = None;
+    }
+
     /// Returns its newest report and the report's age.
     pub fn report(&self, now: Instant) -> Option<(Load, Duration)> {
         self.report.map(|(load, at)| (load, now.saturating_duration_since(at)))
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -85,7 +85,7 @@
 }
 
 /// What is known of a service apart from its upstreams.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Name.
     pub name: ServiceName,
@@ -93,6 +93,9 @@
     pub probe_path: SmolStr,
     /// Connections that one upstream takes from all entry nodes together.
     pub max_connections: u32,
+    /// Requests a second that one upstream bears from all entry nodes together while it warms up; `None`
+    /// where that is not bounded.
+    pub warm_up_per_s: Option<f64>,
 }
 
 /// What callers may send, and how long they may take.
@@ -177,9 +180,13 @@
             .services
             .values()
             .map(|s| {
+                let warm_up = s.warm_up_per_s.map(|per_s| format!(" warm_up_per_s={per_s}"));
                 format!(
-                    "service {} probe_path={} max_connections={}",
-                    s.name, s.probe_path, s.max_connections
+                    "service {} probe_path={} max_connections={}{}",
+                    s.name,
+                    s.probe_path,
+                    s.max_connections,
+                    warm_up.unwrap_or_default()
                 )
             })
             .collect();
