route, edge: requests with homes run in these regions only

A route may name the regions in which its requests may run (`AllowedRegions`); it was not read, and a node sent them to the nearest upstream of any region.

Change: `Route::homes`; the zones of these regions (from the settings) bound the choice of each send, second ones and hedges too. A region without upstreams left is refused at once. What has no homes, and deployments of one region, are served as before (edge::tests::beliefs unchanged but for how a caller is named).

--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -139,6 +139,7 @@
         let state = &mut *self.state.borrow_mut();
         let now = Instant::now();
         let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
+        let homes = state.settings.home_zones(&call.route.homes);
         let ask = place::Ask {
             policy: state.settings.policy,
             work: state.works.of(&call.route.name, call.route.objective),
@@ -146,6 +147,7 @@
             zone: &state.settings.zone,
             cross_zone_cost: state.settings.cross_zone_cost_per_kib
                 * state.works.size_kib(&call.route.name),
+            homes: homes.as_ref(),
             warm_up: state.warm_up(&call.service, now),
             tried,
             repeatable: call.repeatable(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,10 +31,13 @@
 pub mod status;
 pub mod stop;
 
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 
 use http::HeaderName;
+use place::Zone;
+use route::Region;
 use smol_str::SmolStr;
 
 /// Names of the headers that the platform's callers and upstreams use.
@@ -63,6 +66,8 @@
     pub node_id: SmolStr,
     /// Its availability zone.
     pub zone: SmolStr,
+    /// Regions of the availability zones.
+    pub regions: HashMap<Zone, Region>,
     /// Where callers connect.
     pub front_addr: SocketAddr,
     /// Where other entry nodes reach it; its identity among them.
@@ -91,6 +96,16 @@
     pub cross_zone_cost_per_kib: f64,
 }
 
+impl Settings {
+    /// Returns the availability zones whose upstreams may run requests with these homes; `None` where
+    /// all may.
+    fn home_zones(&self, homes: &[Region]) -> Option<BTreeSet<Zone>> {
+        let in_homes = |(_, region): &(&Zone, &Region)| homes.contains(region);
+        let zones = || self.regions.iter().filter(in_homes).map(|(zone, _)| zone.clone());
+        (!homes.is_empty()).then(|| zones().collect())
+    }
+}
+
 /// Returns whole milliseconds, as logs and the status give times.
 fn as_ms(time: Duration) -> u64 {
     time.as_millis() as u64
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -9,6 +9,7 @@
 use wire::Standing;
 
 use super::fake::{metrics, ms, run, settings, table, up};
+use crate::directory::Asker;
 use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
 use crate::forward::Node;
 use crate::state::{Peer, Seen, State, Stopping};
@@ -17,6 +18,10 @@
     Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings()))), metrics()))
 }
 
+fn in_zone(zone: &str) -> Asker<'_> {
+    Asker { zone, ..Asker::default() }
+}
+
 fn addr(n: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, n], 7_600))
 }
@@ -181,7 +186,7 @@
     nobody_else = { &[(1, "a", Standing::Suspect, 7)], &[127, 1] },
 )]
 fn callers_are_sent_to_nodes_that_serve(peers: &[(u8, &str, Standing, Cursor)], expected: &[u8]) {
-    let addresses = crate::directory::addresses(&mut state_with(peers), "a");
+    let addresses = crate::directory::addresses(&mut state_with(peers), in_zone("a"));
     let mut last: Vec<u8> = addresses
         .iter()
         .map(|addr| match addr {
@@ -218,7 +223,7 @@
     let now = Instant::now();
     state.stopping = Some(Stopping { asked_at: now, ends_at: now + ms(5_400) });
     assert!(!state.is_ready());
-    assert_eq!(crate::directory::addresses(&mut state, "a").len(), 2);
+    assert_eq!(crate::directory::addresses(&mut state, in_zone("a")).len(), 2);
 }
 
 /// Symptom: in a zone of a hundred nodes a third of them gets no callers.
@@ -231,7 +236,7 @@
     let mut state = state_with(&peers);
     let mut named = std::collections::HashSet::new();
     for _ in 0..30 {
-        let addresses = crate::directory::addresses(&mut state, "a");
+        let addresses = crate::directory::addresses(&mut state, in_zone("a"));
         assert_eq!(addresses.len(), 64);
         named.extend(addresses);
     }
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -1,7 +1,7 @@
 //! An entry node, upstreams that follow a script, and a caller that speaks raw bytes.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -52,6 +52,7 @@
     Settings {
         node_id: "n1".into(),
         zone: "a".into(),
+        regions: HashMap::new(),
         front_addr: addr,
         peer_addr: addr,
         seed_addrs: Vec::new(),
@@ -79,6 +80,7 @@
         timeout: ms(600),
         objective: ms(300),
         priority: 0,
+        homes: Vec::new(),
     };
     let routes = vec![
         ("seeds.example".into(), route("/get/", Repeat::Idempotent)),
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod evacuation;
 mod fake;
 mod fleet;
+mod homes;
 mod idle;
 mod large;
 mod long;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -99,6 +99,8 @@
     pub zone: &'a str,
     /// What sending it to another zone costs, as a share of its worth.
     pub cross_zone_cost: f64,
+    /// Zones whose upstreams may run it; `None` where all may.
+    pub homes: Option<&'a BTreeSet<Zone>>,
     /// What cold upstreams bear; `None` where they bear as much as others.
     pub warm_up: Option<WarmUp>,
     /// Upstreams that were tried already.
@@ -390,8 +392,10 @@
 
     /// Returns the upstreams in or outside the node's zone that were not tried, in order.
     fn in_zone<'a>(&'a self, ask: Ask<'a>, own: bool) -> impl Iterator<Item = usize> + 'a {
-        let wanted =
-            move |u: &Upstream| (u.zone == ask.zone) == own && !ask.tried.contains(&u.incarnation);
+        let is_home = move |u: &Upstream| ask.homes.is_none_or(|homes| homes.contains(&u.zone));
+        let wanted = move |u: &Upstream| {
+            (u.zone == ask.zone) == own && is_home(u) && !ask.tried.contains(&u.incarnation)
+        };
         self.in_service().filter(move |(_, u)| wanted(u)).map(|(index, _)| index)
     }
 
--- a/crates/place/src/tests.rs
+++ b/crates/place/src/tests.rs
@@ -52,6 +52,7 @@
         objective_left: OBJECTIVE,
         zone: "a",
         cross_zone_cost: 0.06,
+        homes: None,
         warm_up: None,
         tried: &[],
         repeatable: true,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,7 +7,7 @@
 
 mod split;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -24,6 +24,9 @@
 /// Name of a route, unique in a table.
 pub type RouteName = SmolStr;
 
+/// Name of a region.
+pub type Region = SmolStr;
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Repeat {
@@ -61,6 +64,8 @@
     pub objective: Duration,
     /// Rank among routes; 0 is the most urgent.
     pub priority: u32,
+    /// Regions whose upstreams may run its requests; any when there are none.
+    pub homes: Vec<Region>,
 }
 
 impl Route {
@@ -71,8 +76,12 @@
             Repeat::Idempotent => "idempotent",
             Repeat::AtMostOnce => "at_most_once",
         };
+        let homes = match self.homes.is_empty() {
+            true => String::new(),
+            false => format!(" homes={}", self.homes.join(",")),
+        };
         format!(
-            "{} prefix={} repeat={repeat} targets={} attempts={} timeout_ms={} objective_ms={} priority={}",
+            "{} prefix={} repeat={repeat} targets={} attempts={} timeout_ms={} objective_ms={} priority={}{homes}",
             self.name,
             self.prefix,
             targets.join(","),
@@ -169,6 +178,18 @@
         self.hosts.get(host)?.iter().find(|route| path.starts_with(route.prefix.as_str()))
     }
 
+    /// Returns the regions in which the requests of a host may run: those that all of its routes with
+    /// homes allow, or else those that any of them does; `None` where none has homes.
+    pub fn homes_of(&self, host: &str) -> Option<BTreeSet<&Region>> {
+        let routes = self.hosts.get(host)?.iter().filter(|route| !route.homes.is_empty());
+        let sets = routes.map(|route| route.homes.iter().collect::<BTreeSet<&Region>>());
+        let common = sets.clone().reduce(|one, other| &one & &other)?;
+        match common.is_empty() {
+            true => Some(sets.flatten().collect()),
+            false => Some(common),
+        }
+    }
+
     /// Returns true when no route to `service` is more urgent than `route`.
     pub fn is_most_urgent(&self, route: &Route, service: &str) -> bool {
         self.most_urgent.get(service).is_none_or(|rank| route.priority <= *rank)
--- a/crates/route/src/tests.rs
+++ b/crates/route/src/tests.rs
@@ -15,6 +15,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(300),
         priority,
+        homes: Vec::new(),
     }
 }
 
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -109,6 +109,7 @@
             objective_left: placing.objective_left,
             zone: &zone,
             cross_zone_cost: rules.cross_zone_cost_per_kib * self.works.size_kib(name),
+            homes: None,
             warm_up: None,
             tried: &[],
             repeatable: true,
