edge, place, platform: a store that comes back from an older copy

The store may be away for a moment and come back from a copy some seconds old; versions go back and are given out again. Callers saw the previous configuration for as long as nothing else changed, requests to an upstream that was about to leave, and a zone that was evacuated again after its evacuation had been taken back.

Cause: places in the store's history were compared by versions alone, and an older list was taken for news. Ruled out: going by the clock of the store's answers (`NowMs`): it does not say what was lost.

Change: a place is an era (`Store-Era`) and a version, in one number, so that followers, peers, heads told by membership and conditions of writes all order by it as they did. A read that is answered in another era than it asked in is one whose history is gone: everything is read again; an answer of an earlier era is dropped; a page of another era ends the read. A write over a version of an earlier era is not made. What is listed just after the return counts only once its writers could write again (2.2 s, as for entries that lapse in an outage): an upstream that is missing is kept, one that was let go stays so for its older entry, zones too; a configuration never goes back as before. What the product wrote is written again: records of configurations (kept for a minute by whoever wrote them), requests held back, operators' words with their audit records (now one transaction wherever they are written).

Left: a write over a version that was given out again in the moment between the store's return and this node's next answer would be taken by the store; it has no condition on the era.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use crate::forward::Node;
+use crate::history::{self, Cursor};
 use crate::{readers, relay};
 
 /// Longest time that one wait for changes lasts: an answer that holds nothing
@@ -89,9 +90,6 @@
     }
 }
 
-/// Place in the platform's history.
-pub type Cursor = u64;
-
 /// One thing that was read.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -194,6 +192,7 @@
                 () = until_indirect(&node) => continue,
             },
         };
+        let read = read.and_then(|batch| in_order(&node, topic, batch));
         count(&node, &read);
         let pause = match read {
             Ok(batch) => {
@@ -202,7 +201,9 @@
                 let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
                 failures = 0;
                 // Seen before it is applied: what is passed on to subscribers says up to where.
-                seen(&node, topic, batch.cursor, batch.newest);
+                if seen(&node, topic, batch.cursor, batch.newest) {
+                    doubt_what_is_read(&node, topic);
+                }
                 apply(&node, topic, batch.events, cursor.is_none());
                 cursor = Some(batch.cursor);
                 match () {
@@ -245,6 +246,24 @@
     }
 }
 
+/// Refuses an answer that was on its way when the platform went back.
+fn in_order(node: &Node, topic: Topic, batch: Batch) -> Result<Batch, SourceError> {
+    let seen = *node.state.borrow_mut().seen_mut(topic);
+    match history::era(batch.cursor) < history::era(seen.up_to) {
+        true => Err(SourceError::HistoryGone),
+        false => Ok(batch),
+    }
+}
+
+/// Has what is read of a platform that went back not count before its writers could write again.
+fn doubt_what_is_read(node: &Node, topic: Topic) {
+    let (state, now) = (&mut *node.state.borrow_mut(), Instant::now());
+    match topic {
+        Topic::Config => state.evacuations.store_went_back(now),
+        Topic::Upstreams => state.roster.store_went_back(now),
+    }
+}
+
 fn count(node: &Node, read: &Result<Batch, SourceError>) {
     let counters = &mut node.state.borrow_mut().counters;
     match read {
@@ -329,12 +348,25 @@
     }
 }
 
-fn seen(node: &Node, topic: Topic, up_to: Cursor, newest: Cursor) {
-    let mut state = node.state.borrow_mut();
+/// Takes how far a topic was read; returns true when the platform has come back from an older copy
+/// since.
+fn seen(node: &Node, topic: Topic, up_to: Cursor, newest: Cursor) -> bool {
+    let state = &mut *node.state.borrow_mut();
     let seen = state.seen_mut(topic);
+    let (era, before) = (history::era(up_to), history::era(seen.up_to));
+    let went_back = seen.read && era > before;
     seen.read = true;
     seen.up_to = seen.up_to.max(up_to);
     seen.newest = seen.newest.max(newest);
+    if went_back {
+        state.times_gone_back += 1;
+        trace::Line::new("store_went_back")
+            .field("topic", topic.name())
+            .field("era", era)
+            .field("before", before)
+            .log();
+    }
+    went_back
 }
 
 /// Takes what a peer passed on of the platform.
--- a/crates/edge/src/holds.rs
+++ b/crates/edge/src/holds.rs
@@ -9,14 +9,15 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use quarantine::{Content, Finding};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::follow::{Cursor, SourceError};
+use crate::follow::SourceError;
 use crate::forward::Node;
+use crate::history::Cursor;
 use crate::record;
 use crate::state::State;
 use crate::unix_ms;
@@ -43,15 +44,18 @@
     pub written_by: SmolStr,
     /// When it was written.
     pub at_unix_ms: u64,
+    /// Why an operator lifted it; nodes give no reason.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub why: Option<String>,
 }
 
-/// A finding that is kept, and the version of its row.
+/// A finding that is kept.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Kept {
     /// What is kept.
     pub hold: Hold,
-    /// Version that last changed its row.
-    pub version: Cursor,
+    /// The change that last wrote it.
+    pub written_at: Cursor,
 }
 
 /// Findings that are kept, as of a moment.
@@ -75,23 +79,41 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Batch, SourceError>>;
 
-    /// Writes one in place of what has this version, or of nothing if that is 0; false when it has
-    /// another by now.
+    /// Writes one in place of what was written at `over`, or of nothing if that is 0; false when
+    /// something else is there by now. The word of an operator is written with its audit record.
     fn keep(&self, hold: &Hold, over: Cursor) -> impl Future<Output = Result<bool, SourceError>>;
 }
 
+/// For how long an operator's word is remembered, to be written again if the platform comes back from a
+/// copy that lacks it: such copies are some seconds old.
+const WORDS_FOR: Duration = Duration::from_secs(60);
+
 /// What this node knows of what is kept.
 #[derive(Default)]
 struct Known {
     rows: HashMap<Content, Kept>,
     cursor: Cursor,
+    /// What operators wrote of late, and when this node read it.
+    words: HashMap<Content, (Hold, Instant)>,
 }
 
 impl Known {
+    /// Returns what is still known when all that is kept has to be read again.
+    fn to_be_read(&self) -> Known {
+        let is_recent = |(_, (_, at)): &(&Content, &(Hold, Instant))| at.elapsed() < WORDS_FOR;
+        let words = self.words.iter().filter(is_recent);
+        let words = words.map(|(content, word)| (*content, word.clone())).collect();
+        Known { words, ..Known::default() }
+    }
+
     fn take(&mut self, node: &Node, batch: Batch) {
         self.cursor = self.cursor.max(batch.cursor);
         for kept in batch.kept {
             node.hear_finding(&kept.hold.finding, "the platform");
+            if kept.hold.why.is_some() {
+                let word = (kept.hold.clone(), Instant::now());
+                self.words.insert(kept.hold.finding.content, word);
+            }
             self.rows.insert(kept.hold.finding.content, kept);
         }
         node.wake_gossip();
@@ -103,6 +125,9 @@
         if !is_keeper(&state) {
             return None;
         }
+        if let Some(word) = self.lost_word() {
+            return Some(word);
+        }
         let is_due = |finding: &&Finding| match self.rows.get(&finding.content) {
             Some(kept) => {
                 let kept = &kept.hold.finding;
@@ -111,9 +136,19 @@
             None => state.quarantine.is_held(finding.content),
         };
         let finding = state.quarantine.all().find(is_due)?.clone();
-        let over = self.rows.get(&finding.content).map_or(0, |kept| kept.version);
+        let over = self.rows.get(&finding.content).map_or(0, |kept| kept.written_at);
         let written_by = state.settings.node_id.clone();
-        Some((Hold { finding, written_by, at_unix_ms: unix_ms() }, over))
+        Some((Hold { finding, written_by, at_unix_ms: unix_ms(), why: None }, over))
+    }
+
+    /// Returns an operator's word that is not kept any more, and over what it is to be written.
+    fn lost_word(&self) -> Option<(Hold, Cursor)> {
+        let (word, row) = self.words.iter().find_map(|(content, (word, _))| {
+            let row = self.rows.get(content);
+            let is_lost = row.is_none_or(|row| row.hold.finding.epoch < word.finding.epoch);
+            is_lost.then_some((word, row))
+        })?;
+        Some((word.clone(), row.map_or(0, |row| row.written_at)))
     }
 }
 
@@ -133,24 +168,38 @@
 pub async fn run<H: Holds>(holds: H, node: Rc<Node>) {
     let mut known: Option<Known> = None;
     let mut pause = RETRY.0;
+    // What was read is of an older copy; how often the platform had gone back by then.
+    let (mut is_outdated, mut times_gone_back) = (false, 0);
     loop {
         monoio::time::sleep(LOOK).await;
         let (is_keeper, holds_any, must_read) = {
             let state = node.state.borrow();
+            is_outdated |=
+                std::mem::replace(&mut times_gone_back, state.times_gone_back) < times_gone_back;
             let holds_any = state.quarantine.held().next().is_some();
-            (is_keeper(&state), holds_any, known.is_none() && reads_at_start(&state))
+            let knows_any = holds_any || state.quarantine.all().any(|finding| finding.epoch > 0);
+            let is_keeper = is_keeper(&state);
+            let must_read = match is_outdated {
+                true => is_keeper && knows_any,
+                false => known.is_none() && reads_at_start(&state),
+            };
+            (is_keeper, holds_any, must_read)
         };
         let done = match &mut known {
-            None if must_read || (is_keeper && holds_any) => {
-                let read = holds.all().await;
-                read.map(|batch| known.insert(Known::default()).take(&node, batch))
+            Some(_) if is_outdated && !must_read => Ok(()),
+            old if must_read || (old.is_none() && is_keeper && holds_any) => {
+                holds.all().await.map(|batch| {
+                    let read = old.as_ref().map(Known::to_be_read).unwrap_or_default();
+                    old.insert(read).take(&node, batch);
+                    is_outdated = false;
+                })
             }
             Some(known) if is_keeper && (holds_any || known.due(&node).is_some()) => {
                 match keep_or_wait(&holds, &node, known).await {
                     // Somebody else wrote, or the history is gone: everything is read again.
                     Ok(true) => Ok(()),
                     Ok(false) | Err(SourceError::HistoryGone) => holds.all().await.map(|batch| {
-                        *known = Known::default();
+                        *known = known.to_be_read();
                         known.take(&node, batch);
                     }),
                     Err(err) => Err(err),
@@ -182,9 +231,9 @@
                 .field("content", hold.finding.content)
                 .field("held", hold.finding.is_held())
                 .log();
-            // The version of its row is not known: to write it again, it is read again.
-            let (content, version) = (hold.finding.content, Cursor::MAX);
-            known.rows.insert(content, Kept { hold, version });
+            // Which change wrote it is not known: to write it again, it is read again.
+            let (content, written_at) = (hold.finding.content, Cursor::MAX);
+            known.rows.insert(content, Kept { hold, written_at });
         }
         return Ok(written);
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod follow;
 pub mod forward;
 pub mod gossip;
+pub mod history;
 pub mod holds;
 pub mod metrics;
 pub mod probe;
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -32,6 +32,10 @@
 /// Pause after a failed write.
 const RETRY: Duration = Duration::from_secs(2);
 
+/// For how long a record that is written is remembered, to be written again if the platform comes back
+/// from a copy that lacks it: such copies are some seconds old.
+const WRITTEN_FOR: Duration = Duration::from_secs(60);
+
 /// Versions remembered by a node that does not write records itself. It needs
 /// only those that the first node may not have written when it failed.
 const REMEMBERED_MOST: usize = 16;
@@ -50,6 +54,8 @@
 #[derive(Default)]
 pub struct Unrecorded {
     steps: Vec<Step>,
+    /// Those that were recorded of late, and when.
+    recorded: Vec<(Step, Instant)>,
 }
 
 /// One change of configuration.
@@ -72,8 +78,20 @@
         }
     }
 
-    fn forget(&mut self, version: Version) {
-        self.steps.retain(|step| step.table.version != version);
+    /// Takes that the record of a version is written.
+    fn is_recorded(&mut self, version: Version, now: Instant) {
+        let is_recent =
+            |(_, at): &(Step, Instant)| now.saturating_duration_since(*at) < WRITTEN_FOR;
+        self.recorded.retain(is_recent);
+        let written = self.steps.extract_if(.., |step| step.table.version == version);
+        self.recorded.extend(written.map(|step| (step, now)));
+    }
+
+    /// Takes that records which were written of late may be gone.
+    fn write_again(&mut self, now: Instant) {
+        let recent = std::mem::take(&mut self.recorded).into_iter();
+        let recent = recent.filter(|(_, at)| now.saturating_duration_since(*at) < WRITTEN_FOR);
+        self.steps.splice(..0, recent.map(|(step, _)| step));
     }
 }
 
@@ -90,12 +108,20 @@
 
 /// Writes records forever.
 pub async fn run<R: Records>(records: R, node: Rc<Node>) {
+    let mut times_gone_back = 0;
     loop {
         monoio::time::sleep(LOOK).await;
+        {
+            let state = &mut *node.state.borrow_mut();
+            if std::mem::replace(&mut times_gone_back, state.times_gone_back) < times_gone_back {
+                state.unrecorded.write_again(Instant::now());
+            }
+        }
         let Some(record) = next_record(&node) else { continue };
         match records.write(&record).await {
             Ok(written) => {
-                node.state.borrow_mut().unrecorded.forget(record.version);
+                let now = Instant::now();
+                node.state.borrow_mut().unrecorded.is_recorded(record.version, now);
                 trace::Line::new("config_recorded")
                     .field("version", record.version)
                     .field("by_this_node", written)
--- a/crates/edge/src/relay/frame.rs
+++ b/crates/edge/src/relay/frame.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use crate::follow::Cursor;
+use crate::history::Cursor;
 use crate::state::State;
 
 /// Longest frame taken, in bytes: the list at 6,700 upstreams is about 0.7 MB.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -13,7 +13,8 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::follow::{Cursor, Topic};
+use crate::follow::Topic;
+use crate::history::Cursor;
 use crate::Settings;
 
 /// The state, shared by the tasks of the node's one thread.
@@ -184,6 +185,9 @@
     pub config_seen: Seen,
     /// How much of the list's history was seen.
     pub list_seen: Seen,
+    /// How often this node has seen, of either topic, that the platform came back from an older copy:
+    /// what was written there a moment before is gone.
+    pub times_gone_back: u32,
     /// Other entry nodes.
     pub peers: BTreeMap<SocketAddr, Peer>,
     /// When the process started.
@@ -227,6 +231,7 @@
             turns: HashMap::new(),
             config_seen: Seen::default(),
             list_seen: Seen::default(),
+            times_gone_back: 0,
             peers: BTreeMap::new(),
             started_at: Instant::now(),
             direct,
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::as_ms;
-use crate::follow::Cursor;
+use crate::history::Cursor;
 use crate::state::{Counters, Peer, State};
 
 /// The beliefs of an entry node. Sizes grow with the number of upstreams: 0.2 kB for each.
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -10,8 +10,9 @@
 
 use super::fake::{metrics, ms, run, settings, table, up};
 use crate::directory::Asker;
-use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
+use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
 use crate::forward::Node;
+use crate::history::Cursor;
 use crate::state::{Peer, Seen, State, Stopping};
 
 fn node() -> Rc<Node> {
--- a/crates/edge/src/tests/crashes.rs
+++ b/crates/edge/src/tests/crashes.rs
@@ -259,6 +259,35 @@
     });
 }
 
+/// A request that an operator has lifted is held back again: the platform came back from a copy that was
+/// made before the word, and nobody had kept it.
+#[test]
+fn an_operators_word_is_written_again_after_the_platform_went_back() {
+    run(async {
+        let platform = Platform::default();
+        let cluster = Cluster::start(100, 3, 8, "crash");
+        cluster.nodes.iter().for_each(|node| platform.serve(node));
+        monoio::time::sleep(JOINED).await;
+        hold_back(&cluster).await;
+        until("it is kept", ms(3_000), || platform.kept.borrow().len() == 1).await;
+        let older = platform.kept.borrow()[0].hold.clone();
+        platform.put(older.finding.cleared(older.finding.until_unix_ms));
+        until("an operator lifts it", ms(3_000), || cluster.all_hold_back(0)).await;
+
+        platform.write(older);
+        for node in &cluster.nodes {
+            node.state.borrow_mut().times_gone_back += 1;
+        }
+        let is_written = || {
+            let kept = platform.kept.borrow();
+            kept[0].hold.written_by == "ana" && kept[0].hold.why.is_some()
+        };
+        until("the word is written again", ms(5_000), is_written).await;
+        monoio::time::sleep(ms(500)).await;
+        assert!(cluster.all_hold_back(0), "an older hold never undoes a lift");
+    });
+}
+
 /// While nothing is held back, what is kept costs no call.
 #[test]
 fn what_is_kept_costs_no_call_while_nothing_is_held_back() {
--- a/crates/edge/src/tests/crashing.rs
+++ b/crates/edge/src/tests/crashing.rs
@@ -14,8 +14,9 @@
 use web::h1;
 
 use super::fake::{metrics, ms, settings, table, Caller};
-use crate::follow::{Cursor, SourceError};
+use crate::follow::SourceError;
 use crate::forward::Node;
+use crate::history::Cursor;
 use crate::holds::{Hold, Holds, Kept};
 use crate::state::{self, State};
 use crate::{follow, gossip, holds, serve};
@@ -272,9 +273,14 @@
 
     /// Writes a finding, as an operator does.
     pub fn put(&self, finding: quarantine::Finding) {
+        let why = Some("fixed".to_owned());
+        self.write(Hold { finding, written_by: "ana".into(), at_unix_ms: 0, why });
+    }
+
+    /// Has a finding in place of what is kept.
+    pub fn write(&self, hold: Hold) {
         self.version.set(self.version.get() + 1);
-        let hold = Hold { finding, written_by: "ana".into(), at_unix_ms: 0 };
-        let kept = Kept { hold, version: self.version.get() };
+        let kept = Kept { hold, written_at: self.version.get() };
         *self.kept.borrow_mut() = vec![kept];
     }
 
@@ -300,11 +306,11 @@
 
     async fn keep(&self, hold: &Hold, over: Cursor) -> Result<bool, SourceError> {
         self.calls.set(self.calls.get() + 1);
-        let is_free = over == 0 && self.kept.borrow().is_empty();
-        if is_free {
-            self.put(hold.finding.clone());
+        let is_as_read = self.kept.borrow().first().map_or(0, |kept| kept.written_at) == over;
+        if is_as_read {
+            self.write(hold.clone());
         }
-        Ok(is_free)
+        Ok(is_as_read)
     }
 }
 
--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -10,8 +10,9 @@
 use wire::Standing;
 
 use super::fake::{metrics, ms, settings, table};
-use crate::follow::{self, Batch, Cursor, Event, Source, SourceError, Topic};
+use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
 use crate::forward::Node;
+use crate::history::Cursor;
 use crate::relay;
 use crate::state::{Peer, State};
 
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -8,8 +8,8 @@
 
 use super::fake::{metrics, ms, run, settings};
 use super::fleet::{addr, entry, platform, serving, start, state_at, until_subscribed, Platform};
-use crate::follow::Cursor;
 use crate::forward::Node;
+use crate::history::Cursor;
 use crate::readers::{self, Way};
 use crate::relay;
 use crate::state::{Peer, State};
--- a/crates/place/src/evacuations.rs
+++ b/crates/place/src/evacuations.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     zones: BTreeSet<Zone>,
+    /// Zones that were evacuated once, and are not any more.
+    taken_back: BTreeSet<Zone>,
     /// What the store listed when it was back from an older copy, and from when on that counts.
     doubted: Option<(BTreeSet<Zone>, Instant)>,
 }
@@ -34,6 +36,10 @@
 
     /// Takes one change: the zone is evacuated from now on, or no longer.
     pub fn set(&mut self, zone: Zone, is_evacuated: bool) {
+        match is_evacuated {
+            true => self.taken_back.remove(&zone),
+            false => self.taken_back.insert(zone.clone()),
+        };
         let doubted = self.doubted.iter_mut().map(|(zones, _)| zones);
         for zones in doubted.chain([&mut self.zones]) {
             match is_evacuated {
@@ -46,14 +52,25 @@
     /// Takes all zones that the store lists.
     pub fn whole(&mut self, listed: BTreeSet<Zone>) {
         match &mut self.doubted {
-            Some((doubted, _)) => *doubted = listed,
-            None => self.zones = listed,
+            Some((doubted, _)) => {
+                // One that this node has not seen taken back cannot be an older one.
+                self.zones.extend(listed.difference(&self.taken_back).cloned());
+                *doubted = listed;
+            }
+            None => self.list(listed),
         }
     }
 
+    fn list(&mut self, zones: BTreeSet<Zone>) {
+        self.taken_back.extend(self.zones.difference(&zones).cloned());
+        self.taken_back.retain(|zone| !zones.contains(zone));
+        self.zones = zones;
+    }
+
     /// Takes the zones as another node holds them: that node has decided what counts.
     pub fn adopt(&mut self, zones: BTreeSet<Zone>) {
-        (self.zones, self.doubted) = (zones, None);
+        self.doubted = None;
+        self.list(zones);
     }
 
     /// Records that the store is back from an older copy; what it lists is taken by
@@ -70,7 +87,7 @@
     /// Has what the store lists count once its writers have had the time to write again.
     pub fn expire(&mut self, now: Instant) {
         if let Some((zones, _)) = self.doubted.take_if(|(_, counts_at)| *counts_at <= now) {
-            self.zones = zones;
+            self.list(zones);
         }
     }
 }
--- a/crates/place/src/evacuations/tests.rs
+++ b/crates/place/src/evacuations/tests.rs
@@ -30,11 +30,13 @@
 fn an_older_copy_changes_nothing_until_it_could_be_written_again() {
     let now = Instant::now();
     let mut evacuations = Evacuations::default();
-    evacuations.set("begun-since".into(), true);
+    evacuations.set("taken-back-since".into(), true);
+    evacuations.whole(["begun-since".into()].into());
     evacuations.store_went_back(now);
-    evacuations.whole(["taken-back-since".into()].into());
+    evacuations.whole(["new".into(), "taken-back-since".into()].into());
     evacuations.expire(now + KEEP_AFTER_OUTAGE - MOMENT);
-    assert_eq!(zones(&evacuations), ["begun-since"]);
+    assert_eq!(zones(&evacuations), ["begun-since", "new"]);
+    evacuations.set("new".into(), false);
 
     evacuations.set("begun-since".into(), true);
     evacuations.set("taken-back-since".into(), false);
@@ -49,9 +51,12 @@
 fn an_older_copy_counts_once_nobody_has_written_again() {
     let now = Instant::now();
     let mut evacuations = Evacuations::default();
+    evacuations.set("taken-back-since".into(), true);
+    evacuations.set("taken-back-since".into(), false);
     evacuations.set("begun-since".into(), true);
     evacuations.store_went_back(now);
     evacuations.whole(["taken-back-since".into()].into());
+    assert_eq!(zones(&evacuations), ["begun-since"]);
     evacuations.expire(now + KEEP_AFTER_OUTAGE);
     assert_eq!(zones(&evacuations), ["taken-back-since"]);
 }
--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -122,6 +122,10 @@
     store_back: Option<(Instant, Instant)>,
     /// The newest start of upstreams that were let go, and when that was.
     left: HashMap<UpstreamId, (u64, Instant)>,
+    /// Until when entries of upstreams that were let go are taken for older ones.
+    doubts_until: Option<Instant>,
+    /// Such entries, which count then.
+    doubted: HashMap<UpstreamId, Entry>,
 }
 
 impl Roster {
@@ -138,6 +142,16 @@
         }
     }
 
+    /// Records that the store is back from an older copy, and that its list is read next.
+    ///
+    /// What upstreams wrote since the copy was made, they write again: until they had the time, one
+    /// that is missing is kept, and the entry of one that was let go does not bring it back.
+    pub fn store_went_back(&mut self, now: Instant) {
+        self.store_away = None;
+        self.store_back = Some((now, now));
+        self.doubts_until = Some(now + KEEP_AFTER_OUTAGE);
+    }
+
     /// Forgets that the store did not answer; the next call tells.
     pub fn store_unknown(&mut self) {
         self.store_away = None;
@@ -212,8 +226,13 @@
     }
 
     fn take(&mut self, event: Event, keep_until: Option<Instant>, now: Instant) -> Vec<Change> {
+        self.doubted.remove(event.id());
         match event {
             Event::Put(entry) if self.is_of_earlier_start(&entry) => Vec::new(),
+            Event::Put(entry) if !entry.leaving && self.is_doubted(&entry, now) => {
+                self.doubted.insert(entry.id.clone(), entry);
+                Vec::new()
+            }
             Event::Put(entry) if entry.leaving => {
                 let dropped = self.drop(&entry.id, "leaving", now);
                 self.left.insert(entry.id, (entry.born_ms, now));
@@ -242,6 +261,16 @@
         held.max(left).is_some_and(|newest| newest > entry.born_ms)
     }
 
+    /// Returns true for the entry of an upstream that was let go, while the store may list what was
+    /// written before that.
+    fn is_doubted(&self, entry: &Entry, now: Instant) -> bool {
+        let is_back = self.doubts_until.is_some_and(|until| now < until);
+        let was_let_go = |(born_ms, _): &(u64, Instant)| *born_ms == entry.born_ms;
+        is_back
+            && !self.entries.contains_key(&entry.id)
+            && self.left.get(&entry.id).is_some_and(was_let_go)
+    }
+
     fn put(&mut self, entry: Entry, now: Instant) -> Vec<Change> {
         self.vanished.remove(&entry.id);
         let replaced = self.entries.get(&entry.id).and_then(|held| match () {
@@ -266,7 +295,8 @@
         Some(Change::Drop { upstream, service: entry.service, addr: entry.addr, why })
     }
 
-    /// Drops the upstreams that were kept and are still not listed.
+    /// Drops the upstreams that were kept and are still not listed, and takes back those that were let
+    /// go and are still listed after the store went back.
     pub fn expire(&mut self, now: Instant) -> Vec<Change> {
         let due: Vec<UpstreamId> = self
             .vanished
@@ -275,7 +305,13 @@
             .map(|(id, _)| id.clone())
             .collect();
         self.left.retain(|_, (_, at)| now.saturating_duration_since(*at) < REMEMBER_START_FOR);
-        due.iter().filter_map(|id| self.drop(id, "not back", now)).collect()
+        let dropped = due.iter().filter_map(|id| self.drop(id, "not back", now));
+        let mut changes: Vec<Change> = dropped.collect();
+        if self.doubts_until.take_if(|until| *until <= now).is_some() {
+            let entries = std::mem::take(&mut self.doubted).into_values();
+            changes.extend(entries.flat_map(|entry| self.put(entry, now)));
+        }
+        changes
     }
 
     /// Returns true while upstreams are kept that are not listed.
--- a/crates/place/src/roster/tests.rs
+++ b/crates/place/src/roster/tests.rs
@@ -50,6 +50,31 @@
     assert_eq!(roster.len(), 1);
 }
 
+/// Symptom: an upstream that leaves gets requests again, or those that live get none.
+/// Sequence: the store comes back from a copy some seconds old. One upstream is listed as it was before it
+/// said that it leaves, one that has left is listed still, one that started since is missing; those that
+/// live write again within two seconds.
+/// Cause: taking the older list for news.
+#[test]
+fn an_older_list_changes_nothing_until_it_could_be_written_again() {
+    let now = Instant::now();
+    let mut roster = roster(4, now);
+    let leaves = Event::Put(Entry { leaving: true, ..entry(1, "a") });
+    roster.apply(vec![leaves.clone()], now);
+    roster.apply(gone(&[2]), now);
+    let back = now + ms(3_000);
+    roster.store_went_back(back);
+    let older = [1, 2, 3].map(|n| Event::Put(entry(n, "a")));
+    assert!(roster.whole(older.into(), back).is_empty());
+    assert_eq!(roster.len(), 2, "the third, and the fourth that is missing");
+
+    roster.apply(vec![leaves, Event::Put(entry(4, "a"))], back + ms(1_000));
+    assert!(roster.expire(back + ms(1_900)).is_empty());
+    let changes = roster.expire(back + ms(2_300));
+    assert!(matches!(&changes[..], [Change::Put(entry)] if entry.id == "u2"), "{changes:?}");
+    assert_eq!(roster.len(), 3, "nobody has written that the second is gone");
+}
+
 /// Symptom: a node that was cut off sends requests to an upstream that left twelve seconds ago.
 /// Sequence: the node is cut off from the store; an upstream drains and leaves; the cut heals;
 /// the node reads the list and finds the entry missing.
