oatcove, oatcoved: an operator evacuates availability zones, with an audit record

The product's own interface had no way to keep calls from a whole zone but draining its upstreams one by one.

Change: `oatcove zone evacuate|restore|status`, rows `zone/NAME` in the table of drains, so that entry nodes make no call more; their upstreams stand as leaving ones do. Older rows never replace newer ones, relays pass them on, `status` names the zones, an unknown zone is refused with nothing written, a row that cannot be read counts as an evacuation.

Ruled out: a table of its own: a third read each `config_poll_ms`.

Tests: oatcoved::follow, oatcove::apply.

--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -125,40 +125,90 @@
     actor: &str,
     patience: Patience,
 ) -> Result<Applied, ApplyError> {
-    let key = smol_str::format_smolstr!("{upstream}");
     let wanted = proto::Drain { vm_id: vm_id.into(), lifted: lift };
-    let wanted_text = serde_json::to_string(&wanted).expect("drain encodes");
+    let verb = if lift { "-drain" } else { "+drain" };
+    let mark = Mark {
+        kind: "drains",
+        key: smol_str::format_smolstr!("{upstream}"),
+        value: serde_json::to_string(&wanted).expect("drain encodes"),
+        is_lifted: lift,
+        diff: format!("{verb} {upstream} vm_id {vm_id}\n"),
+    };
+    write_mark(store, mark, actor, patience).await
+}
+
+/// Evacuates an availability zone, or with `lift` takes that back, with its audit record.
+///
+/// Every entry node stops sending its upstreams new calls once it reads the evacuation (within one
+/// `config_poll_ms`); calls under way end.
+///
+/// # Errors
+///
+/// As [`apply`]; a zone already as asked for is [`Applied::Unchanged`].
+pub async fn evacuate(
+    store: &Store,
+    zone: &str,
+    lift: bool,
+    actor: &str,
+    patience: Patience,
+) -> Result<Applied, ApplyError> {
+    let wanted = proto::Evacuation { lifted: lift };
+    let verb = if lift { "-evacuate" } else { "+evacuate" };
+    let mark = Mark {
+        key: smol_str::format_smolstr!("{}{zone}", store::EVACUATED),
+        kind: "zones",
+        value: serde_json::to_string(&wanted).expect("evacuation encodes"),
+        is_lifted: lift,
+        diff: format!("{verb} {zone}\n"),
+    };
+    write_mark(store, mark, actor, patience).await
+}
+
+/// A row by which an operator marks something, or takes that back.
+struct Mark {
+    /// What its audit record stands under, in place of a service.
+    kind: &'static str,
+    key: SmolStr,
+    value: String,
+    is_lifted: bool,
+    diff: String,
+}
+
+async fn write_mark(
+    store: &Store,
+    mark: Mark,
+    actor: &str,
+    patience: Patience,
+) -> Result<Applied, ApplyError> {
+    let Mark { kind, key, value, is_lifted, diff } = mark;
     let current = with_retries(patience, || store.get(store::DRAINS, &key)).await?;
     let version_before = match &current {
-        Some(row) if row.value == wanted_text => {
-            return Ok(Applied::Unchanged { version: row.version })
-        }
+        Some(row) if row.value == value => return Ok(Applied::Unchanged { version: row.version }),
         Some(row) => row.version,
-        None if lift => return Ok(Applied::Unchanged { version: 0 }),
+        None if is_lifted => return Ok(Applied::Unchanged { version: 0 }),
         None => 0,
     };
     let change_id = new_change_id();
-    let verb = if lift { "-drain" } else { "+drain" };
     let record = audit::Record {
         change_id: change_id.clone(),
-        service: "drains".into(),
+        service: kind.into(),
         actor: actor.into(),
         at_unix_ms: unix_ms(),
         version_before,
-        diff: format!("{verb} {upstream} vm_id {vm_id}\n"),
+        diff,
     };
     let write = proto::Write {
         table: store::DRAINS.into(),
         key: key.clone(),
         expected_version: version_before,
-        value: wanted_text.clone(),
+        value: value.clone(),
     };
     match commit(store, write, &record, patience).await {
         Ok(version) => Ok(Applied::Written { version, change_id }),
         Err(ApplyError::Conflict(version)) => {
             // Another operator may have asked for the very same: then it holds.
             match store.get(store::DRAINS, &key).await {
-                Ok(Some(row)) if row.value == wanted_text => {
+                Ok(Some(row)) if row.value == value => {
                     Ok(Applied::Unchanged { version: row.version })
                 }
                 _ => Err(ApplyError::Conflict(version)),
--- a/crates/oatcove/src/apply/tests.rs
+++ b/crates/oatcove/src/apply/tests.rs
@@ -125,3 +125,22 @@
         assert!(matches!(again, Applied::Unchanged { .. }), "{again:?}");
     });
 }
+
+#[test]
+fn an_evacuation_is_written_once_with_its_record_and_taken_back() {
+    web::runtime().block_on(async {
+        let (table, store) = start_platform();
+        let evacuate = async |lift| apply::evacuate(&store, "attiki-b", lift, "ana", QUICK).await;
+        assert!(matches!(evacuate(true).await, Ok(Applied::Unchanged { version: 0 })));
+        assert!(matches!(evacuate(false).await, Ok(Applied::Written { .. })));
+        table.set(proto::Faults { lose_acks: 1, ..Default::default() });
+        assert!(matches!(evacuate(false).await, Ok(Applied::Unchanged { .. })));
+        assert!(matches!(evacuate(true).await, Ok(Applied::Written { .. })));
+        assert_eq!(table.rows(store::DRAINS)[0].value, r#"{"lifted":true}"#);
+        let records = table.rows(store::AUDIT);
+        let diff = |row: &proto::Row| audit::Record::from_json(&row.value).expect("a record").diff;
+        let mut diffs: Vec<String> = records.iter().map(diff).collect();
+        diffs.sort();
+        assert_eq!(diffs, ["+evacuate attiki-b\n", "-evacuate attiki-b\n"]);
+    });
+}
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -19,6 +19,9 @@
     /// Prepares upstreams for planned stops
     #[bpaf(command("upstream"))]
     Upstream(#[bpaf(external(upstream_command))] UpstreamCommand),
+    /// Evacuates availability zones: their upstreams get no new calls
+    #[bpaf(command("zone"))]
+    Zone(#[bpaf(external(zone_command))] ZoneCommand),
     /// Gathers what entry nodes logged about one request and prints it in order
     ///
     /// Example: `oatcove explain 9c41d07be2a35f68 edge-*.log`
@@ -116,6 +119,42 @@
     },
 }
 
+/// Evacuates availability zones.
+///
+/// Example: `oatcove zone evacuate --platform 10.0.0.2:7000 --actor ana attiki-b`
+#[derive(Bpaf, Debug)]
+enum ZoneCommand {
+    /// Keeps new calls from all upstreams of a zone; calls under way end
+    #[bpaf(command("evacuate"))]
+    Evacuate(#[bpaf(external(zone_change))] ZoneChange),
+    /// Takes an evacuation back
+    #[bpaf(command("restore"))]
+    Restore(#[bpaf(external(zone_change))] ZoneChange),
+    /// Prints which zones are evacuated
+    #[bpaf(command("status"))]
+    Status {
+        /// Platform address, ip:port
+        #[bpaf(long("platform"), argument("ADDR"), fallback("127.0.0.1:7000".parse().unwrap()))]
+        platform: SocketAddr,
+        /// Print one JSON object a line
+        #[bpaf(long("json"), switch)]
+        json: bool,
+    },
+}
+
+#[derive(Bpaf, Debug)]
+struct ZoneChange {
+    /// Platform address, ip:port
+    #[bpaf(long("platform"), argument("ADDR"), fallback("127.0.0.1:7000".parse().unwrap()))]
+    platform: SocketAddr,
+    /// Name recorded as the author of the change
+    #[bpaf(long("actor"), argument("NAME"), fallback(std::env::var("USER").unwrap_or_else(|_| "unknown".into())))]
+    actor: String,
+    /// Availability zone
+    #[bpaf(positional("ZONE"))]
+    zone: String,
+}
+
 /// Exit codes, so scripts can tell outcomes apart.
 mod exit {
     pub const INVALID: i32 = 2;
@@ -143,6 +182,9 @@
         Command::Upstream(UpstreamCommand::Drain { platform, actor, wait, lift, upstream }) => {
             drain(&store::Store::new(platform), upstream, &actor, wait, lift).await
         }
+        Command::Zone(ZoneCommand::Evacuate(change)) => evacuate(change, false).await,
+        Command::Zone(ZoneCommand::Restore(change)) => evacuate(change, true).await,
+        Command::Zone(ZoneCommand::Status { platform, json }) => zone_status(platform, json).await,
         Command::Status { entry } => status(entry).await,
         Command::Explain { request, files } => explain(&request, &files),
         Command::Summary { window_s, files } => summary(window_s, &files),
@@ -311,6 +353,68 @@
     }
 }
 
+async fn evacuate(change: ZoneChange, lift: bool) -> i32 {
+    let ZoneChange { platform, actor, zone } = change;
+    let store = store::Store::new(platform);
+    let vms = match store.vms().await {
+        Ok(vms) => vms,
+        Err(err) => {
+            eprintln!("error: {err}");
+            return exit::UNAVAILABLE;
+        }
+    };
+    // An evacuation that names nothing would be taken for one that holds.
+    if !lift && !vms.iter().any(|vm| vm.zone == zone) {
+        eprintln!("error: the platform's VM list has no zone {zone:?}; nothing written");
+        return exit::INVALID;
+    }
+    let done = if lift { "restored" } else { "evacuated" };
+    match oatcove::apply::evacuate(&store, &zone, lift, &actor, Default::default()).await {
+        Ok(oatcove::apply::Applied::Written { version, change_id }) => {
+            println!("{done}: {zone} at version {version}, change {change_id}");
+            0
+        }
+        Ok(oatcove::apply::Applied::Unchanged { version }) => {
+            println!("unchanged: {zone} already {done} at version {version}");
+            0
+        }
+        Err(err) => {
+            eprintln!("error: {err}");
+            apply_exit(&err)
+        }
+    }
+}
+
+async fn zone_status(platform: SocketAddr, json: bool) -> i32 {
+    let rows = match store::Store::new(platform).since(store::DRAINS, 0).await {
+        Ok(rows) => rows.rows,
+        Err(err) => {
+            eprintln!("error: {err}");
+            return exit::UNAVAILABLE;
+        }
+    };
+    for row in rows {
+        let Some(zone) = row.key.strip_prefix(store::EVACUATED) else { continue };
+        let lifted = match serde_json::from_str::<store::proto::Evacuation>(&row.value) {
+            Ok(evacuation) => evacuation.lifted,
+            Err(err) => {
+                eprintln!("warning: the row of zone {zone} is unreadable: {err}; it counts");
+                false
+            }
+        };
+        let (version, change) = (row.version, &row.change_id);
+        let state = if lifted { "restored" } else { "evacuated" };
+        match json {
+            true => println!(
+                "{}",
+                serde_json::json!({"zone": zone, "state": state, "version": version, "change_id": change})
+            ),
+            false => println!("{zone} {state} at version {version}, change {change}"),
+        }
+    }
+    0
+}
+
 async fn wait_drained(store: &store::Store, upstream: SocketAddr) -> i32 {
     match oatcove::drain::wait(store, upstream).await {
         Ok(took) => {
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use local_sync::mpsc::unbounded::Tx;
+use smol_str::SmolStr;
 use store::proto;
 
 use crate::view::{Held, View};
@@ -65,7 +66,30 @@
     Ok(())
 }
 
-/// Applies drain rows: each names an upstream that gets no new calls.
+/// Applies a row that evacuates an availability zone, or takes that back; true when it is news.
+///
+/// As with drains, an older row never replaces a newer one. One that cannot be read counts as an
+/// evacuation: its operator meant the zone to get nothing.
+fn apply_evacuation(view: &mut View, zone: SmolStr, row: proto::Row) -> bool {
+    if view.evacuations.get(&zone).is_some_and(|(_, held)| held.version >= row.version) {
+        return false;
+    }
+    let evacuation = serde_json::from_str::<proto::Evacuation>(&row.value);
+    let evacuation = evacuation.unwrap_or_else(|err| {
+        log::error!("evacuation row {:?} is unreadable: {err}; taken to be in force", row.key);
+        proto::Evacuation::default()
+    });
+    log::info!(
+        "node={} zone={} evacuation of zone {zone} {}",
+        view.settings.node_id,
+        view.settings.zone,
+        if evacuation.lifted { "taken back" } else { "in force" }
+    );
+    view.evacuations.insert(zone, (evacuation, row));
+    true
+}
+
+/// Applies drain rows: each names an upstream, or an availability zone, that gets no new calls.
 ///
 /// Drains are kept apart from the VM list, which lags and would otherwise
 /// mark a drained upstream live again at its next rebuild; [`apply_vms`]
@@ -74,6 +98,11 @@
 pub fn apply_drains(view: &mut View, rows: proto::Rows) {
     let mut changed = false;
     for row in rows.rows {
+        if let Some(zone) = row.key.strip_prefix(store::EVACUATED) {
+            let zone = SmolStr::from(zone);
+            changed |= apply_evacuation(view, zone, row);
+            continue;
+        }
         let addr = row.key.parse::<SocketAddr>();
         let drain = serde_json::from_str::<proto::Drain>(&row.value);
         match (addr, drain) {
@@ -250,7 +279,7 @@
     let mut members: std::collections::HashMap<smol_str::SmolStr, Vec<_>> = Default::default();
     for vm in vms.iter().filter(|vm| vm.role == proto::VmRole::Upstream) {
         let standing = match vm.state {
-            _ if view.is_drained(vm) => balance::Standing::Leaving,
+            _ if view.is_drained(vm) || view.is_evacuated(&vm.zone) => balance::Standing::Leaving,
             proto::VmState::Live => balance::Standing::Live,
             proto::VmState::Leaving | proto::VmState::Gone => balance::Standing::Leaving,
         };
--- a/crates/oatcoved/src/follow/tests.rs
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -118,6 +118,40 @@
     assert_eq!(standing(9002), Some(balance::Standing::Live));
 }
 
+/// Symptom: an evacuated zone gets calls again, or never any more.
+/// Sequence: an operator evacuates a zone; the VM list changes there; the evacuation is taken back, and an
+/// older answer comes late; a row cannot be read.
+/// Cause: a rebuild from the VM list alone, an older row in place of a newer one, or taking what cannot be
+/// read for nothing.
+#[test]
+fn an_evacuation_outlives_changes_of_the_vm_list_and_late_answers() {
+    let mut view = view();
+    let live = || upstream(9001, proto::VmState::Live);
+    apply_vm_changes(&mut view, 0, proto::VmChanges { head: 1, vms: vec![live()] });
+    let zone = live().zone;
+    let row = |version, value: &str| proto::Row {
+        key: format!("{}{zone}", store::EVACUATED).into(),
+        version,
+        value: value.into(),
+        change_id: "e".into(),
+    };
+    let standing = |view: &crate::view::View| view.pools["swap-desk"].upstreams[0].standing;
+    let take = |view: &mut crate::view::View, row: proto::Row| {
+        apply_drains(view, proto::Rows { head: row.version, rows: vec![row] });
+    };
+    take(&mut view, row(7, "{}"));
+    apply_vm_changes(&mut view, 1, proto::VmChanges { head: 2, vms: vec![live()] });
+    assert_eq!(standing(&view), balance::Standing::Leaving);
+    assert_eq!(view.status().evacuated, std::slice::from_ref(&zone));
+    take(&mut view, row(8, r#"{"lifted":true}"#));
+    take(&mut view, row(7, "{}"));
+    assert_eq!(standing(&view), balance::Standing::Live);
+    take(&mut view, row(9, "?"));
+    assert_eq!(standing(&view), balance::Standing::Leaving);
+    let relayed = crate::relay::rows(&view, store::DRAINS, 8).expect("it is passed on");
+    assert_eq!((relayed.head, relayed.rows.len()), (9, 1));
+}
+
 /// Symptom: a new VM at a reused address never gets a call.
 /// Sequence: an upstream is drained and goes; later another VM is listed at
 /// its address.
--- a/crates/oatcoved/src/relay.rs
+++ b/crates/oatcoved/src/relay.rs
@@ -48,7 +48,11 @@
         store::TEMPLATES => {
             (view.config_head, view.templates.values().map(|held| &held.row).collect())
         }
-        store::DRAINS => (view.drain_head, view.drains.values().map(|(_, row)| row).collect()),
+        store::DRAINS => {
+            let drains = view.drains.values().map(|(_, row)| row);
+            let zones = view.evacuations.values().map(|(_, row)| row);
+            (view.drain_head, drains.chain(zones).collect())
+        }
         _ => return None,
     };
     let rows = rows.into_iter().filter(|row| row.version > since).cloned().collect();
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -89,8 +89,10 @@
     pub vm_head: proto::Version,
     /// Drain rows by upstream address; see [`View::is_drained`].
     pub drains: BTreeMap<SocketAddr, (proto::Drain, proto::Row)>,
-    /// Highest table commit whose drain rows have all been read.
+    /// Highest table commit whose drain and evacuation rows have all been read.
     pub drain_head: proto::Version,
+    /// Evacuation rows by availability zone; see [`View::is_evacuated`].
+    pub evacuations: BTreeMap<SmolStr, (proto::Evacuation, proto::Row)>,
     /// Other entry nodes, as membership knows them.
     pub peers: BTreeMap<SocketAddr, Peer>,
     /// Bad verdicts on upstreams, by upstream and watcher.
@@ -120,6 +122,7 @@
             vm_head: 0,
             drains: Default::default(),
             drain_head: 0,
+            evacuations: Default::default(),
             peers: Default::default(),
             reports: Default::default(),
             ends: Default::default(),
@@ -144,6 +147,8 @@
     pub templates: HashMap<SmolStr, proto::Version>,
     /// Other entry nodes by address: what membership believes of them.
     pub peers: BTreeMap<SocketAddr, String>,
+    /// Availability zones whose upstreams get no new calls, by an operator's word.
+    pub evacuated: Vec<SmolStr>,
     /// Calls being forwarded now.
     pub in_flight: u64,
     /// Upstreams per service: address, standing, outstanding calls, latency EWMA in ms.
@@ -161,7 +166,7 @@
     pub addr: SocketAddr,
     /// Zone.
     pub zone: SmolStr,
-    /// Whether it is leaving: by the VM list, a drain, or its own word to a watcher.
+    /// Whether it is leaving: by the VM list, a drain, an evacuation, or its own word to a watcher.
     pub leaving: bool,
     /// Whether a watcher holds it to be failing.
     pub failing: bool,
@@ -177,6 +182,16 @@
         self.config_head.min(self.drain_head)
     }
 
+    /// Returns true while the upstreams of a zone are to get no new calls.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        self.evacuations.get(zone).is_some_and(|(evacuation, _)| !evacuation.lifted)
+    }
+
+    /// Returns the evacuated zones.
+    pub fn evacuated(&self) -> impl Iterator<Item = &SmolStr> {
+        self.evacuations.keys().filter(|zone| self.is_evacuated(zone))
+    }
+
     /// Returns true when an operator drained this very VM.
     ///
     /// A drain names the VM's id: an address can come back on a new VM, which
@@ -259,6 +274,7 @@
                     (*addr, standing)
                 })
                 .collect(),
+            evacuated: self.evacuated().cloned().collect(),
             in_flight: self.in_flight,
             upstreams,
             crashing: self.quarantine.findings().into_iter().cloned().collect(),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,5 +15,9 @@
 /// Table holding one audit record per accepted change, keyed `service/change_id`.
 pub const AUDIT: &str = "audit";
 
-/// Table holding one row per upstream an operator drained, keyed by its address.
+/// Table holding one row per upstream an operator drained, keyed by its address, and per zone.
 pub const DRAINS: &str = "drains";
+
+/// How keys in [`DRAINS`] begin that name an evacuated availability zone, [`proto::Evacuation`]: entry
+/// nodes read them with the drains.
+pub const EVACUATED: &str = "zone/";
--- a/crates/store/src/proto.rs
+++ b/crates/store/src/proto.rs
@@ -130,6 +130,14 @@
     }
 }
 
+/// Value of a row of the drains table whose key names an availability zone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuation {
+    /// Whether an operator took it back.
+    #[serde(default)]
+    pub lifted: bool,
+}
+
 /// Changes of the VM list after a given version, from `GET /v1/vms?since=V`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmChanges {
