oatcoved: a node that works alone says so

Change: one line once it lasts two polls, `isolation` in the status, the metric `oatcove_isolated`; evacuated zones are counted in the metrics too. Test: oatcoved::follow.

--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -12,7 +12,7 @@
 use smol_str::SmolStr;
 use store::proto;
 
-use crate::view::{Held, View};
+use crate::view::{Held, Isolation, View};
 use crate::{gossip, probe};
 
 /// Channels to the tasks that act on what the followers read.
@@ -173,6 +173,7 @@
 /// from when it was asked for. A list relayed by a peer does not: how old it
 /// was when the peer read it is not known.
 pub async fn vms(store: Rc<store::Store>, view: Rc<RefCell<View>>, every: Duration, links: Links) {
+    let (mut isolation, mut told) = (None, None);
     loop {
         let since = view.borrow().vm_head;
         let asked_at = Instant::now();
@@ -193,10 +194,30 @@
                 relay_vms(&view, &links).await;
             }
         }
+        // Told once it lasts: a node that has just started knows no peers for a moment.
+        let before = std::mem::replace(&mut isolation, view.borrow().isolation());
+        if before == isolation && told != isolation {
+            told = isolation;
+            tell_isolation(&view.borrow(), isolation);
+        }
         monoio::time::sleep(every).await;
     }
 }
 
+fn tell_isolation(view: &View, isolation: Option<Isolation>) {
+    let node_id = &view.settings.node_id;
+    match isolation {
+        Some(Isolation::NotListed) => log::warn!(
+            "node={node_id} works alone: the platform's VM list does not name {}",
+            view.settings.listen_addr
+        ),
+        Some(Isolation::NoPeers) => {
+            log::warn!("node={node_id} works alone: it reaches none of the entry nodes listed");
+        }
+        None => log::info!("node={node_id} works with other entry nodes, or is the only one"),
+    }
+}
+
 /// Takes the VM list from a peer while this node has none and the platform does not answer.
 ///
 /// Without it, a node started during an outage would have no upstreams and
--- a/crates/oatcoved/src/follow/tests.rs
+++ b/crates/oatcoved/src/follow/tests.rs
@@ -4,6 +4,7 @@
 
 use crate::follow::{apply_drains, apply_templates, apply_vm_changes};
 use crate::test_support::view;
+use crate::view::{Isolation, Peer};
 
 fn row(version: u64, timeout_ms: u64) -> proto::Row {
     proto::Row {
@@ -233,3 +234,31 @@
     view.report(up, watcher(2), wire::Verdict::Healthy);
     assert_eq!(report(&view), balance::Report::Good);
 }
+
+/// Symptom: a request that crashes upstreams takes three at each of a dozen nodes.
+/// Sequence: the platform's list names none of the nodes, or none that lives; each works alone.
+/// Cause: nothing said so: no line, no metric, no word in the status.
+#[test]
+fn a_node_that_works_alone_says_so() {
+    let mut view = view();
+    assert_eq!(view.isolation(), None, "nothing was read yet");
+    let entry = |port: u16| proto::Vm {
+        role: proto::VmRole::Entry,
+        service: Default::default(),
+        ..upstream(port, proto::VmState::Live)
+    };
+    let listed = |view: &mut crate::view::View, head, ports: &[u16]| {
+        let vms = ports.iter().map(|port| entry(*port)).collect();
+        apply_vm_changes(view, 0, proto::VmChanges { head, vms });
+    };
+    listed(&mut view, 1, &[7101]);
+    assert_eq!(view.status().isolation, Some(Isolation::NotListed));
+    listed(&mut view, 2, &[7100, 7101]);
+    assert_eq!(view.isolation(), Some(Isolation::NoPeers));
+    let alive = Peer { standing: Some(wire::Standing::Alive), ..Peer::default() };
+    view.peers.insert(entry(7101).addr, alive);
+    assert_eq!(view.isolation(), None);
+    view.peers.clear();
+    listed(&mut view, 3, &[7100]);
+    assert_eq!(view.isolation(), None, "it is the only one");
+}
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -22,6 +22,8 @@
     in_flight: Gauge<u64>,
     config_head: Gauge<u64>,
     peers_reachable: Gauge<u64>,
+    isolated: Gauge<u64>,
+    zones_evacuated: Gauge<u64>,
 }
 
 const COUNTERS: [meter::Named<Counters>; 16] = [
@@ -62,6 +64,8 @@
             in_flight: carried.gauge("oatcove_in_flight"),
             config_head: carried.gauge("oatcove_config_head"),
             peers_reachable: carried.gauge("oatcove_peers_reachable"),
+            isolated: carried.gauge("oatcove_isolated"),
+            zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             carried,
         })
     }
@@ -83,6 +87,8 @@
         self.in_flight.record(view.in_flight, &[]);
         self.config_head.record(view.held_head(), &[]);
         self.peers_reachable.record(view.peers.values().filter(reachable).count() as u64, &[]);
+        self.isolated.record(u64::from(view.isolation().is_some()), &[]);
+        self.zones_evacuated.record(view.evacuated().count() as u64, &[]);
         self.carried.scrape(&view.counters)
     }
 }
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -60,6 +60,17 @@
     pub config_head: proto::Version,
 }
 
+/// Why an entry node works alone although it should not: what others find out does not reach it, and
+/// what it may send or probe is dealt out to it alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Isolation {
+    /// The platform's VM list does not name it: no peer looks for it.
+    NotListed,
+    /// The list names others, and none of them is known to live.
+    NoPeers,
+}
+
 /// One template as held, with the table version it came from.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -149,6 +160,8 @@
     pub peers: BTreeMap<SocketAddr, String>,
     /// Availability zones whose upstreams get no new calls, by an operator's word.
     pub evacuated: Vec<SmolStr>,
+    /// Why the node works alone, if it does.
+    pub isolation: Option<Isolation>,
     /// Calls being forwarded now.
     pub in_flight: u64,
     /// Upstreams per service: address, standing, outstanding calls, latency EWMA in ms.
@@ -192,6 +205,21 @@
         self.evacuations.keys().filter(|zone| self.is_evacuated(zone))
     }
 
+    /// Returns why this node works alone, if it does; `None` until the VM list was read.
+    pub fn isolation(&self) -> Option<Isolation> {
+        let me = self.settings.listen_addr;
+        let is_reachable =
+            |peer: &Peer| peer.standing.is_some_and(|s| s <= wire::Standing::Suspect);
+        match () {
+            () if self.vm_head == 0 => None,
+            () if !self.entries.iter().any(|vm| vm.addr == me) => Some(Isolation::NotListed),
+            () if self.entries.len() > 1 && !self.peers.values().any(is_reachable) => {
+                Some(Isolation::NoPeers)
+            }
+            () => None,
+        }
+    }
+
     /// Returns true when an operator drained this very VM.
     ///
     /// A drain names the VM's id: an address can come back on a new VM, which
@@ -275,6 +303,7 @@
                 })
                 .collect(),
             evacuated: self.evacuated().cloned().collect(),
+            isolation: self.isolation(),
             in_flight: self.in_flight,
             upstreams,
             crashing: self.quarantine.findings().into_iter().cloned().collect(),
