--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -4,6 +4,8 @@
 //! held: an outage of the platform must not empty a node's configuration or
 //! its pools. A node whose place in the history was lost reads everything again.
 
+mod apply;
+
 use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -11,9 +13,13 @@
 use quick_error::quick_error;
 use rand::Rng;
 
+pub use self::apply::expire;
+pub(crate) use self::apply::{adopt, apply_upstreams};
+
+use self::apply::apply;
 use crate::forward::Node;
 use crate::history::{self, Cursor};
-use crate::{readers, relay};
+use crate::readers;
 
 /// Longest time that one wait for changes lasts: an answer that holds nothing
 /// is paid for like any other.
@@ -56,10 +62,6 @@
 /// the soonest.
 const SETTLE_BESIDE_READER: Duration = Duration::from_secs(2);
 
-/// Upstreams new at once that get a line of the log each. A node that starts hears of hundreds, and
-/// their lines would take the place of those about requests.
-const LISTED_ONE_BY_ONE: usize = 20;
-
 /// How often a follower looks whether it has fallen behind.
 const LOOK: Duration = Duration::from_millis(100);
 
@@ -369,44 +371,6 @@
     went_back
 }
 
-/// Takes what a peer passed on of the platform.
-///
-/// # Errors
-///
-/// [`std::io::ErrorKind::InvalidData`] when a list cannot be read; nothing of it is taken.
-pub(crate) fn adopt(node: &Node, frame: relay::Frame) -> std::io::Result<()> {
-    let now = Instant::now();
-    match frame {
-        relay::Frame::Alive | relay::Frame::MayBeLate | relay::Frame::Ask { .. } => {}
-        relay::Frame::Config { up_to, newest, table } => {
-            seen(node, Topic::Config, up_to, newest);
-            if let Some(table) = table {
-                apply_table(node, table);
-            }
-        }
-        relay::Frame::Evacuated { up_to, newest, zones } => {
-            seen(node, Topic::Config, up_to, newest);
-            change_evacuations(node, |evacuations| evacuations.adopt(zones));
-        }
-        relay::Frame::Read { up_to, newest } => {
-            seen(node, Topic::Upstreams, up_to, newest);
-            apply_changes(node, &[], now);
-        }
-        relay::Frame::List { up_to, newest, entries } => {
-            let entries = relay::entries(&entries)?;
-            seen(node, Topic::Upstreams, up_to, newest);
-            let changes = node.state.borrow_mut().roster.adopt(entries, now);
-            apply_changes(node, &changes, now);
-        }
-        relay::Frame::Changes { up_to, newest, events } => {
-            seen(node, Topic::Upstreams, up_to, newest);
-            let changes = node.state.borrow_mut().roster.adopt_changes(events, now);
-            apply_changes(node, &changes, now);
-        }
-    }
-    Ok(())
-}
-
 /// Spreads the calls of many nodes that failed at the same moment.
 fn jittered(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.6..1.2))
@@ -439,145 +403,3 @@
             .log();
     }
 }
-
-fn apply(node: &Node, topic: Topic, events: Vec<Event>, whole: bool) {
-    let now = Instant::now();
-    let is_news = !events.is_empty();
-    let mut rows = Vec::new();
-    let mut evacuations = Vec::new();
-    for event in events {
-        match event {
-            Event::Config(table) => apply_table(node, table),
-            Event::Evacuation { zone, is_evacuated } => evacuations.push((zone, is_evacuated)),
-            Event::Upstream(event) => rows.push(event),
-        }
-    }
-    match topic {
-        Topic::Upstreams if whole => {
-            let changes = node.state.borrow_mut().roster.whole(rows, now);
-            apply_changes(node, &changes, now);
-        }
-        Topic::Upstreams => apply_upstreams(node, rows, now),
-        Topic::Config if whole || is_news => apply_evacuations(node, evacuations, whole),
-        Topic::Config => {}
-    }
-}
-
-fn apply_evacuations(node: &Node, changes: Vec<(place::Zone, bool)>, whole: bool) {
-    change_evacuations(node, |evacuations| match whole {
-        true => {
-            let is_listed = |(zone, listed): (place::Zone, bool)| listed.then_some(zone);
-            evacuations.whole(changes.into_iter().filter_map(is_listed).collect());
-        }
-        false => {
-            changes.into_iter().for_each(|(zone, evacuated)| evacuations.set(zone, evacuated));
-        }
-    });
-}
-
-/// Takes which availability zones are evacuated. Subscribers are told also where nothing changed: those
-/// that do not hear how far this node has read take themselves to be behind it.
-fn change_evacuations(node: &Node, change: impl FnOnce(&mut place::Evacuations)) {
-    let news = node.state.borrow_mut().change_evacuations(change);
-    node.subscribers.tell(&relay::Frame::evacuated(&node.state.borrow()));
-    for (zone, is_evacuated) in news {
-        trace::Line::new(if is_evacuated { "zone_evacuated" } else { "zone_restored" })
-            .field("zone", zone.as_str())
-            .field("up_to", node.state.borrow().config_seen.up_to)
-            .log();
-    }
-}
-
-/// Takes what the platform tells of upstreams.
-pub(crate) fn apply_upstreams(node: &Node, events: Vec<place::Event>, now: Instant) {
-    let changes = node.state.borrow_mut().roster.apply(events, now);
-    apply_changes(node, &changes, now);
-}
-
-fn apply_table(node: &Node, table: route::Table) {
-    let (version, routes) = (table.version, table.route_count());
-    let held = node.state.borrow().config_version();
-    let applied = node.state.borrow_mut().apply_table(table);
-    if applied {
-        node.subscribers.tell(&relay::Frame::config(&node.state.borrow()));
-    }
-    // A peer's feed begins with the version held already.
-    if version == held {
-        return;
-    }
-    trace::Line::new(if applied { "config_applied" } else { "config_not_newer" })
-        .field("version", version)
-        .field("held", held)
-        .field("routes", routes)
-        .log();
-}
-
-fn apply_changes(node: &Node, changes: &[place::Change], now: Instant) {
-    if changes.is_empty() {
-        // Subscribers that do not hear how far this node has read take themselves to be behind it.
-        node.subscribers.tell(&relay::Frame::read(&node.state.borrow()));
-        return;
-    }
-    node.subscribers.list_changed();
-    node.subscribers.tell(&relay::Frame::changes(&node.state.borrow(), changes));
-    let mut listed = Vec::new();
-    for change in changes {
-        match change {
-            // It crashed if it lost requests a moment ago; its address may have taken connections
-            // again before anybody tried.
-            place::Change::Drop { upstream, why, .. } if *why == place::RESTARTED => {
-                node.has_ended(upstream);
-            }
-            place::Change::Drop { .. } | place::Change::Put(_) => {}
-        }
-        let known = node.state.borrow_mut().apply_change(change, now);
-        match change {
-            // An upstream that warms up is told of again and again.
-            place::Change::Put(_) if known => {}
-            place::Change::Put(entry) => listed.push(entry),
-            place::Change::Drop { upstream, service, addr, why } => {
-                node.conns.close(upstream);
-                trace::Line::new("upstream_dropped")
-                    .field("upstream", upstream.id())
-                    .field("born_ms", upstream.born_ms)
-                    .field("service", service.as_str())
-                    .field("addr", addr)
-                    .field("reason", why)
-                    .log();
-            }
-        }
-    }
-    log_listed(node, &listed);
-}
-
-/// Logs upstreams that are new to this node: one by one, or as a number when it has read them all.
-fn log_listed(node: &Node, listed: &[&place::Entry]) {
-    if listed.len() > LISTED_ONE_BY_ONE {
-        trace::Line::new("upstreams_listed")
-            .field("count", listed.len())
-            .field("up_to", node.state.borrow().list_seen.up_to)
-            .log();
-        return;
-    }
-    for entry in listed {
-        trace::Line::new("upstream_listed")
-            .field("upstream", entry.id.as_str())
-            .field("born_ms", entry.born_ms)
-            .field("service", entry.service.as_str())
-            .field("addr", entry.addr)
-            .log();
-    }
-}
-
-/// Lets go of upstreams that were kept through an outage and did not come back, and has an older copy
-/// of the evacuations count once nobody has written it anew.
-pub fn expire(node: &Node, now: Instant) {
-    let is_due = node.state.borrow().evacuations.is_due(now);
-    if is_due {
-        change_evacuations(node, |evacuations| evacuations.expire(now));
-    }
-    let changes = node.state.borrow_mut().roster.expire(now);
-    if !changes.is_empty() {
-        apply_changes(node, &changes, now);
-    }
-}
