edge: an older read does not end an evacuation

After the platform has dropped its history a node reads everything again, and may get what was there some seconds ago: an evacuated zone got requests until the next change was told. Found on reading the change again; the configuration is safe by its version. Change: evacuations as a read lists them that is older than what was seen are left out; what changed after that read comes with the next one. Test first seen failing without the guard.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -13,8 +13,8 @@
 use quick_error::quick_error;
 use rand::Rng;
 
-pub use self::apply::expire;
-pub(crate) use self::apply::{adopt, apply_upstreams};
+pub(crate) use self::apply::adopt;
+pub use self::apply::{apply_upstreams, expire};
 
 use self::apply::apply;
 use crate::forward::Node;
@@ -203,6 +203,7 @@
                 let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
                 failures = 0;
                 // Seen before it is applied: what is passed on to subscribers says up to where.
+                let batch = without_older_words(&node, topic, batch);
                 if seen(&node, topic, batch.cursor, batch.newest) {
                     doubt_what_is_read(&node, topic);
                 }
@@ -257,6 +258,21 @@
     }
 }
 
+/// Leaves out evacuations as an older read lists them: after its history is gone the platform may answer
+/// as of some seconds ago, and would have requests sent to a zone that was evacuated since. What changed
+/// after that read is told by the next one.
+fn without_older_words(node: &Node, topic: Topic, mut batch: Batch) -> Batch {
+    let seen = *node.state.borrow_mut().seen_mut(topic);
+    let is_of_this_era = history::era(batch.cursor) == history::era(seen.up_to);
+    if topic == Topic::Config && is_of_this_era && batch.cursor < seen.newest {
+        batch.events.retain(|event| !matches!(event, Event::Evacuation { .. }));
+        let zones = node.state.borrow().evacuations.zones().clone();
+        let held = zones.into_iter().map(|zone| Event::Evacuation { zone, is_evacuated: true });
+        batch.events.extend(held);
+    }
+    batch
+}
+
 /// Has what is read of a platform that went back not count before its writers could write again.
 fn doubt_what_is_read(node: &Node, topic: Topic) {
     let (state, now) = (&mut *node.state.borrow_mut(), Instant::now());
--- a/crates/edge/src/tests/evacuation.rs
+++ b/crates/edge/src/tests/evacuation.rs
@@ -1,12 +1,15 @@
 //! Availability zones whose upstreams are to get nothing.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use place::Zone;
 
 use super::fake::{answer, get, ms, run, start, Act, Caller, Entered, Upstream};
 use super::fleet::{entry, platform, serving, start as start_follower, until_subscribed};
-use crate::follow;
+use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
+use crate::history::Cursor;
 use crate::relay;
 
 /// Time in which an evacuation must be in force on a node that reads through another.
@@ -120,3 +123,55 @@
         assert_eq!(reader.state.borrow().pools["desk"].upstreams().len(), 2);
     });
 }
+
+/// A platform that tells of an evacuation, drops its history, and then answers as of before it.
+#[derive(Clone, Default)]
+struct Lagging {
+    snapshots: Rc<Cell<u32>>,
+}
+
+impl Source for Lagging {
+    async fn snapshot(&self, _topic: Topic) -> Result<Batch, SourceError> {
+        let number = self.snapshots.replace(self.snapshots.get() + 1);
+        let evacuation = Event::Evacuation { zone: "a".into(), is_evacuated: true };
+        Ok(match number {
+            0 => Batch { events: vec![evacuation], cursor: 9, newest: 9 },
+            _ => Batch { events: Vec::new(), cursor: 5, newest: 4 },
+        })
+    }
+
+    async fn changes(
+        &self,
+        _topic: Topic,
+        cursor: Cursor,
+        wait: Duration,
+        _patience: Duration,
+    ) -> Result<Batch, SourceError> {
+        if cursor == 9 {
+            return Err(SourceError::HistoryGone);
+        }
+        monoio::time::sleep(wait).await;
+        Ok(Batch { events: Vec::new(), cursor, newest: 0 })
+    }
+
+    async fn takes_connections(&self, _timeout: Duration) -> bool {
+        true
+    }
+}
+
+/// Symptom: an evacuated zone gets requests again for some seconds.
+/// Sequence: the platform drops its history; the node reads everything again and gets what was there
+/// three seconds ago.
+/// Cause: taking a read for news that is older than what was seen.
+#[test]
+fn an_older_read_does_not_end_an_evacuation() {
+    run(async {
+        let node = start(&[]).node;
+        let platform = Lagging::default();
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, node.clone()));
+        // The first wait begins once the node has looked for a peer.
+        monoio::time::sleep(ms(3_000)).await;
+        assert!(platform.snapshots.get() >= 2, "it was read again");
+        assert!(node.state.borrow().evacuations.is_evacuated("a"));
+    });
+}
