notice, edge, oatcoved: a limit that an upstream names is seen

Operators could not tell whether an upstream had named a limit, to which node, or that the limit meant nothing to the choice: no line, metric or status names it. The header is now read from every answer (answers to requests and probes, refusals, late ones, ones that are broken off after their head) by the new pure crate notice, under both interfaces; what stands is logged, counted and in the status. Nothing is decided by it yet.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -83,6 +83,15 @@
     CallerLeft,
 }
 
+/// Which request an answer is to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Whose {
+    /// The one that was sent.
+    Ours,
+    /// An earlier one: it comes late, or once too often.
+    Anothers,
+}
+
 /// How an exchange ended.
 pub enum Outcome {
     /// The upstream answered.
@@ -97,17 +106,19 @@
 
 /// Sends `request` and receives its answer; also returns the connection if it can be used again.
 ///
-/// `rest` sends what follows the first bytes of the request, such as a long body.
+/// `rest` sends what follows the first bytes of the request, such as a long body; `hear` is given the
+/// head of each answer, whatever becomes of that answer.
 pub async fn run<F>(
     mut conn: Conn,
     request: Outgoing,
     names: &HeaderNames,
+    hear: impl Fn(&h1::ResponseHead, Whose),
     rest: F,
 ) -> (Outcome, Option<Conn>)
 where
     F: AsyncFnOnce(&mut h1::Writer) -> Sent,
 {
-    let (head, surplus, sent) = match trade(&mut conn, request, names, rest).await {
+    let (head, surplus, sent) = match trade(&mut conn, request, names, hear, rest).await {
         Ok(traded) => traded,
         Err(why) => return (Outcome::Lost(why), None),
     };
@@ -133,6 +144,7 @@
     conn: &mut Conn,
     request: Outgoing,
     names: &HeaderNames,
+    hear: impl Fn(&h1::ResponseHead, Whose),
     rest: F,
 ) -> Result<(h1::ResponseHead, bool, Sent), &'static str>
 where
@@ -140,7 +152,7 @@
 {
     let Outgoing { method, bytes, request_id } = request;
     let Conn { reader, writer, .. } = conn;
-    let mut answered = pin!(receive_head(reader, &method, names, &request_id));
+    let mut answered = pin!(receive_head(reader, &method, names, hear, &request_id));
     let mut sending = pin!(async {
         // An upstream that answers before it has read everything may close: its answer still
         // counts, and a failed write is told by the missing answer.
@@ -185,6 +197,7 @@
     reader: &mut h1::Reader,
     method: &Method,
     names: &HeaderNames,
+    hear: impl Fn(&h1::ResponseHead, Whose),
     request_id: &http::HeaderValue,
 ) -> Result<(h1::ResponseHead, bool), &'static str> {
     for foreign in 0..FOREIGN_MOST {
@@ -196,6 +209,7 @@
         };
         match head.headers.get(&names.request_id) {
             Some(echoed) if echoed != request_id => {
+                hear(&head, Whose::Anothers);
                 let mut decoder = h1::Decoder::new(head.framing);
                 if decoder.ends_with_connection() {
                     return Err("answer to another request");
@@ -207,7 +221,10 @@
                 {}
             }
             None if head.headers.contains_key(&names.signature) => return Err("answer without id"),
-            _ => return Ok((head, foreign > 0)),
+            _ => {
+                hear(&head, Whose::Ours);
+                return Ok((head, foreign > 0));
+            }
         }
     }
     Err("answers to other requests only")
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -3,12 +3,14 @@
 //! [`sends`] decides on the sends of a request, [`choose`] picks the upstream of each, [`send`] makes
 //! it and learns from its end, [`call`] is what they know of the request, [`content`] what it asks.
 //! [`ends`] finds upstreams that crashed under requests, [`held`] keeps such requests from others.
+//! [`notices`] takes what upstreams state about themselves in any answer.
 
 mod call;
 mod choose;
 mod content;
 mod ends;
 mod held;
+mod notices;
 mod send;
 mod sends;
 
--- a/crates/edge/src/forward/ends.rs
+++ b/crates/edge/src/forward/ends.rs
@@ -6,11 +6,11 @@
 
 use local_sync::oneshot;
 use place::Incarnation;
-use quarantine::{Known, Lost, Start};
+use quarantine::{Known, Lost};
 
 use super::call::{Call, Choice};
 use super::Node;
-use crate::as_ms;
+use crate::{as_ms, start_of};
 
 /// Longest time that a request waits to know whether the upstream that lost it has crashed. An
 /// address refuses a connection within a round trip; one that is cut off does not answer at all.
@@ -85,8 +85,3 @@
         }
     }
 }
-
-/// Returns the key of a start of an upstream.
-pub(super) fn start_of(upstream: &Incarnation) -> Start {
-    Start::of(&upstream.id, upstream.born_ms)
-}
--- a/crates/edge/src/forward/held.rs
+++ b/crates/edge/src/forward/held.rs
@@ -7,10 +7,9 @@
 use quarantine::{Content, Finding, Known, Lost, Start, Verdict};
 
 use super::call::{Call, NoChoice};
-use super::ends::start_of;
 use super::Node;
 use crate::state::Shared;
-use crate::{gossip, record, unix_ms};
+use crate::{gossip, record, start_of, unix_ms};
 
 /// A suspected request counted as under way at an upstream while this lives.
 pub(super) struct UnderWay {
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -11,7 +11,7 @@
 use super::call::{Call, Choice, SendMade};
 use super::Node;
 use crate::as_ms;
-use crate::exchange::{self, Answer, Outcome, Outgoing, Sent};
+use crate::exchange::{self, Answer, Outcome, Outgoing, Sent, Whose};
 use crate::state::Outstanding;
 
 /// An upstream is told a deadline that is earlier by this, so that its own
@@ -71,7 +71,13 @@
         let outgoing = Outgoing { method, bytes, request_id };
         self.state.borrow_mut().counters.far_sends += u64::from(choice.far);
         let kept = conn.used;
-        let (outcome, conn) = exchange::run(conn, outgoing, &names, rest).await;
+        let asked_at = Instant::now();
+        let hear = |head: &h1::ResponseHead, whose: Whose| {
+            let states_all = whose == Whose::Ours && head.status.is_success();
+            let asked_at = states_all.then_some(asked_at);
+            self.hear_notice(&choice.upstream, head.status, &head.headers, asked_at);
+        };
+        let (outcome, conn) = exchange::run(conn, outgoing, &names, hear, rest).await;
         match conn {
             Some(conn) => self.conns.put(&choice.upstream, conn),
             // It was the one used last: those that rested longer are gone too.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -58,6 +58,8 @@
     pub load: HeaderName,
     /// For how many milliseconds more the upstream that answers a probe is cold.
     pub cold_ms: HeaderName,
+    /// Requests a second that the upstream that answers takes from all nodes together.
+    pub limit: HeaderName,
 }
 
 /// What one entry node is told at start.
@@ -107,6 +109,11 @@
     }
 }
 
+/// Returns the key of a start of an upstream.
+fn start_of(upstream: &place::Incarnation) -> quarantine::Start {
+    quarantine::Start::of(&upstream.id, upstream.born_ms)
+}
+
 /// Returns whole milliseconds, as logs and the status give times.
 fn as_ms(time: Duration) -> u64 {
     time.as_millis() as u64
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -52,6 +52,7 @@
     peers_alive: Gauge<u64>,
     store_away: Gauge<u64>,
     held_back: Gauge<u64>,
+    limited: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
     lines_dropped: Gauge<u64>,
 }
@@ -76,6 +77,7 @@
             peers_alive: carried.gauge("oatcove_peers_alive"),
             store_away: carried.gauge("oatcove_store_away"),
             held_back: carried.gauge("oatcove_requests_held_back"),
+            limited: carried.gauge("oatcove_upstreams_limited"),
             zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             lines_dropped: carried.gauge("oatcove_log_lines_dropped"),
             carried,
@@ -100,6 +102,7 @@
         self.peers_alive.record(alive.count() as u64, &[]);
         self.store_away.record(u64::from(state.roster.store_is_away()), &[]);
         self.held_back.record(state.quarantine.held().count() as u64, &[]);
+        self.limited.record(state.notices.limited_count() as u64, &[]);
         self.zones_evacuated.record(state.evacuations.zones().len() as u64, &[]);
         self.lines_dropped.record(trace::dropped(), &[]);
         self.carried.scrape(&state.counters)
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -154,6 +154,7 @@
     conn.writer.write(request).await.ok()?;
     let head = conn.reader.response_head(&Method::GET).await.ok()?;
     let mut decoder = h1::Decoder::new(head.framing);
+    node.hear_notice(upstream, head.status, &head.headers, None);
     while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
     node.take_load(service, upstream, &head.headers);
     node.take_cold(service, upstream, &head.headers);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -175,6 +175,8 @@
     pub ends: quarantine::Ends,
     /// Requests that crash upstreams.
     pub quarantine: quarantine::Ledger,
+    /// What upstreams have stated about themselves.
+    pub notices: notice::Board,
     /// Second sends allowed, by service.
     sends: HashMap<ServiceName, Sends>,
     /// Configurations that may have no record yet.
@@ -226,6 +228,7 @@
             attempts: place::Attempts::default(),
             ends: quarantine::Ends::default(),
             quarantine: quarantine::Ledger::default(),
+            notices: notice::Board::default(),
             sends: HashMap::new(),
             unrecorded: crate::record::Unrecorded::default(),
             turns: HashMap::new(),
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -7,9 +7,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use crate::as_ms;
 use crate::history::Cursor;
 use crate::state::{Counters, Peer, State};
+use crate::{as_ms, start_of};
 
 /// The beliefs of an entry node. Sizes grow with the number of upstreams: 0.2 kB for each.
 #[derive(Debug, Serialize)]
@@ -90,6 +90,8 @@
     pub ejected: bool,
     /// Its newest report; `None` before the first.
     pub report: Option<Report>,
+    /// What it has stated about itself; `None` when nothing stands.
+    pub noted: Option<notice::Noted>,
 }
 
 /// What an upstream said of its load.
@@ -113,7 +115,8 @@
         let settings = &state.settings;
         let peer = |(addr, peer): (&SocketAddr, &Peer)| (*addr, PeerStatus::of(peer));
         let upstreams = state.pools.iter().map(|(service, pool)| {
-            let of_service = pool.upstreams().iter().map(|u| UpstreamStatus::of(u, now));
+            let of_service =
+                pool.upstreams().iter().map(|u| UpstreamStatus::of(u, &state.notices, now));
             (service.clone(), of_service.collect())
         });
         Status {
@@ -153,7 +156,7 @@
 }
 
 impl UpstreamStatus {
-    fn of(upstream: &place::Upstream, now: Instant) -> UpstreamStatus {
+    fn of(upstream: &place::Upstream, notices: &notice::Board, now: Instant) -> UpstreamStatus {
         let report = upstream.report(now).map(|(load, age)| Report {
             age_ms: as_ms(age),
             running: load.running,
@@ -169,6 +172,7 @@
             outstanding: upstream.outstanding,
             ejected: upstream.is_ejected(now),
             report,
+            noted: notices.noted(start_of(&upstream.incarnation)),
         }
     }
 }
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -44,6 +44,7 @@
         not_run: HeaderName::from_static("x-not-run"),
         load: HeaderName::from_static("x-load"),
         cold_ms: HeaderName::from_static("x-cold-ms"),
+        limit: HeaderName::from_static("x-limit"),
     }
 }
 
@@ -130,6 +131,7 @@
 pub struct Seen {
     pub head: h1::RequestHead,
     pub body: Vec<u8>,
+    pub at: Instant,
 }
 
 /// An upstream: each request does the next script, the last one again and again.
@@ -198,7 +200,7 @@
                 }
             }
         }
-        seen.borrow_mut().push(Seen { head, body });
+        seen.borrow_mut().push(Seen { head, body, at: Instant::now() });
         for act in script {
             match act {
                 Act::Write(text) => {
--- /dev/null
+++ b/crates/notice/src/stated/tests.rs
@@ -0,0 +1,30 @@
+use super::{Field, Stated};
+
+fn limit(values: &[&str]) -> Field<u64> {
+    Stated::read(values.iter().map(|value| value.as_bytes())).limit
+}
+
+#[yare::parameterized(
+    whole = { "20", 20_000 },
+    a_part_of_one = { "0.3", 300 },
+    with_spaces = { " 1.1 ", 1_100 },
+    nothing_at_all = { "0", 0 },
+    beyond_what_anybody_sends = { "1e300", 1_000_000_000_000 },
+)]
+fn a_limit_is_a_decimal_number(value: &str, per_ks: u64) {
+    assert_eq!(limit(&[value]), Field::Named(per_ks));
+}
+
+/// Guards against a limit of nothing, or none, made out of what cannot be read.
+#[yare::parameterized(
+    negative = { &["-1"] },
+    not_a_number = { &["NaN"] },
+    infinite = { &["inf"] },
+    text = { &["few"] },
+    empty = { &[""] },
+    twice = { &["1", "2"] },
+)]
+fn a_limit_that_cannot_be_read_is_told_from_none(values: &[&str]) {
+    assert_eq!(limit(values), Field::Unreadable);
+    assert_eq!(limit(&[]), Field::Absent);
+}
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -4,7 +4,7 @@
 //! ([`discovery`]), forwards their HTTP calls to upstreams ([`proxy`]), and
 //! follows the config and the VM list kept by the platform ([`follow`], with
 //! [`relay`] from peers while it does not answer), knows its peers
-//! ([`gossip`]), watches upstreams within the fleet's budget ([`probe`]) and
+//! ([`gossip`]), takes what upstreams state about themselves ([`notices`]), watches upstreams within the fleet's budget ([`probe`]) and
 //! stops without cutting calls ([`stop`]). All of its tasks run on one monoio
 //! thread; each owns its sockets, they talk by messages, and what the request
 //! path reads is one [`view::View`].
@@ -13,6 +13,7 @@
 pub mod follow;
 pub mod gossip;
 pub mod metrics;
+pub mod notices;
 pub mod probe;
 pub mod proxy;
 pub mod relay;
@@ -39,5 +40,8 @@
 /// `Retry-After`, which is in whole seconds.
 pub const RETRY_AFTER_MS: &str = "x-oatcove-retry-after-ms";
 
+/// Response header of an upstream: requests a second that it takes from all entry nodes together.
+pub const LIMIT: &str = "x-oatcove-limit";
+
 /// Header carrying the request id end to end.
 pub const REQUEST_ID: &str = "x-request-id";
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -23,6 +23,7 @@
     config_head: Gauge<u64>,
     peers_reachable: Gauge<u64>,
     isolated: Gauge<u64>,
+    limited: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
 }
 
@@ -65,6 +66,7 @@
             config_head: carried.gauge("oatcove_config_head"),
             peers_reachable: carried.gauge("oatcove_peers_reachable"),
             isolated: carried.gauge("oatcove_isolated"),
+            limited: carried.gauge("oatcove_upstreams_limited"),
             zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             carried,
         })
@@ -88,6 +90,7 @@
         self.config_head.record(view.held_head(), &[]);
         self.peers_reachable.record(view.peers.values().filter(reachable).count() as u64, &[]);
         self.isolated.record(u64::from(view.isolation().is_some()), &[]);
+        self.limited.record(view.notices.limited_count() as u64, &[]);
         self.zones_evacuated.record(view.evacuated().count() as u64, &[]);
         self.carried.scrape(&view.counters)
     }
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -13,8 +13,8 @@
 use serde::Deserialize;
 use store::proto;
 
-use crate::gossip;
 use crate::view::View;
+use crate::{gossip, notices};
 
 /// How often duties are checked.
 const TICK: Duration = Duration::from_millis(100);
@@ -31,7 +31,14 @@
     /// The platform's list or a template changed; the list was last asked for at this time.
     Changed(Option<Instant>),
     /// A probe ended; its connection is handed back when it can be used again.
-    Ended(SocketAddr, watch::Probe, Option<web::Conn>),
+    Ended(SocketAddr, Found, Option<web::Conn>),
+}
+
+/// What a probe found.
+pub struct Found {
+    probe: watch::Probe,
+    /// What the answer states about the upstream; `None` when there was none.
+    stated: Option<notice::Stated>,
 }
 
 /// The part of a load report that watching uses; other fields are ignored.
@@ -87,10 +94,13 @@
                 }
             }
             Input::Ended(addr, found, conn) => {
+                if let Some(stated) = found.stated {
+                    view.borrow_mut().hear_notice(addr, &stated, None);
+                }
                 if let Some(conn) = conn {
                     idle.insert(addr, conn);
                 }
-                if let Some(verdict) = watch.result(addr, found) {
+                if let Some(verdict) = watch.result(addr, found.probe) {
                     log::info!("upstream={addr} probed: {verdict:?}");
                     tell(addr, verdict, &view, &gossip);
                 }
@@ -163,8 +173,11 @@
         },
     };
     let (found, conn) = match answer {
-        Ok((response, conn)) => (found(&response), Some(conn)),
-        Err(_) => (watch::Probe::Down, None),
+        Ok((response, conn)) => {
+            let stated = Some(notices::stated(addr, &response));
+            (Found { probe: found(&response), stated }, Some(conn))
+        }
+        Err(_) => (Found { probe: watch::Probe::Down, stated: None }, None),
     };
     let _ = tx.send(Input::Ended(addr, found, conn));
 }
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -54,13 +54,14 @@
 impl IdleConns {
     /// Sends `request` to `addr` and waits for the answer at most `remaining`.
     ///
-    /// The connection is kept afterwards unless `most` are already.
+    /// The connection is kept afterwards unless `most` are already. `hear` is given any whole answer.
     pub(super) async fn send(
         &self,
         addr: SocketAddr,
         request: web::Request,
         remaining: Duration,
         most: u32,
+        hear: impl FnOnce(&web::Response),
     ) -> Attempt {
         let mut conn = match self.take(addr, Instant::now()) {
             Some(conn) => conn,
@@ -71,7 +72,11 @@
         };
         let request_id = request.headers().get(crate::REQUEST_ID).cloned();
         let has_body = !request.body().is_empty();
-        match conn.send(request, remaining).await {
+        let answer = conn.send(request, remaining).await;
+        if let Ok(response) = &answer {
+            hear(response);
+        }
+        match answer {
             // A surplus or late answer of an earlier call stands where this call's answer is
             // expected. A caller would get another caller's bytes and nothing would log it;
             // the request id that upstreams echo tells whose answer it is. The connection is
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -13,6 +13,7 @@
 
 use super::attempt::{Attempt, Outstanding};
 use super::{answer, held, Node};
+use crate::notices;
 
 /// A hedge is sent once a call has taken this many times the mean of its kind.
 const HEDGE_AFTER: f64 = 3.0;
@@ -333,7 +334,13 @@
             answer::upstream_request(call.request, call.path, addr, &call.request_id, remaining);
         let outstanding = Outstanding::start(&self.view, &call.service, addr, call.kind);
         let (known, _under_way) = self.begin_send(call, addr);
-        let result = self.idle.send(addr, request, remaining, call.connection_share).await;
+        let asked_at = Instant::now();
+        let hear = |response: &web::Response| {
+            let stated = notices::stated(addr, response);
+            let asked_at = response.status().is_success().then_some(asked_at);
+            self.view.borrow_mut().hear_notice(addr, &stated, asked_at);
+        };
+        let result = self.idle.send(addr, request, remaining, call.connection_share, hear).await;
         let took = outstanding.took();
         outstanding.finish(match &result {
             Attempt::Answered(response) if is_broken(response) => balance::How::Failed,
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -112,6 +112,8 @@
     pub ends: quarantine::Ends,
     /// Calls that crash upstreams.
     pub quarantine: quarantine::Ledger,
+    /// What upstreams have stated about themselves.
+    pub notices: notice::Board,
     /// Calls being forwarded.
     pub in_flight: u64,
     /// Set once the node is stopping.
@@ -138,6 +140,7 @@
             reports: Default::default(),
             ends: Default::default(),
             quarantine: Default::default(),
+            notices: Default::default(),
             in_flight: 0,
             stopping: false,
             counters: Counters::default(),
@@ -187,6 +190,8 @@
     pub outstanding: u32,
     /// Latency EWMA, in milliseconds.
     pub latency_ewma_ms: f64,
+    /// What it has stated about itself; `None` when nothing stands.
+    pub noted: Option<notice::Noted>,
 }
 
 impl View {
@@ -284,6 +289,7 @@
                         failing: u.report == balance::Report::Failing,
                         outstanding: u.outstanding,
                         latency_ewma_ms: u.latency_ewma_us / 1_000.0,
+                        noted: self.notices.noted(self.start_at(u.addr)),
                     })
                     .collect();
                 (service.clone(), list)
