--- /dev/null
+++ b/crates/edge/src/tests/limits.rs
@@ -0,0 +1,96 @@
+//! Upstreams that name how many requests they take from all nodes together.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use super::fake::{answer, get, ms, post, run, start, Act, Caller, Entered, Upstream};
+use super::fleet::{addr, serving};
+
+/// Entry nodes in front of the same upstreams.
+const NODES: u8 = 8;
+
+/// From when on an upstream that has named its limit gets no more than the bound.
+const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
+
+/// Span in which requests are counted, and what an upstream may get in it beyond its limit.
+const WINDOW: Duration = Duration::from_secs(4);
+const OVERSHOOT: f64 = 1.5;
+const SLACK: f64 = 5.0;
+
+fn limited(per_s: &str) -> Act {
+    Act::Write(format!(
+        "HTTP/1.1 200 OK\r\nx-id: {{id}}\r\nx-signature: s\r\nx-limit: {per_s}\r\n\
+         content-length: 0\r\n\r\n"
+    ))
+}
+
+/// Starts nodes that know each other and have been up for a while.
+pub fn nodes(upstreams: &[&Upstream]) -> Vec<Entered> {
+    let all: Vec<SocketAddr> = (1..=NODES).map(addr).collect();
+    let entered = all.iter().map(|me| {
+        let entered = start(upstreams);
+        let state = &mut *entered.node.state.borrow_mut();
+        state.settings.peer_addr = *me;
+        state.started_at -= Duration::from_secs(60);
+        let others = all.iter().filter(|peer| *peer != me);
+        state.peers.extend(others.map(|peer| (*peer, serving("a"))));
+        Entered { node: entered.node.clone(), addr: entered.addr }
+    });
+    entered.collect()
+}
+
+/// Has a caller of each node make requests one after the other; returns how many were served.
+async fn ask_all(nodes: &[Entered], request: fn(&str) -> String, until: Instant) -> usize {
+    let callers = nodes.iter().map(|entered| {
+        let addr = entered.addr;
+        monoio::spawn(async move {
+            let mut caller = Caller::connect(addr).await;
+            let mut served = 0;
+            for id in 0.. {
+                if Instant::now() >= until {
+                    break;
+                }
+                let got = caller.ask(&request(&format!("{addr}-{id}"))).await;
+                served += usize::from(got.status == 200);
+                monoio::time::sleep(ms(20)).await;
+            }
+            served
+        })
+    });
+    let mut served = 0;
+    for caller in callers.collect::<Vec<_>>() {
+        served += caller.await;
+    }
+    served
+}
+
+/// Returns the most requests that an upstream got within the window, from `from` on.
+fn most_in_a_window(upstream: &Upstream, from: Instant) -> usize {
+    let seen = upstream.seen.borrow();
+    let at: Vec<Instant> = seen.iter().map(|seen| seen.at).filter(|at| *at >= from).collect();
+    let in_window = |begin: Instant, at: Instant| at >= begin && at < begin + WINDOW;
+    let within = |begin: Instant| at.iter().filter(|at| in_window(begin, **at)).count();
+    at.iter().map(|begin| within(*begin)).max().unwrap_or(0)
+}
+
+/// Guards against a limit that nobody keeps to, or each node for itself, by any kind of request.
+#[yare::parameterized(
+    by_requests_that_may_be_repeated = { |id| get("/get/1", id) },
+    by_requests_that_may_not = { post },
+)]
+fn an_upstream_that_named_a_limit_gets_no_more(request: fn(&str) -> String) {
+    run(async move {
+        let slow = Upstream::start(vec![vec![Act::Wait(ms(5)), limited("1")]]);
+        let other = Upstream::start(vec![vec![Act::Wait(ms(5)), answer("")]]);
+        let nodes = nodes(&[&slow, &other]);
+        let begun = Instant::now();
+        let served = ask_all(&nodes, request, begun + IN_FORCE_AFTER + 2 * WINDOW).await;
+        let first = slow.seen.borrow().first().expect("it is nearest to all nodes").at;
+        let from = first + IN_FORCE_AFTER;
+        let most = most_in_a_window(&slow, from);
+        assert!(most as f64 <= OVERSHOOT * WINDOW.as_secs_f64() + SLACK, "{most} requests");
+        let got = slow.seen.borrow().iter().filter(|seen| seen.at >= from).count();
+        assert!(got as f64 >= WINDOW.as_secs_f64(), "half of what it takes is used: {got}");
+        assert!(served > 1_000, "the others are served by the other upstream: {served}");
+    });
+}
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -10,6 +10,7 @@
 mod homes;
 mod idle;
 mod large;
+mod limits;
 mod long;
 mod pipelining;
 mod relay;
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -7,7 +7,7 @@
 //! at-most-once. `GET /load` reports in-flight work, refreshed only every
 //! `load_lag`, as real load reports are stale. A request whose `x-oatcove-timeout-ms` passes in the queue is not
 //! run, and one whose caller goes away is dropped. `POST /admin/mode` turns it
-//! into a straggler, starts a drain, makes it fail fast, or has its process crash
+//! into a straggler, starts a drain, makes it fail fast, has it name a limit, or has its process crash
 //! under requests of some paths.
 
 use std::cell::{Cell, RefCell};
@@ -27,6 +27,9 @@
 /// Header carrying the caller's request id.
 pub const REQUEST_ID: &str = "x-request-id";
 
+/// Response header with the requests a second that it takes from all entry nodes together.
+pub const LIMIT: &str = "x-oatcove-limit";
+
 /// Exit code of a process that crashed under a request.
 pub const EXIT_CRASHED: i32 = 70;
 
@@ -68,6 +71,9 @@
     /// has passed; no request does when empty.
     #[serde(default)]
     pub crash_on: SmolStr,
+    /// What every answer states as the limit, as it stands; nothing when empty.
+    #[serde(default)]
+    pub limit: SmolStr,
 }
 
 /// What `GET /load` answers.
@@ -107,6 +113,7 @@
     mode: RefCell<Mode>,
     stats: RefCell<Stats>,
     executions: RefCell<HashMap<SmolStr, u64>>,
+    arrivals: RefCell<Vec<Instant>>,
 }
 
 impl Upstream {
@@ -123,6 +130,7 @@
             mode: RefCell::new(Mode::default()),
             stats: RefCell::new(Stats::default()),
             executions: RefCell::new(HashMap::new()),
+            arrivals: RefCell::new(Vec::new()),
         }
     }
 
@@ -136,12 +144,18 @@
         self.executions.borrow().get(key).copied().unwrap_or(0)
     }
 
+    /// Returns when requests came, refused ones included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.borrow().clone()
+    }
+
     /// Returns how many requests were executed in all.
     pub fn executions_total(&self) -> u64 {
         self.stats.borrow().executed
     }
 
     async fn work(&self, request: &web::Request) -> web::Response {
+        self.arrivals.borrow_mut().push(Instant::now());
         let mode = self.mode.borrow().clone();
         let refusal = match () {
             _ if mode.fail_fast => {
@@ -229,6 +243,24 @@
     }
 
     async fn handle(&self, request: web::Request, _peer: std::net::SocketAddr) -> web::Response {
+        let mut response = self.answer(&request).await;
+        self.state(&mut response);
+        response
+    }
+}
+
+impl Upstream {
+    /// Adds what every answer states about this upstream.
+    fn state(&self, response: &mut web::Response) {
+        let mode = self.mode.borrow();
+        if let (false, Ok(limit)) =
+            (mode.limit.is_empty(), http::HeaderValue::from_str(&mode.limit))
+        {
+            response.headers_mut().insert(LIMIT, limit);
+        }
+    }
+
+    async fn answer(&self, request: &web::Request) -> web::Response {
         match (request.method(), request.uri().path()) {
             (&http::Method::GET, "/load") => self.load(),
             (&http::Method::GET, "/admin/stats") => {
@@ -243,7 +275,7 @@
                 }
                 Err(err) => web::reply(StatusCode::BAD_REQUEST, format!("bad mode: {err}\n")),
             },
-            _ => self.work(&request).await,
+            _ => self.work(request).await,
         }
     }
 }
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -1,7 +1,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use emu::upstream::{Shape, Upstream};
@@ -58,6 +58,75 @@
     Node::new(Rc::new(RefCell::new(view)), metrics, gossip)
 }
 
+/// Entry nodes that know each other.
+fn nodes(count: u16, template: &str, upstreams: &[SocketAddr]) -> Vec<Rc<Node>> {
+    let addr = |n: u16| SocketAddr::from(([10, 0, 0, 1], n));
+    let node = |me: u16| {
+        let node = node(template, upstreams);
+        let view = &mut *node.view.borrow_mut();
+        view.settings.listen_addr = addr(me);
+        let alive = || crate::view::Peer {
+            standing: Some(wire::Standing::Alive),
+            ..crate::view::Peer::default()
+        };
+        let others = (1..=count).filter(|n| *n != me);
+        view.peers = others.map(|n| (addr(n), alive())).collect();
+        Rc::new(Node { view: node.view.clone(), ..node })
+    };
+    (1..=count).map(node).collect()
+}
+
+/// Has a caller of each node make calls one after the other; returns how many were served.
+async fn call_all(nodes: &[Rc<Node>], method: http::Method, until: Instant) -> usize {
+    let callers = nodes.iter().enumerate().map(|(n, node)| {
+        let (node, method) = (node.clone(), method.clone());
+        monoio::spawn(async move {
+            let mut served = 0;
+            for id in 0.. {
+                if Instant::now() >= until {
+                    break;
+                }
+                let call = request(method.clone(), "/s/svc/list", &format!("{n}-{id}"));
+                served += usize::from(outcome(&node.handle(call, PEER).await) == "done");
+                monoio::time::sleep(Duration::from_millis(20)).await;
+            }
+            served
+        })
+    });
+    let mut served = 0;
+    for caller in callers.collect::<Vec<_>>() {
+        served += caller.await;
+    }
+    served
+}
+
+/// Guards against a limit that nobody keeps to, or each node for itself.
+#[yare::parameterized(
+    by_calls_that_may_be_repeated = { http::Method::GET },
+    by_calls_that_may_not = { http::Method::POST },
+)]
+fn an_upstream_that_named_a_limit_gets_no_more(method: http::Method) {
+    const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
+    const WINDOW: Duration = Duration::from_secs(4);
+    /// One and a half times the limit of one a second, and five more.
+    const MOST: usize = 11;
+    web::runtime().block_on(async {
+        let ((a, slow), (b, _)) = (upstream(shape(5, 100)), upstream(shape(5, 100)));
+        slow.set_mode(emu::upstream::Mode { limit: "1".into(), ..Default::default() });
+        let nodes = nodes(8, "service: svc\n", &[a, b]);
+        let begun = Instant::now();
+        let served = call_all(&nodes, method, begun + IN_FORCE_AFTER + 2 * WINDOW).await;
+        let from = slow.arrivals()[0] + IN_FORCE_AFTER;
+        let at: Vec<Instant> = slow.arrivals().into_iter().filter(|at| *at >= from).collect();
+        let within =
+            |from: Instant| at.iter().filter(move |at| **at >= from && **at < from + WINDOW);
+        let most = at.iter().map(|begin| within(*begin).count()).max().unwrap_or(0);
+        assert!(most <= MOST, "{most} calls");
+        assert!(at.len() >= 4, "half of what it takes is used: {}", at.len());
+        assert!(served > 1_000, "the others are served by the other upstream: {served}");
+    });
+}
+
 fn request(method: http::Method, path: &str, key: &str) -> web::Request {
     http::Request::builder()
         .method(method)
