notice, edge, oatcoved: an upstream that names a limit gets no more than that from all nodes

Cause: the word of an upstream about itself was passed on to the caller and read by nobody. Class: a word that any answer may carry and that binds every later send had no place where it is taken, and none through which each send passes.

Change: crate notice, pure, one copy under both interfaces. Two owners at least, by rendezvous hashing among the live nodes, those of the upstream's zone first, share the limit; the others send nothing. An owner saves up a quarter of a second at most and begins with nothing, so that a change of owners costs nothing. Every send passes it: it is asked where candidates are ranked (first sends, second ones, hedges, waiting requests, long bodies) and counted where a send begins. Peers are told at once by membership (wire version 5) and again every 10 s; a limit that nobody hears of for 30 s lapses; it ends by a sound answer that was asked for later and names none.

--- a/crates/balance/src/model_tests.rs
+++ b/crates/balance/src/model_tests.rs
@@ -250,6 +250,7 @@
                     zone: ZONES[zone],
                     zone_affinity: affinity,
                     tried: &tried_addrs,
+                    barred: &[],
                     most_outstanding: MOST_OUTSTANDING,
                 };
                 let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
--- a/crates/balance/src/pick.rs
+++ b/crates/balance/src/pick.rs
@@ -38,6 +38,8 @@
     pub zone_affinity: bool,
     /// Upstreams that were tried for this call already.
     pub tried: &'a [SocketAddr],
+    /// Upstreams that get no call now, by their own word.
+    pub barred: &'a [SocketAddr],
     /// Upstreams with this many calls outstanding from this node get no more.
     pub most_outstanding: u32,
 }
@@ -83,7 +85,8 @@
     fn candidates<'a>(&'a self, ask: Ask<'a>) -> impl Iterator<Item = UpstreamIndex> + 'a {
         (0..self.upstreams.len()).filter(move |&index| {
             let upstream = &self.upstreams[index];
-            upstream.outstanding < ask.most_outstanding && !ask.tried.contains(&upstream.addr)
+            let is_out = [ask.tried, ask.barred].iter().any(|out| out.contains(&upstream.addr));
+            upstream.outstanding < ask.most_outstanding && !is_out
         })
     }
 
--- a/crates/balance/src/tests.rs
+++ b/crates/balance/src/tests.rs
@@ -21,7 +21,14 @@
 
 /// What a call from zone `a` asks, with affinity.
 fn ask(tried: &[SocketAddr]) -> Ask<'_> {
-    Ask { policy: Policy::Adaptive, zone: "a", zone_affinity: true, tried, most_outstanding: 1_000 }
+    Ask {
+        policy: Policy::Adaptive,
+        zone: "a",
+        zone_affinity: true,
+        tried,
+        barred: &[],
+        most_outstanding: 1_000,
+    }
 }
 
 fn answered(took_ms: u64, kind: u64) -> Finished {
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -7,7 +7,7 @@
 
 use super::call::{Call, Choice, NoChoice};
 use super::Node;
-use crate::probe;
+use crate::{probe, start_of};
 
 /// Upstreams asked for their load at once, and how often before one choice.
 const ASK_AT_ONCE: usize = 3;
@@ -138,6 +138,7 @@
     fn rank(&self, call: &Call<'_>, tried: &[Incarnation]) -> Vec<Candidate> {
         let state = &mut *self.state.borrow_mut();
         let now = Instant::now();
+        state.deal_limits(now);
         let Some(pool) = state.pools.get(&call.service) else { return Vec::new() };
         let homes = state.settings.home_zones(&call.route.homes);
         let ask = place::Ask {
@@ -159,7 +160,12 @@
         let share = (most / state.fleet_size() as u32).max(CONNECTIONS_LEAST);
         let carries = state.first_sends_per_s(&call.service, now) * RESTS_FOR.as_secs_f64()
             / pool.compared() as f64;
+        let notices = &state.notices;
+        let may_send = |upstream: &Incarnation| {
+            notices.is_empty() || notices.may_send(start_of(upstream), now)
+        };
         let reach = |upstream: &Incarnation| match self.conns.open_count(upstream) {
+            _ if !may_send(upstream) => Reach::Not,
             0 => Reach::New,
             _ if self.conns.has(upstream) => Reach::Kept,
             open if open < share && carries >= CARRIES_LEAST => Reach::New,
--- a/crates/edge/src/forward/notices.rs
+++ b/crates/edge/src/forward/notices.rs
@@ -1,13 +1,16 @@
-//! Takes what upstreams state about themselves in their answers.
+//! Keeps to what upstreams state about themselves in their answers.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
 use http::{HeaderMap, HeaderName, StatusCode};
-use notice::{Change, Field, Stated};
+use notice::{share, Change, Field, Notice, Stated};
 use place::Incarnation;
+use quarantine::Start;
 
 use super::Node;
-use crate::start_of;
+use crate::state::State;
+use crate::{moment, readers, start_of};
 
 impl Node {
     /// Takes what an answer of `upstream` states about it; see [`notice::Board::hear`].
@@ -22,29 +25,68 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        let change = {
+            let state = &mut *self.state.borrow_mut();
+            let name = &state.settings.headers.limit;
+            let stated = Stated::read(values(headers, name));
+            if stated.limit == Field::Unreadable {
+                trace::Line::new("notice_unreadable")
+                    .field("upstream", upstream.id())
+                    .field("header", name.as_str())
+                    .log();
+            }
+            state.notices.hear(start_of(upstream), &stated, asked_at, moment())
+        };
+        if let Some(change) = change {
+            log_change(upstream.id(), change, "this node");
+            self.wake_gossip();
+        }
+    }
+
+    /// Takes what a peer tells of an upstream.
+    pub(crate) fn hear_peer_notice(&self, notice: &Notice) {
         let state = &mut *self.state.borrow_mut();
-        let name = &state.settings.headers.limit;
-        let stated = Stated::read(values(headers, name));
-        if stated.limit == Field::Unreadable {
-            trace::Line::new("notice_unreadable")
-                .field("upstream", upstream.id())
-                .field("header", name.as_str())
-                .log();
+        if let Some(change) = state.notices.hear_peer(notice, moment()) {
+            let upstreams = state.pools.values().flat_map(|pool| pool.upstreams());
+            let mut incarnations = upstreams.map(|upstream| &upstream.incarnation);
+            let upstream = incarnations.find(|upstream| start_of(upstream) == notice.start);
+            log_change(upstream.map_or("?", Incarnation::id), change, "a peer");
         }
-        let change = state.notices.hear(start_of(upstream), &stated, asked_at, Instant::now());
-        match change {
-            Some(Change::Limited(per_ks)) => trace::Line::new("upstream_limited")
-                .field("upstream", upstream.id())
-                .field("per_ks", per_ks)
-                .log(),
-            Some(Change::Unlimited) => {
-                trace::Line::new("upstream_unlimited").field("upstream", upstream.id()).log();
-            }
-            None => {}
+    }
+}
+
+impl State {
+    /// Deals out limits anew if that is due. A node that has just started knows few of the others, and
+    /// sends to limited upstreams nothing.
+    pub(crate) fn deal_limits(&mut self, now: Instant) {
+        if !self.notices.is_undealt() || !readers::knows_peers(self, now) {
+            return;
         }
+        let upstreams = self.pools.values().flat_map(|pool| pool.upstreams());
+        let zones: HashMap<Start, &str> =
+            upstreams.map(|u| (start_of(&u.incarnation), u.zone.as_str())).collect();
+        let settings = &self.settings;
+        let peers = self.peers.iter().filter(|(_, peer)| peer.standing <= wire::Standing::Suspect);
+        let share = |start, per_ks| {
+            let is_near = |zone: &str| zones.get(&start) == Some(&zone);
+            let me = share::Node { addr: settings.peer_addr, is_near: is_near(&settings.zone) };
+            let others = peers.clone();
+            let others = others
+                .map(|(addr, peer)| share::Node { addr: *addr, is_near: is_near(&peer.zone) });
+            share::of(start, per_ks, me, others)
+        };
+        self.notices.deal(share, now);
     }
 }
 
+fn log_change(upstream: &str, change: Change, told_by: &'static str) {
+    let line = match change {
+        Change::Limited(per_ks) => trace::Line::new("upstream_limited").field("per_ks", per_ks),
+        Change::Unlimited => trace::Line::new("upstream_unlimited"),
+    };
+    line.field("upstream", upstream).field("told_by", told_by).log();
+}
+
 /// Returns all values of a header.
 fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a [u8]> {
     headers.get_all(name).iter().map(http::HeaderValue::as_bytes)
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -10,9 +10,9 @@
 
 use super::call::{Call, Choice, SendMade};
 use super::Node;
-use crate::as_ms;
 use crate::exchange::{self, Answer, Outcome, Outgoing, Sent, Whose};
 use crate::state::Outstanding;
+use crate::{as_ms, start_of};
 
 /// An upstream is told a deadline that is earlier by this, so that its own
 /// answer at the deadline still reaches the caller.
@@ -41,6 +41,7 @@
             report_age_ms: choice.report_age.map(as_ms),
         });
         let counted = Outstanding::start(&self.state, &call.service, &choice.upstream);
+        self.state.borrow_mut().notices.sent(start_of(&choice.upstream), Instant::now());
         let (known, _under_way) = self.begin(call, &choice.upstream);
         let sent_at = Instant::now();
         let timeout = CONNECT_TIMEOUT.min(call.left());
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -25,8 +25,8 @@
     Datagram(SocketAddr, Vec<u8>),
     /// Time passed.
     Tick,
-    /// There is news of requests that crash upstreams.
-    Findings,
+    /// There is news of requests that crash upstreams, or of what upstreams state about themselves.
+    News,
     /// This node is stopping.
     Leave,
 }
@@ -64,6 +64,7 @@
         for event in members.take_events() {
             match event {
                 member::Event::Finding(finding) => node.hear_finding(&finding, "a peer"),
+                member::Event::Notice(notice) => node.hear_peer_notice(&notice),
                 member::Event::Differs { addr, held_digest } => {
                     let known = node.state.borrow().quarantine.to_tell_a_peer(held_digest);
                     out.extend(members.tell_all(addr, known, now));
@@ -72,6 +73,7 @@
             }
         }
         out.extend(tell_findings(&mut members, &node));
+        out.extend(tell_notices(&mut members, &node));
         for member::Outgoing { to, packet } in out {
             let bytes = packet.encode();
             count_sent(&node, to, bytes.len() as u64);
@@ -96,10 +98,16 @@
     news.into_iter().flat_map(|news| members.spread(news)).collect()
 }
 
+/// Tells peers what is news of what upstreams state about themselves.
+fn tell_notices(members: &mut member::Members, node: &Node) -> Vec<member::Outgoing> {
+    let news = node.state.borrow_mut().notices.take_news();
+    news.into_iter().flat_map(|news| members.spread_notice(news)).collect()
+}
+
 fn handle(members: &mut member::Members, input: Input, now: Instant) -> Vec<member::Outgoing> {
     match input {
         Input::Tick => members.tick(now),
-        Input::Findings => Vec::new(),
+        Input::News => Vec::new(),
         Input::Datagram(from, bytes) => match wire::Packet::decode(&bytes) {
             Ok(packet) => members.receive(from, packet, now),
             Err(err) => {
@@ -115,7 +123,8 @@
 }
 
 fn apply(node: &Node, event: member::Event) {
-    let peers = &mut node.state.borrow_mut().peers;
+    let state = &mut *node.state.borrow_mut();
+    let peers = &mut state.peers;
     match event {
         member::Event::Peer { addr, zone, standing } => {
             trace::Line::new("peer")
@@ -132,8 +141,12 @@
             });
             peer.zone = zone;
             peer.standing = standing;
+            state.notices.nodes_changed();
+        }
+        member::Event::Forgotten { addr } => {
+            peers.remove(&addr);
+            state.notices.nodes_changed();
         }
-        member::Event::Forgotten { addr } => drop(peers.remove(&addr)),
         member::Event::Heads { addr, config_head, list_head } => {
             if let Some(peer) = peers.get_mut(&addr) {
                 peer.config_head = config_head;
@@ -141,7 +154,10 @@
                 peer.heard = true;
             }
         }
-        member::Event::Note(_) | member::Event::Finding(_) | member::Event::Differs { .. } => {}
+        member::Event::Note(_)
+        | member::Event::Finding(_)
+        | member::Event::Notice(_)
+        | member::Event::Differs { .. } => {}
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,7 +34,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use http::HeaderName;
 use place::Zone;
@@ -119,6 +119,11 @@
     time.as_millis() as u64
 }
 
+/// Returns the present by both clocks.
+fn moment() -> notice::Moment {
+    notice::Moment { at: Instant::now(), unix_ms: unix_ms() }
+}
+
 /// Returns the time of day.
 fn unix_ms() -> quarantine::UnixMs {
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -344,6 +344,8 @@
         let known = self.pools.get(service).is_some_and(|pool| pool.position(&upstream).is_some());
         match change {
             place::Change::Put(entry) => {
+                // Nodes near to it come before others.
+                self.notices.nodes_changed();
                 let (seed, zones) = (self.node_seed, self.evacuations.zones());
                 let new_pool = || {
                     let mut pool = place::Pool::of_node(seed);
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -71,7 +71,10 @@
     let now = Instant::now();
     follow::expire(node, now);
     node.conns.expire(now);
-    node.state.borrow_mut().quarantine.expire(unix_ms());
+    let mut state = node.state.borrow_mut();
+    state.quarantine.expire(unix_ms());
+    state.notices.expire(now);
+    drop(state);
     trace::flush();
 }
 
--- a/crates/member/src/findings.rs
+++ b/crates/member/src/findings.rs
@@ -13,9 +13,9 @@
 
 use crate::{queue, Event, Members, Outgoing};
 
-/// Peers told at once of a finding that is news to this node: each of them does the same. With four,
-/// one node in fifty is told by none, and a fleet of 312 knows after five steps of a few milliseconds.
-const TOLD_OF_FINDINGS: usize = 4;
+/// Peers told at once of what is news to this node: each of them does the same. With four, one node in
+/// fifty is told by none, and a fleet of 312 knows after five steps of a few milliseconds.
+const TOLD_AT_ONCE: usize = 4;
 
 /// A peer whose digest differs is told all findings this often at most: while news is spreading, the
 /// digests of most nodes differ for a moment.
@@ -33,12 +33,16 @@
         if news.is_weighty {
             self.queue.push_finding(news.finding.clone());
         }
+        self.tell_a_few(Packet { findings: vec![news.finding], ..self.news() })
+    }
+
+    /// Sends a packet to a few peers.
+    pub(crate) fn tell_a_few(&mut self, packet: Packet) -> Vec<Outgoing> {
         if self.leaving {
             return Vec::new();
         }
         let reachable: Vec<SocketAddr> = self.reachable().collect();
-        let told = reachable.into_iter().choose_multiple(&mut self.rng, TOLD_OF_FINDINGS);
-        let packet = Packet { findings: vec![news.finding], ..self.news() };
+        let told = reachable.into_iter().choose_multiple(&mut self.rng, TOLD_AT_ONCE);
         told.into_iter().map(|to| Outgoing { to, packet: packet.clone() }).collect()
     }
 
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`Members`] is a SWIM-style failure detector: each period it pings one
 //! peer; a peer that does not answer is asked for through others, then
 //! suspected, then declared dead unless it refutes with a higher incarnation.
-//! News of members, [`wire::Note`]s and [`Finding`]s ride on these packets, each sent a
+//! News of members, [`wire::Note`]s, [`Finding`]s and [`Notice`]s ride on these packets, each sent a
 //! few times ([`queue`]), so the cost per node does not grow with the fleet. Findings are also told to
 //! a few peers at once, and to a peer whose digest differs: one that was cut off has missed them.
 //!
@@ -15,12 +15,14 @@
 
 mod findings;
 mod notes;
+mod notices;
 mod queue;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use notice::Notice;
 use quarantine::Finding;
 use rand::rngs::SmallRng;
 use rand::seq::{IteratorRandom, SliceRandom};
@@ -122,6 +124,8 @@
     Note(Note),
     /// Another node knows this of a request that crashed upstreams.
     Finding(Finding),
+    /// Another node tells what an upstream states about itself.
+    Notice(Notice),
     /// A peer holds back other requests than this node did when it last said so, and was not told
     /// of late what this node knows.
     Differs {
@@ -324,6 +328,7 @@
                 self.events.push(Event::Note(*note));
             }
         }
+        self.events.extend(packet.notices.into_iter().map(Event::Notice));
         self.hear_findings(&packet.sender, packet.findings, now);
         if newcomer && !self.leaving {
             self.greet(from, &mut out);
@@ -643,6 +648,7 @@
             members: Vec::new(),
             notes: Vec::new(),
             findings: Vec::new(),
+            notices: Vec::new(),
         }
     }
 
--- a/crates/member/src/queue.rs
+++ b/crates/member/src/queue.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 
+use notice::Notice;
 use quarantine::Finding;
 use wire::{MemberUpdate, Note, Packet, Sender, MAX_PACKET_BYTES};
 
@@ -32,6 +33,7 @@
     members: Vec<Item<MemberUpdate>>,
     notes: Vec<Item<Note>>,
     findings: Vec<Item<Finding>>,
+    notices: Vec<Item<Notice>>,
 }
 
 impl Queue {
@@ -42,6 +44,13 @@
         self.findings.push(Item { value: finding, sent: 0, bytes });
     }
 
+    /// Queues a notice in place of an older one of the same upstream.
+    pub(crate) fn push_notice(&mut self, notice: Notice) {
+        self.notices.retain(|item| item.value.start != notice.start);
+        let bytes = wire::encoded_bytes(&notice);
+        self.notices.push(Item { value: notice, sent: 0, bytes });
+    }
+
     /// Queues news of a member in place of older news of it.
     pub(crate) fn push_member(&mut self, update: MemberUpdate) {
         self.members.retain(|item| item.value.addr != update.addr);
@@ -66,6 +75,7 @@
         left = left.saturating_sub(128);
         // Each moment that a finding is not known may cost an upstream.
         packet.findings = take(&mut self.findings, &mut left, repeats);
+        packet.notices = take(&mut self.notices, &mut left, repeats);
         packet.members = take(&mut self.members, &mut left, repeats);
         packet.notes = take(&mut self.notes, &mut left, repeats);
     }
--- /dev/null
+++ b/crates/notice/src/board/tests.rs
@@ -0,0 +1,116 @@
+use std::time::{Duration, Instant};
+
+use quarantine::Start;
+
+use super::{Board, Change, Moment, Notice, LIMIT_STANDS_FOR, TOLD_AGAIN_EVERY};
+use crate::{Field, Stated};
+
+const UNIX_MS: u64 = 1_000_000;
+
+fn start() -> Start {
+    Start::of("u1", 1)
+}
+
+fn names(per_ks: u64) -> Stated {
+    Stated { limit: Field::Named(per_ks) }
+}
+
+/// A clock that tests move.
+struct Clock(Instant);
+
+impl Clock {
+    fn at(&self, ms: u64) -> Instant {
+        self.0 + Duration::from_millis(ms)
+    }
+
+    fn moment(&self, ms: u64) -> Moment {
+        Moment { at: self.at(ms), unix_ms: UNIX_MS + ms }
+    }
+}
+
+fn clock() -> Clock {
+    Clock(Instant::now())
+}
+
+fn limit_of(board: &Board) -> Option<u64> {
+    board.noted(start()).and_then(|noted| noted.limit_per_ks)
+}
+
+/// Guards against a limit that ends by an answer which another has overtaken, or by one to a probe.
+#[test]
+fn only_an_answer_asked_for_later_ends_a_limit() {
+    let (clock, mut board) = (clock(), Board::default());
+    let named = board.hear(start(), &names(1_100), Some(clock.at(0)), clock.moment(50));
+    assert_eq!(named, Some(Change::Limited(1_100)));
+    let none = Stated::default();
+    assert_eq!(board.hear(start(), &none, Some(clock.at(40)), clock.moment(60)), None);
+    assert_eq!(board.hear(start(), &none, None, clock.moment(70)), None);
+    let unreadable = Stated { limit: Field::Unreadable };
+    assert_eq!(board.hear(start(), &unreadable, Some(clock.at(60)), clock.moment(80)), None);
+    assert_eq!(limit_of(&board), Some(1_100));
+    let ended = board.hear(start(), &none, Some(clock.at(60)), clock.moment(90));
+    assert_eq!(ended, Some(Change::Unlimited));
+    assert_eq!(limit_of(&board), None);
+    assert!(board.may_send(start(), clock.at(90)));
+}
+
+/// Guards against a limit that binds the next start of an upstream, or the next at its address.
+#[test]
+fn a_limit_binds_one_start() {
+    let (clock, mut board) = (clock(), Board::default());
+    board.hear(start(), &names(0), None, clock.moment(0));
+    assert!(!board.may_send(start(), clock.at(0)));
+    assert!(board.may_send(Start::of("u1", 2), clock.at(0)));
+    assert!(board.may_send(Start::of("u2", 1), clock.at(0)));
+}
+
+/// Guards against a limit that stands for good since nobody may ask whether it has ended.
+#[test]
+fn a_limit_that_nobody_hears_of_lapses() {
+    let (clock, mut board) = (clock(), Board::default());
+    board.hear(start(), &names(0), None, clock.moment(0));
+    let stands_for_ms = LIMIT_STANDS_FOR.as_millis() as u64;
+    assert!(!board.may_send(start(), clock.at(stands_for_ms - 1)));
+    assert!(board.may_send(start(), clock.at(stands_for_ms)));
+    board.expire(clock.at(stands_for_ms));
+    assert!(board.is_empty());
+}
+
+/// Guards against nodes that have to ask an upstream themselves, and against news that never rests.
+#[test]
+fn peers_learn_of_a_limit_and_of_its_end() {
+    let (clock, mut one, mut other) = (clock(), Board::default(), Board::default());
+    let tell = |from: &mut Board, to: &mut Board, ms: u64| {
+        let news = from.take_news();
+        let changes = news.iter().filter_map(|news| to.hear_peer(&news.notice, clock.moment(ms)));
+        (news.len(), changes.collect::<Vec<_>>())
+    };
+    one.hear(start(), &names(1_100), None, clock.moment(0));
+    assert_eq!(tell(&mut one, &mut other, 5), (1, vec![Change::Limited(1_100)]));
+    assert_eq!(tell(&mut other, &mut one, 10), (1, vec![]));
+    for ms in (100..TOLD_AGAIN_EVERY.as_millis() as u64).step_by(100) {
+        one.hear(start(), &names(1_100), None, clock.moment(ms));
+        assert_eq!(one.take_news(), vec![], "nothing new at {ms} ms");
+    }
+    let again_ms = TOLD_AGAIN_EVERY.as_millis() as u64;
+    one.hear(start(), &names(1_100), None, clock.moment(again_ms));
+    let news = one.take_news();
+    assert_eq!(news.iter().map(|news| news.is_change).collect::<Vec<_>>(), vec![false]);
+    one.hear(start(), &Stated::default(), Some(clock.at(again_ms + 1)), clock.moment(again_ms + 2));
+    assert_eq!(tell(&mut one, &mut other, again_ms + 3), (1, vec![Change::Unlimited]));
+    // What was said before its end comes late.
+    assert_eq!(other.hear_peer(&news[0].notice, clock.moment(again_ms + 4)), None);
+    assert_eq!(limit_of(&other), None);
+}
+
+/// Guards against a peer whose clock is years ahead: what the upstream says itself goes before.
+#[test]
+fn an_answer_goes_before_what_a_peer_says_of_the_future() {
+    let (clock, mut board) = (clock(), Board::default());
+    let notice = Notice { start: start(), said_unix_ms: u64::MAX, limit_per_ks: Some(0) };
+    assert_eq!(board.hear_peer(&notice, clock.moment(0)), Some(Change::Limited(0)));
+    let none = Stated::default();
+    let ended = board.hear(start(), &none, Some(clock.at(1)), clock.moment(2));
+    assert_eq!(ended, Some(Change::Unlimited));
+    assert!(board.may_send(start(), clock.at(2)));
+}
--- /dev/null
+++ b/crates/notice/src/share.rs
@@ -0,0 +1,108 @@
+//! Which nodes send to an upstream that takes few requests, and how many each.
+//!
+//! The load pattern: hundreds of nodes are told by one upstream that it takes one request a second from
+//! all of them. One a second each is hundreds; a part of it each, saved up, comes at once.
+//!
+//! A few nodes, the same by whoever reckons, therefore own an upstream and share its limit; the others
+//! send it nothing. No node needs to hear what another has sent. Nodes that differ in whom they know
+//! make an owner too many for as long as they do, and what is left of the upstream's tolerance bears it.
+
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use quarantine::Start;
+use siphasher::sip::SipHasher13;
+
+use crate::PerKs;
+
+/// Owners of an upstream, if there are as many nodes: one may have died unnoticed.
+const OWNERS_LEAST: usize = 2;
+
+/// What an owner may save up while it has nothing to send, and at least one request.
+const SAVED_FOR: Duration = Duration::from_millis(250);
+
+/// A node that may send.
+#[derive(Clone, Copy, Debug)]
+pub struct Node {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Whether it is in the availability zone of the upstream: others send there when theirs are full.
+    pub is_near: bool,
+}
+
+impl Node {
+    /// Returns how early it owns an upstream, the least first.
+    fn order(&self, start: Start) -> (bool, u64) {
+        let mut hasher = SipHasher13::new();
+        (start, self.addr).hash(&mut hasher);
+        (!self.is_near, hasher.finish())
+    }
+}
+
+/// Returns the requests a second that `me` may send to an upstream that takes `per_ks` from all nodes;
+/// `None` when it is no owner.
+pub fn of(
+    start: Start,
+    per_ks: PerKs,
+    me: Node,
+    others: impl Iterator<Item = Node>,
+) -> Option<f64> {
+    let mine = me.order(start);
+    let (mut nodes, mut ahead) = (1, 0);
+    for other in others {
+        nodes += 1;
+        ahead += usize::from(other.order(start) < mine);
+    }
+    let per_s = per_ks as f64 / 1e3;
+    let owners = (per_s as usize).max(OWNERS_LEAST).min(nodes);
+    (ahead < owners).then(|| per_s / owners as f64)
+}
+
+/// What an owner may send now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Allowance {
+    per_s: f64,
+    saved: f64,
+    at: Instant,
+}
+
+impl Allowance {
+    /// Creates the allowance of a node that has saved nothing: it may take another's place, which has
+    /// just sent.
+    pub(crate) fn new(now: Instant) -> Allowance {
+        Allowance { per_s: 0.0, saved: 0.0, at: now }
+    }
+
+    fn saved(&self, now: Instant) -> f64 {
+        let most = (self.per_s * SAVED_FOR.as_secs_f64()).max(1.0);
+        let earned = now.saturating_duration_since(self.at).as_secs_f64() * self.per_s;
+        (self.saved + earned).min(most)
+    }
+
+    /// Takes how many requests a second it may send from now on.
+    pub(crate) fn set(&mut self, per_s: Option<f64>, now: Instant) {
+        let per_s = per_s.unwrap_or(0.0);
+        let saved = if per_s > 0.0 { self.saved(now) } else { 0.0 };
+        *self = Allowance { per_s, saved, at: now };
+    }
+
+    /// Returns true when it allows a request now.
+    pub(crate) fn allows(&self, now: Instant) -> bool {
+        self.saved(now) >= 1.0
+    }
+
+    /// Takes one request out of it.
+    pub(crate) fn take(&mut self, now: Instant) {
+        self.saved = self.saved(now) - 1.0;
+        self.at = now;
+    }
+
+    /// Returns the requests a second that this node may send.
+    pub(crate) fn per_s(&self) -> f64 {
+        self.per_s
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -14,6 +14,7 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
+use crate::notices;
 use crate::view::View;
 
 /// How often the membership state advances; well below its shortest timeout.
@@ -35,8 +36,8 @@
     Verdict(SocketAddr, wire::Verdict),
     /// This node holds config up to this commit.
     ConfigHead(u64),
-    /// There is news of calls that crash upstreams.
-    Findings,
+    /// There is news of calls that crash upstreams, or of what upstreams state about themselves.
+    News,
     /// This node is stopping.
     Leave,
 }
@@ -78,6 +79,7 @@
             }
         }
         out.extend(tell_findings(&mut members, &mut view.borrow_mut().quarantine));
+        out.extend(tell_notices(&mut members, &mut view.borrow_mut().notices));
         for member::Outgoing { to, packet } in out {
             let (sent, bytes) = socket.send_to(packet.encode(), to).await;
             let mut view = view.borrow_mut();
@@ -102,6 +104,16 @@
     news.into_iter().flat_map(|news| members.spread(news)).collect()
 }
 
+/// Tells peers what is news of what upstreams state about themselves.
+fn tell_notices(
+    members: &mut member::Members,
+    notices: &mut notice::Board,
+) -> Vec<member::Outgoing> {
+    notices.expire(Instant::now());
+    let news = notices.take_news();
+    news.into_iter().flat_map(|news| members.spread_notice(news)).collect()
+}
+
 fn handle(
     members: &mut member::Members,
     view: &RefCell<View>,
@@ -110,7 +122,7 @@
 ) -> Vec<member::Outgoing> {
     match input {
         Input::Tick => members.tick(now),
-        Input::Findings => Vec::new(),
+        Input::News => Vec::new(),
         Input::Datagram(from, bytes) => {
             view.borrow_mut().counters.peer_bytes_received += bytes.len() as u64;
             match wire::Packet::decode(&bytes) {
@@ -150,8 +162,12 @@
             let peer = view.peers.entry(addr).or_default();
             peer.zone = zone;
             peer.standing = Some(standing);
+            view.notices.nodes_changed();
+        }
+        member::Event::Forgotten { addr } => {
+            view.peers.remove(&addr);
+            view.notices.nodes_changed();
         }
-        member::Event::Forgotten { addr } => drop(view.peers.remove(&addr)),
         member::Event::Heads { addr, config_head, list_head: _ } => {
             view.peers.entry(addr).or_default().config_head = config_head;
         }
@@ -159,6 +175,9 @@
         member::Event::Finding(finding) => {
             view.quarantine.hear(&finding, unix_ms());
         }
+        member::Event::Notice(notice) => {
+            view.notices.hear_peer(&notice, notices::moment());
+        }
         member::Event::Differs { .. } => {}
     }
 }
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -1,13 +1,20 @@
-//! Takes what upstreams state about themselves in their answers.
+//! Keeps to what upstreams state about themselves in their answers.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Instant;
 
-use notice::{Change, Field, Stated};
+use notice::{share, Change, Field, Stated};
 use quarantine::Start;
 
+use crate::gossip;
 use crate::view::View;
 
+/// Returns the present by both clocks.
+pub(crate) fn moment() -> notice::Moment {
+    notice::Moment { at: Instant::now(), unix_ms: gossip::unix_ms() }
+}
+
 /// Reads what an answer states; says so when that cannot be read.
 pub(crate) fn stated(upstream: SocketAddr, response: &web::Response) -> Stated {
     let values = response.headers().get_all(crate::LIMIT);
@@ -21,24 +28,60 @@
 impl View {
     /// Returns the key of the VM that is at an address now.
     pub(crate) fn start_at(&self, addr: SocketAddr) -> Start {
-        let id = self.vms.get(&addr).map_or("", |vm| vm.id.as_str());
-        Start::of(&format!("{addr} {id}"), 0)
+        Start::of_vm(addr, self.vms.get(&addr).map_or("", |vm| vm.id.as_str()))
     }
 
-    /// Takes what an answer of the upstream at `addr` states; see [`notice::Board::hear`].
+    /// Takes what an answer of the upstream at `addr` states; see [`notice::Board::hear`]. Returns true
+    /// when that is a change.
     pub(crate) fn hear_notice(
         &mut self,
         addr: SocketAddr,
         stated: &Stated,
         asked_at: Option<Instant>,
-    ) {
+    ) -> bool {
         let start = self.start_at(addr);
-        match self.notices.hear(start, stated, asked_at, Instant::now()) {
+        let change = self.notices.hear(start, stated, asked_at, moment());
+        match change {
             Some(Change::Limited(per_ks)) => {
                 log::info!("upstream={addr} takes {per_ks} calls in 1,000 s from all entry nodes");
             }
             Some(Change::Unlimited) => log::info!("upstream={addr} names no limit any more"),
             None => {}
         }
+        change.is_some()
+    }
+
+    /// Deals out limits anew if that is due.
+    pub(crate) fn deal_limits(&mut self, now: Instant) {
+        if !self.notices.is_undealt() {
+            return;
+        }
+        let upstreams = self.pools.values().flat_map(|pool| &pool.upstreams);
+        let zones: HashMap<Start, &str> =
+            upstreams.map(|u| (self.start_at(u.addr), u.zone.as_str())).collect();
+        let settings = &self.settings;
+        let is_reachable =
+            |peer: &crate::view::Peer| peer.standing.is_some_and(|s| s <= wire::Standing::Suspect);
+        let peers = self.peers.iter().filter(|(_, peer)| is_reachable(peer));
+        let share = |start, per_ks| {
+            let is_near = |zone: &str| zones.get(&start) == Some(&zone);
+            let me = share::Node { addr: settings.listen_addr, is_near: is_near(&settings.zone) };
+            let others = peers.clone();
+            let others = others
+                .map(|(addr, peer)| share::Node { addr: *addr, is_near: is_near(&peer.zone) });
+            share::of(start, per_ks, me, others)
+        };
+        self.notices.deal(share, now);
+    }
+
+    /// Returns the upstreams of a service that may not get a call now, by their own word.
+    pub(crate) fn barred(&mut self, service: &str, now: Instant) -> Vec<SocketAddr> {
+        if self.notices.is_empty() {
+            return Vec::new();
+        }
+        self.deal_limits(now);
+        let pool = self.pools.get(service);
+        let addrs = pool.into_iter().flat_map(|pool| &pool.upstreams).map(|u| u.addr);
+        addrs.filter(|addr| !self.notices.may_send(self.start_at(*addr), now)).collect()
     }
 }
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -303,15 +303,18 @@
             return None;
         }
         let mut view = self.view.borrow_mut();
+        let now = Instant::now();
+        let barred = view.barred(&call.service, now);
         let pool = view.pools.get_mut(&call.service)?;
         let ask = balance::Ask {
             policy: policy(call.params.balance),
             zone: &call.zone,
             zone_affinity: call.params.zone_affinity,
             tried,
+            barred: &barred,
             most_outstanding: call.connection_share,
         };
-        let index = pool.pick(ask, Instant::now(), &mut *self.rng.borrow_mut())?;
+        let index = pool.pick(ask, now, &mut *self.rng.borrow_mut())?;
         Some(pool.upstreams[index].addr)
     }
 
@@ -333,12 +336,15 @@
         let request =
             answer::upstream_request(call.request, call.path, addr, &call.request_id, remaining);
         let outstanding = Outstanding::start(&self.view, &call.service, addr, call.kind);
+        self.count_send(addr);
         let (known, _under_way) = self.begin_send(call, addr);
         let asked_at = Instant::now();
         let hear = |response: &web::Response| {
             let stated = notices::stated(addr, response);
             let asked_at = response.status().is_success().then_some(asked_at);
-            self.view.borrow_mut().hear_notice(addr, &stated, asked_at);
+            if self.view.borrow_mut().hear_notice(addr, &stated, asked_at) {
+                self.wake_gossip();
+            }
         };
         let result = self.idle.send(addr, request, remaining, call.connection_share, hear).await;
         let took = outstanding.took();
@@ -371,6 +377,13 @@
         result
     }
 
+    /// Counts a send against what its upstream takes.
+    fn count_send(&self, addr: SocketAddr) {
+        let view = &mut *self.view.borrow_mut();
+        let start = view.start_at(addr);
+        view.notices.sent(start, Instant::now());
+    }
+
     /// Sends the call to `addr` and, if no answer comes in the usual time, to one more
     /// upstream beside it; the first answer counts and the other attempt is dropped.
     ///
--- a/crates/oatcoved/src/proxy/held.rs
+++ b/crates/oatcoved/src/proxy/held.rs
@@ -170,9 +170,9 @@
         self.wake_gossip();
     }
 
-    fn wake_gossip(&self) {
+    pub(super) fn wake_gossip(&self) {
         // The task ends only with the process.
-        let _ = self.gossip.send(gossip::Input::Findings);
+        let _ = self.gossip.send(gossip::Input::News);
     }
 }
 
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -66,6 +66,7 @@
         let view = &mut *node.view.borrow_mut();
         view.settings.listen_addr = addr(me);
         let alive = || crate::view::Peer {
+            zone: "z-0".into(),
             standing: Some(wire::Standing::Alive),
             ..crate::view::Peer::default()
         };
--- a/crates/quarantine/src/ends.rs
+++ b/crates/quarantine/src/ends.rs
@@ -1,7 +1,8 @@
 //! What was under way at an upstream when it ended.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
+use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -33,6 +34,13 @@
         Start(hasher.finish())
     }
 
+    /// Returns the key of the VM `id` that is at `addr`.
+    pub fn of_vm(addr: SocketAddr, id: &str) -> Start {
+        let mut hasher = SipHasher13::new();
+        (addr, id).hash(&mut hasher);
+        Start(hasher.finish())
+    }
+
     /// Returns the key as a number.
     pub(crate) fn key(self) -> u64 {
         self.0
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! A [`Packet`] is one UDP datagram: who sent it, what it asks or answers
 //! ([`Body`]), and what rides along: [`MemberUpdate`]s of the membership
-//! protocol, [`Note`]s, what a node learned by watching an upstream, and [`Finding`]s, what it knows
-//! of requests that crash upstreams. It is
+//! protocol, [`Note`]s, what a node learned by watching an upstream, [`Finding`]s, what it knows
+//! of requests that crash upstreams, and [`Notice`]s, what upstreams state about themselves. It is
 //! encoded with postcard and never longer than [`MAX_PACKET_BYTES`], so it
 //! crosses any link without fragmentation.
 
@@ -11,6 +11,7 @@
 
 use std::net::SocketAddr;
 
+use notice::Notice;
 use quarantine::Finding;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -22,7 +23,7 @@
 pub const MAX_PACKET_BYTES: usize = 1_200;
 
 /// First byte of every packet; another value is a different protocol version.
-const PROTOCOL_VERSION: u8 = 4;
+const PROTOCOL_VERSION: u8 = 5;
 
 /// Longest zone name accepted from a peer, in bytes.
 pub const MAX_ZONE_BYTES: usize = 63;
@@ -91,6 +92,8 @@
     pub notes: Vec<Note>,
     /// Findings riding along.
     pub findings: Vec<Finding>,
+    /// Notices riding along.
+    pub notices: Vec<Notice>,
 }
 
 impl Packet {
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -34,6 +34,15 @@
             verdict: Verdict::Draining,
         }],
         findings: vec![finding()],
+        notices: vec![notice()],
+    }
+}
+
+fn notice() -> notice::Notice {
+    notice::Notice {
+        start: quarantine::Start::of("u", 1),
+        said_unix_ms: 1_000,
+        limit_per_ks: Some(1_100),
     }
 }
 
@@ -70,9 +79,10 @@
         other_version[0] = version;
         assert_eq!(Packet::decode(&other_version), Err(DecodeError::Version(version)));
     }
-    // The verdict of the last note stands before the number of findings.
-    let mut unknown_verdict = Packet { findings: Vec::new(), ..packet() }.encode();
-    let verdict = unknown_verdict.len() - 2;
+    // The verdict of the last note stands before the numbers of findings and notices.
+    let without = Packet { findings: Vec::new(), notices: Vec::new(), ..packet() };
+    let mut unknown_verdict = without.encode();
+    let verdict = unknown_verdict.len() - 3;
     assert_eq!(unknown_verdict[verdict], Verdict::Draining as u8);
     unknown_verdict[verdict] = 9;
     assert!(matches!(Packet::decode(&unknown_verdict), Err(DecodeError::Malformed(_))));
