--- a/crates/edge/src/forward/notices.rs
+++ b/crates/edge/src/forward/notices.rs
@@ -25,20 +25,21 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        let change = {
+        let changes = {
             let state = &mut *self.state.borrow_mut();
-            let name = &state.settings.headers.limit;
-            let stated = Stated::read(values(headers, name));
+            let names = &state.settings.headers;
+            let stated =
+                Stated::read(values(headers, &names.limit), values(headers, &names.leaving));
             if stated.limit == Field::Unreadable {
-                trace::Line::new("notice_unreadable")
-                    .field("upstream", upstream.id())
-                    .field("header", name.as_str())
-                    .log();
+                log_unreadable(upstream, &names.limit);
+            }
+            if stated.leaving == Field::Unreadable {
+                log_unreadable(upstream, &names.leaving);
             }
             state.notices.hear(start_of(upstream), &stated, asked_at, moment())
         };
-        if let Some(change) = change {
-            log_change(upstream.id(), change, "this node");
+        changes.iter().for_each(|change| log_change(upstream.id(), *change, "this node"));
+        if !changes.is_empty() {
             self.wake_gossip();
         }
     }
@@ -83,10 +84,19 @@
     let line = match change {
         Change::Limited(per_ks) => trace::Line::new("upstream_limited").field("per_ks", per_ks),
         Change::Unlimited => trace::Line::new("upstream_unlimited"),
+        Change::Leaving => trace::Line::new("upstream_leaving"),
+        Change::Staying => trace::Line::new("upstream_staying"),
     };
     line.field("upstream", upstream).field("told_by", told_by).log();
 }
 
+fn log_unreadable(upstream: &Incarnation, header: &HeaderName) {
+    trace::Line::new("notice_unreadable")
+        .field("upstream", upstream.id())
+        .field("header", header.as_str())
+        .log();
+}
+
 /// Returns all values of a header.
 fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a [u8]> {
     headers.get_all(name).iter().map(http::HeaderValue::as_bytes)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -60,6 +60,8 @@
     pub cold_ms: HeaderName,
     /// Requests a second that the upstream that answers takes from all nodes together.
     pub limit: HeaderName,
+    /// Present, with 1, when the upstream that answers is about to leave.
+    pub leaving: HeaderName,
 }
 
 /// What one entry node is told at start.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -3,7 +3,7 @@
 //! Nothing is labelled by service, route or upstream: at 560 services and
 //! 6,700 upstreams one scrape would be megabytes. The log has the particulars.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use opentelemetry::metrics::{Gauge, Histogram};
 use opentelemetry::KeyValue;
@@ -53,6 +53,7 @@
     store_away: Gauge<u64>,
     held_back: Gauge<u64>,
     limited: Gauge<u64>,
+    leaving: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
     lines_dropped: Gauge<u64>,
 }
@@ -78,6 +79,7 @@
             store_away: carried.gauge("oatcove_store_away"),
             held_back: carried.gauge("oatcove_requests_held_back"),
             limited: carried.gauge("oatcove_upstreams_limited"),
+            leaving: carried.gauge("oatcove_upstreams_leaving"),
             zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             lines_dropped: carried.gauge("oatcove_log_lines_dropped"),
             carried,
@@ -102,7 +104,9 @@
         self.peers_alive.record(alive.count() as u64, &[]);
         self.store_away.record(u64::from(state.roster.store_is_away()), &[]);
         self.held_back.record(state.quarantine.held().count() as u64, &[]);
-        self.limited.record(state.notices.limited_count() as u64, &[]);
+        let now = Instant::now();
+        self.limited.record(state.notices.limited_count(now) as u64, &[]);
+        self.leaving.record(state.notices.leaving_count(now) as u64, &[]);
         self.zones_evacuated.record(state.evacuations.zones().len() as u64, &[]);
         self.lines_dropped.record(trace::dropped(), &[]);
         self.carried.scrape(&state.counters)
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -172,7 +172,7 @@
             outstanding: upstream.outstanding,
             ejected: upstream.is_ejected(now),
             report,
-            noted: notices.noted(start_of(&upstream.incarnation)),
+            noted: notices.noted(start_of(&upstream.incarnation), now),
         }
     }
 }
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -45,6 +45,7 @@
         load: HeaderName::from_static("x-load"),
         cold_ms: HeaderName::from_static("x-cold-ms"),
         limit: HeaderName::from_static("x-limit"),
+        leaving: HeaderName::from_static("x-leaving"),
     }
 }
 
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod beliefs;
 mod budgets;
+mod callers;
 mod crashes;
 mod crashing;
 mod evacuation;
@@ -10,6 +11,7 @@
 mod homes;
 mod idle;
 mod large;
+mod leaving;
 mod limits;
 mod long;
 mod pipelining;
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -7,7 +7,7 @@
 //! at-most-once. `GET /load` reports in-flight work, refreshed only every
 //! `load_lag`, as real load reports are stale. A request whose `x-oatcove-timeout-ms` passes in the queue is not
 //! run, and one whose caller goes away is dropped. `POST /admin/mode` turns it
-//! into a straggler, starts a drain, makes it fail fast, has it name a limit, or has its process crash
+//! into a straggler, starts a drain, makes it fail fast, has it name a limit or say that it leaves, or has its process crash
 //! under requests of some paths.
 
 use std::cell::{Cell, RefCell};
@@ -30,6 +30,9 @@
 /// Response header with the requests a second that it takes from all entry nodes together.
 pub const LIMIT: &str = "x-oatcove-limit";
 
+/// Response header that says that it is about to leave.
+pub const LEAVING: &str = "x-oatcove-leaving";
+
 /// Exit code of a process that crashed under a request.
 pub const EXIT_CRASHED: i32 = 70;
 
@@ -74,6 +77,9 @@
     /// What every answer states as the limit, as it stands; nothing when empty.
     #[serde(default)]
     pub limit: SmolStr,
+    /// Every answer says that it leaves; it goes on serving.
+    #[serde(default)]
+    pub leaving: bool,
 }
 
 /// What `GET /load` answers.
@@ -258,6 +264,10 @@
         {
             response.headers_mut().insert(LIMIT, limit);
         }
+        if mode.leaving {
+            let flag = http::HeaderValue::from_static("1");
+            response.headers_mut().insert(LEAVING, flag);
+        }
     }
 
     async fn answer(&self, request: &web::Request) -> web::Response {
--- a/crates/member/src/queue.rs
+++ b/crates/member/src/queue.rs
@@ -46,7 +46,7 @@
 
     /// Queues a notice in place of an older one of the same upstream.
     pub(crate) fn push_notice(&mut self, notice: Notice) {
-        self.notices.retain(|item| item.value.start != notice.start);
+        self.notices.retain(|item| !notice.replaces(&item.value));
         let bytes = wire::encoded_bytes(&notice);
         self.notices.push(Item { value: notice, sent: 0, bytes });
     }
--- a/crates/notice/src/board.rs
+++ b/crates/notice/src/board.rs
@@ -6,21 +6,15 @@
 use quarantine::{Start, UnixMs};
 use serde::{Deserialize, Serialize};
 
-use crate::share::Allowance;
+use crate::limit::Limit;
 use crate::{Field, PerKs, Stated};
 
 /// Starts that are kept at most; the one that was heard of longest ago gives way.
 const KEPT_MOST: usize = 4_096;
 
-/// A limit stands for this long after it was last heard of: by then nobody sends there who could tell
-/// that it has ended.
-const LIMIT_STANDS_FOR: Duration = Duration::from_secs(30);
-
-/// How often a node that goes on hearing of a limit tells its peers again.
-const TOLD_AGAIN_EVERY: Duration = Duration::from_secs(10);
-
-/// How often it tells them of other figures at most.
-const TOLD_EVERY: Duration = Duration::from_secs(1);
+/// For how long the word stands that an upstream leaves. A process that starts again where nothing
+/// tells it from the earlier one gets requests again after that at the latest.
+const LEAVING_STANDS_FOR: Duration = Duration::from_secs(600);
 
 /// A moment by both clocks of a node.
 #[derive(Clone, Copy, Debug)]
@@ -38,17 +32,38 @@
     Limited(PerKs),
     /// It takes as much as others.
     Unlimited,
+    /// It leaves.
+    Leaving,
+    /// It leaves no longer: it has started again.
+    Staying,
 }
 
-/// What nodes tell each other of an upstream. Of two the one that was said later counts.
+/// One thing that an upstream states about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Word {
+    /// Requests that it takes from all nodes together; `None` when it names no limit any more.
+    Limit(Option<PerKs>),
+    /// Whether it leaves.
+    Leaving(bool),
+}
+
+/// What nodes tell each other of an upstream. Of two words on one thing the one said later counts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Notice {
     /// The upstream.
     pub start: Start,
     /// When it said so, by the clock of the node that it told.
     pub said_unix_ms: UnixMs,
-    /// Requests that it takes from all nodes together; `None` when it names no limit any more.
-    pub limit_per_ks: Option<PerKs>,
+    /// What it said.
+    pub word: Word,
+}
+
+impl Notice {
+    /// Returns true when both are about the same thing.
+    pub fn replaces(&self, other: &Notice) -> bool {
+        let is_same = std::mem::discriminant(&self.word) == std::mem::discriminant(&other.word);
+        self.start == other.start && is_same
+    }
 }
 
 /// A notice to tell peers.
@@ -65,63 +80,56 @@
 pub struct Noted {
     /// Requests that it takes from all nodes together in a thousand seconds.
     pub limit_per_ks: Option<PerKs>,
-    /// Requests that this node may send it in a second.
+    /// Requests that this node may send it in a second, if it is limited.
     pub share_per_s: f64,
+    /// Whether it leaves.
+    pub leaving: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Limit {
-    /// `None` when it has ended: what others said before is no news.
-    per_ks: Option<PerKs>,
+/// Whether an upstream leaves.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    leaves: bool,
     said_unix_ms: UnixMs,
-    /// When this node last heard of it.
     heard_at: Instant,
-    told_at: Option<Instant>,
-    allowance: Allowance,
 }
 
-impl Limit {
-    fn new(now: Moment) -> Limit {
-        Limit {
-            per_ks: None,
-            said_unix_ms: 0,
-            heard_at: now.at,
-            told_at: None,
-            allowance: Allowance::new(now.at),
-        }
+#[derive(Clone, Debug)]
+struct Entry {
+    heard_at: Instant,
+    limit: Option<Limit>,
+    leaving: Option<Leaving>,
+}
+
+impl Entry {
+    fn limit(&mut self, now: Instant) -> &mut Limit {
+        self.limit.get_or_insert_with(|| Limit::new(now))
     }
 
-    /// Returns the limit while it stands.
-    fn standing(&self, now: Instant) -> Option<PerKs> {
-        self.per_ks.filter(|_| now < self.heard_at + LIMIT_STANDS_FOR)
+    fn leaves(&self, now: Instant) -> bool {
+        let stands = |said: &Leaving| said.leaves && now < said.heard_at + LEAVING_STANDS_FOR;
+        self.leaving.as_ref().is_some_and(stands)
     }
 
-    /// Takes the upstream's own word. Peers are told of it if `told_every` has passed.
-    fn say(&mut self, start: Start, per_ks: Option<PerKs>, now: Moment) -> (bool, Option<News>) {
-        let is_change = self.standing(now.at) != per_ks;
-        // Later than what others may have said by clocks that are ahead.
-        self.said_unix_ms = now.unix_ms.max(self.said_unix_ms.saturating_add(u64::from(is_change)));
-        self.per_ks = per_ks;
-        self.heard_at = now.at;
-        let every = match is_change {
-            true => TOLD_EVERY,
-            false => TOLD_AGAIN_EVERY,
-        };
-        let is_due = self.told_at.is_none_or(|at| now.at >= at + every) || per_ks.is_none();
-        let is_told = is_due && (is_change || per_ks.is_some());
-        let news = is_told.then(|| {
-            self.told_at = Some(now.at);
-            let said_unix_ms = self.said_unix_ms;
-            News { notice: Notice { start, said_unix_ms, limit_per_ks: per_ks }, is_change }
-        });
-        (is_change, news)
+    /// Takes whether it leaves; true when that is a change.
+    fn set_leaving(&mut self, leaves: bool, said_unix_ms: UnixMs, now: Instant) -> bool {
+        let is_change = self.leaves(now) != leaves;
+        self.leaving = Some(Leaving { leaves, said_unix_ms, heard_at: now });
+        is_change
+    }
+
+    /// Drops what does not stand any more; returns true when something does.
+    fn expire(&mut self, now: Instant) -> bool {
+        self.limit.take_if(|limit| limit.has_lapsed(now));
+        self.leaving.take_if(|said| now >= said.heard_at + LEAVING_STANDS_FOR);
+        self.limit.is_some() || self.leaving.is_some()
     }
 }
 
 /// What stands for the upstreams of a node.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    limits: HashMap<Start, Limit>,
+    entries: HashMap<Start, Entry>,
     news: Vec<News>,
     /// Whether shares have to be dealt out anew.
     is_undealt: bool,
@@ -130,60 +138,112 @@
 impl Board {
     /// Returns true when nothing stands for any upstream.
     pub fn is_empty(&self) -> bool {
-        self.limits.is_empty()
+        self.entries.is_empty()
     }
 
     /// Takes what an answer states that `start` made to a request sent at `asked_at`; `None` for answers
-    /// that need not state everything, such as those to probes.
+    /// that need not state everything, such as those to probes. Returns what that changes.
     ///
     /// One that names no limit ends it only if it was asked for after the limit was heard of: answers
-    /// overtake each other.
+    /// overtake each other. One that does not say that its upstream leaves takes nothing back.
     pub fn hear(
         &mut self,
         start: Start,
         stated: &Stated,
         asked_at: Option<Instant>,
         now: Moment,
+    ) -> Vec<Change> {
+        let limit = self.hear_limit(start, stated.limit, asked_at, now);
+        let leaving = match stated.leaving {
+            Field::Named(true) => self.say_leaving(start, true, now),
+            Field::Named(false) | Field::Absent | Field::Unreadable => None,
+        };
+        limit.into_iter().chain(leaving).collect()
+    }
+
+    fn hear_limit(
+        &mut self,
+        start: Start,
+        stated: Field<PerKs>,
+        asked_at: Option<Instant>,
+        now: Moment,
     ) -> Option<Change> {
-        let per_ks = match (stated.limit, self.limits.get(&start)) {
+        let held = self.entries.get(&start).and_then(|entry| entry.limit.as_ref());
+        let per_ks = match (stated, held) {
             (Field::Named(per_ks), _) => Some(per_ks),
-            (Field::Absent, Some(limit)) if asked_at.is_some_and(|at| at > limit.heard_at) => None,
+            (Field::Absent, Some(held)) if asked_at.is_some_and(|at| at > held.heard_at()) => None,
             (Field::Absent | Field::Unreadable, _) => return None,
         };
-        let (is_change, news) = self.entry(start, now).say(start, per_ks, now);
-        self.news.extend(news);
-        self.changed(is_change, per_ks)
+        let limit = self.entry(start, now.at).limit(now.at);
+        let said = limit.say(per_ks, now);
+        let said_unix_ms = limit.said_unix_ms();
+        if said.is_told {
+            let notice = Notice { start, said_unix_ms, word: Word::Limit(per_ks) };
+            self.news.push(News { notice, is_change: said.is_change });
+        }
+        self.limit_changed(said.is_change, per_ks)
     }
 
-    /// Takes what a peer tells; `None` when that is no news.
-    pub fn hear_peer(&mut self, notice: &Notice, now: Moment) -> Option<Change> {
-        let limit = self.entry(notice.start, now);
-        if notice.said_unix_ms <= limit.said_unix_ms {
-            return None;
+    fn limit_changed(&mut self, is_change: bool, per_ks: Option<PerKs>) -> Option<Change> {
+        self.is_undealt |= is_change;
+        is_change.then(|| per_ks.map_or(Change::Unlimited, Change::Limited))
+    }
+
+    /// Takes that an upstream leaves, or that it has started again and stays.
+    fn say_leaving(&mut self, start: Start, leaves: bool, now: Moment) -> Option<Change> {
+        let entry = self.entry(start, now.at);
+        let said_before = entry.leaving.map_or(0, |said| said.said_unix_ms);
+        let said_unix_ms = now.unix_ms.max(said_before.saturating_add(1));
+        let is_change = entry.set_leaving(leaves, said_unix_ms, now.at);
+        if is_change {
+            let notice = Notice { start, said_unix_ms, word: Word::Leaving(leaves) };
+            self.news.push(News { notice, is_change });
         }
-        let is_change = limit.standing(now.at) != notice.limit_per_ks;
-        limit.said_unix_ms = notice.said_unix_ms;
-        limit.per_ks = notice.limit_per_ks;
-        limit.heard_at = now.at;
-        limit.told_at = Some(now.at);
-        self.news.push(News { notice: notice.clone(), is_change });
-        self.changed(is_change, notice.limit_per_ks)
+        is_change.then_some(if leaves { Change::Leaving } else { Change::Staying })
     }
 
-    fn entry(&mut self, start: Start, now: Moment) -> &mut Limit {
-        if !self.limits.contains_key(&start) && self.limits.len() >= KEPT_MOST {
-            let oldest = self.limits.iter().min_by_key(|(_, limit)| limit.heard_at);
-            if let Some(start) = oldest.map(|(start, _)| *start) {
-                self.limits.remove(&start);
+    /// Takes that an upstream did not say that it leaves in an answer asked for at `asked_at`, where a
+    /// process that starts again is not told from the earlier one, and every answer of one that leaves
+    /// says so.
+    pub fn stays(&mut self, start: Start, asked_at: Instant, now: Moment) -> Option<Change> {
+        let entry = self.entries.get(&start)?;
+        let said_before = |said: &Leaving| said.heard_at < asked_at;
+        match entry.leaves(now.at) && entry.leaving.as_ref().is_some_and(said_before) {
+            true => self.say_leaving(start, false, now),
+            false => None,
+        }
+    }
+
+    /// Takes what a peer tells; `None` when that changes nothing.
+    pub fn hear_peer(&mut self, notice: &Notice, now: Moment) -> Option<Change> {
+        let Notice { start, said_unix_ms, word } = *notice;
+        let entry = self.entry(start, now.at);
+        let is_change = match word {
+            Word::Limit(per_ks) => entry.limit(now.at).hear_peer(per_ks, said_unix_ms, now.at)?,
+            Word::Leaving(_) if entry.leaving.is_some_and(|e| e.said_unix_ms >= said_unix_ms) => {
+                return None
             }
+            Word::Leaving(leaves) => entry.set_leaving(leaves, said_unix_ms, now.at),
+        };
+        self.news.push(News { notice: notice.clone(), is_change });
+        match word {
+            Word::Limit(per_ks) => self.limit_changed(is_change, per_ks),
+            Word::Leaving(true) => is_change.then_some(Change::Leaving),
+            Word::Leaving(false) => is_change.then_some(Change::Staying),
         }
-        self.limits.entry(start).or_insert_with(|| Limit::new(now))
     }
 
-    fn changed(&mut self, is_change: bool, per_ks: Option<PerKs>) -> Option<Change> {
-        self.is_undealt |= is_change;
-        let change = per_ks.map_or(Change::Unlimited, Change::Limited);
-        is_change.then_some(change)
+    fn entry(&mut self, start: Start, now: Instant) -> &mut Entry {
+        if !self.entries.contains_key(&start) && self.entries.len() >= KEPT_MOST {
+            let oldest = self.entries.iter().min_by_key(|(_, entry)| entry.heard_at);
+            if let Some(start) = oldest.map(|(start, _)| *start) {
+                self.entries.remove(&start);
+            }
+        }
+        let fresh = || Entry { heard_at: now, limit: None, leaving: None };
+        let entry = self.entries.entry(start).or_insert_with(fresh);
+        entry.heard_at = now;
+        entry
     }
 
     /// Returns what peers are to be told.
@@ -193,7 +253,7 @@
 
     /// Has the shares dealt out anew, since other nodes may send now.
     pub fn nodes_changed(&mut self) {
-        self.is_undealt = !self.limits.is_empty();
+        self.is_undealt = !self.entries.is_empty();
     }
 
     /// Returns true until [`Board::deal`] is called.
@@ -205,42 +265,58 @@
     /// upstream with a limit.
     pub fn deal(&mut self, share: impl Fn(Start, PerKs) -> Option<f64>, now: Instant) {
         self.is_undealt = false;
-        for (start, limit) in &mut self.limits {
-            let share = limit.per_ks.and_then(|per_ks| share(*start, per_ks));
-            limit.allowance.set(share, now);
+        for (start, entry) in &mut self.entries {
+            if let Some(limit) = &mut entry.limit {
+                limit.deal(|per_ks| share(*start, per_ks), now);
+            }
         }
     }
 
     /// Returns true when an upstream may get a request from this node now.
     pub fn may_send(&self, start: Start, now: Instant) -> bool {
-        match self.limits.get(&start) {
-            Some(limit) if limit.standing(now).is_some() => limit.allowance.allows(now),
-            _ => true,
-        }
+        let Some(entry) = self.entries.get(&start) else { return true };
+        entry.limit.as_ref().is_none_or(|limit| limit.allows(now))
     }
 
     /// Records that a request is sent.
     pub fn sent(&mut self, start: Start, now: Instant) {
-        match self.limits.get_mut(&start) {
-            Some(limit) if limit.standing(now).is_some() => limit.allowance.take(now),
-            _ => {}
+        let limit = self.entries.get_mut(&start).and_then(|entry| entry.limit.as_mut());
+        if let Some(limit) = limit {
+            limit.sent(now);
         }
     }
 
+    /// Returns true while the word stands that an upstream leaves.
+    pub fn is_leaving(&self, start: Start, now: Instant) -> bool {
+        self.entries.get(&start).is_some_and(|entry| entry.leaves(now))
+    }
+
     /// Drops what does not stand any more.
     pub fn expire(&mut self, now: Instant) {
-        self.limits.retain(|_, limit| now < limit.heard_at + LIMIT_STANDS_FOR);
+        self.entries.retain(|_, entry| entry.expire(now));
     }
 
     /// Returns how many upstreams are limited.
-    pub fn limited_count(&self) -> usize {
-        self.limits.values().filter(|limit| limit.per_ks.is_some()).count()
+    pub fn limited_count(&self, now: Instant) -> usize {
+        let limits = self.entries.values().filter_map(|entry| entry.limit.as_ref());
+        limits.filter(|limit| limit.standing(now).is_some()).count()
+    }
+
+    /// Returns how many upstreams leave.
+    pub fn leaving_count(&self, now: Instant) -> usize {
+        self.entries.values().filter(|entry| entry.leaves(now)).count()
     }
 
     /// Returns what stands for an upstream; `None` when nothing does.
-    pub fn noted(&self, start: Start) -> Option<Noted> {
-        let limit = self.limits.get(&start).filter(|limit| limit.per_ks.is_some())?;
-        Some(Noted { limit_per_ks: limit.per_ks, share_per_s: limit.allowance.per_s() })
+    pub fn noted(&self, start: Start, now: Instant) -> Option<Noted> {
+        let entry = self.entries.get(&start)?;
+        let limit = entry.limit.as_ref().filter(|limit| limit.standing(now).is_some());
+        let noted = Noted {
+            limit_per_ks: limit.and_then(|limit| limit.standing(now)),
+            share_per_s: limit.map_or(0.0, Limit::share_per_s),
+            leaving: entry.leaves(now),
+        };
+        (limit.is_some() || noted.leaving).then_some(noted)
     }
 }
 
--- a/crates/notice/src/board/tests.rs
+++ b/crates/notice/src/board/tests.rs
@@ -2,7 +2,8 @@
 
 use quarantine::Start;
 
-use super::{Board, Change, Moment, Notice, LIMIT_STANDS_FOR, TOLD_AGAIN_EVERY};
+use super::{Board, Change, Moment, Notice, Word};
+use crate::limit::{STANDS_FOR, TOLD_AGAIN_EVERY};
 use crate::{Field, Stated};
 
 const UNIX_MS: u64 = 1_000_000;
@@ -12,7 +13,7 @@
 }
 
 fn names(per_ks: u64) -> Stated {
-    Stated { limit: Field::Named(per_ks) }
+    Stated { limit: Field::Named(per_ks), ..Stated::default() }
 }
 
 /// A clock that tests move.
@@ -32,8 +33,8 @@
     Clock(Instant::now())
 }
 
-fn limit_of(board: &Board) -> Option<u64> {
-    board.noted(start()).and_then(|noted| noted.limit_per_ks)
+fn limit_of(board: &Board, now: Instant) -> Option<u64> {
+    board.noted(start(), now).and_then(|noted| noted.limit_per_ks)
 }
 
 /// Guards against a limit that ends by an answer which another has overtaken, or by one to a probe.
@@ -41,16 +42,16 @@
 fn only_an_answer_asked_for_later_ends_a_limit() {
     let (clock, mut board) = (clock(), Board::default());
     let named = board.hear(start(), &names(1_100), Some(clock.at(0)), clock.moment(50));
-    assert_eq!(named, Some(Change::Limited(1_100)));
+    assert_eq!(named, vec![Change::Limited(1_100)]);
     let none = Stated::default();
-    assert_eq!(board.hear(start(), &none, Some(clock.at(40)), clock.moment(60)), None);
-    assert_eq!(board.hear(start(), &none, None, clock.moment(70)), None);
-    let unreadable = Stated { limit: Field::Unreadable };
-    assert_eq!(board.hear(start(), &unreadable, Some(clock.at(60)), clock.moment(80)), None);
-    assert_eq!(limit_of(&board), Some(1_100));
+    assert_eq!(board.hear(start(), &none, Some(clock.at(40)), clock.moment(60)), vec![]);
+    assert_eq!(board.hear(start(), &none, None, clock.moment(70)), vec![]);
+    let unreadable = Stated { limit: Field::Unreadable, ..Stated::default() };
+    assert_eq!(board.hear(start(), &unreadable, Some(clock.at(60)), clock.moment(80)), vec![]);
+    assert_eq!(limit_of(&board, clock.at(100)), Some(1_100));
     let ended = board.hear(start(), &none, Some(clock.at(60)), clock.moment(90));
-    assert_eq!(ended, Some(Change::Unlimited));
-    assert_eq!(limit_of(&board), None);
+    assert_eq!(ended, vec![Change::Unlimited]);
+    assert_eq!(limit_of(&board, clock.at(100)), None);
     assert!(board.may_send(start(), clock.at(90)));
 }
 
@@ -69,7 +70,7 @@
 fn a_limit_that_nobody_hears_of_lapses() {
     let (clock, mut board) = (clock(), Board::default());
     board.hear(start(), &names(0), None, clock.moment(0));
-    let stands_for_ms = LIMIT_STANDS_FOR.as_millis() as u64;
+    let stands_for_ms = STANDS_FOR.as_millis() as u64;
     assert!(!board.may_send(start(), clock.at(stands_for_ms - 1)));
     assert!(board.may_send(start(), clock.at(stands_for_ms)));
     board.expire(clock.at(stands_for_ms));
@@ -100,17 +101,17 @@
     assert_eq!(tell(&mut one, &mut other, again_ms + 3), (1, vec![Change::Unlimited]));
     // What was said before its end comes late.
     assert_eq!(other.hear_peer(&news[0].notice, clock.moment(again_ms + 4)), None);
-    assert_eq!(limit_of(&other), None);
+    assert_eq!(limit_of(&other, clock.at(again_ms + 4)), None);
 }
 
 /// Guards against a peer whose clock is years ahead: what the upstream says itself goes before.
 #[test]
 fn an_answer_goes_before_what_a_peer_says_of_the_future() {
     let (clock, mut board) = (clock(), Board::default());
-    let notice = Notice { start: start(), said_unix_ms: u64::MAX, limit_per_ks: Some(0) };
+    let notice = Notice { start: start(), said_unix_ms: u64::MAX, word: Word::Limit(Some(0)) };
     assert_eq!(board.hear_peer(&notice, clock.moment(0)), Some(Change::Limited(0)));
     let none = Stated::default();
     let ended = board.hear(start(), &none, Some(clock.at(1)), clock.moment(2));
-    assert_eq!(ended, Some(Change::Unlimited));
+    assert_eq!(ended, vec![Change::Unlimited]);
     assert!(board.may_send(start(), clock.at(2)));
 }
--- a/crates/notice/src/lib.rs
+++ b/crates/notice/src/lib.rs
@@ -10,10 +10,11 @@
 //! Everything here is pure: time is passed in.
 
 mod board;
+mod limit;
 pub mod share;
 mod stated;
 
-pub use board::{Board, Change, Moment, News, Noted, Notice};
+pub use board::{Board, Change, Moment, News, Noted, Notice, Word};
 pub use stated::{Field, Stated};
 
 /// Requests in a thousand seconds.
--- a/crates/notice/src/stated.rs
+++ b/crates/notice/src/stated.rs
@@ -22,6 +22,8 @@
 pub struct Stated {
     /// Requests that it takes from all nodes together.
     pub limit: Field<PerKs>,
+    /// Whether it is about to leave.
+    pub leaving: Field<bool>,
 }
 
 impl<T> Field<T> {
@@ -43,9 +45,9 @@
 }
 
 impl Stated {
-    /// Reads what an answer states from the values of its header for the limit.
-    pub fn read<'a>(limit: impl Iterator<Item = &'a [u8]>) -> Stated {
-        Stated { limit: Field::read(limit, limit_per_ks) }
+    /// Reads what an answer states from the values of its headers.
+    pub fn read<'a, V: Iterator<Item = &'a [u8]>>(limit: V, leaving: V) -> Stated {
+        Stated { limit: Field::read(limit, limit_per_ks), leaving: Field::read(leaving, flag) }
     }
 }
 
@@ -56,5 +58,14 @@
     is_rate.then(|| (per_s.min(LIMIT_MOST_PER_S) * 1e3) as PerKs)
 }
 
+/// Parses a flag.
+fn flag(text: &str) -> Option<bool> {
+    match text {
+        "1" => Some(true),
+        "0" => Some(false),
+        _ => None,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/notice/src/stated/tests.rs
+++ b/crates/notice/src/stated/tests.rs
@@ -1,7 +1,10 @@
 use super::{Field, Stated};
 
-fn limit(values: &[&str]) -> Field<u64> {
-    Stated::read(values.iter().map(|value| value.as_bytes())).limit
+fn read(limit: &[&str], leaving: &[&str]) -> Stated {
+    fn bytes<'a>(value: &&'a str) -> &'a [u8] {
+        value.as_bytes()
+    }
+    Stated::read(limit.iter().map(bytes), leaving.iter().map(bytes))
 }
 
 #[yare::parameterized(
@@ -12,7 +15,7 @@
     beyond_what_anybody_sends = { "1e300", 1_000_000_000_000 },
 )]
 fn a_limit_is_a_decimal_number(value: &str, per_ks: u64) {
-    assert_eq!(limit(&[value]), Field::Named(per_ks));
+    assert_eq!(read(&[value], &[]).limit, Field::Named(per_ks));
 }
 
 /// Guards against a limit of nothing, or none, made out of what cannot be read.
@@ -25,6 +28,17 @@
     twice = { &["1", "2"] },
 )]
 fn a_limit_that_cannot_be_read_is_told_from_none(values: &[&str]) {
-    assert_eq!(limit(values), Field::Unreadable);
-    assert_eq!(limit(&[]), Field::Absent);
+    assert_eq!(read(values, &[]).limit, Field::Unreadable);
+    assert_eq!(read(&[], &[]).limit, Field::Absent);
+}
+
+#[yare::parameterized(
+    leaving = { &["1"], Field::Named(true) },
+    staying = { &["0"], Field::Named(false) },
+    not_said = { &[], Field::Absent },
+    text = { &["soon"], Field::Unreadable },
+    twice = { &["1", "0"], Field::Unreadable },
+)]
+fn leaving_is_a_flag(values: &[&str], leaving: Field<bool>) {
+    assert_eq!(read(&[], values).leaving, leaving);
 }
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -43,5 +43,8 @@
 /// Response header of an upstream: requests a second that it takes from all entry nodes together.
 pub const LIMIT: &str = "x-oatcove-limit";
 
+/// Response header of an upstream, with 1: it is about to leave, as in each of its answers.
+pub const LEAVING: &str = "x-oatcove-leaving";
+
 /// Header carrying the request id end to end.
 pub const REQUEST_ID: &str = "x-request-id";
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -4,7 +4,7 @@
 //! or upstream: at 560 services and 6,700 upstreams (letter 1) one scrape
 //! would be megabytes; `GET /v1/status` has those figures.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use opentelemetry::metrics::{Gauge, Histogram};
 use opentelemetry::KeyValue;
@@ -24,6 +24,7 @@
     peers_reachable: Gauge<u64>,
     isolated: Gauge<u64>,
     limited: Gauge<u64>,
+    leaving: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
 }
 
@@ -67,6 +68,7 @@
             peers_reachable: carried.gauge("oatcove_peers_reachable"),
             isolated: carried.gauge("oatcove_isolated"),
             limited: carried.gauge("oatcove_upstreams_limited"),
+            leaving: carried.gauge("oatcove_upstreams_leaving"),
             zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             carried,
         })
@@ -90,7 +92,9 @@
         self.config_head.record(view.held_head(), &[]);
         self.peers_reachable.record(view.peers.values().filter(reachable).count() as u64, &[]);
         self.isolated.record(u64::from(view.isolation().is_some()), &[]);
-        self.limited.record(view.notices.limited_count() as u64, &[]);
+        let now = Instant::now();
+        self.limited.record(view.notices.limited_count(now) as u64, &[]);
+        self.leaving.record(view.notices.leaving_count(now) as u64, &[]);
         self.zones_evacuated.record(view.evacuated().count() as u64, &[]);
         self.carried.scrape(&view.counters)
     }
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -17,14 +17,27 @@
 
 /// Reads what an answer states; says so when that cannot be read.
 pub(crate) fn stated(upstream: SocketAddr, response: &web::Response) -> Stated {
-    let values = response.headers().get_all(crate::LIMIT);
-    let stated = Stated::read(values.iter().map(http::HeaderValue::as_bytes));
-    if stated.limit == Field::Unreadable {
-        log::warn!("upstream={upstream} states a limit that cannot be read");
+    let values = |name| response.headers().get_all(name).iter().map(http::HeaderValue::as_bytes);
+    let stated = Stated::read(values(crate::LIMIT), values(crate::LEAVING));
+    let is_unreadable =
+        [stated.limit == Field::Unreadable, stated.leaving == Field::Unreadable].contains(&true);
+    if is_unreadable {
+        log::warn!("upstream={upstream} states something that cannot be read: {stated:?}");
     }
     stated
 }
 
+fn log_change(addr: SocketAddr, change: Change) {
+    match change {
+        Change::Limited(per_ks) => {
+            log::info!("upstream={addr} takes {per_ks} calls in 1,000 s from all entry nodes");
+        }
+        Change::Unlimited => log::info!("upstream={addr} names no limit any more"),
+        Change::Leaving => log::info!("upstream={addr} says that it leaves"),
+        Change::Staying => log::info!("upstream={addr} has started again"),
+    }
+}
+
 impl View {
     /// Returns the key of the VM that is at an address now.
     pub(crate) fn start_at(&self, addr: SocketAddr) -> Start {
@@ -40,15 +53,9 @@
         asked_at: Option<Instant>,
     ) -> bool {
         let start = self.start_at(addr);
-        let change = self.notices.hear(start, stated, asked_at, moment());
-        match change {
-            Some(Change::Limited(per_ks)) => {
-                log::info!("upstream={addr} takes {per_ks} calls in 1,000 s from all entry nodes");
-            }
-            Some(Change::Unlimited) => log::info!("upstream={addr} names no limit any more"),
-            None => {}
-        }
-        change.is_some()
+        let changes = self.notices.hear(start, stated, asked_at, moment());
+        changes.iter().for_each(|change| log_change(addr, *change));
+        !changes.is_empty()
     }
 
     /// Deals out limits anew if that is due.
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -128,6 +128,32 @@
     });
 }
 
+/// Guards against a word that counts only once the VM list or a watcher repeats it.
+#[yare::parameterized(
+    by_calls_that_may_be_repeated = { http::Method::GET },
+    by_calls_that_may_not = { http::Method::POST },
+)]
+fn an_upstream_that_said_it_leaves_gets_nothing_more(method: http::Method) {
+    /// What was sent before the word arrives within this.
+    const UNDER_WAY: Duration = Duration::from_millis(100);
+    web::runtime().block_on(async {
+        let ((a, leaving), (b, _)) = (upstream(shape(5, 100)), upstream(shape(5, 100)));
+        leaving.set_mode(emu::upstream::Mode { leaving: true, ..Default::default() });
+        let nodes = nodes(1, "service: svc\n", &[a, b]);
+        let served = call_all(&nodes, method, Instant::now() + Duration::from_millis(2_500)).await;
+        let told = leaving.arrivals()[0] + UNDER_WAY;
+        let after = leaving.arrivals().into_iter().filter(|at| *at > told).count();
+        assert_eq!(after, 0);
+        assert!(served > 50, "the others are served by the other upstream: {served}");
+        let only = self::nodes(1, "service: svc\n", &[a]);
+        call_all(&only, http::Method::GET, Instant::now() + Duration::from_millis(200)).await;
+        let asked_at = Instant::now();
+        let call = request(http::Method::GET, "/s/svc/list", "1");
+        assert_eq!(outcome(&only[0].handle(call, PEER).await), "not-run");
+        assert!(asked_at.elapsed() < UNDER_WAY, "at once");
+    });
+}
+
 fn request(method: http::Method, path: &str, key: &str) -> web::Request {
     http::Request::builder()
         .method(method)
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -274,6 +275,7 @@
 
     /// Returns the node's status report.
     pub fn status(&self) -> Status {
+        let now = Instant::now();
         let upstreams = self
             .pools
             .iter()
@@ -289,7 +291,7 @@
                         failing: u.report == balance::Report::Failing,
                         outstanding: u.outstanding,
                         latency_ewma_ms: u.latency_ewma_us / 1_000.0,
-                        noted: self.notices.noted(self.start_at(u.addr)),
+                        noted: self.notices.noted(self.start_at(u.addr), now),
                     })
                     .collect();
                 (service.clone(), list)
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -42,7 +42,7 @@
     notice::Notice {
         start: quarantine::Start::of("u", 1),
         said_unix_ms: 1_000,
-        limit_per_ks: Some(1_100),
+        word: notice::Word::Limit(Some(1_100)),
     }
 }
 
