notice, edge, oatcoved: an upstream that says that it leaves gets nothing more

Cause: who leaves was known from the store's list alone; an answer's word was passed on and read by nobody. Ruled out: the word was lost again (no line lists the upstream anew), sends chosen earlier (a first send, made and sent within 5 ms). Class: as with LIMIT; the word now passes through the same place.

Change: the word counts at once at the node that hears it and, by membership, on all others; it is kept by start, apart from the list, so that an entry that lapses and comes back, or an older copy of the store, does not undo it; kept connections are closed; what runs is left to end; its end is no evidence against requests. Under oatcoved, where a process that starts again is not told from the earlier one, a watcher's later probe that does not say so takes it back.

--- a/crates/edge/src/forward/ends.rs
+++ b/crates/edge/src/forward/ends.rs
@@ -77,9 +77,13 @@
             .field("upstream", upstream.id())
             .field("under_way", lost)
             .log();
-        // One that was let go before was about to leave: it ended as planned.
-        let is_listed = |pool: &place::Pool| pool.position(upstream).is_some();
-        let was_unplanned = self.state.borrow().pools.values().any(is_listed);
+        // One that was let go before, or said so, was about to leave: it ended as planned.
+        let was_unplanned = {
+            let state = self.state.borrow();
+            let is_listed = |pool: &place::Pool| pool.position(upstream).is_some();
+            let said_so = state.notices.is_leaving(start_of(upstream), Instant::now());
+            !said_so && state.pools.values().any(is_listed)
+        };
         if was_unplanned {
             lost.iter().for_each(|lost| self.crashed(lost, start_of(upstream)));
         }
--- a/crates/edge/src/forward/notices.rs
+++ b/crates/edge/src/forward/notices.rs
@@ -39,6 +39,9 @@
             state.notices.hear(start_of(upstream), &stated, asked_at, moment())
         };
         changes.iter().for_each(|change| log_change(upstream.id(), *change, "this node"));
+        if changes.contains(&Change::Leaving) {
+            self.conns.close(upstream);
+        }
         if !changes.is_empty() {
             self.wake_gossip();
         }
@@ -47,11 +50,13 @@
     /// Takes what a peer tells of an upstream.
     pub(crate) fn hear_peer_notice(&self, notice: &Notice) {
         let state = &mut *self.state.borrow_mut();
-        if let Some(change) = state.notices.hear_peer(notice, moment()) {
-            let upstreams = state.pools.values().flat_map(|pool| pool.upstreams());
-            let mut incarnations = upstreams.map(|upstream| &upstream.incarnation);
-            let upstream = incarnations.find(|upstream| start_of(upstream) == notice.start);
-            log_change(upstream.map_or("?", Incarnation::id), change, "a peer");
+        let Some(change) = state.notices.hear_peer(notice, moment()) else { return };
+        let upstreams = state.pools.values().flat_map(|pool| pool.upstreams());
+        let mut incarnations = upstreams.map(|upstream| &upstream.incarnation);
+        let upstream = incarnations.find(|upstream| start_of(upstream) == notice.start);
+        log_change(upstream.map_or("?", Incarnation::id), change, "a peer");
+        if let (Change::Leaving, Some(upstream)) = (change, upstream) {
+            self.conns.close(upstream);
         }
     }
 }
--- a/crates/notice/src/board.rs
+++ b/crates/notice/src/board.rs
@@ -275,7 +275,7 @@
     /// Returns true when an upstream may get a request from this node now.
     pub fn may_send(&self, start: Start, now: Instant) -> bool {
         let Some(entry) = self.entries.get(&start) else { return true };
-        entry.limit.as_ref().is_none_or(|limit| limit.allows(now))
+        !entry.leaves(now) && entry.limit.as_ref().is_none_or(|limit| limit.allows(now))
     }
 
     /// Records that a request is sent.
--- a/crates/notice/src/board/tests.rs
+++ b/crates/notice/src/board/tests.rs
@@ -115,3 +115,42 @@
     assert_eq!(ended, vec![Change::Unlimited]);
     assert!(board.may_send(start(), clock.at(2)));
 }
+
+fn leaves() -> Stated {
+    Stated { leaving: Field::Named(true), ..Stated::default() }
+}
+
+/// Guards against a word that is taken back by an answer which does not repeat it, a limit, or an
+/// older word of a peer.
+#[test]
+fn an_upstream_that_leaves_gets_nothing_whatever_comes_after() {
+    let (clock, mut board) = (clock(), Board::default());
+    let changes = board.hear(start(), &leaves(), None, clock.moment(0));
+    assert_eq!(changes, vec![Change::Leaving]);
+    let told = board.take_news();
+    assert_eq!(board.hear(start(), &leaves(), None, clock.moment(1)), vec![]);
+    assert_eq!(board.take_news(), vec![], "told once");
+    board.hear(start(), &Stated::default(), Some(clock.at(10)), clock.moment(20));
+    board.hear(start(), &names(5_000), Some(clock.at(10)), clock.moment(20));
+    let older = Notice { start: start(), said_unix_ms: UNIX_MS - 1, word: Word::Leaving(false) };
+    assert_eq!(board.hear_peer(&older, clock.moment(30)), None);
+    assert!(!board.may_send(start(), clock.at(5_000)));
+    board.expire(clock.at(60_000));
+    assert!(board.is_leaving(start(), clock.at(60_000)), "an outage of the platform may be long");
+
+    let mut other = Board::default();
+    assert_eq!(other.hear_peer(&told[0].notice, clock.moment(5)), Some(Change::Leaving));
+    assert!(!other.may_send(start(), clock.at(5)));
+}
+
+/// Guards against a VM whose process started again and gets nothing for good.
+#[test]
+fn a_process_that_started_again_where_nothing_else_tells_stays() {
+    let (clock, mut board) = (clock(), Board::default());
+    board.hear(start(), &leaves(), None, clock.moment(100));
+    assert_eq!(board.stays(start(), clock.at(50), clock.moment(110)), None, "asked for before");
+    assert_eq!(board.stays(start(), clock.at(200), clock.moment(210)), Some(Change::Staying));
+    assert!(board.may_send(start(), clock.at(210)));
+    let news = board.take_news().pop().expect("peers are told").notice;
+    assert_eq!(news.word, Word::Leaving(false));
+}
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -58,6 +58,23 @@
         !changes.is_empty()
     }
 
+    /// Takes an answer to a watcher's probe sent at `asked_at`. A VM's process may have started again,
+    /// which nothing else tells. Returns true when something changes.
+    pub(crate) fn hear_probe(
+        &mut self,
+        addr: SocketAddr,
+        stated: &Stated,
+        asked_at: Instant,
+    ) -> bool {
+        let is_change = self.hear_notice(addr, stated, None);
+        let stays = match stated.leaving {
+            Field::Absent => self.notices.stays(self.start_at(addr), asked_at, moment()),
+            Field::Named(_) | Field::Unreadable => None,
+        };
+        stays.into_iter().for_each(|change| log_change(addr, change));
+        is_change || stays.is_some()
+    }
+
     /// Deals out limits anew if that is due.
     pub(crate) fn deal_limits(&mut self, now: Instant) {
         if !self.notices.is_undealt() {
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -37,8 +37,8 @@
 /// What a probe found.
 pub struct Found {
     probe: watch::Probe,
-    /// What the answer states about the upstream; `None` when there was none.
-    stated: Option<notice::Stated>,
+    /// What the answer states about the upstream, and when it was asked for; `None` when there was none.
+    stated: Option<(notice::Stated, Instant)>,
 }
 
 /// The part of a load report that watching uses; other fields are ignored.
@@ -94,8 +94,10 @@
                 }
             }
             Input::Ended(addr, found, conn) => {
-                if let Some(stated) = found.stated {
-                    view.borrow_mut().hear_notice(addr, &stated, None);
+                if let Some((stated, asked_at)) = found.stated {
+                    if view.borrow_mut().hear_probe(addr, &stated, asked_at) {
+                        let _ = gossip.send(gossip::Input::News);
+                    }
                 }
                 if let Some(conn) = conn {
                     idle.insert(addr, conn);
@@ -159,7 +161,8 @@
 
 /// Sends one probe and reports what it found.
 async fn probe(addr: SocketAddr, path: String, kept: Option<web::Conn>, tx: Tx<Input>) {
-    let deadline = Instant::now() + PROBE_TIMEOUT;
+    let asked_at = Instant::now();
+    let deadline = asked_at + PROBE_TIMEOUT;
     let first = match kept {
         Some(conn) => ask(conn, &path, deadline).await.ok(),
         None => None,
@@ -174,7 +177,7 @@
     };
     let (found, conn) = match answer {
         Ok((response, conn)) => {
-            let stated = Some(notices::stated(addr, &response));
+            let stated = Some((notices::stated(addr, &response), asked_at));
             (Found { probe: found(&response), stated }, Some(conn))
         }
         Err(_) => (Found { probe: watch::Probe::Down, stated: None }, None),
--- a/crates/oatcoved/src/proxy/held.rs
+++ b/crates/oatcoved/src/proxy/held.rs
@@ -157,8 +157,9 @@
         let view = &mut *self.view.borrow_mut();
         view.counters.upstreams_ended += 1;
         log::warn!("upstream={addr} ended under calls {lost:?}");
-        // One that was let go before was about to leave: it ended as planned.
-        if !view.pools.values().any(|pool| pool.position(addr).is_some()) {
+        // One that was let go before, or said so, was about to leave: it ended as planned.
+        let said_so = view.notices.is_leaving(view.start_at(addr), Instant::now());
+        if said_so || !view.pools.values().any(|pool| pool.position(addr).is_some()) {
             return;
         }
         for lost in lost {
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -183,7 +183,7 @@
     pub addr: SocketAddr,
     /// Zone.
     pub zone: SmolStr,
-    /// Whether it is leaving: by the VM list, a drain, an evacuation, or its own word to a watcher.
+    /// Whether it is leaving: by the VM list, a drain, an evacuation, or its own word.
     pub leaving: bool,
     /// Whether a watcher holds it to be failing.
     pub failing: bool,
@@ -287,7 +287,8 @@
                         addr: u.addr,
                         zone: u.zone.clone(),
                         leaving: u.standing == balance::Standing::Leaving
-                            || u.report == balance::Report::Draining,
+                            || u.report == balance::Report::Draining
+                            || self.notices.is_leaving(self.start_at(u.addr), now),
                         failing: u.report == balance::Report::Failing,
                         outstanding: u.outstanding,
                         latency_ewma_ms: u.latency_ewma_us / 1_000.0,
