--- a/crates/edge/src/forward/notices.rs
+++ b/crates/edge/src/forward/notices.rs
@@ -10,7 +10,7 @@
 
 use super::Node;
 use crate::state::State;
-use crate::{moment, readers, start_of};
+use crate::{as_ms, moment, readers, start_of};
 
 impl Node {
     /// Takes what an answer of `upstream` states about it; see [`notice::Board::hear`].
@@ -28,14 +28,16 @@
         let changes = {
             let state = &mut *self.state.borrow_mut();
             let names = &state.settings.headers;
-            let stated =
-                Stated::read(values(headers, &names.limit), values(headers, &names.leaving));
-            if stated.limit == Field::Unreadable {
-                log_unreadable(upstream, &names.limit);
-            }
-            if stated.leaving == Field::Unreadable {
-                log_unreadable(upstream, &names.leaving);
-            }
+            let refused = status == StatusCode::SERVICE_UNAVAILABLE;
+            let stated = Stated {
+                limit: Field::limit(values(headers, &names.limit)),
+                leaving: Field::leaving(values(headers, &names.leaving)),
+                rest: match refused {
+                    true => Field::rest(values(headers, &http::header::RETRY_AFTER)),
+                    false => Field::Absent,
+                },
+            };
+            stated.unreadable().for_each(|what| log_unreadable(upstream, what));
             state.notices.hear(start_of(upstream), &stated, asked_at, moment())
         };
         changes.iter().for_each(|change| log_change(upstream.id(), *change, "this node"));
@@ -43,6 +45,7 @@
             self.conns.close(upstream);
         }
         if !changes.is_empty() {
+            // Sends nothing when there is no news for peers.
             self.wake_gossip();
         }
     }
@@ -91,14 +94,18 @@
         Change::Unlimited => trace::Line::new("upstream_unlimited"),
         Change::Leaving => trace::Line::new("upstream_leaving"),
         Change::Staying => trace::Line::new("upstream_staying"),
+        Change::Resting(asked) => {
+            trace::Line::new("upstream_rests").field("asked_ms", as_ms(asked))
+        }
+        Change::Rested => trace::Line::new("upstream_rested"),
     };
     line.field("upstream", upstream).field("told_by", told_by).log();
 }
 
-fn log_unreadable(upstream: &Incarnation, header: &HeaderName) {
+fn log_unreadable(upstream: &Incarnation, what: &'static str) {
     trace::Line::new("notice_unreadable")
         .field("upstream", upstream.id())
-        .field("header", header.as_str())
+        .field("what", what)
         .log();
 }
 
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -54,6 +54,7 @@
     held_back: Gauge<u64>,
     limited: Gauge<u64>,
     leaving: Gauge<u64>,
+    resting: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
     lines_dropped: Gauge<u64>,
 }
@@ -80,6 +81,7 @@
             held_back: carried.gauge("oatcove_requests_held_back"),
             limited: carried.gauge("oatcove_upstreams_limited"),
             leaving: carried.gauge("oatcove_upstreams_leaving"),
+            resting: carried.gauge("oatcove_upstreams_resting"),
             zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             lines_dropped: carried.gauge("oatcove_log_lines_dropped"),
             carried,
@@ -107,6 +109,7 @@
         let now = Instant::now();
         self.limited.record(state.notices.limited_count(now) as u64, &[]);
         self.leaving.record(state.notices.leaving_count(now) as u64, &[]);
+        self.resting.record(state.notices.resting_count(now) as u64, &[]);
         self.zones_evacuated.record(state.evacuations.zones().len() as u64, &[]);
         self.lines_dropped.record(trace::dropped(), &[]);
         self.carried.scrape(&state.counters)
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -218,6 +218,7 @@
     /// Creates the state of a node that knows nothing yet.
     pub fn new(settings: Settings) -> State {
         let direct = !crate::readers::begins_with_seeds(&settings);
+        let node_seed = rand::random();
         State {
             settings,
             table: None,
@@ -228,7 +229,7 @@
             attempts: place::Attempts::default(),
             ends: quarantine::Ends::default(),
             quarantine: quarantine::Ledger::default(),
-            notices: notice::Board::default(),
+            notices: notice::Board::of_node(node_seed),
             sends: HashMap::new(),
             unrecorded: crate::record::Unrecorded::default(),
             turns: HashMap::new(),
@@ -244,7 +245,7 @@
             stopping: None,
             in_flight: 0,
             rng: SmallRng::from_os_rng(),
-            node_seed: rand::random(),
+            node_seed,
             counters: Counters::default(),
         }
     }
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -18,4 +18,5 @@
 mod relay;
 mod requests;
 mod restarts;
+mod rests;
 mod starts;
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -7,7 +7,7 @@
 //! at-most-once. `GET /load` reports in-flight work, refreshed only every
 //! `load_lag`, as real load reports are stale. A request whose `x-oatcove-timeout-ms` passes in the queue is not
 //! run, and one whose caller goes away is dropped. `POST /admin/mode` turns it
-//! into a straggler, starts a drain, makes it fail fast, has it name a limit or say that it leaves, or has its process crash
+//! into a straggler, starts a drain, makes it fail fast, has it name a limit, say that it leaves or ask for rest, or has its process crash
 //! under requests of some paths.
 
 use std::cell::{Cell, RefCell};
@@ -80,6 +80,9 @@
     /// Every answer says that it leaves; it goes on serving.
     #[serde(default)]
     pub leaving: bool,
+    /// Refuses new requests at once with 503 and this as `Retry-After`; none are when empty.
+    #[serde(default)]
+    pub rest: SmolStr,
 }
 
 /// What `GET /load` answers.
@@ -167,6 +170,7 @@
             _ if mode.fail_fast => {
                 Some(web::reply(StatusCode::INTERNAL_SERVER_ERROR, "failing fast\n"))
             }
+            _ if !mode.rest.is_empty() => Some(shed_for("resting", &mode.rest)),
             _ if mode.draining => Some(shed("draining")),
             _ if self.waiting.get() >= self.shape.queue_limit as u64 => Some(shed("queue full")),
             _ => None,
@@ -314,8 +318,14 @@
 
 /// Answers that the request was not run, and when to come back.
 fn shed(reason: &str) -> web::Response {
+    shed_for(reason, "1")
+}
+
+fn shed_for(reason: &str, retry_after: &str) -> web::Response {
     let mut response = web::reply(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n"));
-    response.headers_mut().insert(http::header::RETRY_AFTER, http::HeaderValue::from_static("1"));
+    if let Ok(retry_after) = http::HeaderValue::from_str(retry_after) {
+        response.headers_mut().insert(http::header::RETRY_AFTER, retry_after);
+    }
     response
 }
 
--- a/crates/notice/src/board.rs
+++ b/crates/notice/src/board.rs
@@ -1,12 +1,15 @@
 //! What stands of what upstreams have stated, by their starts.
 
 use std::collections::HashMap;
+use std::hash::{Hash, Hasher};
 use std::time::{Duration, Instant};
 
 use quarantine::{Start, UnixMs};
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 
 use crate::limit::Limit;
+use crate::rest::Rest;
 use crate::{Field, PerKs, Stated};
 
 /// Starts that are kept at most; the one that was heard of longest ago gives way.
@@ -36,6 +39,10 @@
     Leaving,
     /// It leaves no longer: it has started again.
     Staying,
+    /// It wants nothing from this node for so long.
+    Resting(Duration),
+    /// It has answered after its rest.
+    Rested,
 }
 
 /// One thing that an upstream states about itself.
@@ -84,6 +91,8 @@
     pub share_per_s: f64,
     /// Whether it leaves.
     pub leaving: bool,
+    /// For how long it gets nothing from this node, in milliseconds.
+    pub rest_ms: u64,
 }
 
 /// Whether an upstream leaves.
@@ -99,6 +108,7 @@
     heard_at: Instant,
     limit: Option<Limit>,
     leaving: Option<Leaving>,
+    rest: Option<Rest>,
 }
 
 impl Entry {
@@ -122,7 +132,8 @@
     fn expire(&mut self, now: Instant) -> bool {
         self.limit.take_if(|limit| limit.has_lapsed(now));
         self.leaving.take_if(|said| now >= said.heard_at + LEAVING_STANDS_FOR);
-        self.limit.is_some() || self.leaving.is_some()
+        self.rest.take_if(|rest| rest.has_lapsed(now));
+        self.limit.is_some() || self.leaving.is_some() || self.rest.is_some()
     }
 }
 
@@ -131,11 +142,18 @@
 pub struct Board {
     entries: HashMap<Start, Entry>,
     news: Vec<News>,
+    /// A number of the node's own.
+    node_seed: u64,
     /// Whether shares have to be dealt out anew.
     is_undealt: bool,
 }
 
 impl Board {
+    /// Creates the board of the node with this number, as good as no other's.
+    pub fn of_node(node_seed: u64) -> Board {
+        Board { node_seed, ..Board::default() }
+    }
+
     /// Returns true when nothing stands for any upstream.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
@@ -158,7 +176,41 @@
             Field::Named(true) => self.say_leaving(start, true, now),
             Field::Named(false) | Field::Absent | Field::Unreadable => None,
         };
-        limit.into_iter().chain(leaving).collect()
+        let rest = self.hear_rest(start, stated.rest, asked_at, now.at);
+        limit.into_iter().chain(leaving).chain(rest).collect()
+    }
+
+    fn hear_rest(
+        &mut self,
+        start: Start,
+        stated: Field<Duration>,
+        asked_at: Option<Instant>,
+        now: Instant,
+    ) -> Option<Change> {
+        let Some(asked) = Rest::asked(stated) else {
+            let entry = self.entries.get_mut(&start)?;
+            let was_over = |rest: &mut Rest| asked_at.is_some_and(|at| rest.is_over(at));
+            return entry.rest.take_if(was_over).map(|_| Change::Rested);
+        };
+        let rest = Rest::new(asked, self.place(start), now);
+        match &mut self.entry(start, now).rest {
+            Some(held) => {
+                let was_over = held.is_over(now);
+                held.extend(rest);
+                was_over.then_some(Change::Resting(asked))
+            }
+            none => {
+                *none = Some(rest);
+                Some(Change::Resting(asked))
+            }
+        }
+    }
+
+    /// Returns this node's place among those that come back to an upstream, from 0 to 1.
+    fn place(&self, start: Start) -> f64 {
+        let mut hasher = SipHasher13::new_with_keys(self.node_seed, 0);
+        start.hash(&mut hasher);
+        hasher.finish() as f64 / u64::MAX as f64
     }
 
     fn hear_limit(
@@ -240,7 +292,7 @@
                 self.entries.remove(&start);
             }
         }
-        let fresh = || Entry { heard_at: now, limit: None, leaving: None };
+        let fresh = || Entry { heard_at: now, limit: None, leaving: None, rest: None };
         let entry = self.entries.entry(start).or_insert_with(fresh);
         entry.heard_at = now;
         entry
@@ -307,6 +359,12 @@
         self.entries.values().filter(|entry| entry.leaves(now)).count()
     }
 
+    /// Returns how many upstreams get nothing from this node since they asked for rest.
+    pub fn resting_count(&self, now: Instant) -> usize {
+        let rests = self.entries.values().filter_map(|entry| entry.rest.as_ref());
+        rests.filter(|rest| !rest.is_over(now)).count()
+    }
+
     /// Returns what stands for an upstream; `None` when nothing does.
     pub fn noted(&self, start: Start, now: Instant) -> Option<Noted> {
         let entry = self.entries.get(&start)?;
@@ -315,8 +373,11 @@
             limit_per_ks: limit.and_then(|limit| limit.standing(now)),
             share_per_s: limit.map_or(0.0, Limit::share_per_s),
             leaving: entry.leaves(now),
+            rest_ms: entry
+                .rest
+                .map_or(0, |rest| rest.until().saturating_duration_since(now).as_millis() as u64),
         };
-        (limit.is_some() || noted.leaving).then_some(noted)
+        (limit.is_some() || noted.leaving || noted.rest_ms > 0).then_some(noted)
     }
 }
 
--- a/crates/notice/src/lib.rs
+++ b/crates/notice/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod board;
 mod limit;
+mod rest;
 pub mod share;
 mod stated;
 
--- a/crates/notice/src/stated.rs
+++ b/crates/notice/src/stated.rs
@@ -1,10 +1,15 @@
 //! What one answer states, read from the values of its headers.
 
+use std::time::Duration;
+
 use crate::PerKs;
 
 /// Highest limit that is told from none at all, in requests a second.
 const LIMIT_MOST_PER_S: f64 = 1e9;
 
+/// Longest rest that is told from a longer one, in seconds.
+const REST_MOST_S: f64 = 1e9;
+
 /// One field of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Field<T> {
@@ -24,11 +29,13 @@
     pub limit: Field<PerKs>,
     /// Whether it is about to leave.
     pub leaving: Field<bool>,
+    /// For how long it wants nothing from the node that it answers.
+    pub rest: Field<Duration>,
 }
 
 impl<T> Field<T> {
     /// Reads a field from all its values; one that stands there twice cannot be read.
-    pub(crate) fn read<'a>(
+    fn read<'a>(
         mut values: impl Iterator<Item = &'a [u8]>,
         parse: impl Fn(&str) -> Option<T>,
     ) -> Field<T> {
@@ -44,28 +51,45 @@
     }
 }
 
-impl Stated {
-    /// Reads what an answer states from the values of its headers.
-    pub fn read<'a, V: Iterator<Item = &'a [u8]>>(limit: V, leaving: V) -> Stated {
-        Stated { limit: Field::read(limit, limit_per_ks), leaving: Field::read(leaving, flag) }
+impl Field<PerKs> {
+    /// Reads a limit: requests a second, a decimal number.
+    pub fn limit<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<PerKs> {
+        Field::read(values, |text| Some((decimal(text)?.min(LIMIT_MOST_PER_S) * 1e3) as PerKs))
+    }
+}
+
+impl Field<bool> {
+    /// Reads whether the upstream is about to leave: 1, or 0.
+    pub fn leaving<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<bool> {
+        Field::read(values, |text| match text {
+            "1" => Some(true),
+            "0" => Some(false),
+            _ => None,
+        })
     }
 }
 
-/// Parses requests a second, a decimal number.
-fn limit_per_ks(text: &str) -> Option<PerKs> {
-    let per_s: f64 = text.parse().ok()?;
-    let is_rate = per_s.is_finite() && per_s >= 0.0;
-    is_rate.then(|| (per_s.min(LIMIT_MOST_PER_S) * 1e3) as PerKs)
+impl Field<Duration> {
+    /// Reads the rest that a refusal asks for: seconds, a decimal number.
+    pub fn rest<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<Duration> {
+        Field::read(values, |text| Some(Duration::from_secs_f64(decimal(text)?.min(REST_MOST_S))))
+    }
 }
 
-/// Parses a flag.
-fn flag(text: &str) -> Option<bool> {
-    match text {
-        "1" => Some(true),
-        "0" => Some(false),
-        _ => None,
+impl Stated {
+    /// Returns the names of the fields that cannot be read.
+    pub fn unreadable(&self) -> impl Iterator<Item = &'static str> {
+        let limit = (self.limit == Field::Unreadable, "limit");
+        let leaving = (self.leaving == Field::Unreadable, "leaving");
+        let rest = (self.rest == Field::Unreadable, "rest");
+        [limit, leaving, rest].into_iter().filter(|(is_it, _)| *is_it).map(|(_, name)| name)
     }
 }
 
+/// Parses a decimal number of nothing or more.
+fn decimal(text: &str) -> Option<f64> {
+    text.parse().ok().filter(|number: &f64| number.is_finite() && *number >= 0.0)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -25,6 +25,7 @@
     isolated: Gauge<u64>,
     limited: Gauge<u64>,
     leaving: Gauge<u64>,
+    resting: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
 }
 
@@ -69,6 +70,7 @@
             isolated: carried.gauge("oatcove_isolated"),
             limited: carried.gauge("oatcove_upstreams_limited"),
             leaving: carried.gauge("oatcove_upstreams_leaving"),
+            resting: carried.gauge("oatcove_upstreams_resting"),
             zones_evacuated: carried.gauge("oatcove_zones_evacuated"),
             carried,
         })
@@ -95,6 +97,7 @@
         let now = Instant::now();
         self.limited.record(view.notices.limited_count(now) as u64, &[]);
         self.leaving.record(view.notices.leaving_count(now) as u64, &[]);
+        self.resting.record(view.notices.resting_count(now) as u64, &[]);
         self.zones_evacuated.record(view.evacuated().count() as u64, &[]);
         self.carried.scrape(&view.counters)
     }
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -18,12 +18,18 @@
 /// Reads what an answer states; says so when that cannot be read.
 pub(crate) fn stated(upstream: SocketAddr, response: &web::Response) -> Stated {
     let values = |name| response.headers().get_all(name).iter().map(http::HeaderValue::as_bytes);
-    let stated = Stated::read(values(crate::LIMIT), values(crate::LEAVING));
-    let is_unreadable =
-        [stated.limit == Field::Unreadable, stated.leaving == Field::Unreadable].contains(&true);
-    if is_unreadable {
-        log::warn!("upstream={upstream} states something that cannot be read: {stated:?}");
-    }
+    let refused = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
+    let stated = Stated {
+        limit: Field::limit(values(crate::LIMIT)),
+        leaving: Field::leaving(values(crate::LEAVING)),
+        rest: match refused {
+            true => Field::rest(values(http::header::RETRY_AFTER.as_str())),
+            false => Field::Absent,
+        },
+    };
+    let log =
+        |what| log::warn!("upstream={upstream} states its {what} in a way that cannot be read");
+    stated.unreadable().for_each(log);
     stated
 }
 
@@ -35,6 +41,8 @@
         Change::Unlimited => log::info!("upstream={addr} names no limit any more"),
         Change::Leaving => log::info!("upstream={addr} says that it leaves"),
         Change::Staying => log::info!("upstream={addr} has started again"),
+        Change::Resting(asked) => log::info!("upstream={addr} asks for a rest of {asked:?}"),
+        Change::Rested => log::info!("upstream={addr} has answered after its rest"),
     }
 }
 
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -154,6 +154,51 @@
     });
 }
 
+/// Guards against an upstream that refuses at once and, looking empty, is sent more than any other,
+/// and against a node that takes itself for full because of it.
+#[yare::parameterized(
+    by_calls_that_may_be_repeated = { http::Method::GET },
+    by_calls_that_may_not = { http::Method::POST },
+)]
+fn an_upstream_that_asked_for_rest_is_left_alone(method: http::Method) {
+    /// What was sent before the word arrives within this.
+    const UNDER_WAY: Duration = Duration::from_millis(500);
+    const REST: Duration = Duration::from_secs(2);
+    /// Calls that it may get from a node while it rests.
+    const MOST: usize = 2;
+    web::runtime().block_on(async {
+        let ((a, resting), (b, _)) = (upstream(shape(5, 100)), upstream(shape(5, 100)));
+        resting.set_mode(emu::upstream::Mode { rest: "2".into(), ..Default::default() });
+        let nodes = nodes(1, "service: svc\n", &[a, b]);
+        let served = call_all(&nodes, method, Instant::now() + Duration::from_millis(3_500)).await;
+        let first = resting.arrivals()[0];
+        let while_it_rests = first + UNDER_WAY..first + REST;
+        let got = resting.arrivals().into_iter().filter(|at| while_it_rests.contains(at)).count();
+        assert!(got <= MOST, "{got} calls");
+        assert!(resting.arrivals().len() >= 2, "it is asked again after its rest");
+        assert!(served > 70, "the others are served by the other upstream: {served}");
+        assert_eq!(nodes[0].view.borrow().counters.shed, 0);
+    });
+}
+
+/// Guards against callers who wait, or are sent back to be refused again, while all upstreams rest.
+#[test]
+fn callers_are_told_at_once_when_the_first_upstream_has_rested() {
+    web::runtime().block_on(async {
+        let ((a, one), (b, other)) = (upstream(shape(5, 100)), upstream(shape(5, 100)));
+        one.set_mode(emu::upstream::Mode { rest: "3".into(), ..Default::default() });
+        other.set_mode(emu::upstream::Mode { rest: "1".into(), ..Default::default() });
+        let nodes = nodes(1, "service: svc\n", &[a, b]);
+        call_all(&nodes, http::Method::GET, Instant::now() + Duration::from_millis(100)).await;
+        let asked_at = Instant::now();
+        let got = nodes[0].handle(request(http::Method::GET, "/s/svc/list", "1"), PEER).await;
+        assert!(asked_at.elapsed() < Duration::from_millis(50), "at once");
+        let ms: u64 = got.headers()[crate::RETRY_AFTER_MS].to_str().unwrap().parse().unwrap();
+        assert!((700..1_600).contains(&ms), "after the shorter rest: {ms} ms");
+        assert_eq!(one.arrivals().len() + other.arrivals().len(), 2);
+    });
+}
+
 fn request(method: http::Method, path: &str, key: &str) -> web::Request {
     http::Request::builder()
         .method(method)
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -141,7 +141,7 @@
             reports: Default::default(),
             ends: Default::default(),
             quarantine: Default::default(),
-            notices: Default::default(),
+            notices: notice::Board::of_node(rand::random()),
             in_flight: 0,
             stopping: false,
             counters: Counters::default(),
