notice, edge, oatcoved: an upstream that asks for rest is left alone

Cause: the time that an upstream asks for was not read; its fast refusals count for less than half a failure. Ruled out: second sends alone (four of the first five refused sends are first ones), probes.

Change: a refusal's rest binds this node's sends, probes included, through the same place; of rests that overlap the one that ends last counts. Each node ends a rest at its own moment within a quarter of it, and then one request goes first. When all upstreams rest callers are refused at once and told to come back when the first has rested. The stand-in of an upstream says Retry-After: 0 when its queue is full, as it is over within milliseconds: with 1 it asked for a second of rest that it did not need (a_bursting_team_does_not_crowd_out_a_quiet_ one showed it: 0 of 40 served).

--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -82,13 +82,12 @@
 
 /// Why no upstream was chosen.
 pub(super) enum NoChoice {
-    NoUpstream,
+    /// There is none that may get it.
+    NoUpstream { come_back: Duration },
     /// Nobody waits for the answer any more.
     CallerLeft,
     /// It crashes upstreams.
-    HeldBack {
-        come_back: Duration,
-    },
+    HeldBack { come_back: Duration },
     /// The best one would answer too late.
     Refused {
         come_back: Duration,
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use place::{Candidate, Incarnation, Reach, Verdict};
+use rand::Rng;
 
 use super::call::{Call, Choice, NoChoice};
-use super::Node;
+use super::{Node, COME_BACK_NOT_READY};
 use crate::{probe, start_of};
 
 /// Upstreams asked for their load at once, and how often before one choice.
@@ -28,6 +29,14 @@
 /// Connections that a node may have to an upstream however many nodes there are.
 const CONNECTIONS_LEAST: u32 = 2;
 
+/// Shortest and longest time after which a caller comes back when no upstream may get its request: other
+/// nodes may be allowed more.
+const COME_BACK_LEAST: Duration = Duration::from_millis(50);
+const COME_BACK_MOST: Duration = Duration::from_secs(5);
+
+/// Part of that time by which it is longer at most, so that callers do not return at the same moment.
+const COME_BACK_SPREAD: f64 = 0.25;
+
 /// Whether a request may wait at the node for room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Patience {
@@ -57,12 +66,14 @@
             if call.caller_left.get() {
                 return Err(NoChoice::CallerLeft);
             }
-            let mut best = ranked.first().ok_or(NoChoice::NoUpstream)?;
+            let mut best = ranked.first().ok_or_else(|| self.no_upstream(call))?;
             if verdict == quarantine::Verdict::Apart {
                 best = self.apart(call, &ranked).unwrap_or(best);
             }
             match self.judge(call, best, may_look) {
-                Verdict::Send => return self.choice(call, best).ok_or(NoChoice::NoUpstream),
+                Verdict::Send => {
+                    return self.choice(call, best).ok_or_else(|| self.no_upstream(call));
+                }
                 Verdict::Refuse { come_back } => return Err(self.refusal(call, best, come_back)),
                 Verdict::Wait(pause) => monoio::time::sleep(pause).await,
             }
@@ -124,7 +135,8 @@
         let state = self.state.borrow();
         let pool = state.pools.get(&call.service);
         let Some(upstream) = pool.and_then(|pool| pool.upstreams().get(best.index)) else {
-            return NoChoice::NoUpstream;
+            drop(state);
+            return self.no_upstream(call);
         };
         NoChoice::Refused {
             come_back,
@@ -135,6 +147,23 @@
         }
     }
 
+    /// Tells a request that no upstream may get when to come back: when the first one may get a request
+    /// again, if that is known.
+    fn no_upstream(&self, call: &Call<'_>) -> NoChoice {
+        let state = &mut *self.state.borrow_mut();
+        let now = Instant::now();
+        let pool = state.pools.get(&call.service);
+        let upstreams = pool.into_iter().flat_map(|pool| pool.upstreams());
+        let opens_at =
+            upstreams.filter_map(|u| state.notices.opens_at(start_of(&u.incarnation), now));
+        let come_back = opens_at.min().map_or(COME_BACK_NOT_READY, |opens_at| {
+            let spread = 1.0 + COME_BACK_SPREAD * state.rng.random::<f64>();
+            let left = opens_at.saturating_duration_since(now).mul_f64(spread);
+            left.clamp(COME_BACK_LEAST, COME_BACK_MOST)
+        });
+        NoChoice::NoUpstream { come_back }
+    }
+
     fn rank(&self, call: &Call<'_>, tried: &[Incarnation]) -> Vec<Candidate> {
         let state = &mut *self.state.borrow_mut();
         let now = Instant::now();
--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -12,7 +12,7 @@
 
 use super::call::{Call, Choice, NoChoice, Tried};
 use super::choose::Patience;
-use super::{Body, Node, Reply, COME_BACK_NOT_READY};
+use super::{Body, Node, Reply};
 use crate::as_ms;
 use crate::exchange::{Answer, Outcome, Sent};
 use crate::reply::Own;
@@ -131,10 +131,16 @@
                 self.state.borrow_mut().counters.refused_crashing += 1;
                 (line.field("reason", "crashes upstreams"), come_back)
             }
-            NoChoice::NoUpstream => {
-                let evacuated = self.state.borrow().evacuations.zones().clone();
-                let line = line.field("reason", "no upstream").field("evacuated", evacuated);
-                (line, COME_BACK_NOT_READY)
+            NoChoice::NoUpstream { come_back } => {
+                let state = self.state.borrow();
+                let (zones, now) = (state.evacuations.zones(), Instant::now());
+                let line = line
+                    .field("reason", "no upstream")
+                    .field("evacuated", zones)
+                    .field("limited", state.notices.limited_count(now))
+                    .field("leaving", state.notices.leaving_count(now))
+                    .field("resting", state.notices.resting_count(now));
+                (line, come_back)
             }
             NoChoice::Refused { come_back, best, predicted, wait, report_age } => {
                 let line = line
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -36,6 +36,9 @@
 /// Exit code of a process that crashed under a request.
 pub const EXIT_CRASHED: i32 = 70;
 
+/// `Retry-After` of a refusal after which there may be room at any moment.
+const MOMENT: &str = "0";
+
 /// Fixed shape of an upstream stand-in.
 #[derive(Clone, Debug)]
 pub struct Shape {
@@ -170,9 +173,11 @@
             _ if mode.fail_fast => {
                 Some(web::reply(StatusCode::INTERNAL_SERVER_ERROR, "failing fast\n"))
             }
-            _ if !mode.rest.is_empty() => Some(shed_for("resting", &mode.rest)),
-            _ if mode.draining => Some(shed("draining")),
-            _ if self.waiting.get() >= self.shape.queue_limit as u64 => Some(shed("queue full")),
+            _ if !mode.rest.is_empty() => Some(shed("resting", &mode.rest)),
+            _ if mode.draining => Some(shed("draining", "1")),
+            _ if self.waiting.get() >= self.shape.queue_limit as u64 => {
+                Some(shed("queue full", MOMENT))
+            }
             _ => None,
         };
         if let Some(refusal) = refusal {
@@ -188,7 +193,7 @@
         };
         if patience(request).is_some_and(|patience| queued_at.elapsed() >= patience) {
             self.stats.borrow_mut().shed += 1;
-            return shed("deadline passed in queue");
+            return shed("deadline passed in queue", MOMENT);
         }
         self.count(request);
         monoio::time::sleep(self.service_time(request, &mode)).await;
@@ -316,12 +321,8 @@
     text.parse().ok().map(Duration::from_millis)
 }
 
-/// Answers that the request was not run, and when to come back.
-fn shed(reason: &str) -> web::Response {
-    shed_for(reason, "1")
-}
-
-fn shed_for(reason: &str, retry_after: &str) -> web::Response {
+/// Answers that the request was not run, and for how many seconds none is wanted from this caller.
+fn shed(reason: &str, retry_after: &str) -> web::Response {
     let mut response = web::reply(StatusCode::SERVICE_UNAVAILABLE, format!("{reason}\n"));
     if let Ok(retry_after) = http::HeaderValue::from_str(retry_after) {
         response.headers_mut().insert(http::header::RETRY_AFTER, retry_after);
--- a/crates/notice/src/board.rs
+++ b/crates/notice/src/board.rs
@@ -327,15 +327,32 @@
     /// Returns true when an upstream may get a request from this node now.
     pub fn may_send(&self, start: Start, now: Instant) -> bool {
         let Some(entry) = self.entries.get(&start) else { return true };
-        !entry.leaves(now) && entry.limit.as_ref().is_none_or(|limit| limit.allows(now))
+        !entry.leaves(now)
+            && entry.limit.as_ref().is_none_or(|limit| limit.allows(now))
+            && entry.rest.is_none_or(|rest| rest.allows(now))
     }
 
     /// Records that a request is sent.
     pub fn sent(&mut self, start: Start, now: Instant) {
-        let limit = self.entries.get_mut(&start).and_then(|entry| entry.limit.as_mut());
-        if let Some(limit) = limit {
+        let Some(entry) = self.entries.get_mut(&start) else { return };
+        if let Some(limit) = &mut entry.limit {
             limit.sent(now);
         }
+        if let Some(rest) = &mut entry.rest {
+            rest.sent(now);
+        }
+    }
+
+    /// Returns when an upstream that gets nothing now may get a request from this node, as far as that is
+    /// known.
+    pub fn opens_at(&self, start: Start, now: Instant) -> Option<Instant> {
+        let entry = self.entries.get(&start).filter(|entry| !entry.leaves(now))?;
+        let limit = entry.limit.as_ref().filter(|limit| !limit.allows(now));
+        let rested_at = entry.rest.map(|rest| rest.until());
+        match limit {
+            Some(limit) => Some(limit.allows_at(now)?.max(rested_at.unwrap_or(now))),
+            None => rested_at,
+        }
     }
 
     /// Returns true while the word stands that an upstream leaves.
--- a/crates/notice/src/board/tests.rs
+++ b/crates/notice/src/board/tests.rs
@@ -154,3 +154,73 @@
     let news = board.take_news().pop().expect("peers are told").notice;
     assert_eq!(news.word, Word::Leaving(false));
 }
+
+fn rests(seconds: u64) -> Stated {
+    Stated { rest: Field::Named(Duration::from_secs(seconds)), ..Stated::default() }
+}
+
+/// Guards against a rest that a shorter one cuts off, or an answer made before it.
+#[test]
+fn of_rests_that_overlap_the_one_that_ends_last_counts() {
+    let (clock, mut board) = (clock(), Board::default());
+    let asked = board.hear(start(), &rests(3), None, clock.moment(0));
+    assert_eq!(asked, vec![Change::Resting(Duration::from_secs(3))]);
+    assert_eq!(board.hear(start(), &rests(1), None, clock.moment(10)), vec![]);
+    assert_eq!(
+        board.hear(start(), &Stated::default(), Some(clock.at(5)), clock.moment(20)),
+        vec![]
+    );
+    assert!(!board.may_send(start(), clock.at(2_999)));
+    assert!(board.may_send(start(), clock.at(4_000)));
+    assert_eq!(board.take_news(), vec![], "it is asked of this node alone");
+}
+
+/// Guards against a wave at its end, and against a lost request that keeps it from ending.
+#[test]
+fn after_a_rest_one_request_goes_first() {
+    let (clock, mut board) = (clock(), Board::default());
+    board.hear(start(), &rests(1), None, clock.moment(0));
+    board.sent(start(), clock.at(1_500));
+    assert!(!board.may_send(start(), clock.at(1_510)));
+    assert!(board.may_send(start(), clock.at(2_500)), "the first had no answer");
+    let rested =
+        board.hear(start(), &Stated::default(), Some(clock.at(1_500)), clock.moment(1_700));
+    assert_eq!(rested, vec![Change::Rested]);
+    assert!(board.may_send(start(), clock.at(1_700)));
+}
+
+/// Guards against nodes that all come back at the same moment.
+#[test]
+fn nodes_end_a_rest_one_after_the_other() {
+    let clock = clock();
+    let back_at = |seed: u64| {
+        let mut board = Board::of_node(seed);
+        board.hear(start(), &rests(4), None, clock.moment(0));
+        board.opens_at(start(), clock.at(0)).expect("it rests") - clock.at(0)
+    };
+    let ms = (0..16).map(|seed| back_at(seed).as_millis() as u64);
+    let mut ms: Vec<u64> = ms.collect();
+    ms.sort_unstable();
+    assert!(ms[0] >= 4_000 && ms[15] <= 5_000, "{ms:?}");
+    assert!(ms[15] - ms[0] > 500, "{ms:?}");
+}
+
+/// Guards against a year of rest for one broken answer.
+#[test]
+fn a_rest_has_a_bound() {
+    let (clock, mut board) = (clock(), Board::default());
+    board.hear(start(), &rests(365 * 24 * 3_600), None, clock.moment(0));
+    assert!(!board.may_send(start(), clock.at(60_000)));
+    assert!(board.may_send(start(), clock.at(400_000)));
+}
+
+/// Guards against memory that grows with upstreams that come and go.
+#[test]
+fn what_is_kept_has_a_bound() {
+    let (clock, mut board) = (clock(), Board::default());
+    for n in 0..10_000 {
+        board.hear(Start::of("u", n), &leaves(), None, clock.moment(n));
+    }
+    assert_eq!(board.leaving_count(clock.at(10_000)), super::KEPT_MOST);
+    assert!(board.is_leaving(Start::of("u", 9_999), clock.at(10_000)), "the newest stays");
+}
--- a/crates/notice/src/limit.rs
+++ b/crates/notice/src/limit.rs
@@ -115,6 +115,11 @@
         self.standing(now).is_none() || self.allowance.allows(now)
     }
 
+    /// Returns when it allows the next one; `None` when this node owns no part of it.
+    pub(crate) fn allows_at(&self, now: Instant) -> Option<Instant> {
+        self.allowance.allows_at(now)
+    }
+
     /// Records that a request is sent.
     pub(crate) fn sent(&mut self, now: Instant) {
         if self.standing(now).is_some() {
--- a/crates/notice/src/rest.rs
+++ b/crates/notice/src/rest.rs
@@ -17,10 +17,15 @@
 /// the same moment.
 const SPREAD: f64 = 0.25;
 
+/// Time after which the first request after a rest, if it had no answer, is followed by another.
+const TRIAL_FOR: Duration = Duration::from_secs(1);
+
 /// A rest, until an answer has shown that it is over.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Rest {
     until: Instant,
+    /// When the first request after it was sent.
+    tried_at: Option<Instant>,
 }
 
 impl Rest {
@@ -36,20 +41,31 @@
     /// Creates a rest of `asked`; `place` from 0 to 1 says which place this node has among those that
     /// come back.
     pub(crate) fn new(asked: Duration, place: f64, now: Instant) -> Rest {
-        Rest { until: now + asked.mul_f64(1.0 + SPREAD * place) }
+        Rest { until: now + asked.mul_f64(1.0 + SPREAD * place), tried_at: None }
     }
 
     /// Takes a further one; the one that ends last counts.
     pub(crate) fn extend(&mut self, other: Rest) {
-        *self = Rest { until: self.until.max(other.until) };
+        *self = Rest { until: self.until.max(other.until), tried_at: None };
+    }
+
+    /// Returns when it ends.
+    pub(crate) fn until(&self) -> Instant {
+        self.until
     }
 
     pub(crate) fn is_over(&self, now: Instant) -> bool {
         now >= self.until
     }
 
-    pub(crate) fn until(&self) -> Instant {
-        self.until
+    /// Returns true when a request may be sent: one after the rest, and more once that was answered.
+    pub(crate) fn allows(&self, now: Instant) -> bool {
+        self.is_over(now) && self.tried_at.is_none_or(|at| now >= at + TRIAL_FOR)
+    }
+
+    /// Records that a request is sent.
+    pub(crate) fn sent(&mut self, now: Instant) {
+        self.tried_at = Some(now);
     }
 
     /// Returns true once it need not be kept: nothing was sent to tell whether it is over.
--- a/crates/notice/src/share.rs
+++ b/crates/notice/src/share.rs
@@ -92,6 +92,12 @@
         self.saved(now) >= 1.0
     }
 
+    /// Returns when it allows the next one; `None` when it never does.
+    pub(crate) fn allows_at(&self, now: Instant) -> Option<Instant> {
+        let wait_s = (1.0 - self.saved(now)).max(0.0) / self.per_s;
+        Duration::try_from_secs_f64(wait_s).ok().map(|wait| now + wait)
+    }
+
     /// Takes one request out of it.
     pub(crate) fn take(&mut self, now: Instant) {
         self.saved = self.saved(now) - 1.0;
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use notice::{share, Change, Field, Stated};
 use quarantine::Start;
@@ -10,6 +10,10 @@
 use crate::gossip;
 use crate::view::View;
 
+/// Longest time to come back that a caller is told when no upstream may get its call: other nodes may
+/// be allowed more.
+const OPENS_IN_MOST: Duration = Duration::from_secs(5);
+
 /// Returns the present by both clocks.
 pub(crate) fn moment() -> notice::Moment {
     notice::Moment { at: Instant::now(), unix_ms: gossip::unix_ms() }
@@ -106,6 +110,22 @@
         self.notices.deal(share, now);
     }
 
+    /// Returns in which time an upstream of a service may get a call again, where none may now; `None`
+    /// when one may, or nothing is known.
+    pub(crate) fn opens_in(&mut self, service: &str, now: Instant) -> Option<Duration> {
+        let barred = self.barred(service, now);
+        let pool = self.pools.get(service)?;
+        let is_open = |upstream: &balance::Upstream| {
+            upstream.tier(now).is_some() && !barred.contains(&upstream.addr)
+        };
+        if pool.upstreams.iter().any(is_open) {
+            return None;
+        }
+        let opens_at = |addr| self.notices.opens_at(self.start_at(addr), now);
+        let opens_at = barred.into_iter().filter_map(opens_at).min()?;
+        Some(opens_at.saturating_duration_since(now).min(OPENS_IN_MOST))
+    }
+
     /// Returns the upstreams of a service that may not get a call now, by their own word.
     pub(crate) fn barred(&mut self, service: &str, now: Instant) -> Vec<SocketAddr> {
         if self.notices.is_empty() {
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -160,10 +160,14 @@
             }
             Ended::NotRun { .. } => {
                 view.counters.not_run += 1;
+                let opens_in = view.opens_in(&call.service, Instant::now());
                 drop(view);
-                let busy_for = self.busy_for(&call);
                 let text = "no upstream could take the call\n";
-                (answer::refused(text, busy_for, &request_id), answer::NOT_RUN)
+                let answer = match opens_in {
+                    Some(opens_in) => answer::held_back(text, opens_in, &request_id),
+                    None => answer::refused(text, self.busy_for(&call), &request_id),
+                };
+                (answer, answer::NOT_RUN)
             }
             Ended::Unknown(cause) => {
                 view.counters.unknown += 1;
