soak, tests: upstreams state limits, that they leave, and that they want rest

The soak's upstreams say what the users' do (--notices), alone and beside kills, stops, pauses and cuts; what came to them is held against LIMIT, DRAIN and BUDGET, by the node that each request was sent to.

--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod findings;
 mod large;
+mod notices;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
     heard: Vec<Event>,
     /// What it knows of requests that crash upstreams.
     ledger: quarantine::Ledger,
+    board: notice::Board,
 }
 
 struct Net {
@@ -87,8 +89,8 @@
         let mut members =
             Members::new(addr(index), self.zone(index), incarnation, Timing::default(), rng);
         members.set_listed((0..count).map(|i| (addr(i), self.zone(i))));
-        let (waiting, heard, ledger) = Default::default();
-        Node { members, running: true, paused: false, waiting, heard, ledger }
+        let (waiting, heard, ledger, board) = Default::default();
+        Node { members, running: true, paused: false, waiting, heard, ledger, board }
     }
 
     fn zone(&self, index: usize) -> SmolStr {
@@ -152,6 +154,7 @@
                 out.extend(self.nodes[index].members.tick(now));
                 let events = self.nodes[index].members.take_events();
                 out.extend(self.take_findings(index, &events));
+                out.extend(self.take_notices(index, &events));
                 self.nodes[index].heard.extend(events);
                 self.send(index, out);
             }
@@ -181,6 +184,23 @@
         out
     }
 
+    fn moment(&self) -> notice::Moment {
+        let unix_ms = (self.now - self.start).as_millis() as u64;
+        notice::Moment { at: self.now, unix_ms }
+    }
+
+    /// Has a node take what it heard of upstreams, and tell what is news.
+    fn take_notices(&mut self, index: usize, events: &[Event]) -> Vec<Outgoing> {
+        let moment = self.moment();
+        let Node { members, board, .. } = &mut self.nodes[index];
+        for event in events {
+            if let Event::Notice(notice) = event {
+                board.hear_peer(notice, moment);
+            }
+        }
+        board.take_news().into_iter().flat_map(|news| members.spread_notice(news)).collect()
+    }
+
     /// Returns what running node `at` believes of node `of`.
     fn view(&self, at: usize, of: usize) -> Option<Standing> {
         self.nodes[at].members.standing(addr(of))
