--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -323,6 +323,16 @@
     )
 }
 
+/// A request that must not run twice, whose body is sent on while it comes in.
+pub fn long_post(id: &str) -> String {
+    let body = "seed".repeat(50_000);
+    format!(
+        "POST /post/1 HTTP/1.1\r\nHost: seeds.example\r\nx-id: {id}\r\nx-deadline: 500\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
 /// Runs a test on the runtime that all processes use.
 pub fn run<F: std::future::Future<Output = ()>>(test: F) {
     web::runtime().block_on(test);
--- a/crates/edge/src/tests/leaving.rs
+++ b/crates/edge/src/tests/leaving.rs
@@ -5,7 +5,9 @@
 use place::{Change, Entry};
 
 use super::callers::{ask_all, nodes};
-use super::fake::{answer, get, ms, post, run, start, up, Act, Caller, Entered, Upstream, BORN_MS};
+use super::fake::{
+    answer, get, long_post, ms, post, run, start, up, Act, Caller, Entered, Upstream, BORN_MS,
+};
 
 /// Time in which what was sent before the word arrives.
 const UNDER_WAY: Duration = Duration::from_millis(100);
@@ -29,6 +31,7 @@
 #[yare::parameterized(
     by_requests_that_may_be_repeated = { |id| get("/get/1", id) },
     by_requests_that_may_not = { post },
+    by_long_bodies = { long_post },
 )]
 fn an_upstream_that_said_it_leaves_gets_nothing_more(request: fn(&str) -> String) {
     run(async move {
@@ -41,6 +44,42 @@
     });
 }
 
+/// Guards against a word that counts only where its answer is one for the caller.
+#[yare::parameterized(
+    an_error = { "500 Internal Server Error", "x-signature: s\r\ncontent-length: 0\r\n", false },
+    a_refusal = { "503 Service Unavailable", "x-not-run: 1\r\ncontent-length: 0\r\n", false },
+    one_that_is_not_signed = { "200 OK", "content-length: 0\r\n", false },
+    one_that_breaks_off = { "200 OK", "x-signature: s\r\ncontent-length: 9\r\n", true },
+    one_to_an_earlier_request = { "200 OK", "x-id: 0\r\nx-signature: s\r\ncontent-length: 0\r\n", true },
+)]
+fn any_answer_may_say_that_its_upstream_leaves(status: &str, headers: &str, closes: bool) {
+    let id = if headers.starts_with("x-id") { "" } else { "x-id: {id}\r\n" };
+    let said = Act::Write(format!("HTTP/1.1 {status}\r\n{id}x-leaving: 1\r\n{headers}\r\n"));
+    run(async move {
+        let script = if closes { vec![said, Act::Close] } else { vec![said] };
+        let one = Upstream::start(vec![script]);
+        let entered = start(&[&one]);
+        Caller::connect(entered.addr).await.ask(&get("/get/1", "1")).await;
+        let start = crate::start_of(&up("u0"));
+        assert!(entered.node.state.borrow().notices.is_leaving(start, Instant::now()));
+    });
+}
+
+/// Guards against the word of another upstream that has the address by now.
+#[test]
+fn an_answer_of_another_upstream_says_nothing_of_this_one() {
+    run(async {
+        let one = Upstream::start(vec![vec![Act::Write(
+            "HTTP/1.1 421 Misdirected Request\r\nx-id: {id}\r\nx-leaving: 1\r\n\
+             content-length: 0\r\n\r\n"
+                .to_owned(),
+        )]]);
+        let entered = start(&[&one]);
+        Caller::connect(entered.addr).await.ask(&get("/get/1", "1")).await;
+        assert!(entered.node.state.borrow().notices.is_empty());
+    });
+}
+
 /// Guards against a hedge to an upstream that leaves.
 #[test]
 fn a_hedge_does_not_go_to_an_upstream_that_said_it_leaves() {
--- a/crates/edge/src/tests/limits.rs
+++ b/crates/edge/src/tests/limits.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::callers::{ask_all, nodes};
-use super::fake::{answer, get, ms, post, run, Act, Upstream};
+use super::fake::{answer, get, long_post, ms, post, run, Act, Upstream};
 
 /// From when on an upstream that has named its limit gets no more than the bound.
 const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
@@ -33,6 +33,7 @@
 #[yare::parameterized(
     by_requests_that_may_be_repeated = { |id| get("/get/1", id) },
     by_requests_that_may_not = { post },
+    by_long_bodies = { long_post },
 )]
 fn an_upstream_that_named_a_limit_gets_no_more(request: fn(&str) -> String) {
     run(async move {
--- a/crates/edge/src/tests/rests.rs
+++ b/crates/edge/src/tests/rests.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::callers::{ask_all, nodes};
-use super::fake::{answer, get, ms, post, run, start, Act, Caller, Upstream};
+use super::fake::{answer, get, long_post, ms, post, run, start, Act, Caller, Upstream};
 
 /// Time in which what was sent before the word arrives.
 const UNDER_WAY: Duration = Duration::from_millis(500);
@@ -33,6 +33,7 @@
 #[yare::parameterized(
     by_requests_that_may_be_repeated = { |id| get("/get/1", id) },
     by_requests_that_may_not = { post },
+    by_long_bodies = { long_post },
 )]
 fn an_upstream_that_asked_for_rest_is_left_alone(request: fn(&str) -> String) {
     run(async move {
