--- a/crates/edge/src/forward/notices.rs
+++ b/crates/edge/src/forward/notices.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
-use http::{HeaderMap, HeaderName, StatusCode};
-use notice::{share, Change, Field, Notice, Stated};
+use http::{HeaderMap, StatusCode};
+use notice::{Change, Fleet, Notice, Stated};
 use place::Incarnation;
 use quarantine::Start;
 
@@ -27,16 +27,7 @@
         }
         let changes = {
             let state = &mut *self.state.borrow_mut();
-            let names = &state.settings.headers;
-            let refused = status == StatusCode::SERVICE_UNAVAILABLE;
-            let stated = Stated {
-                limit: Field::limit(values(headers, &names.limit)),
-                leaving: Field::leaving(values(headers, &names.leaving)),
-                rest: match refused {
-                    true => Field::rest(values(headers, &http::header::RETRY_AFTER)),
-                    false => Field::Absent,
-                },
-            };
+            let stated = Stated::read(status, headers, &state.settings.headers.notices);
             stated.unreadable().for_each(|what| log_unreadable(upstream, what));
             state.notices.hear(start_of(upstream), &stated, asked_at, moment())
         };
@@ -74,17 +65,13 @@
         let upstreams = self.pools.values().flat_map(|pool| pool.upstreams());
         let zones: HashMap<Start, &str> =
             upstreams.map(|u| (start_of(&u.incarnation), u.zone.as_str())).collect();
-        let settings = &self.settings;
         let peers = self.peers.iter().filter(|(_, peer)| peer.standing <= wire::Standing::Suspect);
-        let share = |start, per_ks| {
-            let is_near = |zone: &str| zones.get(&start) == Some(&zone);
-            let me = share::Node { addr: settings.peer_addr, is_near: is_near(&settings.zone) };
-            let others = peers.clone();
-            let others = others
-                .map(|(addr, peer)| share::Node { addr: *addr, is_near: is_near(&peer.zone) });
-            share::of(start, per_ks, me, others)
+        let fleet = Fleet {
+            me: (self.settings.peer_addr, &self.settings.zone),
+            others: peers.map(|(addr, peer)| (*addr, peer.zone.as_str())).collect(),
+            zones,
         };
-        self.notices.deal(share, now);
+        self.notices.deal(&fleet, now);
     }
 }
 
@@ -108,8 +95,3 @@
         .field("what", what)
         .log();
 }
-
-/// Returns all values of a header.
-fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = &'a [u8]> {
-    headers.get_all(name).iter().map(http::HeaderValue::as_bytes)
-}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -58,10 +58,8 @@
     pub load: HeaderName,
     /// For how many milliseconds more the upstream that answers a probe is cold.
     pub cold_ms: HeaderName,
-    /// Requests a second that the upstream that answers takes from all nodes together.
-    pub limit: HeaderName,
-    /// Present, with 1, when the upstream that answers is about to leave.
-    pub leaving: HeaderName,
+    /// What the upstream that answers states about itself.
+    pub notices: notice::Names,
 }
 
 /// What one entry node is told at start.
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -44,8 +44,10 @@
         not_run: HeaderName::from_static("x-not-run"),
         load: HeaderName::from_static("x-load"),
         cold_ms: HeaderName::from_static("x-cold-ms"),
-        limit: HeaderName::from_static("x-limit"),
-        leaving: HeaderName::from_static("x-leaving"),
+        notices: notice::Names {
+            limit: HeaderName::from_static("x-limit"),
+            leaving: HeaderName::from_static("x-leaving"),
+        },
     }
 }
 
--- a/crates/notice/src/board.rs
+++ b/crates/notice/src/board.rs
@@ -10,7 +10,7 @@
 
 use crate::limit::Limit;
 use crate::rest::Rest;
-use crate::{Field, PerKs, Stated};
+use crate::{Field, Fleet, PerKs, Stated};
 
 /// Starts that are kept at most; the one that was heard of longest ago gives way.
 const KEPT_MOST: usize = 4_096;
@@ -313,13 +313,12 @@
         self.is_undealt
     }
 
-    /// Deals out the limits: `share` returns the requests a second that this node may send to an
-    /// upstream with a limit.
-    pub fn deal(&mut self, share: impl Fn(Start, PerKs) -> Option<f64>, now: Instant) {
+    /// Deals out the limits among the nodes of a fleet.
+    pub fn deal(&mut self, fleet: &Fleet<'_>, now: Instant) {
         self.is_undealt = false;
         for (start, entry) in &mut self.entries {
             if let Some(limit) = &mut entry.limit {
-                limit.deal(|per_ks| share(*start, per_ks), now);
+                limit.deal(|per_ks| fleet.share(*start, per_ks), now);
             }
         }
     }
--- a/crates/notice/src/lib.rs
+++ b/crates/notice/src/lib.rs
@@ -4,7 +4,7 @@
 //! others, and every node sends it what it has asked not to get.
 //!
 //! [`Stated`] is what one answer states; [`Board`] holds what stands of it, by start of an upstream, and
-//! says whether a request may be sent there now; nodes tell each other by [`Notice`]s. [`share`] deals
+//! says whether a request may be sent there now; nodes tell each other by [`Notice`]s. [`Fleet`] deals
 //! a limit out to nodes.
 //!
 //! Everything here is pure: time is passed in.
@@ -12,11 +12,12 @@
 mod board;
 mod limit;
 mod rest;
-pub mod share;
+mod share;
 mod stated;
 
 pub use board::{Board, Change, Moment, News, Noted, Notice, Word};
-pub use stated::{Field, Stated};
+pub use share::Fleet;
+pub use stated::{Field, Names, Stated};
 
 /// Requests in a thousand seconds.
 pub type PerKs = u64;
--- a/crates/notice/src/share.rs
+++ b/crates/notice/src/share.rs
@@ -7,6 +7,7 @@
 //! send it nothing. No node needs to hear what another has sent. Nodes that differ in whom they know
 //! make an owner too many for as long as they do, and what is left of the upstream's tolerance bears it.
 
+use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -22,41 +23,35 @@
 /// What an owner may save up while it has nothing to send, and at least one request.
 const SAVED_FOR: Duration = Duration::from_millis(250);
 
-/// A node that may send.
-#[derive(Clone, Copy, Debug)]
-pub struct Node {
-    /// Its address.
-    pub addr: SocketAddr,
-    /// Whether it is in the availability zone of the upstream: others send there when theirs are full.
-    pub is_near: bool,
+/// The nodes that may send, as one of them knows them, and where upstreams are.
+#[derive(Clone, Debug)]
+pub struct Fleet<'a> {
+    /// This node and its availability zone.
+    pub me: (SocketAddr, &'a str),
+    /// The others that are alive.
+    pub others: Vec<(SocketAddr, &'a str)>,
+    /// Availability zones of upstreams. Nodes of other zones send there when theirs are full.
+    pub zones: HashMap<Start, &'a str>,
 }
 
-impl Node {
-    /// Returns how early it owns an upstream, the least first.
-    fn order(&self, start: Start) -> (bool, u64) {
-        let mut hasher = SipHasher13::new();
-        (start, self.addr).hash(&mut hasher);
-        (!self.is_near, hasher.finish())
+impl Fleet<'_> {
+    /// Returns the requests a second that this node may send to an upstream that takes `per_ks` from all
+    /// nodes; `None` when it is no owner.
+    pub fn share(&self, start: Start, per_ks: PerKs) -> Option<f64> {
+        let mine = self.order(self.me, start);
+        let is_ahead = |other: &&(SocketAddr, &str)| self.order(**other, start) < mine;
+        let ahead = self.others.iter().filter(is_ahead).count();
+        let per_s = per_ks as f64 / 1e3;
+        let owners = (per_s as usize).max(OWNERS_LEAST).min(1 + self.others.len());
+        (ahead < owners).then(|| per_s / owners as f64)
     }
-}
 
-/// Returns the requests a second that `me` may send to an upstream that takes `per_ks` from all nodes;
-/// `None` when it is no owner.
-pub fn of(
-    start: Start,
-    per_ks: PerKs,
-    me: Node,
-    others: impl Iterator<Item = Node>,
-) -> Option<f64> {
-    let mine = me.order(start);
-    let (mut nodes, mut ahead) = (1, 0);
-    for other in others {
-        nodes += 1;
-        ahead += usize::from(other.order(start) < mine);
+    /// Returns how early a node owns an upstream, the least first.
+    fn order(&self, (addr, zone): (SocketAddr, &str), start: Start) -> (bool, u64) {
+        let mut hasher = SipHasher13::new();
+        (start, addr).hash(&mut hasher);
+        (self.zones.get(&start) != Some(&zone), hasher.finish())
     }
-    let per_s = per_ks as f64 / 1e3;
-    let owners = (per_s as usize).max(OWNERS_LEAST).min(nodes);
-    (ahead < owners).then(|| per_s / owners as f64)
 }
 
 /// What an owner may send now.
--- a/crates/notice/src/share/tests.rs
+++ b/crates/notice/src/share/tests.rs
@@ -5,7 +5,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::{of, Allowance, Node};
+use super::{Allowance, Fleet};
 
 /// What an upstream bears beyond its limit, in a window.
 const WINDOW_MS: u64 = 4_000;
@@ -24,7 +24,7 @@
 }
 
 /// What a fleet sends one limited upstream while it would send it much more.
-struct Fleet {
+struct Played {
     nodes: usize,
     per_s: f64,
     /// Nodes that end at half time, which the others notice one after the other within five seconds.
@@ -33,7 +33,7 @@
     unknown: f64,
 }
 
-impl Fleet {
+impl Played {
     /// Returns when requests are sent, in milliseconds.
     fn play(&self, seed: u64) -> Vec<u64> {
         let mut rng = StdRng::seed_from_u64(seed);
@@ -52,10 +52,15 @@
                     ));
                 }
             }
-            let node = |n: usize| Node { addr: addr(n), is_near: n.is_multiple_of(ZONES) };
+            let zone = |n: usize| if n.is_multiple_of(ZONES) { "near" } else { "far" };
             let share = |ms: u64| {
                 let alive = known.iter().filter(|(_, until_ms)| ms < *until_ms);
-                of(start, (self.per_s * 1e3) as u64, node(me), alive.map(|(n, _)| node(*n)))
+                let fleet = Fleet {
+                    me: (addr(me), zone(me)),
+                    others: alive.map(|(n, _)| (addr(*n), zone(*n))).collect(),
+                    zones: [(start, "near")].into(),
+                };
+                fleet.share(start, (self.per_s * 1e3) as u64)
             };
             let mut allowance = Allowance::new(begun);
             for ms in (0..ends_ms(me).min(PLAYED_MS)).step_by(STEP_MS as usize) {
@@ -99,7 +104,7 @@
     views_that_differ_at_twenty = { 105, 20.0, 0, 0.05 },
 )]
 fn all_nodes_together_keep_to_a_limit(nodes: usize, per_s: f64, dying: usize, unknown: f64) {
-    let fleet = Fleet { nodes, per_s, dying, unknown };
+    let fleet = Played { nodes, per_s, dying, unknown };
     for seed in 0..5 {
         let sent = fleet.play(seed);
         let most = most_in_a_window(&sent);
--- a/crates/notice/src/stated.rs
+++ b/crates/notice/src/stated.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use http::{header, HeaderMap, HeaderName, StatusCode};
+
 use crate::PerKs;
 
 /// Highest limit that is told from none at all, in requests a second.
@@ -10,6 +12,15 @@
 /// Longest rest that is told from a longer one, in seconds.
 const REST_MOST_S: f64 = 1e9;
 
+/// Names of the headers that state something.
+#[derive(Clone, Debug)]
+pub struct Names {
+    /// Requests a second that the upstream takes from all nodes together.
+    pub limit: HeaderName,
+    /// 1 when it is about to leave.
+    pub leaving: HeaderName,
+}
+
 /// One field of an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Field<T> {
@@ -53,14 +64,14 @@
 
 impl Field<PerKs> {
     /// Reads a limit: requests a second, a decimal number.
-    pub fn limit<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<PerKs> {
+    fn limit<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<PerKs> {
         Field::read(values, |text| Some((decimal(text)?.min(LIMIT_MOST_PER_S) * 1e3) as PerKs))
     }
 }
 
 impl Field<bool> {
     /// Reads whether the upstream is about to leave: 1, or 0.
-    pub fn leaving<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<bool> {
+    fn leaving<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<bool> {
         Field::read(values, |text| match text {
             "1" => Some(true),
             "0" => Some(false),
@@ -71,12 +82,27 @@
 
 impl Field<Duration> {
     /// Reads the rest that a refusal asks for: seconds, a decimal number.
-    pub fn rest<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<Duration> {
+    fn rest<'a>(values: impl Iterator<Item = &'a [u8]>) -> Field<Duration> {
         Field::read(values, |text| Some(Duration::from_secs_f64(decimal(text)?.min(REST_MOST_S))))
     }
 }
 
 impl Stated {
+    /// Reads what an answer states. Only a refusal for want of room asks for rest: with other answers the
+    /// header says when something else will be.
+    pub fn read(status: StatusCode, headers: &HeaderMap, names: &Names) -> Stated {
+        let values = |name: &HeaderName| headers.get_all(name).iter().map(|value| value.as_bytes());
+        let refuses = status == StatusCode::SERVICE_UNAVAILABLE;
+        Stated {
+            limit: Field::limit(values(&names.limit)),
+            leaving: Field::leaving(values(&names.leaving)),
+            rest: match refuses {
+                true => Field::rest(values(&header::RETRY_AFTER)),
+                false => Field::Absent,
+            },
+        }
+    }
+
     /// Returns the names of the fields that cannot be read.
     pub fn unreadable(&self) -> impl Iterator<Item = &'static str> {
         let limit = (self.limit == Field::Unreadable, "limit");
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use notice::{share, Change, Field, Stated};
+use http::HeaderName;
+use notice::{Change, Field, Fleet, Names, Stated};
 use quarantine::Start;
 
 use crate::gossip;
@@ -21,16 +22,11 @@
 
 /// Reads what an answer states; says so when that cannot be read.
 pub(crate) fn stated(upstream: SocketAddr, response: &web::Response) -> Stated {
-    let values = |name| response.headers().get_all(name).iter().map(http::HeaderValue::as_bytes);
-    let refused = response.status() == http::StatusCode::SERVICE_UNAVAILABLE;
-    let stated = Stated {
-        limit: Field::limit(values(crate::LIMIT)),
-        leaving: Field::leaving(values(crate::LEAVING)),
-        rest: match refused {
-            true => Field::rest(values(http::header::RETRY_AFTER.as_str())),
-            false => Field::Absent,
-        },
+    let names = Names {
+        limit: HeaderName::from_static(crate::LIMIT),
+        leaving: HeaderName::from_static(crate::LEAVING),
     };
+    let stated = Stated::read(response.status(), response.headers(), &names);
     let log =
         |what| log::warn!("upstream={upstream} states its {what} in a way that cannot be read");
     stated.unreadable().for_each(log);
@@ -95,19 +91,15 @@
         let upstreams = self.pools.values().flat_map(|pool| &pool.upstreams);
         let zones: HashMap<Start, &str> =
             upstreams.map(|u| (self.start_at(u.addr), u.zone.as_str())).collect();
-        let settings = &self.settings;
         let is_reachable =
             |peer: &crate::view::Peer| peer.standing.is_some_and(|s| s <= wire::Standing::Suspect);
         let peers = self.peers.iter().filter(|(_, peer)| is_reachable(peer));
-        let share = |start, per_ks| {
-            let is_near = |zone: &str| zones.get(&start) == Some(&zone);
-            let me = share::Node { addr: settings.listen_addr, is_near: is_near(&settings.zone) };
-            let others = peers.clone();
-            let others = others
-                .map(|(addr, peer)| share::Node { addr: *addr, is_near: is_near(&peer.zone) });
-            share::of(start, per_ks, me, others)
+        let fleet = Fleet {
+            me: (self.settings.listen_addr, &self.settings.zone),
+            others: peers.map(|(addr, peer)| (*addr, peer.zone.as_str())).collect(),
+            zones,
         };
-        self.notices.deal(share, now);
+        self.notices.deal(&fleet, now);
     }
 
     /// Returns in which time an upstream of a service may get a call again, where none may now; `None`
