member: hundreds of upstreams that state something at once are told of within a node's means

Each node told four others of each change at once: where a zone's upstreams leave together, four packets a node for each of them.

--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -100,8 +100,8 @@
 
 /// Tells peers what is news of what upstreams state about themselves.
 fn tell_notices(members: &mut member::Members, node: &Node) -> Vec<member::Outgoing> {
-    let news = node.state.borrow_mut().notices.take_news();
-    news.into_iter().flat_map(|news| members.spread_notice(news)).collect()
+    let (news, now) = (node.state.borrow_mut().notices.take_news(), Instant::now());
+    news.into_iter().flat_map(|news| members.spread_notice(news, now)).collect()
 }
 
 fn handle(members: &mut member::Members, input: Input, now: Instant) -> Vec<member::Outgoing> {
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -185,6 +185,7 @@
     next_seq: PingSeq,
     relays: Vec<Relay>,
     leaving: bool,
+    told_at_once: notices::ToldAtOnce,
     events: Vec<Event>,
 }
 
@@ -217,6 +218,7 @@
             next_seq: 0,
             relays: Vec::new(),
             leaving: false,
+            told_at_once: notices::ToldAtOnce::default(),
             events: Vec::new(),
         }
     }
--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -198,7 +198,11 @@
                 board.hear_peer(notice, moment);
             }
         }
-        board.take_news().into_iter().flat_map(|news| members.spread_notice(news)).collect()
+        board
+            .take_news()
+            .into_iter()
+            .flat_map(|news| members.spread_notice(news, moment.at))
+            .collect()
     }
 
     /// Returns what running node `at` believes of node `of`.
--- a/crates/member/src/tests/notices.rs
+++ b/crates/member/src/tests/notices.rs
@@ -79,3 +79,27 @@
     let more = net.bytes.saturating_sub(quiet_bytes) / (40 * NODES as u64);
     assert!(more <= CONTROL_BYTES_PER_S, "{more} bytes a second and node");
 }
+
+/// Guards against hundreds of upstreams that leave at once, each told by every node to four others.
+#[test]
+fn a_zone_that_leaves_at_once_is_told_of_within_the_means_of_a_node() {
+    const NODES: usize = 105;
+    const UPSTREAMS: u64 = 400;
+    /// What all control of a node may send in a second, in bytes.
+    const BYTES_MOST: u64 = 7_000;
+    let mut net = Net::in_zones(NODES, 5, 7);
+    net.run(Duration::from_secs(30));
+    net.bytes = 0;
+    let moment = net.moment();
+    for n in 0..UPSTREAMS {
+        let node = &mut net.nodes[(n % 5) as usize];
+        node.board.hear(Start::of("u", n), &leaves(), None, moment);
+    }
+    net.run(Duration::from_secs(1));
+    let bytes = net.bytes / NODES as u64;
+    assert!(bytes <= BYTES_MOST, "{bytes} bytes a node in the first second");
+    net.run(Duration::from_secs(29));
+    let now = net.now;
+    let all_known = |board: &notice::Board| board.leaving_count(now) == UPSTREAMS as usize;
+    assert_eq!(net.count(all_known), NODES);
+}
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -109,9 +109,10 @@
     members: &mut member::Members,
     notices: &mut notice::Board,
 ) -> Vec<member::Outgoing> {
-    notices.expire(Instant::now());
+    let now = Instant::now();
+    notices.expire(now);
     let news = notices.take_news();
-    news.into_iter().flat_map(|news| members.spread_notice(news)).collect()
+    news.into_iter().flat_map(|news| members.spread_notice(news, now)).collect()
 }
 
 fn handle(
