notice: a limit told again is always later than before; names read as a newcomer

A node whose clock steps back told its limit again with the time of before: peers took it for no news, and the limit would lapse there after 30 s (test: a_clock_that_steps_back_keeps_no_peer_from_hearing).

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -83,13 +83,13 @@
     CallerLeft,
 }
 
-/// Which request an answer is to.
+/// Which request an answer belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Whose {
+pub enum AnswerTo {
     /// The one that was sent.
-    Ours,
+    This,
     /// An earlier one: it comes late, or once too often.
-    Anothers,
+    Earlier,
 }
 
 /// How an exchange ended.
@@ -112,7 +112,7 @@
     mut conn: Conn,
     request: Outgoing,
     names: &HeaderNames,
-    hear: impl Fn(&h1::ResponseHead, Whose),
+    hear: impl Fn(&h1::ResponseHead, AnswerTo),
     rest: F,
 ) -> (Outcome, Option<Conn>)
 where
@@ -144,7 +144,7 @@
     conn: &mut Conn,
     request: Outgoing,
     names: &HeaderNames,
-    hear: impl Fn(&h1::ResponseHead, Whose),
+    hear: impl Fn(&h1::ResponseHead, AnswerTo),
     rest: F,
 ) -> Result<(h1::ResponseHead, bool, Sent), &'static str>
 where
@@ -197,7 +197,7 @@
     reader: &mut h1::Reader,
     method: &Method,
     names: &HeaderNames,
-    hear: impl Fn(&h1::ResponseHead, Whose),
+    hear: impl Fn(&h1::ResponseHead, AnswerTo),
     request_id: &http::HeaderValue,
 ) -> Result<(h1::ResponseHead, bool), &'static str> {
     for foreign in 0..FOREIGN_MOST {
@@ -209,7 +209,7 @@
         };
         match head.headers.get(&names.request_id) {
             Some(echoed) if echoed != request_id => {
-                hear(&head, Whose::Anothers);
+                hear(&head, AnswerTo::Earlier);
                 let mut decoder = h1::Decoder::new(head.framing);
                 if decoder.ends_with_connection() {
                     return Err("answer to another request");
@@ -222,7 +222,7 @@
             }
             None if head.headers.contains_key(&names.signature) => return Err("answer without id"),
             _ => {
-                hear(&head, Whose::Ours);
+                hear(&head, AnswerTo::This);
                 return Ok((head, foreign > 0));
             }
         }
--- a/crates/edge/src/forward/notices.rs
+++ b/crates/edge/src/forward/notices.rs
@@ -36,7 +36,6 @@
             self.conns.close(upstream);
         }
         if !changes.is_empty() {
-            // Sends nothing when there is no news for peers.
             self.wake_gossip();
         }
     }
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -10,7 +10,7 @@
 
 use super::call::{Call, Choice, SendMade};
 use super::Node;
-use crate::exchange::{self, Answer, Outcome, Outgoing, Sent, Whose};
+use crate::exchange::{self, Answer, AnswerTo, Outcome, Outgoing, Sent};
 use crate::state::Outstanding;
 use crate::{as_ms, start_of};
 
@@ -73,8 +73,8 @@
         self.state.borrow_mut().counters.far_sends += u64::from(choice.far);
         let kept = conn.used;
         let asked_at = Instant::now();
-        let hear = |head: &h1::ResponseHead, whose: Whose| {
-            let states_all = whose == Whose::Ours && head.status.is_success();
+        let hear = |head: &h1::ResponseHead, to: AnswerTo| {
+            let states_all = to == AnswerTo::This && head.status.is_success();
             let asked_at = states_all.then_some(asked_at);
             self.hear_notice(&choice.upstream, head.status, &head.headers, asked_at);
         };
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -7,8 +7,8 @@
 //! at-most-once. `GET /load` reports in-flight work, refreshed only every
 //! `load_lag`, as real load reports are stale. A request whose `x-oatcove-timeout-ms` passes in the queue is not
 //! run, and one whose caller goes away is dropped. `POST /admin/mode` turns it
-//! into a straggler, starts a drain, makes it fail fast, has it name a limit, say that it leaves or ask for rest, or has its process crash
-//! under requests of some paths.
+//! into a straggler, starts a drain, makes it fail fast, has it name a limit, say that it leaves or ask
+//! for rest, or has its process crash under requests of some paths.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/notice/src/board/tests.rs
+++ b/crates/notice/src/board/tests.rs
@@ -104,6 +104,22 @@
     assert_eq!(limit_of(&other, clock.at(again_ms + 4)), None);
 }
 
+/// Guards against a limit that lapses on all other nodes once the clock of its owner steps back.
+#[test]
+fn a_clock_that_steps_back_keeps_no_peer_from_hearing() {
+    let (clock, mut one, mut other) = (clock(), Board::default(), Board::default());
+    let again_ms = TOLD_AGAIN_EVERY.as_millis() as u64;
+    for round in 0..3 {
+        let moment = Moment { at: clock.at(round * again_ms), unix_ms: UNIX_MS / (round + 1) };
+        one.hear(start(), &names(1_100), None, moment);
+        for news in one.take_news() {
+            other.hear_peer(&news.notice, clock.moment(round * again_ms));
+        }
+    }
+    let later = clock.at(2 * again_ms) + STANDS_FOR / 2;
+    assert_eq!(limit_of(&other, later), Some(1_100));
+}
+
 /// Guards against a peer whose clock is years ahead: what the upstream says itself goes before.
 #[test]
 fn an_answer_goes_before_what_a_peer_says_of_the_future() {
--- a/crates/notice/src/limit.rs
+++ b/crates/notice/src/limit.rs
@@ -68,8 +68,8 @@
     /// Takes the upstream's own word.
     pub(crate) fn say(&mut self, per_ks: Option<PerKs>, now: Moment) -> Said {
         let is_change = self.standing(now.at) != per_ks;
-        // Later than what others may have said by clocks that are ahead.
-        self.said_unix_ms = now.unix_ms.max(self.said_unix_ms.saturating_add(u64::from(is_change)));
+        // Later than what was said before by a clock that was ahead, another node's or this one's.
+        self.said_unix_ms = now.unix_ms.max(self.said_unix_ms.saturating_add(1));
         self.per_ks = per_ks;
         self.heard_at = now.at;
         let every = match is_change {
--- a/crates/notice/src/share.rs
+++ b/crates/notice/src/share.rs
@@ -3,9 +3,9 @@
 //! The load pattern: hundreds of nodes are told by one upstream that it takes one request a second from
 //! all of them. One a second each is hundreds; a part of it each, saved up, comes at once.
 //!
-//! A few nodes, the same by whoever reckons, therefore own an upstream and share its limit; the others
-//! send it nothing. No node needs to hear what another has sent. Nodes that differ in whom they know
-//! make an owner too many for as long as they do, and what is left of the upstream's tolerance bears it.
+//! A few nodes, which each node works out alike, therefore own an upstream and share its limit; the
+//! others send it nothing. No node needs to hear what another has sent. While nodes differ in whom they
+//! know there may be owners too many, for which there is room in what the upstream tolerates.
 
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
