--- a/crates/oatcove/src/explain.rs
+++ b/crates/oatcove/src/explain.rs
@@ -26,7 +26,7 @@
 ];
 
 /// Events that tell of trouble with an upstream.
-const TROUBLE_EVENTS: [&str; 7] = [
+const TROUBLE_EVENTS: [&str; 10] = [
     "upstream_ended",
     "answer_lost",
     "connect_failed",
@@ -34,6 +34,9 @@
     "not_run_by_upstream",
     "upstream_error",
     "upstream_dropped",
+    "upstream_limited",
+    "upstream_leaving",
+    "upstream_rests",
 ];
 
 /// Returns what is known of `request`, in order: its own lines, and those about the upstreams it
--- a/crates/oatcove/src/explain/tests.rs
+++ b/crates/oatcove/src/explain/tests.rs
@@ -48,3 +48,17 @@
     assert_eq!(by_content.iter().filter(|line| line.starts_with('*')).count(), 5, "{text}");
     assert!(!text.contains("00ef") && text.contains("upstream_ended"), "{text}");
 }
+
+const RESTS: &str = r#"
+node-1 {"unix_ms":1000,"event":"upstream_rests","upstream":"u1","asked_ms":3000,"told_by":"this node"}
+node-2 {"unix_ms":1200,"event":"upstream_leaving","upstream":"u1","told_by":"a peer"}
+node-1 {"unix_ms":1500,"event":"not_run_by_upstream","request":"aa","sends":[{"upstream":"u1"}],"upstream":"u1","status":503}
+"#;
+
+/// Guards against a refusal whose reason, what the upstream had asked for, is not told.
+#[test]
+fn what_an_upstream_had_asked_for_is_told() {
+    let story = explain("aa", RESTS).join("\n");
+    assert!(story.contains("upstream_rests") && story.contains("asked_ms=3000"), "{story}");
+    assert!(story.contains("all nodes, other requests: upstream_leaving=1"), "{story}");
+}
