edge: a feed's end tells why, a configuration by whom it was passed on, a request by which version it was handled

The record's 'failed' stood for four ends: nobody took the connection, the peer took it and passed nothing on, it closed before its first frame, or it fell silent later; they are told apart now, with how long each took. config_applied names the platform or the peer that it came from, and for how long that peer had held it. Every line about a request names the version of the configuration that it is handled by (only refusals did).

--- a/crates/edge/src/follow/apply.rs
+++ b/crates/edge/src/follow/apply.rs
@@ -1,8 +1,10 @@
 //! What was read of the platform, or passed on by a peer, taken into the node's beliefs.
 
-use std::time::Instant;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
 use super::{seen, Event, Topic};
+use crate::as_ms;
 use crate::forward::Node;
 use crate::relay;
 
@@ -10,19 +12,19 @@
 /// their lines would take the place of those about requests.
 const LISTED_ONE_BY_ONE: usize = 20;
 
-/// Takes what a peer passed on of the platform.
+/// Takes what `peer` passed on of the platform.
 ///
 /// # Errors
 ///
 /// [`std::io::ErrorKind::InvalidData`] when a list cannot be read; nothing of it is taken.
-pub(crate) fn adopt(node: &Node, frame: relay::Frame) -> std::io::Result<()> {
+pub(crate) fn adopt(node: &Node, peer: SocketAddr, frame: relay::Frame) -> std::io::Result<()> {
     let now = Instant::now();
     match frame {
         relay::Frame::Alive | relay::Frame::MayBeLate | relay::Frame::Ask { .. } => {}
-        relay::Frame::Config { up_to, newest, table } => {
+        relay::Frame::Config { up_to, newest, table, held_for } => {
             seen(node, Topic::Config, up_to, newest);
             if let Some(table) = table {
-                apply_table(node, table);
+                apply_table(node, table, Origin::Peer(peer, held_for));
             }
         }
         relay::Frame::Evacuated { up_to, newest, zones } => {
@@ -56,7 +58,7 @@
     let mut evacuations = Vec::new();
     for event in events {
         match event {
-            Event::Config(table) => apply_table(node, table),
+            Event::Config(table) => apply_table(node, table, Origin::Platform),
             Event::Evacuation { zone, is_evacuated } => evacuations.push((zone, is_evacuated)),
             Event::Upstream(event) => rows.push(event),
         }
@@ -103,7 +105,14 @@
     apply_changes(node, &changes, now);
 }
 
-fn apply_table(node: &Node, table: route::Table) {
+/// Where a configuration comes from.
+enum Origin {
+    Platform,
+    /// The peer, which has held it for a while.
+    Peer(SocketAddr, Duration),
+}
+
+fn apply_table(node: &Node, table: route::Table, origin: Origin) {
     let (version, routes) = (table.version, table.route_count());
     let held = node.state.borrow().config_version();
     let applied = node.state.borrow_mut().apply_table(table);
@@ -114,11 +123,16 @@
     if version == held {
         return;
     }
-    trace::Line::new(if applied { "config_applied" } else { "config_not_newer" })
+    let line = trace::Line::new(if applied { "config_applied" } else { "config_not_newer" })
         .field("version", version)
         .field("held", held)
-        .field("routes", routes)
-        .log();
+        .field("routes", routes);
+    match origin {
+        Origin::Platform => line.field("from", "platform").log(),
+        Origin::Peer(peer, held_for) => {
+            line.field("from", peer).field("held_for_ms", as_ms(held_for)).log();
+        }
+    }
 }
 
 fn apply_changes(node: &Node, changes: &[place::Change], now: Instant) {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -292,6 +292,7 @@
             content: OnceCell::new(),
             body_start,
             route,
+            config: table.version,
             service,
             most_urgent,
             arrived,
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -26,6 +26,8 @@
     /// Its body as far as it was received when it came.
     pub(super) body_start: Bytes,
     pub(super) route: &'a Route,
+    /// Version of the configuration that it is handled by.
+    pub(super) config: route::Version,
     pub(super) service: ServiceName,
     pub(super) most_urgent: bool,
     pub(super) arrived: Instant,
@@ -126,6 +128,7 @@
             .field("content", self.content())
             .field("route", self.route.name.as_str())
             .field("service", self.service.as_str())
+            .field("config", self.config)
             .field("age_ms", as_ms(self.arrived.elapsed()))
             .field("tried_ms", as_ms(self.tried_for))
             .field("left_ms", as_ms(self.left()))
--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -89,7 +89,7 @@
         loop {
             let choice = match self.choose(call, &tried.upstreams, Patience::Waits).await {
                 Ok(choice) => choice,
-                Err(why) => return self.no_choice(call, table, why, so_far),
+                Err(why) => return self.no_choice(call, why, so_far),
             };
             if tried.upstreams.is_empty() {
                 self.state.borrow_mut().first_send(&call.service);
@@ -123,8 +123,8 @@
         }
     }
 
-    fn no_choice(&self, call: &Call<'_>, table: &Table, why: NoChoice, so_far: SoFar) -> Reply {
-        let line = call.line("refused").field("config", table.version);
+    fn no_choice(&self, call: &Call<'_>, why: NoChoice, so_far: SoFar) -> Reply {
+        let line = call.line("refused");
         let (line, come_back) = match why {
             NoChoice::CallerLeft => return give_up(so_far, COME_BACK),
             NoChoice::HeldBack { come_back } => {
@@ -246,7 +246,7 @@
     ) -> Reply {
         let choice = match self.choose(call, &[], Patience::Waits).await {
             Ok(choice) => choice,
-            Err(why) => return self.no_choice(call, table, why, SoFar::NotRun),
+            Err(why) => return self.no_choice(call, why, SoFar::NotRun),
         };
         self.state.borrow_mut().first_send(&call.service);
         let chunked = !matches!(call.head.framing, h1::Framing::Length(_));
--- a/crates/edge/src/relay/frame.rs
+++ b/crates/edge/src/relay/frame.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use monoio::io::AsyncReadRentExt;
 use monoio::net::TcpStream;
@@ -70,6 +71,8 @@
         newest: Cursor,
         /// The configuration, if there is one yet.
         table: Option<Table>,
+        /// For how long the peer has held it.
+        held_for: Duration,
     },
     /// The availability zones that are evacuated, and that nothing else about the operator's words is
     /// new.
@@ -118,7 +121,8 @@
     pub fn config(state: &State) -> Frame {
         let seen = state.config_seen;
         let table = state.table.as_deref().cloned();
-        Frame::Config { up_to: seen.up_to, newest: seen.newest, table }
+        let held_for = state.table_since.elapsed();
+        Frame::Config { up_to: seen.up_to, newest: seen.newest, table, held_for }
     }
 
     /// Returns the frame of the evacuated zones.
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -1,6 +1,7 @@
 //! Reading the platform through a peer, and whom to ask.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 
 use super::frame::{encode, receive, Frame, Greeting};
 use super::{FIRST_FRAME, LOOK, LOOK_IN_STEP};
+use crate::as_ms;
 use crate::follow::{self, Topic};
 use crate::forward::Node;
 use crate::readers::{self, Way};
@@ -63,10 +65,12 @@
             }
             Way::Later => monoio::time::sleep(LOOK_IN_STEP).await,
             Way::Via(peer) => {
+                let began = Instant::now();
                 let ended = subscribe(&node, peer, referred.is_some(), &mut fed_until).await;
                 trace::Line::new("peer_feed_ended")
                     .field("peer", peer)
                     .field("reason", ended.reason())
+                    .field("took_ms", as_ms(began.elapsed()))
                     .log();
                 let mut state = node.state.borrow_mut();
                 state.reads_through = None;
@@ -93,8 +97,16 @@
 /// Why a subscription ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ended {
-    /// The peer could not be reached, went silent, or sent what is no frame.
-    Failed,
+    /// The peer took no connection.
+    Unreachable,
+    /// The peer took the connection and passed nothing on in time.
+    NoAnswer,
+    /// The peer closed before it had passed anything on: it may not, or does not hold enough.
+    TurnedAway,
+    /// The peer passed something on and then said nothing any more.
+    Silent,
+    /// The peer sent what is no frame, or none that belongs here.
+    Unreadable,
     /// The peer passed something on and then closed: it has lost the platform, or ends.
     Closed,
     /// The peer has seen less than this node or others.
@@ -108,7 +120,11 @@
 impl Ended {
     fn reason(self) -> &'static str {
         match self {
-            Ended::Failed => "failed",
+            Ended::Unreachable => "unreachable",
+            Ended::NoAnswer => "no_answer",
+            Ended::TurnedAway => "turned_away",
+            Ended::Silent => "silent",
+            Ended::Unreadable => "unreadable",
             Ended::Closed => "closed",
             Ended::Behind => "behind",
             Ended::Moved => "moved",
@@ -134,10 +150,10 @@
         false => (CONNECT_TIMEOUT, FIRST_FRAME),
     };
     let connecting = monoio::time::timeout(connect_timeout, TcpStream::connect_addr(peer));
-    let Ok(Ok(mut stream)) = connecting.await else { return Ended::Failed };
+    let Ok(Ok(mut stream)) = connecting.await else { return Ended::Unreachable };
     let greeting = encode(&Greeting::of(&node.state.borrow(), was_referred));
     if stream.write_all(greeting).await.0.is_err() {
-        return Ended::Failed;
+        return Ended::TurnedAway;
     }
     let mut fed = false;
     let mut config_behind = pin!(follow::behind(node, Topic::Config));
@@ -152,16 +168,19 @@
         };
         let frame = match frame {
             Ok(Ok(frame)) => frame,
+            Ok(Err(err)) if err.kind() == io::ErrorKind::InvalidData => return Ended::Unreadable,
             Ok(Err(_)) if fed => {
                 *fed_until = Instant::now();
                 return Ended::Closed;
             }
-            Ok(Err(_)) | Err(_) => return Ended::Failed,
+            Ok(Err(_)) => return Ended::TurnedAway,
+            Err(_) if fed => return Ended::Silent,
+            Err(_) => return Ended::NoAnswer,
         };
         match frame {
             Frame::Ask { peer } if !was_referred => return Ended::Referred(peer),
             // Peers that name each other would keep this node busy asking them.
-            Frame::Ask { .. } => return Ended::Failed,
+            Frame::Ask { .. } => return Ended::TurnedAway,
             _ => {}
         }
         if frame.is_stale(&node.state.borrow()) {
@@ -174,9 +193,9 @@
             (state.direct, state.reads_through) = (false, Some(peer));
             state.list_is_own = false;
         }
-        if let Err(err) = follow::adopt(node, frame) {
+        if let Err(err) = follow::adopt(node, peer, frame) {
             trace::Line::new("peer_frame_refused").field("error", err.to_string()).log();
-            return Ended::Failed;
+            return Ended::Unreadable;
         }
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -161,6 +161,8 @@
     pub settings: Settings,
     /// The configuration in force; `None` before the first.
     pub table: Option<Rc<route::Table>>,
+    /// When it was taken.
+    pub table_since: Instant,
     /// Which upstreams there are.
     pub roster: place::Roster,
     /// Which availability zones are evacuated.
@@ -222,6 +224,7 @@
         State {
             settings,
             table: None,
+            table_since: Instant::now(),
             roster: place::Roster::default(),
             evacuations: place::Evacuations::default(),
             pools: HashMap::new(),
@@ -331,6 +334,7 @@
         self.attempts.retain(known);
         let table = Rc::new(table);
         let before = self.table.replace(table.clone());
+        self.table_since = Instant::now();
         self.unrecorded.push(before, table);
         true
     }
--- a/crates/edge/src/tests/evacuation.rs
+++ b/crates/edge/src/tests/evacuation.rs
@@ -18,7 +18,7 @@
 fn evacuate(entered: &Entered, zones: &[&str]) {
     let zones = zones.iter().map(|zone| Zone::from(*zone)).collect();
     let frame = relay::Frame::Evacuated { up_to: 9, newest: 9, zones };
-    follow::adopt(&entered.node, frame).expect("taken");
+    follow::adopt(&entered.node, super::fleet::addr(2), frame).expect("taken");
 }
 
 /// Symptom: requests reach a zone that an operator has emptied.
