--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -303,7 +303,7 @@
         };
         // Its time has been running since it arrived, also while it waited behind a claim on its
         // connection, or for a node that had just started.
-        let sends = self.sends(&call, &table, body);
+        let sends = self.sends(&call, body);
         let reply = match monoio::time::timeout(call.left(), sends).await {
             Ok(reply) => reply,
             Err(_) => {
--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode};
 use quarantine::Verdict;
-use route::Table;
 use web::h1;
 
 use super::call::{Call, Choice, NoChoice, Tried};
@@ -75,13 +74,12 @@
     pub(super) async fn sends(
         self: &Rc<Node>,
         call: &Call<'_>,
-        table: &Rc<Table>,
         body: Body<'_>,
     ) -> Reply {
         let whole = match body {
             Body::Whole(whole) => whole,
             Body::Long { first, reader, decoder } => {
-                return self.send_long(call, table, first, reader, decoder).await
+                return self.send_long(call, first, reader, decoder).await
             }
         };
         let mut tried = Tried::default();
@@ -239,7 +237,6 @@
     async fn send_long(
         self: &Rc<Node>,
         call: &Call<'_>,
-        table: &Rc<Table>,
         first: Bytes,
         reader: &mut h1::Reader,
         decoder: &mut h1::Decoder,
