--- a/crates/edge/src/forward/sends.rs
+++ b/crates/edge/src/forward/sends.rs
@@ -71,11 +71,7 @@
 
 impl Node {
     /// Sends the request to upstreams until one answers or no further send is allowed.
-    pub(super) async fn sends(
-        self: &Rc<Node>,
-        call: &Call<'_>,
-        body: Body<'_>,
-    ) -> Reply {
+    pub(super) async fn sends(self: &Rc<Node>, call: &Call<'_>, body: Body<'_>) -> Reply {
         let whole = match body {
             Body::Whole(whole) => whole,
             Body::Long { first, reader, decoder } => {
--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -65,6 +65,12 @@
     pub cut: Rc<Cell<bool>>,
     /// Takes calls and answers none of them.
     pub silent: Rc<Cell<bool>>,
+    /// Raised, all waits under way go silent for good, without a sign.
+    pub stalls: Rc<Cell<u32>>,
+    /// The list of upstreams is not answered.
+    pub list_is_silent: Rc<Cell<bool>>,
+    /// Refuses each call, and waits under way.
+    pub refuses: Rc<Cell<bool>>,
 }
 
 impl Platform {
@@ -91,10 +97,13 @@
 impl Source for Platform {
     async fn snapshot(&self, topic: Topic) -> Result<Batch, SourceError> {
         self.snapshots.set(self.snapshots.get() + 1);
-        if self.silent.get() {
+        if self.silent.get() || (topic == Topic::Upstreams && self.list_is_silent.get()) {
             monoio::time::sleep(ms(1_000)).await;
             return Err(SourceError::Unavailable("timed out".into()));
         }
+        if self.refuses.get() {
+            return Err(SourceError::Unavailable("status 503".into()));
+        }
         Ok(self.batch(topic))
     }
 
@@ -103,18 +112,31 @@
         topic: Topic,
         cursor: Cursor,
         wait: Duration,
-        _patience: Duration,
+        patience: Duration,
     ) -> Result<Batch, SourceError> {
         self.waits.set(self.waits.get() + 1);
-        let asked_at = Instant::now();
-        while asked_at.elapsed() < wait {
+        let (asked_at, stalls) = (Instant::now(), self.stalls.get());
+        let refused = || Err(SourceError::Unavailable("status 503".into()));
+        if self.refuses.get() {
+            return refused();
+        }
+        loop {
+            if self.stalls.get() > stalls {
+                monoio::time::sleep((wait + patience).saturating_sub(asked_at.elapsed())).await;
+                return Err(SourceError::Unavailable("timed out".into()));
+            }
+            if self.refuses.get() {
+                return refused();
+            }
             let batch = self.batch(topic);
             if batch.cursor > cursor && !self.cut.get() {
                 return Ok(batch);
             }
+            if asked_at.elapsed() >= wait {
+                return Ok(Batch { events: Vec::new(), cursor, newest: 0 });
+            }
             monoio::time::sleep(ms(5)).await;
         }
-        Ok(Batch { events: Vec::new(), cursor, newest: 0 })
     }
 
     async fn takes_connections(&self, timeout: Duration) -> bool {
--- /dev/null
+++ b/crates/edge/src/tests/in_force.rs
@@ -0,0 +1,79 @@
+//! A configuration that the platform has taken is in force at every node in time.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use super::fake::{metrics, ms, run};
+use super::fleet::{addr, platform, serving, start, state_at, Platform};
+use super::relay::fleet;
+use crate::follow::{self, Topic};
+use crate::forward::Node;
+use crate::state::Peer;
+
+/// Time within which a configuration must be in force.
+const IN_FORCE: Duration = Duration::from_millis(2_000);
+
+/// Time for nodes to find out who reads for whom.
+const SETTLED: Duration = Duration::from_millis(2_500);
+
+/// Puts version 9 and returns how many of `nodes` handle requests by it in time.
+async fn in_force_in_time(platform: &Platform, nodes: &[Rc<Node>]) -> usize {
+    platform.config.set(9);
+    let put_at = Instant::now();
+    let in_force = || nodes.iter().filter(|node| node.state.borrow().config_version() == 9).count();
+    while in_force() < nodes.len() && put_at.elapsed() < IN_FORCE {
+        monoio::time::sleep(ms(10)).await;
+    }
+    in_force()
+}
+
+/// The waits of all readers go silent without a sign, and nobody has seen more.
+#[test]
+fn silent_waits_of_all_readers_do_not_keep_a_configuration_out_of_force() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet(&platform);
+        monoio::time::sleep(SETTLED).await;
+        platform.stalls.set(1);
+        assert_eq!(in_force_in_time(&platform, &nodes).await, nodes.len());
+    });
+}
+
+/// A node of a large fleet has lost the platform and pauses; the platform is back, and others say so.
+#[test]
+fn a_node_that_pauses_after_an_outage_hears_that_others_have_read_on() {
+    run(async {
+        let platform = platform();
+        let (node, _) = start(&platform);
+        for n in 1..=200 {
+            node.state.borrow_mut().peers.insert(addr(n), serving("a"));
+        }
+        monoio::time::sleep(SETTLED).await;
+        platform.refuses.set(true);
+        monoio::time::sleep(ms(100)).await;
+        platform.refuses.set(false);
+        let ahead = Peer { config_head: 9, ..serving("b") };
+        node.state.borrow_mut().peers.insert(addr(9), ahead);
+        assert_eq!(in_force_in_time(&platform, &[node]).await, 1);
+    });
+}
+
+/// The list of upstreams is not answered where the configuration is.
+#[test]
+fn a_configuration_does_not_wait_for_the_list() {
+    run(async {
+        let platform = platform();
+        let mut state = state_at(addr(1), &[]);
+        state.direct = false;
+        let node = Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()));
+        for topic in [Topic::Config, Topic::Upstreams] {
+            monoio::spawn(follow::run(platform.clone(), topic, node.clone()));
+        }
+        platform.list_is_silent.set(true);
+        monoio::time::sleep(ms(200)).await;
+        // Its reader is gone, and it reads the platform itself from now on.
+        node.state.borrow_mut().direct = true;
+        assert_eq!(in_force_in_time(&platform, &[node]).await, 1);
+    });
+}
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod homes;
 mod idle;
+mod in_force;
 mod large;
 mod leaving;
 mod limits;
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -51,7 +51,7 @@
 }
 
 /// Five nodes in one zone, which know each other; the first three by address are readers.
-fn fleet(platform: &Platform) -> Vec<Rc<Node>> {
+pub fn fleet(platform: &Platform) -> Vec<Rc<Node>> {
     let mut nodes: Vec<(Rc<Node>, SocketAddr)> = (0..5).map(|_| start(platform)).collect();
     nodes.sort_by_key(|(_, at)| *at);
     for (node, me) in &nodes {
