lease, edge: a node relies on its peer, and on its own wait, for no longer than the bound allows

Cause: nothing bounded how long a node goes by what it holds. A wait for configurations lasted 25 s; where its connection goes silent without a sign, only keep-alive probes (which whatever holds the connection may answer) or a peer that has seen more ended it. Readers told their subscribers every 300 ms that they live, and that was taken for word that nothing had changed. Where the waits of all readers went silent, nobody had seen more. Class: a sign of life taken as word for something that it did not check.

Change: crate lease, pure. A node keeps, for each topic, as of when it knows everything. Its own waits last two fifths of the bound that the settings name (ConfigApplyMs, DrainMs; were not read), are given up a fifth later, and then made good at once on a new connection, before subscribers are let go. Subscribers ask their reader several times a second and get the age of its lease, counted from when they asked, so that a slow answer cannot make it look newer; a lease that ends at four fifths sends its node to the platform, whatever its peer says. A node whose lease has ended passes nothing on.

Ruled out: shorter waits alone (a reader that is paused, or whose config wait alone is dead, still vouches); following peers' heads only (nobody is ahead when all are deaf).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -21,21 +21,10 @@
 use crate::history::{self, Cursor};
 use crate::readers;
 
-/// Longest time that one wait for changes lasts: an answer that holds nothing
-/// is paid for like any other.
-const WAIT: Duration = Duration::from_secs(25);
-
-/// Time for an answer, beyond what the platform is asked to wait. A platform
-/// eighty times slower than usual answers within 0.4 s.
+/// Time for an answer that the platform is not asked to wait with. A platform eighty times slower than
+/// usual answers within 0.4 s.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// Wait of a reader that others read through, and its patience. The platform
-/// may stop answering one node without a sign. The reader must notice within
-/// its subscribers' two seconds, and an answer that holds nothing, once a
-/// second, is what shows that the platform still answers it.
-const READER_WAIT: Duration = Duration::from_secs(1);
-const READER_PATIENCE: Duration = Duration::from_millis(600);
-
 /// Pause after a change before the next wait begins. Changes come in series,
 /// and each wait ends with the first one: without a pause a series of forty
 /// costs forty calls, with it the rest is taken in one.
@@ -177,19 +166,14 @@
         if cursor.is_none() && topic == Topic::Config {
             until_list_is_read(&node).await;
         }
-        let asked_at = Instant::now();
+        let (asked_at, bound) = (Instant::now(), node.state.borrow().bound(topic));
+        let waits = cursor.is_some() && failures == 0;
         let read = match cursor {
             None => source.snapshot(topic).await,
             // Nothing is kept waiting after a failure: the answer shows at once what was missed.
-            Some(after) if failures > 0 => {
-                source.changes(topic, after, Duration::ZERO, PATIENCE).await
-            }
-            Some(after) if topic == Topic::Upstreams && !node.subscribers.is_empty() => {
-                source.changes(topic, after, READER_WAIT, READER_PATIENCE).await
-            }
+            Some(after) if !waits => source.changes(topic, after, Duration::ZERO, PATIENCE).await,
             Some(after) => monoio::select! {
-                read = source.changes(topic, after, WAIT, PATIENCE) => read,
-                () = until_read_through(&node, topic) => continue,
+                read = source.changes(topic, after, bound.wait(), bound.patience()) => read,
                 () = behind(&node, topic) => Err(SourceError::Behind),
                 () = until_indirect(&node) => continue,
             },
@@ -202,6 +186,11 @@
                 let first = cursor.is_none();
                 let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
                 failures = 0;
+                let as_of = match waits {
+                    true => bound.as_of(asked_at, Instant::now(), batch.events.is_empty()),
+                    false => asked_at,
+                };
+                node.state.borrow_mut().seen_mut(topic).lease.renew(as_of);
                 // Seen before it is applied: what is passed on to subscribers says up to where.
                 let batch = without_older_words(&node, topic, batch);
                 if seen(&node, topic, batch.cursor, batch.newest) {
@@ -232,8 +221,15 @@
                 cursor = None;
                 jittered(RETRY.0)
             }
+            // Its connection may have gone silent alone: a new one tells.
+            Err(err) if waits && asked_at.elapsed() >= bound.wait() => {
+                lost(&node, topic, failures, asked_at, &err);
+                failures += 1;
+                Duration::ZERO
+            }
             Err(err) => {
                 lost(&node, topic, failures, asked_at, &err);
+                let_go(&node, topic, asked_at);
                 failures += 1;
                 let doubled = RETRY.0 * (1 << failures.min(RETRY_DOUBLINGS));
                 let most = readers::longest_pause(&node.state.borrow(), RETRY.1);
@@ -292,11 +288,6 @@
     }
 }
 
-/// Ends when others begin to read the upstreams through this node.
-async fn until_read_through(node: &Node, topic: Topic) {
-    wait_while(LOOK, || topic != Topic::Upstreams || node.subscribers.is_empty()).await;
-}
-
 /// Waits a little after everything was read: usually a peer is found meanwhile that passes the
 /// changes on, and the first wait at the platform is saved. A node that peers ask reads on at once:
 /// after a restart of all nodes it has read a little less than those who ask it, who would turn it
@@ -395,8 +386,6 @@
 fn lost(node: &Node, topic: Topic, failures: u32, asked_at: Instant, err: &SourceError) {
     if topic == Topic::Upstreams {
         node.state.borrow_mut().roster.store_lost(asked_at);
-        // They may be answered where this node is not.
-        node.subscribers.drop_all(asked_at.elapsed() > READER_WAIT);
     }
     if failures == 0 {
         trace::Line::new("store_lost")
@@ -406,6 +395,12 @@
     }
 }
 
+/// Lets subscribers go: they may be answered where this node is not.
+fn let_go(node: &Node, topic: Topic, asked_at: Instant) {
+    let bound = node.state.borrow().bound(topic);
+    node.subscribers.drop_all(asked_at.elapsed() > bound.wait());
+}
+
 fn regained(node: &Node, topic: Topic, failures: u32) {
     if topic == Topic::Upstreams {
         let state = &mut *node.state.borrow_mut();
--- a/crates/edge/src/follow/apply.rs
+++ b/crates/edge/src/follow/apply.rs
@@ -20,7 +20,7 @@
 pub(crate) fn adopt(node: &Node, peer: SocketAddr, frame: relay::Frame) -> std::io::Result<()> {
     let now = Instant::now();
     match frame {
-        relay::Frame::Alive | relay::Frame::MayBeLate | relay::Frame::Ask { .. } => {}
+        relay::Frame::Sure { .. } | relay::Frame::MayBeLate | relay::Frame::Ask { .. } => {}
         relay::Frame::Config { up_to, newest, table, held_for } => {
             seen(node, Topic::Config, up_to, newest);
             if let Some(table) = table {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -85,6 +85,10 @@
     pub policy: place::Policy,
     /// Reads the load header of an upstream's answer.
     pub read_load: fn(&str) -> Option<place::Load>,
+    /// Time within which a configuration that the platform took must be in force.
+    pub config_bound: lease::Bound,
+    /// The same for what changes about upstreams.
+    pub list_bound: lease::Bound,
     /// How long callers may keep a directory answer.
     pub directory_ttl: Duration,
     /// Time from the signal to stop until the process is killed.
--- a/crates/edge/src/relay/frame.rs
+++ b/crates/edge/src/relay/frame.rs
@@ -3,10 +3,9 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use monoio::io::AsyncReadRentExt;
-use monoio::net::TcpStream;
 use place::{Change, Entry, Event, Zone};
 use route::Table;
 use serde::de::DeserializeOwned;
@@ -56,11 +55,25 @@
     }
 }
 
+/// Asks as of when what was passed on is everything. The greeting asks that too.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Ask {
+    /// When, since the subscription began at the subscriber; it comes back with the answer.
+    pub(super) asked_after: Duration,
+}
+
 /// One message to a subscriber.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Frame {
-    /// The peer is alive; nothing changed.
-    Alive,
+    /// All that the peer knows was passed on before; it answers an [`Ask`].
+    Sure {
+        /// What the question said.
+        asked_after: Duration,
+        /// How long ago the peer knew everything about the configuration.
+        config_age: Option<Duration>,
+        /// The same for the list of upstreams.
+        list_age: Option<Duration>,
+    },
     /// The peer may have missed changes for a second already: the platform must be read at once.
     MayBeLate,
     /// The configuration as the peer holds it.
@@ -117,6 +130,16 @@
 }
 
 impl Frame {
+    /// Returns the answer to a question.
+    pub(super) fn sure(state: &State, asked: Ask) -> Frame {
+        let now = Instant::now();
+        Frame::Sure {
+            asked_after: asked.asked_after,
+            config_age: state.config_seen.lease.age(now),
+            list_age: state.list_seen.lease.age(now),
+        }
+    }
+
     /// Returns the frame of the configuration held.
     pub fn config(state: &State) -> Frame {
         let seen = state.config_seen;
@@ -156,7 +179,9 @@
             }
             Frame::List { up_to, .. } => *up_to < state.list_seen.newest,
             Frame::MayBeLate => true,
-            Frame::Alive | Frame::Read { .. } | Frame::Changes { .. } | Frame::Ask { .. } => false,
+            Frame::Sure { .. } | Frame::Read { .. } | Frame::Changes { .. } | Frame::Ask { .. } => {
+                false
+            }
         }
     }
 }
@@ -179,7 +204,11 @@
 }
 
 /// Receives one message.
-pub(super) async fn receive<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+pub(super) async fn receive<T, R>(stream: &mut R) -> io::Result<T>
+where
+    T: DeserializeOwned,
+    R: AsyncReadRentExt,
+{
     let (read, length) = stream.read_exact(vec![0; 4]).await;
     read?;
     let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -1,20 +1,21 @@
 //! Passing on what this node holds, and whether it may.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use monoio::io::AsyncWriteRentExt;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::frame::{encode, receive, Frame, Greeting};
+use super::frame::{encode, receive, Ask, Frame, Greeting};
+use super::subscribers::{Frames, Queue};
 use super::{FIRST_FRAME, LOOK, LOOK_IN_STEP};
-use crate::follow;
+use crate::follow::{self, Topic};
 use crate::forward::Node;
 use crate::state::State;
 
-/// How often a subscriber is told that its peer is alive.
-const ALIVE_EVERY: Duration = Duration::from_millis(300);
+/// A subscriber that asks nothing for this long is gone. They ask several times a second.
+const ASKS_WITHIN: Duration = Duration::from_secs(10);
 
 /// How often a reader with subscribers makes sure that it reaches the platform.
 const PATH_EVERY: Duration = Duration::from_millis(300);
@@ -74,8 +75,12 @@
 /// meanwhile. Passed on, they would come back to life at nodes that had
 /// rightly let them go.
 fn may_pass_on(state: &State, greeting: &Greeting) -> bool {
-    let current =
-        state.reaches_platform && !state.roster.store_is_away() && !state.roster.keeps_unlisted();
+    let now = Instant::now();
+    let sure = [Topic::Config, Topic::Upstreams].into_iter().all(|topic| state.is_sure(topic, now));
+    let current = sure
+        && state.reaches_platform
+        && !state.roster.store_is_away()
+        && !state.roster.keeps_unlisted();
     let enough = state.config_seen.up_to >= greeting.config_newest
         && state.list_seen.up_to >= greeting.list_newest;
     state.is_in_step() && enough && (current || greeting.takes_anything)
@@ -124,7 +129,7 @@
 }
 
 async fn serve_one(mut stream: TcpStream, node: Rc<Node>) {
-    let greeting = monoio::time::timeout(FIRST_FRAME, receive::<Greeting>(&mut stream));
+    let greeting = monoio::time::timeout(FIRST_FRAME, receive::<Greeting, _>(&mut stream));
     let Ok(Ok(greeting)) = greeting.await else { return };
     if let Some(peer) = refer(&node, &greeting) {
         // A newcomer that does not hear of the other one asks again.
@@ -135,23 +140,48 @@
         return;
     }
     // What is held now and all that follows: nothing is awaited in between, so no change is lost.
-    let mut first = {
+    let first = {
         let state = node.state.borrow();
         let mut bytes = encode(&Frame::config(&state));
         bytes.extend_from_slice(&encode(&Frame::evacuated(&state)));
         bytes.extend_from_slice(&encode(&node.subscribers.list(&state)));
+        bytes.extend_from_slice(&encode(&Frame::sure(&state, Ask { asked_after: Duration::ZERO })));
         bytes
     };
-    let mut frames = node.subscribers.add();
+    let (queue, frames) = node.subscribers.add();
+    let (asks, stream) = stream.into_split();
+    monoio::select! {
+        () = pass_on(&node, &greeting.zone, stream, first, frames) => {}
+        () = answer(&node, asks, queue) => {}
+    }
+}
+
+/// Passes on to a subscriber until it is let go, or gone.
+async fn pass_on<W: AsyncWriteRentExt>(
+    node: &Node,
+    zone: &str,
+    mut stream: W,
+    mut bytes: Vec<u8>,
+    mut frames: Frames,
+) {
     loop {
-        count_passed_on(&node, &greeting.zone, first.len() as u64);
-        if stream.write_all(std::mem::take(&mut first)).await.0.is_err() {
+        count_passed_on(node, zone, bytes.len() as u64);
+        if stream.write_all(bytes).await.0.is_err() {
             return;
         }
-        first = match monoio::time::timeout(ALIVE_EVERY, frames.next()).await {
-            Ok(Some(bytes)) => bytes.as_ref().clone(),
-            Ok(None) => return,
-            Err(_) => encode(&Frame::Alive),
+        bytes = match monoio::time::timeout(ASKS_WITHIN, frames.next()).await {
+            Ok(Some(frame)) => frame.as_ref().clone(),
+            Ok(None) | Err(_) => return,
         };
     }
 }
+
+/// Answers what a subscriber asks, behind all that was passed on before.
+async fn answer<R: AsyncReadRent>(node: &Node, mut asks: R, queue: Weak<Queue>) {
+    while let Ok(ask) = receive::<Ask, _>(&mut asks).await {
+        let frame = Rc::new(encode(&Frame::sure(&node.state.borrow(), ask)));
+        if !queue.upgrade().is_some_and(|queue| queue.push(frame)) {
+            return;
+        }
+    }
+}
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -1,5 +1,6 @@
 //! Reading the platform through a peer, and whom to ask.
 
+use std::cell::Cell;
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -7,18 +8,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use monoio::io::AsyncWriteRentExt;
+use monoio::io::{AsyncWriteRentExt, Splitable};
 use monoio::net::TcpStream;
 
-use super::frame::{encode, receive, Frame, Greeting};
+use super::frame::{encode, receive, Ask, Frame, Greeting};
 use super::{FIRST_FRAME, LOOK, LOOK_IN_STEP};
 use crate::as_ms;
 use crate::follow::{self, Topic};
 use crate::forward::Node;
 use crate::readers::{self, Way};
+use crate::state::State;
 
-/// A peer that says nothing for this long is given up. What it does not pass
-/// on must be in force two seconds after it was accepted.
+/// A peer that says nothing for this long is given up: it is asked several times a second.
 const SILENT_FOR: Duration = Duration::from_millis(1_000);
 
 /// Time for a peer to take the connection.
@@ -37,6 +38,9 @@
 /// it is most likely back within a few tenths of a second.
 const AVOID_FOR_A_MOMENT: Duration = Duration::from_millis(100);
 
+/// How often a node looks whether it is still sure of what its peer passed on.
+const LOOK_IF_SURE: Duration = Duration::from_millis(50);
+
 /// A reader that the platform turned away tries it again after this long.
 const TRY_AGAIN: Duration = Duration::from_millis(1_500);
 
@@ -88,7 +92,7 @@
                 let soon_back = ended == Ended::Closed || starts;
                 let avoid_for = if soon_back { AVOID_FOR_A_MOMENT } else { AVOID_FOR };
                 avoided.insert(peer, Instant::now() + avoid_for);
-                state.direct |= search_is_over || ended == Ended::Behind;
+                state.direct |= search_is_over || matches!(ended, Ended::Behind | Ended::Unsure);
             }
         }
     }
@@ -111,6 +115,8 @@
     Closed,
     /// The peer has seen less than this node or others.
     Behind,
+    /// The peer lives, but nobody can tell that it has missed nothing.
+    Unsure,
     /// The peer is no longer the one to ask.
     Moved,
     /// The peer named another one to ask.
@@ -127,6 +133,7 @@
             Ended::Unreadable => "unreadable",
             Ended::Closed => "closed",
             Ended::Behind => "behind",
+            Ended::Unsure => "unsure",
             Ended::Moved => "moved",
             Ended::Referred(_) => "referred",
         }
@@ -150,31 +157,38 @@
         false => (CONNECT_TIMEOUT, FIRST_FRAME),
     };
     let connecting = monoio::time::timeout(connect_timeout, TcpStream::connect_addr(peer));
-    let Ok(Ok(mut stream)) = connecting.await else { return Ended::Unreachable };
+    let Ok(Ok(stream)) = connecting.await else { return Ended::Unreachable };
     let greeting = encode(&Greeting::of(&node.state.borrow(), was_referred));
+    let (mut frames, mut stream) = stream.into_split();
+    let began = Instant::now();
     if stream.write_all(greeting).await.0.is_err() {
         return Ended::TurnedAway;
     }
-    let mut fed = false;
+    // Set once the peer has said as of when it knows everything.
+    let fed = Cell::new(false);
+    let mut asking = pin!(ask(node, stream, began));
     let mut config_behind = pin!(follow::behind(node, Topic::Config));
     let mut list_behind = pin!(follow::behind(node, Topic::Upstreams));
+    let mut unsure = pin!(until_unsure(node, &fed));
     let mut moved = pin!(until_moved(node, peer));
     loop {
         let frame = monoio::select! {
-            frame = monoio::time::timeout(patience, receive::<Frame>(&mut stream)) => frame,
+            frame = monoio::time::timeout(patience, receive::<Frame, _>(&mut frames)) => frame,
+            () = &mut asking => return Ended::Closed,
             () = &mut config_behind => return Ended::Behind,
             () = &mut list_behind => return Ended::Behind,
+            () = &mut unsure => return Ended::Unsure,
             () = &mut moved => return Ended::Moved,
         };
         let frame = match frame {
             Ok(Ok(frame)) => frame,
             Ok(Err(err)) if err.kind() == io::ErrorKind::InvalidData => return Ended::Unreadable,
-            Ok(Err(_)) if fed => {
+            Ok(Err(_)) if fed.get() => {
                 *fed_until = Instant::now();
                 return Ended::Closed;
             }
             Ok(Err(_)) => return Ended::TurnedAway,
-            Err(_) if fed => return Ended::Silent,
+            Err(_) if fed.get() => return Ended::Silent,
             Err(_) => return Ended::NoAnswer,
         };
         match frame {
@@ -186,16 +200,60 @@
         if frame.is_stale(&node.state.borrow()) {
             return Ended::Behind;
         }
-        (patience, fed) = (SILENT_FOR, true);
         *fed_until = Instant::now();
-        {
-            let mut state = node.state.borrow_mut();
-            (state.direct, state.reads_through) = (false, Some(peer));
-            state.list_is_own = false;
+        match frame {
+            Frame::Sure { asked_after, config_age, list_age } => {
+                let state = &mut *node.state.borrow_mut();
+                let asked_at = began + asked_after;
+                renew(state, Topic::Config, asked_at, config_age);
+                renew(state, Topic::Upstreams, asked_at, list_age);
+                (state.direct, state.reads_through) = (false, Some(peer));
+                state.list_is_own = false;
+                patience = SILENT_FOR;
+                fed.set(true);
+            }
+            frame => {
+                if let Err(err) = follow::adopt(node, peer, frame) {
+                    trace::Line::new("peer_frame_refused").field("error", err.to_string()).log();
+                    return Ended::Unreadable;
+                }
+            }
+        }
+    }
+}
+
+/// Takes how old what a peer knows of a topic was when it was asked.
+fn renew(state: &mut State, topic: Topic, asked_at: Instant, age: Option<Duration>) {
+    let as_of = age.and_then(|age| asked_at.checked_sub(age));
+    as_of.into_iter().for_each(|as_of| state.seen_mut(topic).lease.renew(as_of));
+}
+
+/// Asks the peer again and again as of when it knows everything; ends when it takes no more.
+async fn ask<W: AsyncWriteRentExt>(node: &Node, mut stream: W, began: Instant) {
+    loop {
+        let every = {
+            let settings = &node.state.borrow().settings;
+            settings.config_bound.ask_every().min(settings.list_bound.ask_every())
+        };
+        monoio::time::sleep(every).await;
+        let ask = Ask { asked_after: began.elapsed() };
+        if stream.write_all(encode(&ask)).await.0.is_err() {
+            return;
         }
-        if let Err(err) = follow::adopt(node, peer, frame) {
-            trace::Line::new("peer_frame_refused").field("error", err.to_string()).log();
-            return Ended::Unreadable;
+    }
+}
+
+/// Ends once the node is no longer sure that what its peer passed on is everything.
+///
+/// A peer may live and answer while its own wait at the platform has gone silent, and where all
+/// readers' waits have, no other node can tell of what was missed.
+async fn until_unsure(node: &Node, fed: &Cell<bool>) {
+    loop {
+        monoio::time::sleep(LOOK_IF_SURE).await;
+        let (state, now) = (node.state.borrow(), Instant::now());
+        let topics = [Topic::Config, Topic::Upstreams];
+        if fed.get() && !topics.into_iter().all(|topic| state.is_sure(topic, now)) {
+            return;
         }
     }
 }
--- a/crates/edge/src/relay/subscribers.rs
+++ b/crates/edge/src/relay/subscribers.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Instant;
 
 use local_sync::mpsc::unbounded;
@@ -19,7 +19,7 @@
 /// Peers that are told of changes.
 #[derive(Default)]
 pub struct Subscribers {
-    queues: RefCell<Vec<Queue>>,
+    queues: RefCell<Vec<Rc<Queue>>>,
     /// The upstreams, encoded, until something changes about them.
     entries: RefCell<Option<Vec<u8>>>,
     /// Peers that have asked for more than this node has read.
@@ -52,14 +52,14 @@
 }
 
 /// Encoded frames on their way to one subscriber.
-struct Queue {
+pub(super) struct Queue {
     frames: unbounded::Tx<Rc<Vec<u8>>>,
     waiting: Rc<Cell<usize>>,
 }
 
 impl Queue {
     /// Adds a frame; false when the subscriber is gone or too slow.
-    fn push(&self, frame: Rc<Vec<u8>>) -> bool {
+    pub(super) fn push(&self, frame: Rc<Vec<u8>>) -> bool {
         self.waiting.set(self.waiting.get() + 1);
         self.waiting.get() <= FRAMES_WAITING && self.frames.send(frame).is_ok()
     }
@@ -97,12 +97,14 @@
         queues.retain(|queue| queue.push(bytes.clone()));
     }
 
-    /// Adds a subscriber.
-    pub(super) fn add(&self) -> Frames {
+    /// Adds a subscriber; returns where its frames go in, until it is let go, and where they come out.
+    pub(super) fn add(&self) -> (Weak<Queue>, Frames) {
         let (queue, frames) = unbounded::channel();
         let waiting = Rc::new(Cell::new(0));
-        self.queues.borrow_mut().push(Queue { frames: queue, waiting: waiting.clone() });
-        Frames { frames, waiting }
+        let queue = Rc::new(Queue { frames: queue, waiting: waiting.clone() });
+        let weak = Rc::downgrade(&queue);
+        self.queues.borrow_mut().push(queue);
+        (weak, Frames { frames, waiting })
     }
 
     /// Counts a peer as asking while what this returns lives.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -100,6 +100,8 @@
     pub newest: Cursor,
     /// Whether anything was read at all: the history of an empty store ends at 0.
     pub read: bool,
+    /// As of when that is everything.
+    pub lease: lease::Lease,
 }
 
 /// Counters since start.
@@ -258,6 +260,8 @@
     pub fn reload(&mut self, settings: Settings) {
         let own = &mut self.settings;
         own.seed_addrs = settings.seed_addrs;
+        own.config_bound = settings.config_bound;
+        own.list_bound = settings.list_bound;
         own.directory_ttl = settings.directory_ttl;
         own.stop_grace = settings.stop_grace;
         own.retry_ratio = settings.retry_ratio;
@@ -304,6 +308,27 @@
         }
     }
 
+    /// Returns what was seen of a topic.
+    pub fn seen(&self, topic: Topic) -> &Seen {
+        match topic {
+            Topic::Config => &self.config_seen,
+            Topic::Upstreams => &self.list_seen,
+        }
+    }
+
+    /// Returns the time within which changes of a topic must be in force.
+    pub fn bound(&self, topic: Topic) -> lease::Bound {
+        match topic {
+            Topic::Config => self.settings.config_bound,
+            Topic::Upstreams => self.settings.list_bound,
+        }
+    }
+
+    /// Returns true while what was read of a topic may be relied on.
+    pub fn is_sure(&self, topic: Topic, now: Instant) -> bool {
+        self.seen(topic).lease.is_valid(self.bound(topic), now)
+    }
+
     /// Returns true when both topics were read from the platform or a peer.
     pub fn is_in_step(&self) -> bool {
         self.config_seen.read && self.list_seen.read
--- a/crates/edge/src/tests/beliefs.rs
+++ b/crates/edge/src/tests/beliefs.rs
@@ -146,8 +146,8 @@
 #[test]
 fn being_behind_is_told_by_topic() {
     let mut state = State::new(settings());
-    state.config_seen = Seen { up_to: 10, newest: 8, read: true };
-    state.list_seen = Seen { up_to: 10, newest: 9, read: true };
+    state.config_seen = Seen { up_to: 10, newest: 8, read: true, ..Seen::default() };
+    state.list_seen = Seen { up_to: 10, newest: 9, read: true, ..Seen::default() };
     let ahead = Peer { list_head: 11, ..peer("a", Standing::Alive, 10) };
     state.peers.insert(addr(1), ahead);
     assert!(state.is_behind(Topic::Upstreams));
--- a/crates/edge/src/tests/crashing.rs
+++ b/crates/edge/src/tests/crashing.rs
@@ -265,7 +265,8 @@
         {
             let state = &mut *node.state.borrow_mut();
             state.direct = true;
-            state.config_seen = state::Seen { up_to: 7, newest: 7, read: true };
+            state.config_seen =
+                state::Seen { up_to: 7, newest: 7, read: true, ..state::Seen::default() };
             state.list_seen = state.config_seen;
         }
         monoio::spawn(holds::run(self.clone(), node.clone()));
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -64,6 +64,8 @@
         headers: names(),
         policy: place::Policy::Reports,
         read_load: |_| None,
+        config_bound: lease::Bound::new(Duration::from_secs(2)),
+        list_bound: lease::Bound::new(Duration::from_secs(2)),
         directory_ttl: Duration::from_secs(3),
         stop_grace: Duration::from_secs(6),
         retry_ratio: 0.2,
