edge: a configuration that may be out of date is not kept waiting for the list of upstreams

A node that lost its reader read the configuration only once the list of upstreams was read, or after three seconds: longer than any bound. The wait saves calls to a platform that answers nobody, and stays for as long as the node is sure of its configuration; with the lease ended it reads at once.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -320,13 +320,13 @@
 /// its reader and serves meanwhile by what it holds.
 ///
 /// The load pattern: the platform is silent, the readers let hundreds of nodes go at once, and each
-/// asks for both topics in vain, again and again: of 3,100 calls of a day half were these.
+/// asks for both topics in vain, again and again: of 3,100 calls of a day half were these. A node that
+/// is not sure of its configuration any more does not wait.
 async fn until_list_is_read(node: &Node) {
-    let since = Instant::now();
     let may_wait = || {
         let state = node.state.borrow();
         let serves = state.direct && state.is_in_step();
-        serves && !state.list_is_own && since.elapsed() < WAIT_FOR_OTHER
+        serves && !state.list_is_own && state.is_sure(Topic::Config, Instant::now())
     };
     wait_while(LOOK_AT_START, may_wait).await;
 }
