edge: a node that pauses after a failed read ends the pause once peers have seen more

Nodes that are no readers spread their calls to a platform that does not answer over the size of the fleet: up to 2.8 s between two calls at 141 nodes, 6 s at 312, counting on a reader to bring them back in step first. A peer that has seen more shows that the platform answers again: the pause is over then, and so is the wait of the follower of the configuration for that of the list. A platform that answers nobody gets no more calls than before.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -238,7 +238,7 @@
                 jittered(if most > RETRY.1 { most } else { doubled.min(most) })
             }
         };
-        monoio::time::sleep(pause).await;
+        pause_unless_behind(&node, topic, pause).await;
         if failures > 0 && topic == Topic::Config {
             wait_for_other(&node).await;
         }
@@ -288,6 +288,13 @@
     }
 }
 
+/// Pauses, and no longer than usual once peers have seen more: the platform answers them.
+async fn pause_unless_behind(node: &Node, topic: Topic, pause: Duration) {
+    let since = Instant::now();
+    monoio::time::sleep(pause.min(RETRY.1)).await;
+    wait_while(LOOK, || since.elapsed() < pause && !node.state.borrow().is_behind(topic)).await;
+}
+
 /// Waits a little after everything was read: usually a peer is found meanwhile that passes the
 /// changes on, and the first wait at the platform is saved. A node that peers ask reads on at once:
 /// after a restart of all nodes it has read a little less than those who ask it, who would turn it
@@ -331,10 +338,13 @@
     wait_while(LOOK_AT_START, may_wait).await;
 }
 
-/// Waits while the platform does not answer the follower of the upstreams either.
+/// Waits while the platform does not answer the follower of the upstreams either, nor peers.
 async fn wait_for_other(node: &Node) {
     let since = Instant::now();
-    let is_away = || node.state.borrow().roster.store_is_away();
+    let is_away = || {
+        let state = node.state.borrow();
+        state.roster.store_is_away() && !state.is_behind(Topic::Config)
+    };
     wait_while(LOOK, || is_away() && since.elapsed() < WAIT_FOR_OTHER).await;
 }
 
