place: an entry that was put off is forgotten once a newer list does not hold it

Cause: after the store came back from an older copy, the entry of an upstream that was let go is put off until its writer could write again. A list that was read or passed on meanwhile and no longer held it dropped upstreams in use only, not such entries: at the end of the time it counted, and nobody told of the upstream again. Ruled out: the store (three nodes read the newer state at 17.1 s) and the reader that passed the list on (it never listed the upstream). Both ways in, whole and adopt, forget such entries now; evacuations did already.

--- a/crates/place/src/roster.rs
+++ b/crates/place/src/roster.rs
@@ -177,8 +177,10 @@
         self.entries.is_empty()
     }
 
-    /// Returns the upstreams held that `listed` does not hold.
-    fn not_in(&self, listed: &HashSet<&UpstreamId>) -> Vec<UpstreamId> {
+    /// Returns the upstreams held that `listed` does not hold, and forgets entries whose time was to
+    /// come.
+    fn not_in(&mut self, listed: &HashSet<&UpstreamId>) -> Vec<UpstreamId> {
+        self.doubted.retain(|id, _| listed.contains(id));
         self.entries.keys().filter(|id| !listed.contains(id)).cloned().collect()
     }
 
--- a/crates/place/src/roster/tests.rs
+++ b/crates/place/src/roster/tests.rs
@@ -75,6 +75,27 @@
     assert_eq!(roster.len(), 3, "nobody has written that the second is gone");
 }
 
+/// After the store went back, a newer list, read or passed on, no longer holds an upstream that was let go.
+#[yare::parameterized(read = { false }, passed_on = { true })]
+fn an_upstream_that_a_newer_list_does_not_hold_is_not_taken_back(is_passed_on: bool) {
+    let now = Instant::now();
+    let mut roster = roster(3, now);
+    let leaves = Event::Put(Entry { leaving: true, ..entry(2, "a") });
+    roster.apply(vec![leaves], now);
+    let back = now + ms(1_000);
+    roster.store_went_back(back);
+    roster.whole([1, 2, 3].map(|n| Event::Put(entry(n, "a"))).into(), back);
+    let listed = [entry(1, "a"), entry(3, "a")];
+    let later = back + ms(1_000);
+    let changes = match is_passed_on {
+        true => roster.adopt(listed.into(), later),
+        false => roster.whole(listed.map(Event::Put).into(), later),
+    };
+    assert!(changes.iter().all(|change| matches!(change, Change::Put(_))), "{changes:?}");
+    assert!(roster.expire(back + ms(2_300)).is_empty());
+    assert_eq!(roster.len(), 2);
+}
+
 /// Symptom: a node that was cut off sends requests to an upstream that left twelve seconds ago.
 /// Sequence: the node is cut off from the store; an upstream drains and leaves; the cut heals;
 /// the node reads the list and finds the entry missing.
