--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -8,6 +8,7 @@
 use opentelemetry::metrics::{Gauge, Histogram};
 use opentelemetry::KeyValue;
 
+use crate::follow::Topic;
 use crate::state::{Counters, State};
 
 /// Bounds of the request-time histogram, in seconds.
@@ -48,6 +49,8 @@
     request_seconds: Histogram<f64>,
     in_flight: Gauge<u64>,
     config_version: Gauge<u64>,
+    config_unsure: Gauge<u64>,
+    list_unsure: Gauge<u64>,
     upstreams: Gauge<u64>,
     peers_alive: Gauge<u64>,
     store_away: Gauge<u64>,
@@ -75,6 +78,8 @@
             ),
             in_flight: carried.gauge("oatcove_in_flight"),
             config_version: carried.gauge("oatcove_config_version"),
+            config_unsure: carried.gauge("oatcove_config_unsure"),
+            list_unsure: carried.gauge("oatcove_list_unsure"),
             upstreams: carried.gauge("oatcove_upstreams_listed"),
             peers_alive: carried.gauge("oatcove_peers_alive"),
             store_away: carried.gauge("oatcove_store_away"),
@@ -107,6 +112,9 @@
         self.store_away.record(u64::from(state.roster.store_is_away()), &[]);
         self.held_back.record(state.quarantine.held().count() as u64, &[]);
         let now = Instant::now();
+        let unsure = |topic| u64::from(!state.is_sure(topic, now));
+        self.config_unsure.record(unsure(Topic::Config), &[]);
+        self.list_unsure.record(unsure(Topic::Upstreams), &[]);
         self.limited.record(state.notices.limited_count(now) as u64, &[]);
         self.leaving.record(state.notices.leaving_count(now) as u64, &[]);
         self.resting.record(state.notices.resting_count(now) as u64, &[]);
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -30,6 +30,10 @@
     pub config_head: Cursor,
     /// Newest change of the list of upstreams that was seen.
     pub list_head: Cursor,
+    /// How long ago the node knew everything about the configuration; `None` before that.
+    pub config_age_ms: Option<u64>,
+    /// The same for the list of upstreams.
+    pub list_age_ms: Option<u64>,
     /// How it hears of changes.
     pub reads: Reads,
     /// For how long the platform has not answered this node.
@@ -128,6 +132,8 @@
             config_version: state.config_version(),
             config_head: state.config_seen.newest,
             list_head: state.list_seen.newest,
+            config_age_ms: state.config_seen.lease.age(now).map(as_ms),
+            list_age_ms: state.list_seen.lease.age(now).map(as_ms),
             reads: match state.reads_through {
                 _ if state.direct => Reads::Platform,
                 Some(peer) => Reads::Peer(peer),
