--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -76,8 +76,10 @@
     ) -> bool {
         let is_change = self.hear_notice(addr, stated, None);
         let stays = match stated.leaving {
-            Field::Absent => self.notices.stays(self.start_at(addr), asked_at, moment()),
-            Field::Named(_) | Field::Unreadable => None,
+            Field::Absent | Field::Named(false) => {
+                self.notices.stays(self.start_at(addr), asked_at, moment())
+            }
+            Field::Named(true) | Field::Unreadable => None,
         };
         stays.into_iter().for_each(|change| log_change(addr, change));
         is_change || stays.is_some()
@@ -129,3 +131,6 @@
         addrs.filter(|addr| !self.notices.may_send(self.start_at(*addr), now)).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
