notice, edge, oatcoved: one rule for when an upstream opens again; a peer's word that changes something is logged under both interfaces

The longest time to come back stood in edge and in oatcoved; Board::opens_in serves both now. oatcoved took a peer's word of a limit or of leaving without a line; edge had one. No behaviour of callers changes.

--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -29,10 +29,8 @@
 /// Connections that a node may have to an upstream however many nodes there are.
 const CONNECTIONS_LEAST: u32 = 2;
 
-/// Shortest and longest time after which a caller comes back when no upstream may get its request: other
-/// nodes may be allowed more.
+/// Shortest time after which a caller comes back when no upstream may get its request.
 const COME_BACK_LEAST: Duration = Duration::from_millis(50);
-const COME_BACK_MOST: Duration = Duration::from_secs(5);
 
 /// Part of that time by which it is longer at most, so that callers do not return at the same moment.
 const COME_BACK_SPREAD: f64 = 0.25;
@@ -159,12 +157,10 @@
             is_home && !state.evacuations.is_evacuated(&u.zone)
         };
         let upstreams = pool.into_iter().flat_map(|pool| pool.upstreams()).filter(may_serve);
-        let opens_at =
-            upstreams.filter_map(|u| state.notices.opens_at(start_of(&u.incarnation), now));
-        let come_back = opens_at.min().map_or(COME_BACK_NOT_READY, |opens_at| {
+        let starts = upstreams.map(|u| start_of(&u.incarnation));
+        let come_back = state.notices.opens_in(starts, now).map_or(COME_BACK_NOT_READY, |left| {
             let spread = 1.0 + COME_BACK_SPREAD * state.rng.random::<f64>();
-            let left = opens_at.saturating_duration_since(now).mul_f64(spread);
-            left.clamp(COME_BACK_LEAST, COME_BACK_MOST)
+            left.mul_f64(spread).clamp(COME_BACK_LEAST, notice::OPENS_IN_MOST)
         });
         NoChoice::NoUpstream { come_back }
     }
--- a/crates/notice/src/board.rs
+++ b/crates/notice/src/board.rs
@@ -12,6 +12,9 @@
 use crate::rest::Rest;
 use crate::{Field, Fleet, PerKs, Stated};
 
+/// Longest time to come back that a caller is told where no upstream may get its request.
+pub const OPENS_IN_MOST: Duration = Duration::from_secs(5);
+
 /// Starts that are kept at most; the one that was heard of longest ago gives way.
 const KEPT_MOST: usize = 4_096;
 
@@ -342,6 +345,18 @@
         }
     }
 
+    /// Returns in which time the first of some upstreams, which get nothing now, may get a request from
+    /// this node, as far as that is known. A caller is told no longer time: other nodes may be allowed
+    /// more.
+    pub fn opens_in(
+        &self,
+        starts: impl IntoIterator<Item = Start>,
+        now: Instant,
+    ) -> Option<Duration> {
+        let opens_at = starts.into_iter().filter_map(|start| self.opens_at(start, now)).min()?;
+        Some(opens_at.saturating_duration_since(now).min(OPENS_IN_MOST))
+    }
+
     /// Returns when an upstream that gets nothing now may get a request from this node, as far as that is
     /// known.
     pub fn opens_at(&self, start: Start, now: Instant) -> Option<Instant> {
--- a/crates/notice/src/lib.rs
+++ b/crates/notice/src/lib.rs
@@ -15,7 +15,7 @@
 mod share;
 mod stated;
 
-pub use board::{Board, Change, Moment, News, Noted, Notice, Word};
+pub use board::{Board, Change, Moment, News, Noted, Notice, Word, OPENS_IN_MOST};
 pub use share::Fleet;
 pub use stated::{Field, Names, Stated};
 
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -14,7 +14,6 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
-use crate::notices;
 use crate::view::View;
 
 /// How often the membership state advances; well below its shortest timeout.
@@ -177,7 +176,7 @@
             view.quarantine.hear(&finding, unix_ms());
         }
         member::Event::Notice(notice) => {
-            view.notices.hear_peer(&notice, notices::moment());
+            view.hear_peer_notice(&notice);
         }
         member::Event::Differs { .. } => {}
     }
--- a/crates/oatcoved/src/notices.rs
+++ b/crates/oatcoved/src/notices.rs
@@ -5,16 +5,12 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderName;
-use notice::{Change, Field, Fleet, Names, Stated};
+use notice::{Change, Field, Fleet, Names, Notice, Stated};
 use quarantine::Start;
 
 use crate::gossip;
 use crate::view::View;
 
-/// Longest time to come back that a caller is told when no upstream may get its call: other nodes may
-/// be allowed more.
-const OPENS_IN_MOST: Duration = Duration::from_secs(5);
-
 /// Returns the present by both clocks.
 pub(crate) fn moment() -> notice::Moment {
     notice::Moment { at: Instant::now(), unix_ms: gossip::unix_ms() }
@@ -66,6 +62,16 @@
         !changes.is_empty()
     }
 
+    /// Takes what a peer tells of an upstream.
+    pub(crate) fn hear_peer_notice(&mut self, notice: &Notice) {
+        let Some(change) = self.notices.hear_peer(notice, moment()) else { return };
+        let addr = self.vms.keys().find(|addr| self.start_at(**addr) == notice.start);
+        match addr {
+            Some(addr) => log_change(*addr, change),
+            None => log::info!("an upstream that is not listed, by a peer: {change:?}"),
+        }
+    }
+
     /// Takes an answer to a watcher's probe sent at `asked_at`. A VM's process may have started again,
     /// which nothing else tells. Returns true when something changes.
     pub(crate) fn hear_probe(
@@ -115,9 +121,7 @@
         if pool.upstreams.iter().any(is_open) {
             return None;
         }
-        let opens_at = |addr| self.notices.opens_at(self.start_at(addr), now);
-        let opens_at = barred.into_iter().filter_map(opens_at).min()?;
-        Some(opens_at.saturating_duration_since(now).min(OPENS_IN_MOST))
+        self.notices.opens_in(barred.into_iter().map(|addr| self.start_at(addr)), now)
     }
 
     /// Returns the upstreams of a service that may not get a call now, by their own word.
