edge: a node looks for a reader no longer than it is sure of what it has read

After it has read everything, a node puts its first wait off to find a reader: two seconds where it knows of one. What changed right after the read was in force 2.0 s and a read later, more than a bound of two seconds. It looks until its lease ends now.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -200,7 +200,7 @@
                 cursor = Some(batch.cursor);
                 match () {
                     () if first => {
-                        settle(&node).await;
+                        settle(&node, topic).await;
                         Duration::ZERO
                     }
                     () if changed => PAUSE,
@@ -299,7 +299,7 @@
 /// changes on, and the first wait at the platform is saved. A node that peers ask reads on at once:
 /// after a restart of all nodes it has read a little less than those who ask it, who would turn it
 /// down and read everything again themselves.
-async fn settle(node: &Node) {
+async fn settle(node: &Node, topic: Topic) {
     let since = Instant::now();
     let may_wait = || {
         let state = node.state.borrow();
@@ -307,7 +307,8 @@
             true => SETTLE,
             false => SETTLE_BESIDE_READER,
         };
-        state.direct && !node.subscribers.are_waiting() && since.elapsed() < longest
+        let is_sure = state.is_sure(topic, Instant::now());
+        state.direct && is_sure && !node.subscribers.are_waiting() && since.elapsed() < longest
     };
     wait_while(LOOK, may_wait).await;
 }
--- a/crates/edge/src/tests/in_force.rs
+++ b/crates/edge/src/tests/in_force.rs
@@ -1,6 +1,7 @@
 //! A configuration that the platform has taken is in force at every node in time.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -59,6 +60,24 @@
     });
 }
 
+/// A node has read everything and looks for a reader for longer than the bound allows.
+#[test]
+fn a_node_that_looks_for_a_reader_takes_a_configuration_in_time() {
+    run(async {
+        let platform = platform();
+        let (node, _) = start(&platform);
+        // Knows of readers, none of which can be reached.
+        for n in 1..=3 {
+            let unreachable = SocketAddr::from(([127, 0, 0, 1], n));
+            node.state.borrow_mut().peers.insert(unreachable, serving("a"));
+        }
+        while node.state.borrow().config_version() == 0 {
+            monoio::time::sleep(ms(1)).await;
+        }
+        assert_eq!(in_force_in_time(&platform, &[node]).await, 1);
+    });
+}
+
 /// The list of upstreams is not answered where the configuration is.
 #[test]
 fn a_configuration_does_not_wait_for_the_list() {
