edge: a node that becomes unsure while it asks peers reads the platform meanwhile

A node that its reader let go asked other readers first, 0.4 s each (0.6 s where the connection took long too), and read the platform itself only after the first of them had failed: beyond the bound, where what it held was nearly too old already. It reads the platform in parallel as soon as it is no longer sure. Found by summing the stages.

--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -10,7 +10,7 @@
 use super::frame::{encode, receive, Ask, Frame, Greeting};
 use super::subscribers::{Frames, Queue};
 use super::{FIRST_FRAME, LOOK, LOOK_IN_STEP};
-use crate::follow::{self, Topic};
+use crate::follow;
 use crate::forward::Node;
 use crate::state::State;
 
@@ -75,9 +75,7 @@
 /// meanwhile. Passed on, they would come back to life at nodes that had
 /// rightly let them go.
 fn may_pass_on(state: &State, greeting: &Greeting) -> bool {
-    let now = Instant::now();
-    let sure = [Topic::Config, Topic::Upstreams].into_iter().all(|topic| state.is_sure(topic, now));
-    let current = sure
+    let current = state.is_sure_of_all(Instant::now())
         && state.reaches_platform
         && !state.roster.store_is_away()
         && !state.roster.keeps_unlisted();
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -57,7 +57,8 @@
         let way = match referred {
             Some(peer) => Way::Via(peer),
             None => {
-                let state = &mut node.state.borrow_mut();
+                let state = &mut *node.state.borrow_mut();
+                state.direct |= state.is_in_step() && !state.is_sure_of_all(now);
                 let searching = now < fed_until + readers::switch_within(state);
                 readers::choose(state, &avoided, searching, now)
             }
@@ -243,17 +244,20 @@
     }
 }
 
-/// Ends once the node is no longer sure that what its peer passed on is everything.
+/// Ends once the node is no longer sure that what its peer passed on is everything; one that its peer
+/// has passed nothing on to yet reads the platform itself meanwhile.
 ///
 /// A peer may live and answer while its own wait at the platform has gone silent, and where all
 /// readers' waits have, no other node can tell of what was missed.
 async fn until_unsure(node: &Node, fed: &Cell<bool>) {
     loop {
         monoio::time::sleep(LOOK_IF_SURE).await;
-        let (state, now) = (node.state.borrow(), Instant::now());
-        let topics = [Topic::Config, Topic::Upstreams];
-        if fed.get() && !topics.into_iter().all(|topic| state.is_sure(topic, now)) {
-            return;
+        let state = &mut *node.state.borrow_mut();
+        match state.is_sure_of_all(Instant::now()) {
+            true => {}
+            false if fed.get() => return,
+            // A node that starts looks for a peer first.
+            false => state.direct |= state.is_in_step(),
         }
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -329,6 +329,11 @@
         self.seen(topic).lease.is_valid(self.bound(topic), now)
     }
 
+    /// Returns true while what was read of both topics may be relied on.
+    pub fn is_sure_of_all(&self, now: Instant) -> bool {
+        [Topic::Config, Topic::Upstreams].into_iter().all(|topic| self.is_sure(topic, now))
+    }
+
     /// Returns true when both topics were read from the platform or a peer.
     pub fn is_in_step(&self) -> bool {
         self.config_seen.read && self.list_seen.read
--- a/crates/edge/src/tests/in_force.rs
+++ b/crates/edge/src/tests/in_force.rs
@@ -5,11 +5,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use monoio::net::TcpListener;
+
 use super::fake::{metrics, ms, run};
 use super::fleet::{addr, platform, serving, start, state_at, Platform};
 use super::relay::fleet;
 use crate::follow::{self, Topic};
 use crate::forward::Node;
+use crate::relay;
 use crate::state::Peer;
 
 /// Time within which a configuration must be in force.
@@ -78,6 +81,36 @@
     });
 }
 
+/// A node that its reader let go asks one that takes the connection and says nothing, until it is late.
+#[test]
+fn a_reader_that_says_nothing_does_not_keep_a_configuration_out_of_force() {
+    run(async {
+        let platform = platform();
+        let silent = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let mut state = state_at(addr(250), &[]);
+        state.direct = false;
+        state.peers.insert(silent.local_addr().expect("bound"), serving("a"));
+        for n in 1..=2 {
+            state.peers.insert(SocketAddr::from(([127, 0, 0, 1], n)), serving("a"));
+        }
+        // What is known is almost too old to be relied on.
+        let known_at = Instant::now() - ms(1_590);
+        state.config_seen.lease.renew(known_at);
+        state.list_seen.lease.renew(known_at);
+        platform.config.set(9);
+        let node = Rc::new(Node::new(Rc::new(RefCell::new(state)), metrics()));
+        for topic in [Topic::Config, Topic::Upstreams] {
+            monoio::spawn(follow::run(platform.clone(), topic, node.clone()));
+        }
+        monoio::spawn(relay::run(node.clone()));
+        while node.state.borrow().config_version() != 9 {
+            let late = known_at.elapsed() > IN_FORCE;
+            assert!(!late, "the version put right after {known_at:?} is not in force");
+            monoio::time::sleep(ms(5)).await;
+        }
+    });
+}
+
 /// The list of upstreams is not answered where the configuration is.
 #[test]
 fn a_configuration_does_not_wait_for_the_list() {
