edge: a peer's answer to what was not asked yet is refused

What comes back with an answer of a peer was added to a time unchecked: a spoilt one ended the process, one from another subscription made what is held look newer than it is. Both tests failed before (a panic; a lease renewed). Found on reading.

--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -204,8 +204,14 @@
         *fed_until = Instant::now();
         match frame {
             Frame::Sure { asked_after, config_age, list_age } => {
+                let asked_at = began.checked_add(asked_after);
+                let Some(asked_at) = asked_at.filter(|at| *at <= Instant::now()) else {
+                    trace::Line::new("peer_frame_refused")
+                        .field("error", "answers what was not asked")
+                        .log();
+                    return Ended::Unreadable;
+                };
                 let state = &mut *node.state.borrow_mut();
-                let asked_at = began + asked_after;
                 renew(state, Topic::Config, asked_at, config_age);
                 renew(state, Topic::Upstreams, asked_at, list_age);
                 (state.direct, state.reads_through) = (false, Some(peer));
@@ -287,3 +293,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
