edge: a wait that went silent is made good at once, also where the list of upstreams is not answered

The follower of the configuration waited up to three seconds for that of the list before each retry, so that the retry on a new connection right after a silent wait could come late. It does not where there is reason to think that the platform answers. The test failed before.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -239,7 +239,8 @@
             }
         };
         pause_unless_behind(&node, topic, pause).await;
-        if failures > 0 && topic == Topic::Config {
+        // Without a pause there is reason to think that the platform answers.
+        if failures > 0 && !pause.is_zero() && topic == Topic::Config {
             wait_for_other(&node).await;
         }
     }
--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -120,6 +120,10 @@
         if self.refuses.get() {
             return refused();
         }
+        if topic == Topic::Upstreams && self.list_is_silent.get() {
+            monoio::time::sleep(wait + patience).await;
+            return Err(SourceError::Unavailable("timed out".into()));
+        }
         loop {
             if self.stalls.get() > stalls {
                 monoio::time::sleep((wait + patience).saturating_sub(asked_at.elapsed())).await;
--- a/crates/edge/src/tests/in_force.rs
+++ b/crates/edge/src/tests/in_force.rs
@@ -111,6 +111,19 @@
     });
 }
 
+/// Both waits have gone silent, and only the one for the configuration is made good.
+#[test]
+fn a_configuration_is_read_anew_though_the_list_is_not_answered() {
+    run(async {
+        let platform = platform();
+        let (node, _) = start(&platform);
+        monoio::time::sleep(SETTLED).await;
+        platform.stalls.set(1);
+        platform.list_is_silent.set(true);
+        assert_eq!(in_force_in_time(&platform, &[node]).await, 1);
+    });
+}
+
 /// The list of upstreams is not answered where the configuration is.
 #[test]
 fn a_configuration_does_not_wait_for_the_list() {
