--- a/crates/edge/src/follow/apply.rs
+++ b/crates/edge/src/follow/apply.rs
@@ -27,6 +27,11 @@
                 apply_table(node, table, Origin::Peer(peer, held_for));
             }
         }
+        relay::Frame::ConfigWithTeams { up_to, newest, mut table, teams, held_for } => {
+            table.teams = teams;
+            record_progress(node, Topic::Config, up_to, newest);
+            apply_table(node, table, Origin::Peer(peer, held_for));
+        }
         relay::Frame::Evacuated { up_to, newest, zones } => {
             record_progress(node, Topic::Config, up_to, newest);
             update_evacuations(node, |evacuations| evacuations.adopt_snapshot(zones));
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -35,6 +35,7 @@
 use self::call::Call;
 use crate::conns::{Conn, Conns};
 use crate::exchange::Response;
+use crate::follow;
 use crate::gossip;
 use crate::metrics::Metrics;
 use crate::probe;
@@ -278,6 +279,11 @@
                 .log();
             return Reply::Local(LocalReply::failed(StatusCode::NOT_FOUND, "no such route"));
         };
+        let team = match team::identify(&table.teams, &route.name, &head.headers) {
+            Ok(team::Caller::Team(team, _)) => Some(team),
+            Ok(team::Caller::Anonymous) => None,
+            Err(why) => return self.reject_unauthorized(head, &table, why),
+        };
         let mut ids = head.headers.get_all(&names.request_id).iter();
         let (Some(request_id), None) = (ids.next().cloned(), ids.next()) else {
             let text = "exactly one request id is required";
@@ -302,7 +308,8 @@
         });
         let body_start = body.received().clone();
         let service = self.next_service(route);
-        let most_urgent = table.is_most_urgent(route, &service);
+        let most_urgent = table.is_most_urgent(route, &service)
+            && team.as_ref().is_none_or(|team| table.teams.is_most_urgent(team));
         let sends = RefCell::default();
         let call = Call {
             head,
@@ -312,6 +319,8 @@
             route,
             config_version: table.version,
             service,
+            has_teams: !table.teams.is_empty(),
+            team,
             most_urgent,
             received_at,
             caller_left: caller.has_left,
@@ -342,6 +351,32 @@
         reply
     }
 
+    /// Returns the response to a request whose caller has no valid key. A node whose configuration
+    /// may be outdated cannot tell an unknown key from a new one.
+    fn reject_unauthorized(
+        &self,
+        head: &h1::RequestHead,
+        table: &route::Table,
+        why: team::Unauthorized,
+    ) -> Reply {
+        let state = self.state.borrow();
+        let is_current = state.is_fresh(follow::Topic::Config, Instant::now());
+        let line = trace::Line::new("unauthorized")
+            .field("request", request_id_of(head, &state.settings.headers))
+            .field("reason", why.reason())
+            .field("config", table.version);
+        match why {
+            team::Unauthorized::Unknown(key) => line.field("key", key.to_string()).log(),
+            team::Unauthorized::Missing | team::Unauthorized::Malformed => line.log(),
+        }
+        Reply::Local(match why {
+            team::Unauthorized::Unknown(_) if !is_current => {
+                LocalReply::not_run(RETRY_AFTER_NOT_READY, "the configuration may be outdated")
+            }
+            _ => LocalReply::failed(StatusCode::UNAUTHORIZED, "a valid key is required"),
+        })
+    }
+
     /// Records that the caller of a request left before it got a response.
     pub fn record_caller_left(&self, head: &h1::RequestHead) {
         let mut state = self.state.borrow_mut();
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -11,6 +11,7 @@
 use quarantine::ContentKey;
 use route::{RetryPolicy, Route, ServiceName};
 use serde::Serialize;
+use team::Team;
 use web::h1;
 
 use super::content;
@@ -29,6 +30,10 @@
     /// Version of the configuration that the request is handled by.
     pub(super) config_version: route::Version,
     pub(super) service: ServiceName,
+    /// Whether callers are told apart by their keys.
+    pub(super) has_teams: bool,
+    /// The team that the caller belongs to, if it has a key.
+    pub(super) team: Option<Rc<Team>>,
     pub(super) most_urgent: bool,
     pub(super) received_at: Instant,
     /// Whether the caller has left.
@@ -124,7 +129,7 @@
 
     /// Begins a log line about the request.
     pub(super) fn log_line(&self, event: &'static str) -> trace::Line {
-        trace::Line::new(event)
+        let line = trace::Line::new(event)
             .field("request", self.request_id.to_str().unwrap_or("?"))
             .field("content", self.content())
             .field("route", self.route.name.as_str())
@@ -133,6 +138,10 @@
             .field("age_ms", as_ms(self.received_at.elapsed()))
             .field("tried_ms", as_ms(self.retrying_for))
             .field("left_ms", as_ms(self.deadline_left()))
-            .field("sends", &*self.sends.borrow())
+            .field("sends", &*self.sends.borrow());
+        match &self.team {
+            Some(team) => line.field("team", team.name.as_str()),
+            None => line,
+        }
     }
 }
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -199,6 +199,9 @@
     let left_ms = call.deadline_left().saturating_sub(DEADLINE_MARGIN).as_millis().max(1) as u64;
     headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
     headers.insert(&names.request_id, call.request_id.clone());
+    if call.has_teams {
+        set_team(&mut headers, call, names);
+    }
     match HeaderValue::from_str(&choice.upstream.id) {
         Ok(id) => drop(headers.insert(&names.expect_upstream, id)),
         Err(_) => drop(headers.remove(&names.expect_upstream)),
@@ -208,3 +211,12 @@
     }
     headers
 }
+
+/// Replaces the caller's credentials by the name of its team, whatever team the caller names.
+fn set_team(headers: &mut HeaderMap, call: &Call<'_>, names: &crate::HeaderNames) {
+    headers.remove(http::header::AUTHORIZATION);
+    headers.remove(&names.team);
+    if let Some(Ok(name)) = call.team.as_ref().map(|team| HeaderValue::from_str(&team.name)) {
+        headers.insert(&names.team, name);
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -62,6 +62,8 @@
     pub cold_ms: HeaderName,
     /// Backpressure signals of the responding upstream.
     pub notices: notice::HeaderNames,
+    /// Name of the team that a request belongs to. Only entry nodes set it.
+    pub team: HeaderName,
 }
 
 /// Settings of one entry node.
--- a/crates/edge/src/relay/frame.rs
+++ b/crates/edge/src/relay/frame.rs
@@ -11,6 +11,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use team::Teams;
 
 use crate::history::Cursor;
 use crate::state::State;
@@ -136,6 +137,19 @@
         /// Address at which peers reach that node.
         peer: SocketAddr,
     },
+    /// [`Frame::Config`] of a configuration with teams. Their keys are sent as digests.
+    ConfigWithTeams {
+        /// Position up to which the peer has read the history.
+        up_to: Cursor,
+        /// Newest change up to that position.
+        newest: Cursor,
+        /// The configuration without its teams.
+        table: Table,
+        /// The teams.
+        teams: Teams,
+        /// How long the peer has had it.
+        held_for: Duration,
+    },
 }
 
 impl Frame {
@@ -152,9 +166,15 @@
     /// Returns the frame with the current configuration.
     pub fn config(state: &State) -> Frame {
         let progress = state.config_progress;
-        let table = state.table.as_deref().cloned();
+        let (up_to, newest) = (progress.up_to, progress.newest);
         let held_for = state.table_applied_at.elapsed();
-        Frame::Config { up_to: progress.up_to, newest: progress.newest, table, held_for }
+        match state.table.as_deref().cloned() {
+            Some(mut table) if !table.teams.is_empty() => {
+                let teams = std::mem::take(&mut table.teams);
+                Frame::ConfigWithTeams { up_to, newest, table, teams, held_for }
+            }
+            table => Frame::Config { up_to, newest, table, held_for },
+        }
     }
 
     /// Returns the frame with the evacuated zones.
@@ -183,9 +203,9 @@
     /// Returns true if the frame lacks a change that this node has already seen.
     pub(super) fn is_stale(&self, state: &State) -> bool {
         match self {
-            Frame::Config { up_to, .. } | Frame::Evacuated { up_to, .. } => {
-                *up_to < state.config_progress.newest
-            }
+            Frame::Config { up_to, .. }
+            | Frame::ConfigWithTeams { up_to, .. }
+            | Frame::Evacuated { up_to, .. } => *up_to < state.config_progress.newest,
             Frame::List { up_to, .. } => *up_to < state.list_progress.newest,
             Frame::MayBeLate => true,
             Frame::Ages { .. }
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -48,6 +48,7 @@
             limit: HeaderName::from_static("x-limit"),
             leaving: HeaderName::from_static("x-leaving"),
         },
+        team: http::HeaderName::from_static("x-team"),
     }
 }
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -151,6 +151,10 @@
     hosts: HashMap<SmolStr, Vec<Route>>,
     /// The most urgent priority among the routes to each service.
     most_urgent: HashMap<ServiceName, u32>,
+    /// Teams of callers; empty if callers need no key. Peers are sent them separately, so that
+    /// nothing changes between nodes while no team is configured.
+    #[serde(skip)]
+    pub teams: team::Teams,
 }
 
 impl Table {
--- /dev/null
+++ b/crates/team/src/teams.rs
@@ -0,0 +1,165 @@
+//! The teams of a configuration.
+
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::KeyDigest;
+
+/// Name of a team.
+pub type TeamName = SmolStr;
+
+/// What a team may send to all entry nodes together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Requests per second.
+    pub rate_per_s: f64,
+    /// Requests that may come at once after a pause, at least 1.
+    pub burst: f64,
+}
+
+/// A team of callers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Team {
+    /// Name, which upstreams are told.
+    pub name: TeamName,
+    /// Digests of the keys of its callers.
+    pub keys: Vec<KeyDigest>,
+    /// Priority among teams; 0 is the most urgent.
+    pub priority: u32,
+    /// Its quota; `None` if it may send any number of requests.
+    pub quota: Option<Quota>,
+}
+
+quick_error! {
+    /// Why teams cannot be put into force together.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum TeamError {
+        /// Two teams have the same key.
+        SharedKey(first: TeamName, second: TeamName, fingerprint: String) {
+            display("teams {} and {} share the key {}", first, second, fingerprint)
+        }
+        /// Two teams have the same name.
+        SharedName(name: TeamName) {
+            display("two teams are named {}", name)
+        }
+    }
+}
+
+/// The teams of a configuration, by key; empty if callers need no key.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(try_from = "TeamList", into = "TeamList")]
+pub struct Teams {
+    /// In the order of their names.
+    teams: Vec<Rc<Team>>,
+    /// Indices into `teams`.
+    by_key: HashMap<KeyDigest, usize>,
+    /// The most urgent priority of any team.
+    most_urgent: u32,
+    /// Names of routes whose callers need no key.
+    open_routes: BTreeSet<SmolStr>,
+}
+
+impl Teams {
+    /// Creates the teams of a configuration. Callers of `open_routes` need no key.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`TeamError`] if two teams share a key or a name: it could not be told whose
+    /// request it is.
+    pub fn new(
+        mut teams: Vec<Team>,
+        open_routes: impl IntoIterator<Item = SmolStr>,
+    ) -> Result<Teams, TeamError> {
+        teams.sort_by(|a, b| a.name.cmp(&b.name));
+        if let Some(pair) = teams.windows(2).find(|pair| pair[0].name == pair[1].name) {
+            return Err(TeamError::SharedName(pair[0].name.clone()));
+        }
+        let mut by_key: HashMap<KeyDigest, usize> = HashMap::new();
+        for (index, team) in teams.iter().enumerate() {
+            for key in &team.keys {
+                match by_key.insert(*key, index) {
+                    Some(other) if other != index => {
+                        let first = teams[other].name.clone();
+                        let fingerprint = key.to_string();
+                        return Err(TeamError::SharedKey(first, team.name.clone(), fingerprint));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let most_urgent = teams.iter().map(|team| team.priority).min().unwrap_or_default();
+        let open_routes = open_routes.into_iter().collect();
+        let teams = teams.into_iter().map(Rc::new).collect();
+        Ok(Teams { teams, by_key, most_urgent, open_routes })
+    }
+
+    /// Returns true if no team is configured: callers need no key then.
+    pub fn is_empty(&self) -> bool {
+        self.teams.is_empty()
+    }
+
+    /// Returns the team that has a key.
+    pub fn find(&self, key: &KeyDigest) -> Option<&Rc<Team>> {
+        self.by_key.get(key).map(|index| &self.teams[*index])
+    }
+
+    /// Returns the team of this name.
+    pub fn by_name(&self, name: &str) -> Option<&Rc<Team>> {
+        let index = self.teams.binary_search_by(|team| team.name.as_str().cmp(name)).ok()?;
+        Some(&self.teams[index])
+    }
+
+    /// Returns true if callers of a route need no key.
+    pub fn is_open(&self, route: &str) -> bool {
+        self.is_empty() || self.open_routes.contains(route)
+    }
+
+    /// Returns the names of the routes whose callers need no key.
+    pub fn open_routes(&self) -> impl Iterator<Item = &SmolStr> {
+        self.open_routes.iter()
+    }
+
+    /// Returns true if no team is more urgent than `team`.
+    pub fn is_most_urgent(&self, team: &Team) -> bool {
+        team.priority <= self.most_urgent
+    }
+
+    /// Returns the teams in the order of their names.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Team>> {
+        self.teams.iter()
+    }
+}
+
+/// The serialized form of [`Teams`].
+#[derive(Serialize, Deserialize)]
+struct TeamList {
+    teams: Vec<Team>,
+    open_routes: Vec<SmolStr>,
+}
+
+impl TryFrom<TeamList> for Teams {
+    type Error = TeamError;
+
+    fn try_from(list: TeamList) -> Result<Teams, TeamError> {
+        Teams::new(list.teams, list.open_routes)
+    }
+}
+
+impl From<Teams> for TeamList {
+    fn from(teams: Teams) -> TeamList {
+        TeamList {
+            teams: teams.iter().map(|team| Team::clone(team)).collect(),
+            open_routes: teams.open_routes.into_iter().collect(),
+        }
+    }
+}
+
+impl PartialEq for Teams {
+    fn eq(&self, other: &Teams) -> bool {
+        self.teams == other.teams && self.open_routes == other.open_routes
+    }
+}
--- /dev/null
+++ b/crates/team/src/tests.rs
@@ -0,0 +1,72 @@
+use http::{HeaderMap, HeaderValue};
+
+use crate::{identify, Caller, KeyDigest, Team, TeamError, Teams, Unauthorized};
+
+fn team(name: &str, keys: &[&str]) -> Team {
+    let keys = keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect();
+    Team { name: name.into(), keys, priority: 1, quota: None }
+}
+
+fn teams() -> Teams {
+    let teams = vec![team("north", &["aaaa1111", "bbbb2222"]), team("south", &["cccc3333"])];
+    Teams::new(teams, ["open".into()]).unwrap()
+}
+
+fn with(values: &[&str]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for value in values {
+        headers.append("authorization", HeaderValue::from_str(value).unwrap());
+    }
+    headers
+}
+
+fn name_of(caller: Result<Caller, Unauthorized>) -> Result<String, Unauthorized> {
+    caller.map(|caller| match caller {
+        Caller::Team(team, _) => team.name.to_string(),
+        Caller::Anonymous => "-".to_owned(),
+    })
+}
+
+#[yare::parameterized(
+    plain = { &["Bearer aaaa1111"], Ok("north") },
+    second_key = { &["Bearer bbbb2222"], Ok("north") },
+    scheme_in_any_case = { &["bEARER cccc3333"], Ok("south") },
+    more_spaces = { &["Bearer   cccc3333 "], Ok("south") },
+    missing = { &[], Err(Unauthorized::Missing) },
+    doubled = { &["Bearer aaaa1111", "Bearer aaaa1111"], Err(Unauthorized::Malformed) },
+    empty = { &["Bearer "], Err(Unauthorized::Malformed) },
+    no_scheme = { &["aaaa1111"], Err(Unauthorized::Malformed) },
+    other_scheme = { &["Basic aaaa1111"], Err(Unauthorized::Malformed) },
+    two_keys = { &["Bearer aaaa1111, Bearer cccc3333"], Err(Unauthorized::Malformed) },
+    other_case = { &["Bearer AAAA1111"], Err(Unauthorized::Unknown(KeyDigest::of(b"AAAA1111"))) },
+)]
+fn a_key_identifies_its_team(values: &[&str], expected: Result<&str, Unauthorized>) {
+    let found = name_of(identify(&teams(), "claims", &with(values)));
+    assert_eq!(found, expected.map(str::to_owned));
+}
+
+#[yare::parameterized(
+    no_key = { &[], "-" },
+    unknown_key = { &["Bearer dddd4444"], "-" },
+    known_key = { &["Bearer cccc3333"], "south" },
+)]
+fn an_open_route_needs_no_key(values: &[&str], expected: &str) {
+    assert_eq!(name_of(identify(&teams(), "open", &with(values))), Ok(expected.to_owned()));
+}
+
+/// Guards against a request that is counted for whichever of two teams was listed last.
+#[test]
+fn two_teams_cannot_share_a_key() {
+    let shared = vec![team("north", &["aaaa1111"]), team("south", &["aaaa1111"])];
+    let fingerprint = KeyDigest::of(b"aaaa1111").to_string();
+    let expected = TeamError::SharedKey("north".into(), "south".into(), fingerprint);
+    assert_eq!(Teams::new(shared, []), Err(expected));
+}
+
+/// Guards against keys in logs and panic messages through `Debug`.
+#[test]
+fn debug_output_shows_no_key() {
+    let headers = with(&["Bearer dddd4444"]);
+    let shown = format!("{:?} {:?}", teams(), identify(&teams(), "claims", &headers));
+    assert!(!shown.contains("aaaa1111") && !shown.contains("dddd4444"), "{shown}");
+}
