oatcoved, limit: the node's own delay is no evidence of full upstreams

Cause, by a trace of each call (elapsed, baseline, kernel's run delay, limit): beside busy loops the intake was cut to 2 to 4 at one or two calls in flight. Most calls counted as slow were late by the time for which the node itself was ready to run and had no processor (in nine traces 183 of 274 were not slow without it); the others by that of upstreams on the same machine.

The time is read from /proc/thread-self/schedstat (run_delay), taken off the call, and its mean over recent calls is added to the baseline (limit::SlowCallDetector, pure).

The tests of limit fail as they should without the subtraction, without the mean, and with a mean that never falls.

--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod probe;
 pub mod proxy;
 pub mod relay;
+mod run_delay;
 pub mod stop;
 pub mod view;
 
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -29,6 +29,7 @@
 
 use crate::gossip;
 use crate::metrics::Metrics;
+use crate::run_delay::RunDelayClock;
 use crate::view::View;
 
 /// Admission control and retry budget of one service.
@@ -43,6 +44,8 @@
     view: Rc<RefCell<View>>,
     idle: attempt::IdleConns,
     service_limits: RefCell<HashMap<SmolStr, ServiceLimits>>,
+    run_delay: RunDelayClock,
+    slow_calls: RefCell<limit::SlowCallDetector>,
     rng: RefCell<rand::rngs::SmallRng>,
     next_id: Cell<u64>,
     metrics: Metrics,
@@ -50,12 +53,15 @@
 }
 
 impl Node {
-    /// Creates the handler. `gossip` is notified of updates that have to be broadcast to peers.
+    /// Creates the handler, on the thread that will serve its calls. `gossip` is notified of updates
+    /// that have to be broadcast to peers.
     pub fn new(view: Rc<RefCell<View>>, metrics: Metrics, gossip: Tx<gossip::Input>) -> Node {
         Node {
             view,
             idle: attempt::IdleConns::default(),
             service_limits: RefCell::new(HashMap::new()),
+            run_delay: RunDelayClock::of_this_thread(),
+            slow_calls: RefCell::default(),
             rng: RefCell::new(rand::rngs::SmallRng::from_os_rng()),
             next_id: Cell::new(0),
             metrics,
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -27,10 +27,6 @@
 /// of them and is not run.
 const MAX_UPSTREAMS_TRIED: usize = 4;
 
-/// A call is slow if it took more than this many times the baseline latency of
-/// its kind, which is the latency without queueing.
-const SLOW_LATENCY_RATIO: f64 = 4.0;
-
 /// A call that is being handled.
 pub(super) struct Call<'a> {
     request: &'a web::Request,
@@ -88,6 +84,8 @@
     service: &'a SmolStr,
     team: &'a SmolStr,
     started_at: Instant,
+    /// Reading of [`Node::run_delay`] at `started_at`.
+    run_delay_at_start: Duration,
     outcome: limit::Outcome,
 }
 
@@ -145,15 +143,15 @@
             return (response, response::NOT_RUN);
         };
         let result = self.run_attempts(&call).await;
-        let elapsed = admitted.started_at.elapsed();
-        admitted.finish(match &result {
-            CallResult::Answered(_) if self.was_slow(&call, elapsed) => limit::Outcome::Slow,
+        let outcome = match &result {
+            CallResult::Answered(_) if self.was_slow(&call, &admitted) => limit::Outcome::Slow,
             CallResult::Answered(_) => limit::Outcome::Served,
             CallResult::NotRun { refused: true } => limit::Outcome::Refused,
             CallResult::NotRun { refused: false }
             | CallResult::Quarantined(_)
             | CallResult::Unknown(_) => limit::Outcome::Other,
-        });
+        };
+        admitted.finish(outcome);
         let mut view = self.view.borrow_mut();
         match result {
             CallResult::Answered(response) => {
@@ -251,6 +249,7 @@
             service: &call.service,
             team: &call.team,
             started_at,
+            run_delay_at_start: self.run_delay.total(started_at),
             outcome: limit::Outcome::Other,
         })
     }
@@ -460,13 +459,17 @@
         (delay < call.remaining()).then_some(delay)
     }
 
-    /// Returns true if a call took more than [`SLOW_LATENCY_RATIO`] times the baseline latency of
-    /// its kind; false if the baseline is not known.
-    fn was_slow(&self, call: &Call<'_>, elapsed: Duration) -> bool {
+    /// Returns true if a call that was answered now took so long that its upstreams are likely full.
+    fn was_slow(&self, call: &Call<'_>, admitted: &AdmittedCall<'_>) -> bool {
+        let now = Instant::now();
         let view = self.view.borrow();
         let pool = view.pools.get(&call.service);
-        let baseline = pool.and_then(|pool| pool.baseline_latency(call.kind, Instant::now()));
-        baseline.is_some_and(|baseline| elapsed > baseline.mul_f64(SLOW_LATENCY_RATIO))
+        let latency = limit::CallLatency {
+            elapsed: now.duration_since(admitted.started_at),
+            own_delay: self.run_delay.total(now).saturating_sub(admitted.run_delay_at_start),
+            baseline: pool.and_then(|pool| pool.baseline_latency(call.kind, now)),
+        };
+        self.slow_calls.borrow_mut().record(latency)
     }
 
     /// Returns how long the service is expected to stay busy: the mean latency of the call's kind,
