config, oatcove, oatcoved: teams with keys on the own interface

Cause: oatcoved believed the team that a caller names in x-oatcove-team. Change: a template's teams list digests of keys, priority, rate and burst, checked with findings (key in clear, shared key, negative rate, burst below one); oatcoved identifies the team by the crate team, answers 401 and passes on the team's name only; oatcove team list, show, key add, key revoke, quota edit the template's text and keep its comments, each one transaction with its audit record. A template without keys is served as before. Not enforced yet by oatcoved: rate, burst, priority. Kept: revoking the last key leaves the service closed, not open.

Seen failing, by breaking the program: key passed on, team header appended, 401 skipped, headers changed without keys (oatcoved, proxy::tests::keys); no second try after a conflict (oatcove, keys_added_at_once); digests ignored, edit not verified (config).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,4 +12,6 @@
 
 pub use findings::{Finding, Findings, Severity};
 pub use node::NodeSettings;
-pub use template::{Balance, Params, TeamName, Template, TemplateName};
+pub use template::{
+    edit_team, Balance, EditError, Params, TeamEdit, TeamName, Template, TemplateName,
+};
--- a/crates/config/src/template.rs
+++ b/crates/config/src/template.rs
@@ -13,6 +13,11 @@
 use crate::findings::Findings;
 use crate::yaml::{self, Fields};
 
+mod access;
+mod edit;
+
+pub use edit::{edit_team, EditError, TeamEdit};
+
 /// Name of a service and of its template, such as `swap-desk`.
 pub type TemplateName = SmolStr;
 
@@ -92,7 +97,7 @@
 }
 
 /// A validated service template.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Template {
     /// The service that the template configures.
     pub service: TemplateName,
@@ -100,6 +105,9 @@
     pub defaults: Rc<Params>,
     /// Parameters of each team, resolved over `defaults`.
     pub teams: BTreeMap<TeamName, Rc<Params>>,
+    /// Teams with their keys, priorities and quotas; empty if no team lists keys, and callers name
+    /// their team themselves.
+    pub access: team::Teams,
 }
 
 impl Template {
@@ -134,10 +142,13 @@
         check_name("service", name, findings);
     }
     let defaults = match fields.raw("defaults") {
-        Some(value) => params(value, "defaults", &Params::default(), findings),
+        Some(value) => {
+            params(Fields::new(value, "defaults", findings), &Params::default(), findings)
+        }
         None => Some(Params::default()),
     };
     let mut teams = BTreeMap::new();
+    let mut access = Vec::new();
     // Teams are validated even if the defaults are invalid. Otherwise an operator would see the
     // errors of the teams only after correcting the defaults.
     let base = defaults.clone().unwrap_or_default();
@@ -151,7 +162,9 @@
                 };
                 let path = yaml::join("teams", team);
                 check_name(&path, team, findings);
-                if let Some(resolved) = params(value, &path, &base, findings) {
+                let mut fields = Fields::new(value, &path, findings);
+                access.extend(access::read(team, &mut fields, findings));
+                if let Some(resolved) = params(fields, &base, findings) {
                     teams.insert(TeamName::from(team.as_str()), Rc::new(resolved));
                 }
             }
@@ -164,12 +177,12 @@
         }
     }
     fields.finish(findings);
-    Some(Template { service: service?, defaults: Rc::new(defaults?), teams })
+    let access = access::combine(access, findings);
+    Some(Template { service: service?, defaults: Rc::new(defaults?), teams, access })
 }
 
-/// Reads the parameter mapping at `path`, whose keys override `base`.
-fn params(value: &Value, path: &str, base: &Params, findings: &mut Findings) -> Option<Params> {
-    let mut fields = Fields::new(value, path, findings);
+/// Reads the parameters of a mapping, which override `base`.
+fn params(mut fields: Fields<'_>, base: &Params, findings: &mut Findings) -> Option<Params> {
     let timeout_ms = fields.uint("timeout_ms", 1..=60_000, findings);
     let max_attempts = fields.uint("max_attempts", 1..=5, findings);
     let retry_budget_percent = fields.uint("retry_budget_percent", 0..=100, findings);
--- a/crates/config/src/template/tests.rs
+++ b/crates/config/src/template/tests.rs
@@ -77,3 +77,38 @@
         assert!(findings.contains(path), "{path} missing in {findings}");
     }
 }
+
+const DIGEST: &str = "blake3-128:00112233445566778899aabbccddeeff";
+
+#[test]
+fn keys_priority_and_quota_of_a_team() {
+    let text = format!(
+        "service: a\nteams:\n  north: {{keys: [\"{DIGEST}\"], priority: 2, rate_per_s: 2.5}}\n  south: {{}}\n"
+    );
+    let template = Template::parse(&text).expect("valid template");
+    let north = template.access.by_name("north").expect("listed");
+    assert_eq!((north.keys.len(), north.priority), (1, 2));
+    assert_eq!(north.quota, Some(team::Quota { rate_per_s: 2.5, burst: 2.5 }));
+    assert!(template.access.by_name("south").is_some_and(|south| south.keys.is_empty()));
+}
+
+#[test]
+fn without_keys_callers_name_their_team() {
+    assert!(Template::parse(VALID).expect("valid template").access.is_empty());
+}
+
+#[parameterized(
+    negative_rate = { "keys: [D], rate_per_s: -1", "teams.north.rate_per_s" },
+    burst_below_one = { "keys: [D], rate_per_s: 5, burst: 0.5", "teams.north.burst" },
+    burst_without_rate = { "keys: [D], burst: 5", "teams.north.burst" },
+    quota_without_key = { "rate_per_s: 5", "teams.north.rate_per_s" },
+    shared_key = { "keys: [D]}\n  south: {keys: [D]", "teams.south.keys" },
+    key_in_clear = { "keys: [c2VjcmV0LWtleQ]", "teams.north.keys[0]" },
+)]
+fn invalid_access_is_reported_with_its_path(fields: &str, path: &str) {
+    let text = format!("service: a\nteams:\n  north: {{{fields}}}\n")
+        .replace('D', &format!("\"{DIGEST}\""));
+    let findings = Template::parse(&text).expect_err("rejected");
+    assert!(findings.0.iter().any(|f| f.path == path), "{findings}");
+    assert!(!findings.to_string().contains("c2VjcmV0LWtleQ"), "{findings}");
+}
--- a/crates/config/src/yaml.rs
+++ b/crates/config/src/yaml.rs
@@ -128,6 +128,34 @@
         }
     }
 
+    /// Reads an optional number, whole or not, within `range`.
+    pub(crate) fn float(
+        &mut self,
+        key: &'static str,
+        range: RangeInclusive<f64>,
+        findings: &mut Findings,
+    ) -> Option<Option<f64>> {
+        let path = join(&self.path, key);
+        match self.raw(key) {
+            None => Some(None),
+            Some(Value::Number(n)) if n.as_f64().is_some_and(|v| range.contains(&v)) => {
+                Some(n.as_f64())
+            }
+            Some(Value::Number(n)) => {
+                let (start, end) = (range.start(), range.end());
+                findings.error(
+                    &path,
+                    format!("{n} is out of range: expected a number from {start} to {end}"),
+                );
+                None
+            }
+            Some(other) => {
+                findings.error(&path, format!("expected a number, found {}", kind(other)));
+                None
+            }
+        }
+    }
+
     /// Reads an optional boolean.
     pub(crate) fn boolean(
         &mut self,
--- a/crates/oatcove/src/apply.rs
+++ b/crates/oatcove/src/apply.rs
@@ -53,6 +53,27 @@
     }
 }
 
+quick_error! {
+    /// The reason why a team was not changed.
+    #[derive(Debug)]
+    pub enum EditTeamError {
+        /// The service has no template; nothing was written.
+        UnknownService(service: SmolStr) {
+            display("there is no template of a service {}", service)
+        }
+        /// The template cannot be edited; nothing was written.
+        Edit(err: config::EditError) {
+            from()
+            display("{}", err)
+        }
+        /// The changed template was not written.
+        Apply(err: ApplyError) {
+            from()
+            display("{}", err)
+        }
+    }
+}
+
 /// Result of a successful change.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
@@ -87,8 +108,50 @@
     retry: RetryConfig,
 ) -> Result<Applied, ApplyError> {
     let template = config::Template::parse(text).map_err(ApplyError::Invalid)?;
-    let service = template.service;
-    let current = with_retries(retry, || store.get(store::TEMPLATES, &service)).await?;
+    let current = with_retries(retry, || store.get(store::TEMPLATES, &template.service)).await?;
+    replace(store, current, template.service, text, actor, retry).await
+}
+
+/// Changes one team of a service in its template and writes the template with its audit record.
+///
+/// If another change is committed first, the edit is made again on the new text: edits of
+/// different teams and keys do not conflict.
+///
+/// # Errors
+///
+/// See [`EditTeamError`]; nothing was written unless it is [`ApplyError::Unknown`].
+pub async fn edit_team(
+    store: &Store,
+    service: &SmolStr,
+    team: &str,
+    edit: &config::TeamEdit,
+    actor: &str,
+    retry: RetryConfig,
+) -> Result<Applied, EditTeamError> {
+    let mut attempts_left = retry.max_attempts;
+    loop {
+        let current = with_retries(retry, || store.get(store::TEMPLATES, service)).await?;
+        let Some(current) = current else {
+            return Err(EditTeamError::UnknownService(service.clone()));
+        };
+        let text = config::edit_team(&current.value, team, edit)?;
+        attempts_left = attempts_left.saturating_sub(1);
+        match replace(store, Some(current), service.clone(), &text, actor, retry).await {
+            Err(ApplyError::Conflict(_)) if attempts_left > 0 => {}
+            result => return Ok(result?),
+        }
+    }
+}
+
+/// Writes `text` as the template of `service` in place of `current`, with its audit record.
+async fn replace(
+    store: &Store,
+    current: Option<proto::Row>,
+    service: SmolStr,
+    text: &str,
+    actor: &str,
+    retry: RetryConfig,
+) -> Result<Applied, ApplyError> {
     let (version_before, old_text) = match &current {
         Some(row) if row.value == text => return Ok(Applied::Unchanged { version: row.version }),
         Some(row) => (row.version, row.value.as_str()),
--- a/crates/oatcove/src/apply/tests.rs
+++ b/crates/oatcove/src/apply/tests.rs
@@ -18,11 +18,17 @@
 
 /// Starts a stand-in platform on a free loopback port.
 fn start_platform() -> (Rc<emu::platform::Platform>, store::Store) {
+    let (platform, addr) = start_platform_at();
+    (platform, store::Store::new(addr))
+}
+
+/// Like [`start_platform`], but returns its address, for several clients.
+fn start_platform_at() -> (Rc<emu::platform::Platform>, std::net::SocketAddr) {
     let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
     let addr = listener.local_addr().expect("addr");
     let platform = Rc::new(emu::platform::Platform::default());
     monoio::spawn(web::serve(listener, platform.clone()));
-    (platform, store::Store::new(addr))
+    (platform, addr)
 }
 
 /// Guards against a change that is recorded twice in the audit trail, or reported as failed
@@ -145,3 +151,56 @@
         assert_eq!(diffs, ["+evacuate attiki-b\n", "-evacuate attiki-b\n"]);
     });
 }
+
+const TEAMS: &str = "service: swap-desk\nteams:\n  north: {}\n  south:\n    timeout_ms: 100\n  west:\n    timeout_ms: 200\n";
+
+fn key_of(nth: u8) -> team::KeyDigest {
+    team::KeyDigest::of(&[nth])
+}
+
+/// Guards against a key that is lost when two operators add keys at once: both read the same
+/// version, and the second write would replace the first.
+#[test]
+fn keys_added_at_once_are_all_in_force() {
+    web::runtime().block_on(async {
+        let (platform, addr) = start_platform_at();
+        let store = store::Store::new(addr);
+        let teams = TEAMS.replace("north: {}", "north:\n    timeout_ms: 50");
+        apply(&store, &teams, "ana").await.expect("applied");
+        platform.set_faults(proto::Faults { delay_ms: 10, ..Default::default() });
+        let retry = RetryConfig { max_attempts: 20, ..FAST_RETRY };
+        let service = smol_str::SmolStr::from("swap-desk");
+        let add = |nth: u8, team: &'static str| {
+            let (store, service) = (store::Store::new(addr), service.clone());
+            monoio::spawn(async move {
+                let edit = config::TeamEdit::AddKey(key_of(nth));
+                apply::edit_team(&store, &service, team, &edit, "ana", retry).await
+            })
+        };
+        let tasks = [add(1, "north"), add(2, "south"), add(3, "west"), add(4, "south")];
+        for task in tasks {
+            assert!(matches!(task.await, Ok(Applied::Written { .. })));
+        }
+        let rows = platform.rows(store::TEMPLATES);
+        let template = config::Template::parse(&rows[0].value).expect("valid");
+        let keys: usize = template.access.iter().map(|team| team.keys.len()).sum();
+        assert_eq!(keys, 4, "{}", rows[0].value);
+        assert_eq!(platform.rows(store::AUDIT).len(), 5);
+    });
+}
+
+/// Guards against audit records from which a key could be used.
+#[test]
+fn no_record_of_a_key_holds_the_key() {
+    web::runtime().block_on(async {
+        let (platform, store) = start_platform();
+        apply(&store, &TEAMS.replace("north: {}", "north:"), "ana").await.expect("applied");
+        let edit = config::TeamEdit::AddKey(team::KeyDigest::of(b"planted-secret"));
+        let service = smol_str::SmolStr::from("swap-desk");
+        let retry = FAST_RETRY;
+        apply::edit_team(&store, &service, "south", &edit, "ana", retry).await.expect("applied");
+        let rows = [platform.rows(store::TEMPLATES), platform.rows(store::AUDIT)].concat();
+        assert!(rows.iter().any(|row| row.value.contains("blake3-128:")));
+        assert!(rows.iter().all(|row| !row.value.contains("planted-secret")));
+    });
+}
--- a/crates/oatcove/src/main.rs
+++ b/crates/oatcove/src/main.rs
@@ -6,6 +6,10 @@
 
 use bpaf::Bpaf;
 
+mod team_command;
+
+use team_command::{team_command, TeamCommand};
+
 /// Checks and applies templates, reads the audit trail, drains upstreams, shows entry node status.
 #[derive(Bpaf, Debug)]
 #[bpaf(options, version)]
@@ -22,6 +26,9 @@
     /// Evacuates availability zones: their upstreams get no new calls
     #[bpaf(command("zone"))]
     Zone(#[bpaf(external(zone_command))] ZoneCommand),
+    /// Shows teams and changes their keys and quotas
+    #[bpaf(command("team"))]
+    Team(#[bpaf(external(team_command))] TeamCommand),
     /// Gathers what entry nodes logged about one request and prints it in order
     ///
     /// Example: `oatcove explain 9c41d07be2a35f68 edge-*.log`
@@ -197,6 +204,7 @@
         Command::Zone(ZoneCommand::Evacuate(change)) => evacuate(change, false).await,
         Command::Zone(ZoneCommand::Restore(change)) => evacuate(change, true).await,
         Command::Zone(ZoneCommand::Status { platform, json }) => zone_status(platform, json).await,
+        Command::Team(command) => team_command::run(command).await,
         Command::Status { entry } => status(entry).await,
         Command::Explain { request, files } => explain(&request, &files),
         Command::Summary { window_s, files } => summary(window_s, &files),
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -29,7 +29,7 @@
     zones_evacuated: Gauge<u64>,
 }
 
-const COUNTERS: [meter::CounterSpec<Counters>; 16] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 17] = [
     ("oatcove_calls", "Calls received", |c| c.calls),
     ("oatcove_calls_done", "Calls answered by an upstream", |c| c.done),
     ("oatcove_calls_not_run", "Calls told not-run", |c| c.not_run),
@@ -48,6 +48,7 @@
     ("oatcove_refused_crashing", "Calls refused since they crash upstreams", |c| {
         c.refused_crashing
     }),
+    ("oatcove_calls_unauthorized", "Calls without a valid key", |c| c.unauthorized),
 ];
 
 impl Metrics {
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -29,17 +29,19 @@
 
 /// A call that is being handled.
 pub(super) struct Call<'a> {
-    request: &'a web::Request,
+    pub(super) request: &'a web::Request,
     /// Content key, computed on first use by [`Call::content`].
     content: OnceCell<ContentKey>,
-    request_id: HeaderValue,
+    pub(super) request_id: HeaderValue,
     pub(super) service: SmolStr,
-    path: &'a str,
+    pub(super) path: &'a str,
     /// Availability zone of this node.
     zone: SmolStr,
     params: Rc<config::Params>,
     /// Team whose share of the limiter the call uses; empty if the template does not list the team.
-    team: SmolStr,
+    pub(super) team: SmolStr,
+    /// Whether the team was told by a key, which upstreams do not get to see.
+    pub(super) has_keys: bool,
     deadline: Instant,
     /// Maximum number of connections of this node to one upstream.
     connection_share: u32,
@@ -59,6 +61,14 @@
     }
 }
 
+/// Why a call is rejected before any decision on it.
+enum Rejection {
+    /// No template names the service.
+    UnknownService,
+    /// The service's callers need a key of one of its teams.
+    Unauthorized(team::Unauthorized),
+}
+
 /// Result of all attempts of a call.
 enum CallResult {
     /// An upstream responded.
@@ -126,11 +136,23 @@
         path: &str,
     ) -> (web::Response, &'static str) {
         let request_id = self.request_id(&request);
-        let Some(call) = self.resolve_call(&request, &request_id, service, path) else {
-            self.view.borrow_mut().counters.not_run += 1;
-            let response =
-                response::not_run(StatusCode::NOT_FOUND, "unknown service\n", &request_id);
-            return (response, response::NOT_RUN);
+        let call = match self.resolve_call(&request, &request_id, service, path) {
+            Ok(call) => call,
+            Err(rejection) => {
+                let counters = &mut self.view.borrow_mut().counters;
+                counters.not_run += 1;
+                let response = match rejection {
+                    Rejection::UnknownService => {
+                        response::not_run(StatusCode::NOT_FOUND, "unknown service\n", &request_id)
+                    }
+                    Rejection::Unauthorized(why) => {
+                        counters.unauthorized += 1;
+                        log::info!("call {request_id:?} to {service} rejected: {}", why.reason());
+                        response::unauthorized(&request_id)
+                    }
+                };
+                return (response, response::NOT_RUN);
+            }
         };
         let Some(admitted) = self.admit(&call) else {
             let mut view = self.view.borrow_mut();
@@ -201,17 +223,28 @@
         }
     }
 
-    /// Creates the call with the parameters of its template; `None` if the service is unknown.
+    /// Creates the call with the parameters of its template.
+    ///
+    /// Where teams have keys, the key tells the caller's team; otherwise the caller names it.
     fn resolve_call<'a>(
         &self,
         request: &'a web::Request,
         request_id: &HeaderValue,
         service: &str,
         path: &'a str,
-    ) -> Option<Call<'a>> {
+    ) -> Result<Call<'a>, Rejection> {
         let view = self.view.borrow();
-        let template = &view.templates.get(service)?.template;
-        let team = request.headers().get(crate::TEAM).and_then(|v| v.to_str().ok());
+        let template = view.templates.get(service).ok_or(Rejection::UnknownService)?;
+        let template = &template.template;
+        let has_keys = !template.access.is_empty();
+        let caller = team::identify(&template.access, service, request.headers())
+            .map_err(Rejection::Unauthorized)?;
+        let team = match &caller {
+            team::Caller::Team(team, _) => Some(team.name.as_str()),
+            team::Caller::Anonymous => {
+                request.headers().get(crate::TEAM).and_then(|v| v.to_str().ok())
+            }
+        };
         let params = template.params(team).clone();
         let listed_team = team.filter(|team| template.teams.contains_key(*team));
         let caller_timeout_ms = request.headers().get(crate::TIMEOUT_MS);
@@ -219,7 +252,7 @@
             caller_timeout_ms.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
         let timeout_ms =
             caller_timeout_ms.map_or(params.timeout_ms, |ms: u64| ms.min(params.timeout_ms));
-        Some(Call {
+        Ok(Call {
             request,
             content: OnceCell::new(),
             request_id: request_id.clone(),
@@ -227,6 +260,7 @@
             path,
             zone: view.settings.zone.clone(),
             team: listed_team.unwrap_or_default().into(),
+            has_keys,
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             connection_share: connection_share(&params, view.entries.len()),
             idempotent: params.idempotent_methods.iter().any(|m| m == request.method().as_str()),
@@ -353,8 +387,7 @@
     /// Sends the call to `addr`, and records the result for balancing, backpressure and quarantine.
     async fn attempt(&self, call: &Call<'_>, addr: SocketAddr) -> Attempt {
         let remaining = call.remaining();
-        let request =
-            response::upstream_request(call.request, call.path, addr, &call.request_id, remaining);
+        let request = response::upstream_request(call, addr, remaining);
         let outstanding = Outstanding::start(&self.view, &call.service, addr, call.kind);
         self.record_send(addr);
         let (finding_version, _suspected_attempt) = self.begin_attempt(call, addr);
--- a/crates/oatcoved/src/proxy/response.rs
+++ b/crates/oatcoved/src/proxy/response.rs
@@ -5,6 +5,8 @@
 
 use http::{HeaderValue, StatusCode};
 
+use super::forward::Call;
+
 /// Outcome of a call to which an upstream responded.
 pub(super) const DONE: &str = "done";
 
@@ -17,17 +19,23 @@
 /// Minimum and maximum time after which the caller of a refused call is told to retry.
 const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
-/// Builds the request to an upstream: `request` with its connection headers removed, the `Host`,
-/// request id and timeout headers set, and `path` as its target.
+/// Builds the request of `call` to the upstream at `addr`: its connection headers are removed, and
+/// the `Host`, request id and timeout headers are set.
+///
+/// A key is replaced by the name of its team: an upstream could use it to send calls as that team.
 pub(super) fn upstream_request(
-    request: &web::Request,
-    path: &str,
+    call: &Call<'_>,
     addr: SocketAddr,
-    request_id: &HeaderValue,
     remaining: Duration,
 ) -> web::Request {
+    let Call { request, request_id, .. } = call;
     let mut headers = request.headers().clone();
     web::strip_connection_headers(&mut headers);
+    if call.has_keys {
+        headers.remove(http::header::AUTHORIZATION);
+        let team = HeaderValue::from_str(&call.team).expect("team names are checked");
+        headers.insert(crate::TEAM, team);
+    }
     let host = HeaderValue::try_from(addr.to_string()).expect("an address is a valid header value");
     headers.insert(http::header::HOST, host);
     headers.insert(crate::REQUEST_ID, request_id.clone());
@@ -35,7 +43,7 @@
     let mut upstream_request = http::Request::new(request.body().clone());
     *upstream_request.method_mut() = request.method().clone();
     *upstream_request.uri_mut() =
-        http::Uri::try_from(path).expect("the path is part of a valid request target");
+        http::Uri::try_from(call.path).expect("the path is part of a valid request target");
     *upstream_request.headers_mut() = headers;
     upstream_request
 }
@@ -55,6 +63,15 @@
     with_outcome(web::reply(status, text), NOT_RUN, id)
 }
 
+/// Builds the response to a call without a valid key.
+pub(super) fn unauthorized(id: &HeaderValue) -> web::Response {
+    let text = "a valid key is required\n";
+    let mut response = not_run(StatusCode::UNAUTHORIZED, text, id);
+    let scheme = HeaderValue::from_static(team::SCHEME);
+    response.headers_mut().insert(http::header::WWW_AUTHENTICATE, scheme);
+    response
+}
+
 /// Builds the response to a call that no upstream ran because of load, with a time to retry.
 ///
 /// `Retry-After` is in whole seconds, as the standard requires; a second header
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -10,6 +10,8 @@
 
 use crate::proxy::Node;
 
+mod keys;
+
 fn upstream_config(light_ms: u64, queue_limit: usize) -> UpstreamConfig {
     UpstreamConfig {
         slots: 4,
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -48,6 +48,8 @@
     pub upstreams_ended: u64,
     /// Calls refused because they crash upstreams.
     pub refused_crashing: u64,
+    /// Calls rejected because their caller has no valid key.
+    pub unauthorized: u64,
 }
 
 /// Another entry node, as known from the membership.
--- a/crates/team/src/identify.rs
+++ b/crates/team/src/identify.rs
@@ -7,8 +7,8 @@
 
 use crate::{KeyDigest, Team, Teams, MAX_KEY_BYTES};
 
-/// Authentication scheme of keys; schemes are compared in any case.
-const SCHEME: &[u8] = b"bearer";
+/// Authentication scheme of keys (RFC 6750); schemes are compared in any case.
+pub const SCHEME: &str = "Bearer";
 
 /// Who sent a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,7 +73,7 @@
     };
     let key = rest.trim_ascii();
     let is_key = (1..=MAX_KEY_BYTES).contains(&key.len()) && key.iter().all(|b| is_token68(*b));
-    match scheme.eq_ignore_ascii_case(SCHEME) && is_key {
+    match scheme.eq_ignore_ascii_case(SCHEME.as_bytes()) && is_key {
         true => Ok(KeyDigest::of(key)),
         false => Err(Unauthorized::Malformed),
     }
--- a/crates/team/src/key.rs
+++ b/crates/team/src/key.rs
@@ -8,7 +8,7 @@
 pub const MAX_KEY_BYTES: usize = 256;
 
 /// Length of a digest in bytes. Two keys share one with a chance of 2^-128.
-const DIGEST_BYTES: usize = 16;
+pub(crate) const DIGEST_BYTES: usize = 16;
 
 /// Number of bytes of a digest that its fingerprint shows.
 const FINGERPRINT_BYTES: usize = 4;
@@ -27,6 +27,14 @@
         digest.copy_from_slice(&blake3::hash(key).as_bytes()[..DIGEST_BYTES]);
         KeyDigest(digest)
     }
+
+    pub(crate) fn from_bytes(bytes: [u8; DIGEST_BYTES]) -> KeyDigest {
+        KeyDigest(bytes)
+    }
+
+    pub(crate) fn bytes(&self) -> &[u8; DIGEST_BYTES] {
+        &self.0
+    }
 }
 
 impl fmt::Display for KeyDigest {
--- a/crates/team/src/lib.rs
+++ b/crates/team/src/lib.rs
@@ -9,10 +9,12 @@
 mod identify;
 mod key;
 mod teams;
+mod text;
 
-pub use identify::{identify, Caller, Unauthorized};
+pub use identify::{identify, Caller, Unauthorized, SCHEME};
 pub use key::{KeyDigest, MAX_KEY_BYTES};
 pub use teams::{Quota, Team, TeamError, TeamName, Teams};
+pub use text::DigestText;
 
 #[cfg(test)]
 mod tests;
