--- a/crates/oatcove/src/explain.rs
+++ b/crates/oatcove/src/explain.rs
@@ -43,7 +43,8 @@
 
 /// Returns the timeline of `request`, sorted by time and formatted for output: its own lines, and
 /// lines of the same period about the upstreams it was sent to and the nodes that received it.
-/// After these come the counts of problems that other requests had with its upstreams.
+/// After these come the cause of a rejected key, and the counts of problems that other requests had
+/// with its upstreams.
 ///
 /// `request` is the id of one attempt, or a content key (log field `content`), which selects all
 /// attempts of a request on all nodes.
@@ -84,6 +85,7 @@
     timeline.sort_by_key(|line| line.unix_ms);
     let mut output: Vec<String> =
         timeline.iter().map(|line| format_line(line, request, first)).collect();
+    output.extend(own.iter().filter_map(|line| rejection_cause(line)));
     output.extend(upstreams.iter().filter_map(|upstream| {
         other_problems(upstream, request, lines.iter().filter(|l| span.contains(&l.unix_ms)))
     }));
@@ -97,6 +99,28 @@
     line["request"] == request || content_keys.any(|key| key == request)
 }
 
+/// Returns why the key of a request was rejected; `None` for a line about anything else.
+fn rejection_cause(line: &Line) -> Option<String> {
+    let Line { value, prefix, .. } = line;
+    let (key, config) = (value["key"].as_str().unwrap_or("?"), &value["config"]);
+    let cause = match (value["event"].as_str()?, value["reason"].as_str()?) {
+        ("unauthorized", "no key") => {
+            format!("it has no key, and route {} needs one", value["route"].as_str().unwrap_or("?"))
+        }
+        ("unauthorized", "malformed key") => {
+            "it has several Authorization headers, or one that is not `Bearer KEY`".to_owned()
+        }
+        ("unauthorized", "unknown key") => {
+            format!("no team has key {key} in version {config}; `audit log` shows who had it")
+        }
+        ("refused", "unknown key") => format!(
+            "no team has key {key} in version {config}, and a newer version may not have been read"
+        ),
+        _ => return None,
+    };
+    Some(format!("  rejected by {}: {cause}", node(prefix)))
+}
+
 /// Returns the counts of problems that other requests had with `upstream`, on all nodes; `None` if
 /// there were none.
 fn other_problems<'a>(
--- a/crates/oatcove/src/explain/tests.rs
+++ b/crates/oatcove/src/explain/tests.rs
@@ -66,3 +66,30 @@
     );
     assert!(timeline.contains("all nodes, other requests: upstream_leaving=1"), "{timeline}");
 }
+
+const REJECTED: &str = r#"
+node-1 {"unix_ms":1000,"event":"config_applied","version":12}
+node-1 {"unix_ms":1500,"event":"unauthorized","request":"aa","reason":"unknown key","route":"list","config":12,"key":"00c0ffee"}
+node-1 {"unix_ms":1600,"event":"unauthorized","request":"bb","reason":"no key","route":"list","config":12}
+node-1 {"unix_ms":1700,"event":"unauthorized","request":"cc","reason":"malformed key","route":"list","config":12}
+node-2 {"unix_ms":1800,"event":"refused","request":"dd","reason":"unknown key","route":"list","config":10,"key":"00c0ffee"}
+node-2 {"unix_ms":1900,"event":"refused","request":"ee","reason":"no upstream","route":"list","config":10}
+"#;
+
+/// Guards against a caller that cannot be told why its key was rejected.
+#[yare::parameterized(
+    unknown = { "aa", "rejected by node-1: no team has key 00c0ffee in version 12;" },
+    missing = { "bb", "rejected by node-1: it has no key, and route list needs one" },
+    malformed = { "cc", "rejected by node-1: it has several Authorization headers" },
+    perhaps_new = { "dd", "rejected by node-2: no team has key 00c0ffee in version 10, and a newer" },
+)]
+fn the_cause_of_a_rejected_key_is_shown(request: &str, expected: &str) {
+    let timeline = explain(request, REJECTED).join("\n");
+    assert!(timeline.contains(expected), "{timeline}");
+}
+
+#[test]
+fn other_refusals_show_no_cause_about_keys() {
+    let timeline = explain("ee", REJECTED).join("\n");
+    assert!(timeline.contains("no upstream") && !timeline.contains("rejected by"), "{timeline}");
+}
