--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -39,6 +39,7 @@
 use crate::gossip;
 use crate::metrics::Metrics;
 use crate::probe;
+use crate::quotas;
 use crate::relay;
 use crate::reply::LocalReply;
 use crate::state::SharedState;
@@ -78,6 +79,8 @@
     pub conns: Conns,
     /// Peers that read the platform through this node.
     pub subscribers: relay::Subscribers,
+    /// Tokens of teams' quotas.
+    pub quotas: quotas::Quotas,
     /// Metrics of the node.
     pub metrics: Metrics,
     probe_budgets: RefCell<HashMap<ServiceName, probe::Budget>>,
@@ -137,9 +140,11 @@
 impl Node {
     /// Creates the request path over `state`, which records its measurements in `metrics`.
     pub fn new(state: SharedState, metrics: Metrics) -> Node {
+        let quotas = quotas::Quotas::new(&state.borrow().settings);
         Node {
             metrics,
             state,
+            quotas,
             conns: Conns::default(),
             subscribers: relay::Subscribers::default(),
             probe_budgets: RefCell::default(),
@@ -284,6 +289,16 @@
             Ok(team::Caller::Anonymous) => None,
             Err(why) => return self.reject_unauthorized(head, &table, why),
         };
+        let token = match &team {
+            Some(team) => match self.acquire_token(team).await {
+                Ok(token) => token,
+                Err(why) => {
+                    let id = request_id_of(head, &names);
+                    return Reply::Local(self.refuse_for_quota(id, table.version, team, why));
+                }
+            },
+            None => None,
+        };
         let mut ids = head.headers.get_all(&names.request_id).iter();
         let (Some(request_id), None) = (ids.next().cloned(), ids.next()) else {
             let text = "exactly one request id is required";
@@ -321,6 +336,7 @@
             service,
             has_teams: !table.teams.is_empty(),
             team,
+            token,
             most_urgent,
             received_at,
             caller_left: caller.has_left,
@@ -347,6 +363,11 @@
                 }
             }
         };
+        if let (Reply::Local(LocalReply { retry_after: Some(_), .. }), Some(token)) =
+            (&reply, &call.token)
+        {
+            token.unspend();
+        }
         self.count_outcome(&call, &reply);
         reply
     }
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -17,6 +17,7 @@
 use super::content;
 use crate::as_ms;
 use crate::exchange::Outcome;
+use crate::quotas;
 
 /// A request that is being forwarded.
 pub(super) struct Call<'a> {
@@ -34,6 +35,8 @@
     pub(super) has_teams: bool,
     /// The team that the caller belongs to, if it has a key.
     pub(super) team: Option<Rc<Team>>,
+    /// The token of the team's quota, if it has one.
+    pub(super) token: Option<quotas::Token>,
     pub(super) most_urgent: bool,
     pub(super) received_at: Instant,
     /// Whether the caller has left.
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -76,6 +76,9 @@
         let (method, request_id) = (call.head.method.clone(), call.request_id.clone());
         let outgoing = OutgoingRequest { method, bytes, request_id };
         self.state.borrow_mut().counters.far_sends += u64::from(choice.is_cross_zone);
+        if let Some(token) = &call.token {
+            token.spend();
+        }
         let was_reused = conn.used;
         let requested_at = Instant::now();
         let on_response_head = |head: &h1::ResponseHead, to: ResponseTo| {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! - Requests: [`serve`] reads requests from callers and writes the responses, [`forward`] obtains
 //!   the response to each request using the decisions of the crates `route`, `place` and `limit`,
-//!   and [`exchange`] sends one request to one upstream over a connection from the pool in
+//!   [`quotas`] obtains the tokens that teams' quotas require, and [`exchange`] sends one request to one upstream over a connection from the pool in
 //!   [`conns`]. [`probe`] queries upstreams for their load just before a choice.
 //! - Platform: [`follow`] keeps the node's state in sync with the platform, which it accesses only
 //!   through the trait [`follow::Source`]. Most nodes read it through a peer ([`readers`],
@@ -25,6 +25,7 @@
 pub mod holds;
 pub mod metrics;
 pub mod probe;
+pub mod quotas;
 pub mod readers;
 pub mod record;
 pub mod relay;
@@ -79,6 +80,11 @@
     pub front_addr: SocketAddr,
     /// Address that other entry nodes connect to; identifies the node among them.
     pub peer_addr: SocketAddr,
+    /// Address where other entry nodes ask for tokens of teams' quotas: the port after that of
+    /// `peer_addr`, at every node. `None` if that port may not be used.
+    pub quota_addr: Option<SocketAddr>,
+    /// How far teams may exceed their quotas.
+    pub quota_bounds: quota::Bounds,
     /// Entry nodes to contact at start; they may no longer exist.
     pub seed_addrs: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time, with nothing to serve yet.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,7 +15,7 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 19] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 23] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -35,6 +35,12 @@
     ("oatcove_refused_crashing", "Requests refused since they crash upstreams", |c| {
         c.refused_crashing
     }),
+    ("oatcove_over_quota", "Requests refused for their team's quota", |c| c.over_quota),
+    ("oatcove_quota_unknown", "Requests refused as no owner of the quota responded", |c| {
+        c.quota_unknown
+    }),
+    ("oatcove_quota_packets", "Datagrams about quotas sent", |c| c.quota_packets),
+    ("oatcove_quota_bytes", "Bytes of datagrams about quotas sent", |c| c.quota_bytes),
     ("oatcove_membership_bytes", "Bytes of membership sent", |c| c.membership_bytes),
     ("oatcove_membership_far_bytes", "Bytes of membership sent to another zone", |c| {
         c.membership_far_bytes
--- /dev/null
+++ b/crates/edge/src/quotas.rs
@@ -0,0 +1,310 @@
+//! Tokens of teams' quotas: asks the nodes that grant them, and grants them to other nodes.
+//!
+//! The decisions are those of the crate `quota`. [`run`] reads the socket, [`housekeeping`] applies
+//! changes of the peers and of the configuration, and [`Node::acquire_token`] is what the request
+//! path calls. While no team has a quota, nothing is sent.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use local_sync::oneshot;
+use monoio::net::udp::UdpSocket;
+use quota::{Answer, Attempt, Issue, Member, Message, Refusal, Seq, Step};
+use rand::SeedableRng;
+use team::{Team, TeamName, Teams};
+
+use crate::forward::Node;
+use crate::reply::LocalReply;
+use crate::state::State;
+use crate::{as_ms, readers, Settings};
+
+/// Maximum length of a datagram in bytes; longer ones are truncated and rejected.
+const MAX_DATAGRAM_BYTES: usize = quota::MAX_MESSAGE_BYTES + 1;
+
+/// Pause after an error of the socket.
+const ERROR_PAUSE: Duration = Duration::from_millis(100);
+
+/// `Retry-After` when no node that decides on a quota responded: another node may reach one.
+const RETRY_AFTER_NO_OWNER: Duration = Duration::from_millis(20);
+
+/// Lower bound of `Retry-After` over the quota: callers that return sooner are likely refused again.
+const MIN_RETRY_AFTER_OVER_QUOTA: Duration = Duration::from_millis(50);
+
+/// Lines per second about refused requests; a team far over its quota must not cost the log of the
+/// others.
+const MAX_LINES_PER_S: u32 = 10;
+
+/// The node's part in the quotas of all teams.
+pub struct Quotas {
+    core: RefCell<quota::Node>,
+    socket: OnceCell<Rc<UdpSocket>>,
+    waiters: RefCell<HashMap<Seq, oneshot::Sender<Answer>>>,
+    /// Version of the configuration whose quotas were applied last.
+    applied_version: Cell<Option<route::Version>>,
+    lines: Cell<LineBudget>,
+}
+
+/// How many lines were logged in the current second, and how many were left out.
+#[derive(Clone, Copy)]
+struct LineBudget {
+    since: Instant,
+    logged: u32,
+    left_out: u64,
+}
+
+impl Quotas {
+    /// Creates the state of a node that holds no tokens.
+    pub fn new(settings: &Settings) -> Quotas {
+        let me = settings.quota_addr.unwrap_or(settings.peer_addr);
+        let rng = rand::rngs::SmallRng::from_os_rng();
+        Quotas {
+            core: RefCell::new(quota::Node::new(me, settings.quota_bounds, rng)),
+            socket: OnceCell::new(),
+            waiters: RefCell::default(),
+            applied_version: Cell::new(None),
+            lines: Cell::new(LineBudget { since: Instant::now(), logged: 0, left_out: 0 }),
+        }
+    }
+
+    /// Returns how many lines were left out since the last one, or `None` if this one must be too.
+    fn next_line(&self, now: Instant) -> Option<u64> {
+        let mut lines = self.lines.get();
+        if now.saturating_duration_since(lines.since) >= Duration::from_secs(1) {
+            lines = LineBudget { since: now, logged: 0, ..lines };
+        }
+        let left_out = match lines.logged < MAX_LINES_PER_S {
+            true => {
+                lines.logged += 1;
+                Some(std::mem::take(&mut lines.left_out))
+            }
+            false => {
+                lines.left_out += 1;
+                None
+            }
+        };
+        self.lines.set(lines);
+        left_out
+    }
+}
+
+/// A token of a team's quota. When dropped it is given back, unless its request may have run.
+pub struct Token {
+    node: Rc<Node>,
+    team: TeamName,
+    held: quota::Held,
+    may_have_run: Cell<bool>,
+}
+
+impl Token {
+    /// Records that the request may run from now on.
+    pub fn spend(&self) {
+        self.may_have_run.set(true);
+    }
+
+    /// Records that the request has certainly not run.
+    pub fn unspend(&self) {
+        self.may_have_run.set(false);
+    }
+}
+
+impl Drop for Token {
+    fn drop(&mut self) {
+        if !self.may_have_run.get() {
+            let mut core = self.node.quotas.core.borrow_mut();
+            core.give_back(&self.team, self.held, Instant::now());
+        }
+    }
+}
+
+/// A question in flight; when dropped, its answer is no longer waited for.
+struct Waiting<'a> {
+    quotas: &'a Quotas,
+    /// `None` once the answer or the timeout has come.
+    attempt: Option<&'a mut Attempt>,
+    seq: Seq,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.quotas.waiters.borrow_mut().remove(&self.seq);
+        if let Some(attempt) = self.attempt.take() {
+            self.quotas.core.borrow_mut().abandon(attempt);
+        }
+    }
+}
+
+impl Node {
+    /// Takes a token for a request of `team`; `None` if the team has no quota.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request must be refused.
+    pub async fn acquire_token(self: &Rc<Node>, team: &Team) -> Result<Option<Token>, Refusal> {
+        let Some(quota) = &team.quota else { return Ok(None) };
+        let (mut attempt, mut step) =
+            self.quotas.core.borrow_mut().begin(team, quota, Instant::now());
+        loop {
+            let (to, message) = match step {
+                Step::Granted(held) => {
+                    let (node, team) = (self.clone(), team.name.clone());
+                    let may_have_run = Cell::new(false);
+                    return Ok(Some(Token { node, team, held, may_have_run }));
+                }
+                Step::Refused(why) => return Err(why),
+                Step::Ask(to, message) => (to, message),
+            };
+            let answer = self.ask(&mut attempt, to, message).await;
+            let mut core = self.quotas.core.borrow_mut();
+            step = match answer {
+                Some(answer) => core.answered(&mut attempt, answer, Instant::now()),
+                None => core.timed_out(&mut attempt, Instant::now()),
+            };
+        }
+    }
+
+    /// Sends a question; returns its answer, or `None` if none came in time.
+    async fn ask(&self, attempt: &mut Attempt, to: SocketAddr, message: Message) -> Option<Answer> {
+        let Message::Ask { seq, .. } = message else { return None };
+        let (tx, rx) = oneshot::channel();
+        self.quotas.waiters.borrow_mut().insert(seq, tx);
+        let mut waiting = Waiting { quotas: &self.quotas, attempt: Some(attempt), seq };
+        send(self, to, &message).await;
+        let answer = monoio::time::timeout(quota::ASK_TIMEOUT, rx).await;
+        waiting.attempt = None;
+        answer.ok().and_then(Result::ok)
+    }
+
+    /// Logs and counts a request that got no token of its team's quota; returns the response.
+    pub(crate) fn refuse_for_quota(
+        &self,
+        request_id: &str,
+        version: route::Version,
+        team: &Team,
+        why: Refusal,
+    ) -> LocalReply {
+        let (event, reply) = match why {
+            Refusal::OverQuota { retry_after, .. } => {
+                self.state.borrow_mut().counters.over_quota += 1;
+                let retry_after = retry_after.max(MIN_RETRY_AFTER_OVER_QUOTA);
+                ("over_quota", LocalReply::over_quota(retry_after))
+            }
+            Refusal::NoOwner => {
+                self.state.borrow_mut().counters.quota_unknown += 1;
+                let text = "the team's quota is not known";
+                ("quota_unknown", LocalReply::not_run(RETRY_AFTER_NO_OWNER, text))
+            }
+        };
+        if let Some(left_out) = self.quotas.next_line(Instant::now()) {
+            let line = trace::Line::new(event)
+                .field("request", request_id)
+                .field("team", team.name.as_str())
+                .field("config", version)
+                .field("come_back_ms", reply.retry_after.map(as_ms))
+                .field("left_out", left_out);
+            match why {
+                Refusal::OverQuota { denied_by: Some(owner), .. } => line.field("owner", owner),
+                Refusal::OverQuota { denied_by: None, .. } => line.field("owner", "denied before"),
+                Refusal::NoOwner => line,
+            }
+            .log();
+        }
+        reply
+    }
+}
+
+/// Answers questions and receives answers until the socket is closed.
+pub async fn run(socket: UdpSocket, node: Rc<Node>) {
+    let socket = Rc::new(socket);
+    // Fails only if the task is started twice; the first socket is then kept.
+    let _ = node.quotas.socket.set(socket.clone());
+    let mut buf = Vec::with_capacity(MAX_DATAGRAM_BYTES);
+    loop {
+        buf.clear();
+        let (result, received) = socket.recv_from(buf).await;
+        buf = received;
+        let Ok((length, from)) = result else {
+            // On some systems an ICMP "port unreachable" for an earlier send is reported here.
+            monoio::time::sleep(ERROR_PAUSE).await;
+            continue;
+        };
+        match Message::decode(&buf[..length.min(buf.len())]) {
+            Ok(message) => receive(&node, from, message).await,
+            Err(err) => trace::Line::new("quota_packet_refused")
+                .field("peer", from)
+                .field("error", err.to_string())
+                .log(),
+        }
+    }
+}
+
+async fn receive(node: &Rc<Node>, from: SocketAddr, message: Message) {
+    let issue = {
+        let table = node.state.borrow().table.clone();
+        let no_teams = Teams::default();
+        let teams = table.as_ref().map_or(&no_teams, |table| &table.teams);
+        node.quotas.core.borrow_mut().receive(from, message, teams, Instant::now())
+    };
+    match issue {
+        Issue::Nothing => {}
+        Issue::Reply(message) => send(node, from, &message).await,
+        Issue::Answered(seq, answer) => {
+            if let Some(waiter) = node.quotas.waiters.borrow_mut().remove(&seq) {
+                // The request may have been dropped at this moment.
+                let _ = waiter.send(answer);
+            }
+        }
+    }
+}
+
+/// Sends a message. One that cannot be sent counts as lost.
+async fn send(node: &Node, to: SocketAddr, message: &Message) {
+    let (Some(socket), Some(bytes)) = (node.quotas.socket.get(), message.encode()) else { return };
+    {
+        let counters = &mut node.state.borrow_mut().counters;
+        counters.quota_packets += 1;
+        counters.quota_bytes += bytes.len() as u64;
+    }
+    let _ = socket.send_to(bytes, to).await;
+}
+
+/// Applies changes of the peers and of the configuration, and returns unused tokens.
+pub fn housekeeping(node: &Rc<Node>, now: Instant) {
+    let messages = {
+        let state = node.state.borrow();
+        let Some(table) = state.table.as_ref() else { return };
+        if !table.teams.iter().any(|team| team.quota.is_some()) {
+            return;
+        }
+        let mut core = node.quotas.core.borrow_mut();
+        core.set_bounds(state.settings.quota_bounds);
+        let is_complete = readers::knows_peers(&state, now);
+        let has_new_peers = core.apply_peers(members(&state), is_complete);
+        if has_new_peers || node.quotas.applied_version.get() != Some(table.version) {
+            core.apply_teams(&table.teams, now);
+            node.quotas.applied_version.set(Some(table.version));
+        }
+        core.tick(&table.teams, now)
+    };
+    if messages.is_empty() {
+        return;
+    }
+    let node = node.clone();
+    monoio::spawn(async move {
+        for (to, message) in messages {
+            send(&node, to, &message).await;
+        }
+    });
+}
+
+/// Returns the nodes that may grant tokens. A node without a socket is in touch with none.
+fn members(state: &State) -> impl Iterator<Item = Member> + Clone + '_ {
+    let has_socket = state.settings.quota_addr.is_some();
+    let peers = state.peers.iter().filter(|(_, peer)| peer.standing != wire::Standing::Left);
+    peers.map(move |(addr, peer)| Member {
+        addr: SocketAddr::new(addr.ip(), addr.port().wrapping_add(1)),
+        is_alive: has_socket && peer.standing <= wire::Standing::Suspect,
+    })
+}
--- a/crates/edge/src/reply.rs
+++ b/crates/edge/src/reply.rs
@@ -23,6 +23,13 @@
         LocalReply { status: StatusCode::SERVICE_UNAVAILABLE, retry_after: Some(retry_after), text }
     }
 
+    /// Creates a 429 response to a request of a team that has used up its quota; the caller may
+    /// retry after `retry_after`.
+    pub fn over_quota(retry_after: Duration) -> LocalReply {
+        let text = "the team's quota is used up";
+        LocalReply { status: StatusCode::TOO_MANY_REQUESTS, retry_after: Some(retry_after), text }
+    }
+
     /// Creates a response that does not invite a retry.
     pub fn failed(status: StatusCode, text: &'static str) -> LocalReply {
         LocalReply { status, retry_after: None, text }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -140,6 +140,14 @@
     pub upstreams_ended: u64,
     /// Requests refused because they crash upstreams.
     pub refused_crashing: u64,
+    /// Requests refused because their team has used up its quota.
+    pub over_quota: u64,
+    /// Requests refused because no node that decides on their team's quota responded.
+    pub quota_unknown: u64,
+    /// Datagrams about quotas sent.
+    pub quota_packets: u64,
+    /// Bytes of these datagrams, without UDP headers.
+    pub quota_bytes: u64,
     /// Bytes of membership packets sent, without UDP headers.
     pub membership_bytes: u64,
     /// Part of `membership_bytes` sent to other zones.
@@ -270,6 +278,7 @@
         own.stop_grace = settings.stop_grace;
         own.retry_ratio = settings.retry_ratio;
         own.retry_slack = settings.retry_slack;
+        own.quota_bounds = settings.quota_bounds;
         own.max_probes_per_upstream_per_s = settings.max_probes_per_upstream_per_s;
         own.cross_zone_cost_per_kib = settings.cross_zone_cost_per_kib;
     }
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -14,7 +14,7 @@
 
 use crate::forward::Node;
 use crate::state::Stopping;
-use crate::{follow, gossip, unix_ms};
+use crate::{follow, gossip, quotas, unix_ms};
 
 /// Interval of housekeeping and of checks for signals.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -69,10 +69,11 @@
     }
 }
 
-fn housekeeping(node: &Node) {
+fn housekeeping(node: &Rc<Node>) {
     let now = Instant::now();
     follow::expire(node, now);
     node.conns.expire(now);
+    quotas::housekeeping(node, now);
     let mut state = node.state.borrow_mut();
     state.quarantine.expire(unix_ms());
     state.backpressure.expire(now);
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -60,6 +60,8 @@
         regions: HashMap::new(),
         front_addr: addr,
         peer_addr: addr,
+        quota_addr: None,
+        quota_bounds: quota::Bounds { window: Duration::from_secs(5), overshoot: 0.1, slack: 20.0 },
         seed_addrs: Vec::new(),
         bootstrap: false,
         headers: header_names(),
--- /dev/null
+++ b/crates/quota/src/tests.rs
@@ -0,0 +1,1 @@
+mod messages;
