--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -280,7 +280,7 @@
         }
         let mut core = node.quotas.core.borrow_mut();
         core.set_bounds(state.settings.quota_bounds);
-        let is_complete = readers::knows_peers(&state, now);
+        let is_complete = readers::knows_peers(&state, now) && !is_isolated(&state);
         let has_new_peers = core.apply_peers(members(&state), is_complete);
         if has_new_peers || node.quotas.applied_version.get() != Some(table.version) {
             core.apply_teams(&table.teams, now);
@@ -299,6 +299,13 @@
     });
 }
 
+/// Returns true if the node was started beside others and has met none of them: it cannot tell
+/// what it may grant.
+fn is_isolated(state: &State) -> bool {
+    let settings = &state.settings;
+    state.peers.is_empty() && settings.seed_addrs.iter().any(|addr| *addr != settings.peer_addr)
+}
+
 /// Returns the nodes that may grant tokens. A node without a socket is in touch with none.
 fn members(state: &State) -> impl Iterator<Item = Member> + Clone + '_ {
     let has_socket = state.settings.quota_addr.is_some();
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -205,7 +205,8 @@
         match role {
             Role::Owner => Limits {
                 rate_per_s: quota.rate_per_s * view.alive_ratio() / shards,
-                capacity: (quota.burst + tolerance * CAPACITY_SHARE) / shards,
+                // Below one token, a bucket would never grant any.
+                capacity: ((quota.burst + tolerance * CAPACITY_SHARE) / shards).max(1.0),
             },
             // Half at once and half at a rate, so that no window exceeds the share.
             Role::Reserve => {
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -11,7 +11,7 @@
 
 /// Rate up to which one owner grants a team's tokens. With three owners, the others have room for
 /// the whole team when one is lost; a team this small fits into the tolerance meanwhile.
-const MAX_UNDIVIDED_PER_S: f64 = 8.0;
+const MAX_UNDIVIDED_PER_S: f64 = 5.0;
 
 /// Rate of one shard at which a team gets more of them, so that a node with a tenth of a core does
 /// not grant hundreds of times per second.
@@ -20,19 +20,12 @@
 /// Shards of a divided team.
 const SHARDS: std::ops::RangeInclusive<f64> = 3.0..=12.0;
 
-/// Minimum burst of a shard: below it, requests that arrive close together find an empty bucket
-/// while others are full.
-const MIN_SHARD_BURST: f64 = 2.0;
-
 /// Returns the number of shards that a quota is divided into.
 pub fn shard_count(quota: &Quota) -> Shard {
     if quota.rate_per_s < MAX_UNDIVIDED_PER_S {
         return 1;
     }
-    let by_rate =
-        (quota.rate_per_s / SHARD_RATE_PER_S).ceil().clamp(*SHARDS.start(), *SHARDS.end());
-    let by_burst = (quota.burst / MIN_SHARD_BURST).floor().max(1.0);
-    by_rate.min(by_burst) as Shard
+    (quota.rate_per_s / SHARD_RATE_PER_S).ceil().clamp(*SHARDS.start(), *SHARDS.end()) as Shard
 }
 
 /// An entry node, as another one knows it.
--- a/crates/quota/src/tests.rs
+++ b/crates/quota/src/tests.rs
@@ -1,1 +1,5 @@
+mod bounds;
+mod comparison;
+mod decisions;
+mod fleet;
 mod messages;
