--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -238,9 +238,16 @@
 
 /// Starts an entry node in front of `upstreams`.
 pub fn start(upstreams: &[&Upstream]) -> EntryNode {
+    start_with(upstreams, |_| {})
+}
+
+/// Same as [`start`], with changed settings.
+pub fn start_with(upstreams: &[&Upstream], configure: impl FnOnce(&mut Settings)) -> EntryNode {
     let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
     let addr = listener.local_addr().expect("bound");
-    let mut state = State::new(settings());
+    let mut settings = settings();
+    configure(&mut settings);
+    let mut state = State::new(settings);
     state.apply_table(table(1, ClientLimits::default()));
     for (n, upstream) in upstreams.iter().enumerate() {
         let entry = Entry {
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -17,6 +17,7 @@
 mod long_bodies;
 mod node_state;
 mod pipelining;
+mod quotas;
 mod relay;
 mod requests;
 mod restarts;
--- a/crates/quota/src/tests/bounds.rs
+++ b/crates/quota/src/tests/bounds.rs
@@ -15,7 +15,7 @@
 }
 
 /// Returns the number of requests that a window may contain.
-fn most_allowed(quota: Quota) -> f64 {
+pub fn most_allowed(quota: Quota) -> f64 {
     (quota.rate_per_s * BOUNDS.window.as_secs_f64() + quota.burst) * (1.0 + BOUNDS.overshoot)
         + BOUNDS.slack
 }
