--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of one entry node, in text format.
 //!
 //! No metric has a label for service, route or upstream: with 560 services and 6,700 upstreams, one
-//! scrape would be megabytes. The log has these details.
+//! scrape would be megabytes. The log has these details. Teams with a quota have a label each, up
+//! to [`crate::quotas::MAX_TEAM_LABELS`].
 
 use std::time::{Duration, Instant};
 
@@ -9,6 +10,7 @@
 use opentelemetry::KeyValue;
 
 use crate::follow::Topic;
+use crate::forward::Node;
 use crate::state::{Counters, State};
 
 /// Bucket bounds of the request duration histogram, in seconds.
@@ -66,6 +68,34 @@
     backing_off: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
     lines_dropped: Gauge<u64>,
+    quota_shards: Gauge<u64>,
+    team_requests: Gauge<u64>,
+}
+
+impl Node {
+    /// Returns the current values of the node's metrics in text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`meter::Error::Encode`] if the values cannot be encoded.
+    pub fn scrape(&self) -> Result<String, meter::Error> {
+        let state = self.state.borrow();
+        self.metrics.quota_shards.record(self.quotas.owned_count() as u64, &[]);
+        for (team, counts) in self.quotas.labelled_counts(&state) {
+            let outcomes = [
+                ("allowed", counts.allowed),
+                ("returned", counts.returned),
+                ("over_quota", counts.over_quota),
+                ("quota_unknown", counts.no_owner),
+            ];
+            for (outcome, count) in outcomes {
+                let labels =
+                    [KeyValue::new("team", team.to_string()), KeyValue::new("outcome", outcome)];
+                self.metrics.team_requests.record(count, &labels);
+            }
+        }
+        self.metrics.scrape(&state)
+    }
 }
 
 impl Metrics {
@@ -95,6 +125,8 @@
             backing_off: registry.gauge("oatcove_upstreams_resting"),
             zones_evacuated: registry.gauge("oatcove_zones_evacuated"),
             lines_dropped: registry.gauge("oatcove_log_lines_dropped"),
+            quota_shards: registry.gauge("oatcove_quota_shards_owned"),
+            team_requests: registry.gauge("oatcove_team_requests"),
             registry,
         })
     }
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -5,7 +5,7 @@
 //! path calls. While no team has a quota, nothing is sent.
 
 use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
 use monoio::net::udp::UdpSocket;
 use quota::{Answer, Attempt, Issue, Member, Message, Refusal, Seq, Step};
 use rand::SeedableRng;
+use serde::Serialize;
 use team::{Team, TeamName, Teams};
 
 use crate::forward::Node;
@@ -35,7 +36,13 @@
 
 /// Lines per second about refused requests; a team far over its quota must not cost the log of the
 /// others.
-const MAX_LINES_PER_S: u32 = 10;
+const MAX_LINES_PER_S: u32 = 20;
+
+/// Number of teams that have a label of their own in the metrics; all others share one.
+pub const MAX_TEAM_LABELS: usize = 16;
+
+/// Label of the teams that have none of their own.
+const OTHER_TEAMS: &str = "other";
 
 /// The node's part in the quotas of all teams.
 pub struct Quotas {
@@ -45,6 +52,37 @@
     /// Version of the configuration whose quotas were applied last.
     applied_version: Cell<Option<route::Version>>,
     lines: Cell<LineBudget>,
+    /// Teams that have a label of their own in the metrics. A team keeps it, as its values would
+    /// seem to fall otherwise.
+    labelled: RefCell<BTreeSet<TeamName>>,
+}
+
+/// The node's part in the quotas of teams.
+#[derive(Debug, Default, Serialize)]
+pub struct Status {
+    /// Number of shards that the node grants tokens of.
+    pub shards_owned: usize,
+    /// Teams that have sent requests recently.
+    pub teams: BTreeMap<TeamName, TeamStatus>,
+}
+
+/// What the node knows about one team.
+#[derive(Debug, Serialize)]
+pub struct TeamStatus {
+    /// Tokens that the node holds.
+    pub held: usize,
+    /// Age of the oldest of them.
+    pub oldest_ms: Option<u64>,
+    /// Whether requests are refused as the owners have denied tokens.
+    pub denied: bool,
+    /// Requests that got a token, since start.
+    pub allowed: u64,
+    /// Tokens returned by requests that did not run, since start.
+    pub returned: u64,
+    /// Requests refused as the team has used up its quota, since start.
+    pub over_quota: u64,
+    /// Requests refused as no owner responded, since start.
+    pub quota_unknown: u64,
 }
 
 /// How many lines were logged in the current second, and how many were left out.
@@ -66,7 +104,60 @@
             waiters: RefCell::default(),
             applied_version: Cell::new(None),
             lines: Cell::new(LineBudget { since: Instant::now(), logged: 0, left_out: 0 }),
+            labelled: RefCell::default(),
+        }
+    }
+
+    /// Returns the node's part in the quotas of teams.
+    pub fn status(&self, now: Instant) -> Status {
+        let core = self.core.borrow();
+        let counts: HashMap<&TeamName, &quota::Counts> = core.counts().collect();
+        let team = |(name, allowance): (&TeamName, &quota::Allowance)| {
+            let counts = counts.get(name).copied().copied().unwrap_or_default();
+            let (held, oldest) = allowance.held(now);
+            let status = TeamStatus {
+                held,
+                oldest_ms: oldest.map(as_ms),
+                denied: allowance.is_denied(now),
+                allowed: counts.allowed,
+                returned: counts.returned,
+                over_quota: counts.over_quota,
+                quota_unknown: counts.no_owner,
+            };
+            (name.clone(), status)
+        };
+        let teams = core.allowances().map(team).collect();
+        Status { shards_owned: core.owned_count(), teams }
+    }
+
+    /// Returns the number of shards that the node grants tokens of.
+    pub fn owned_count(&self) -> usize {
+        self.core.borrow().owned_count()
+    }
+
+    /// Returns the outcomes of requests by team: those with the highest rates by name, and all
+    /// others together.
+    pub fn labelled_counts(&self, state: &State) -> BTreeMap<TeamName, quota::Counts> {
+        let Some(table) = &state.table else { return BTreeMap::new() };
+        let rate = |team: &Team| team.quota.map_or(0.0, |quota| quota.rate_per_s);
+        let mut largest: Vec<&Rc<Team>> = table.teams.iter().filter(|t| rate(t) > 0.0).collect();
+        largest.sort_by(|a, b| rate(b).total_cmp(&rate(a)));
+        let mut labelled = self.labelled.borrow_mut();
+        for team in largest {
+            if labelled.len() < MAX_TEAM_LABELS {
+                labelled.insert(team.name.clone());
+            }
+        }
+        let mut by_label: BTreeMap<TeamName, quota::Counts> = BTreeMap::new();
+        for (team, counts) in self.core.borrow().counts() {
+            let label = labelled.get(team).cloned().unwrap_or(OTHER_TEAMS.into());
+            let sum = by_label.entry(label).or_default();
+            sum.allowed += counts.allowed;
+            sum.returned += counts.returned;
+            sum.over_quota += counts.over_quota;
+            sum.no_owner += counts.no_owner;
         }
+        by_label
     }
 
     /// Returns how many lines were left out since the last one, or `None` if this one must be too.
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -7,9 +7,10 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use crate::forward::Node;
 use crate::history::Cursor;
 use crate::state::{Counters, Peer, State};
-use crate::{as_ms, start_of};
+use crate::{as_ms, quotas, start_of};
 
 /// The state of an entry node. The encoded size grows by 0.2 kB per upstream.
 #[derive(Debug, Serialize)]
@@ -48,6 +49,8 @@
     pub upstreams: BTreeMap<SmolStr, Vec<UpstreamStatus>>,
     /// Findings on requests that crashed upstreams, quarantined ones first.
     pub crashing: Vec<quarantine::Finding>,
+    /// The node's part in the quotas of teams.
+    pub quotas: quotas::Status,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -113,8 +116,15 @@
     pub slowness: f64,
 }
 
+impl Node {
+    /// Returns the status of the node.
+    pub fn status(&self, now: Instant) -> Status {
+        Status { quotas: self.quotas.status(now), ..Status::of(&self.state.borrow(), now) }
+    }
+}
+
 impl Status {
-    /// Returns the status of a node with this state.
+    /// Returns the status of a node with this state, without its part in quotas.
     pub fn of(state: &State, now: Instant) -> Status {
         let settings = &state.settings;
         let peer = |(addr, peer): (&SocketAddr, &Peer)| (*addr, PeerStatus::of(peer));
@@ -145,6 +155,7 @@
             evacuated: state.evacuations.zones().iter().cloned().collect(),
             upstreams: upstreams.collect(),
             crashing: state.quarantine.findings().into_iter().cloned().collect(),
+            quotas: quotas::Status::default(),
             counters: state.counters,
         }
     }
--- /dev/null
+++ b/crates/edge/src/tests/quotas.rs
@@ -0,0 +1,426 @@
+//! Quotas of teams on the request path, with peers that grant, refuse, are silent or restart.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::udp::UdpSocket;
+use quota::Message;
+use route::ClientLimits;
+use team::{KeyDigest, Quota, Team, Teams};
+
+use super::fake::{
+    self, ms, ok_response, refusal, run, settings, Caller, EntryNode, Response, Step,
+};
+use super::fake::{table, Upstream};
+use super::fleet::serving;
+use crate::quotas;
+
+/// A rate at which no token is added during a test.
+const NO_RATE: f64 = 0.001;
+
+/// Time after its start at which a node knows its peers.
+const UPTIME: Duration = Duration::from_secs(60);
+
+/// Returns the peer address of a node of this file's tests; the test and the node are told apart by
+/// `test` and `n`, as tests run beside each other.
+fn peer_addr(test: u8, n: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 78, test * 10 + n], 7_600))
+}
+
+fn quota_addr(test: u8, n: u8) -> SocketAddr {
+    SocketAddr::from(([127, 0, 78, test * 10 + n], 7_601))
+}
+
+fn teams(name: &str, rate_per_s: f64, burst: f64) -> Teams {
+    let team = Team {
+        name: name.into(),
+        keys: vec![KeyDigest::of(b"key1")],
+        priority: 0,
+        quota: Some(Quota { rate_per_s, burst }),
+    };
+    Teams::new(vec![team], []).expect("valid teams")
+}
+
+/// Puts a configuration with one team into force.
+fn apply(entry: &EntryNode, version: route::Version, teams: Teams) {
+    let mut table = table(version, ClientLimits::default());
+    table.teams = teams;
+    assert!(entry.node.state.borrow_mut().apply_table(table));
+    quotas::housekeeping(&entry.node, Instant::now());
+}
+
+/// Starts a node that has been up for a while and knows `peers`.
+fn start(upstreams: &[&Upstream], (test, n): (u8, u8), peers: &[u8], teams: Teams) -> EntryNode {
+    let socket = UdpSocket::bind(quota_addr(test, n)).expect("binds");
+    start_with(socket, upstreams, (test, n), peers, teams).0
+}
+
+/// Same as [`start`], with a socket that is already bound. The node answers questions about quotas
+/// until the returned flag is set.
+fn start_with(
+    socket: UdpSocket,
+    upstreams: &[&Upstream],
+    (test, n): (u8, u8),
+    peers: &[u8],
+    teams: Teams,
+) -> (EntryNode, Rc<Cell<bool>>) {
+    let entry = fake::start_with(upstreams, |settings| {
+        settings.peer_addr = peer_addr(test, n);
+        settings.quota_addr = Some(quota_addr(test, n));
+    });
+    {
+        let state = &mut *entry.node.state.borrow_mut();
+        state.started_at -= UPTIME;
+        state.peers.extend(peers.iter().map(|peer| (peer_addr(test, *peer), serving("a"))));
+    }
+    apply(&entry, 2, teams);
+    let (node, ended) = (entry.node.clone(), Rc::new(Cell::new(false)));
+    let until = ended.clone();
+    monoio::spawn(async move {
+        let ends = async {
+            while !until.get() {
+                monoio::time::sleep(ms(5)).await;
+            }
+        };
+        monoio::select! {
+            () = quotas::run(socket, node) => {}
+            () = ends => {}
+        }
+    });
+    (entry, ended)
+}
+
+/// Starts a node that is alone.
+fn start_alone(test: u8, upstreams: &[&Upstream], rate_per_s: f64, burst: f64) -> EntryNode {
+    start(upstreams, (test, 1), &[], teams("north", rate_per_s, burst))
+}
+
+/// Returns the name of a team whose only shard is owned by node 2 of a test, with node 1 next.
+fn team_of_node_2(test: u8) -> String {
+    let member = |n| quota::Member { addr: quota_addr(test, n), is_alive: true };
+    let view = quota::View::new(quota_addr(test, 1), [member(2)], true);
+    let is_owned = |name: &String| view.owners(name, 0).0 == quota_addr(test, 2);
+    (0..).map(|n| format!("team{n}")).find(is_owned).expect("half of the names")
+}
+
+fn request(id: &str) -> String {
+    format!(
+        "GET /get/1 HTTP/1.1\r\nHost: seeds.example\r\nx-id: {id}\r\nx-deadline: 500\r\n\
+         Authorization: Bearer key1\r\n\r\n"
+    )
+}
+
+async fn ask(entry: &EntryNode, id: &str) -> Response {
+    Caller::connect(entry.addr).await.ask(&request(id)).await
+}
+
+/// Sends requests one after the other; returns their statuses.
+async fn statuses(entry: &EntryNode, count: usize) -> Vec<u16> {
+    let mut statuses = Vec::new();
+    for id in 0..count {
+        statuses.push(ask(entry, &id.to_string()).await.status);
+    }
+    statuses
+}
+
+fn serving_upstream() -> Upstream {
+    Upstream::start(vec![vec![ok_response("")]])
+}
+
+/// A socket at a node's address that answers each question with what `answer` returns.
+struct FakeOwner {
+    asked: Rc<RefCell<Vec<Message>>>,
+}
+
+impl FakeOwner {
+    fn start(
+        at: SocketAddr,
+        delay: Duration,
+        answer: impl Fn(usize, quota::Seq) -> Option<Message> + 'static,
+    ) -> FakeOwner {
+        let asked = Rc::new(RefCell::new(Vec::new()));
+        let (socket, seen) = (Rc::new(UdpSocket::bind(at).expect("binds")), asked.clone());
+        monoio::spawn(async move {
+            loop {
+                let (received, buf) = socket.recv_from(vec![0; 2_000]).await;
+                let (length, from) = received.expect("receives");
+                let message = Message::decode(&buf[..length]).expect("a message");
+                seen.borrow_mut().push(message.clone());
+                let Message::Ask { seq, .. } = message else { continue };
+                let Some(reply) = answer(seen.borrow().len(), seq) else { continue };
+                let socket = socket.clone();
+                monoio::spawn(async move {
+                    monoio::time::sleep(delay).await;
+                    let sent = socket.send_to(reply.encode().expect("fits"), from).await;
+                    sent.0.expect("sends");
+                });
+            }
+        });
+        FakeOwner { asked }
+    }
+
+    fn count(&self) -> usize {
+        self.asked.borrow().len()
+    }
+}
+
+/// Guards against requests over the quota that reach an upstream, or whose callers all return at
+/// the same moment.
+#[test]
+fn over_the_quota_no_upstream_is_touched() {
+    run(async {
+        let upstream = serving_upstream();
+        let entry = start_alone(1, &[&upstream], 0.2, 1.0);
+        assert_eq!(ask(&entry, "a").await.status, 200);
+        let mut waits = Vec::new();
+        for id in 0..20 {
+            let response = ask(&entry, &id.to_string()).await;
+            assert_eq!(response.status, 429);
+            waits.push(response.headers["retry-after"].to_str().expect("text").to_owned());
+        }
+        assert_eq!((upstream.runs(), upstream.connections.get()), (1, 1));
+        let first: f64 = waits[0].parse().expect("a number");
+        assert!((4.5..=10.0).contains(&first), "a token comes after 5 s: {first}");
+        waits.sort();
+        waits.dedup();
+        assert!(waits.len() > 15, "{waits:?}");
+    });
+}
+
+/// Guards against a team that pays for requests that never ran.
+#[test]
+fn a_request_that_did_not_run_returns_its_token() {
+    run(async {
+        let upstream =
+            Upstream::start(vec![vec![refusal("503 Service Unavailable")], vec![ok_response("")]]);
+        let entry = start_alone(2, &[&upstream], NO_RATE, 1.0);
+        assert_eq!(statuses(&entry, 3).await, [503, 200, 429]);
+    });
+}
+
+/// Guards against a team that pays twice for a request that is sent again.
+#[test]
+fn a_second_send_takes_no_token() {
+    run(async {
+        let refusing = Upstream::start(vec![vec![refusal("503 Service Unavailable")]]);
+        let other = serving_upstream();
+        let entry = start_alone(3, &[&refusing, &other], NO_RATE, 1.0);
+        assert_eq!(statuses(&entry, 2).await, [200, 429]);
+        assert_eq!((refusing.runs(), other.runs()), (1, 1));
+    });
+}
+
+/// Guards against a token that is given back while its request runs, as its caller has left.
+#[test]
+fn a_caller_that_leaves_keeps_its_token_spent() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![Step::Wait(ms(200)), ok_response("")]]);
+        let entry = start_alone(4, &[&upstream], NO_RATE, 1.0);
+        let mut caller = Caller::connect(entry.addr).await;
+        caller.write(&request("a")).await;
+        while upstream.runs() == 0 {
+            monoio::time::sleep(ms(5)).await;
+        }
+        drop(caller);
+        monoio::time::sleep(ms(300)).await;
+        assert_eq!(ask(&entry, "b").await.status, 429);
+    });
+}
+
+/// Guards against two nodes that each grant the whole quota.
+#[test]
+fn two_nodes_share_a_quota() {
+    run(async {
+        let upstream = serving_upstream();
+        let name = team_of_node_2(5);
+        let teams = || teams(&name, NO_RATE, 1.0);
+        let first = start(&[&upstream], (5, 1), &[2], teams());
+        let second = start(&[&upstream], (5, 2), &[1], teams());
+        assert_eq!(statuses(&first, 2).await, [200, 429]);
+        assert_eq!(ask(&second, "c").await.status, 429);
+        assert_eq!(upstream.runs(), 1);
+    });
+}
+
+/// Guards against requests that wait for an owner that was killed, paused or cannot be heard, each
+/// of them anew, and against a team that gets nothing meanwhile.
+#[test]
+fn a_silent_owner_is_replaced_by_a_small_reserve() {
+    run(async {
+        let upstream = serving_upstream();
+        let name = team_of_node_2(6);
+        let owner = FakeOwner::start(quota_addr(6, 2), ms(0), |_, _| None);
+        let entry = start(&[&upstream], (6, 1), &[2], teams(&name, NO_RATE, 1.0));
+        assert_eq!(ask(&entry, "a").await.status, 200);
+        let started_at = Instant::now();
+        let refused = ask(&entry, "b").await;
+        assert_eq!(refused.status, 503);
+        assert!(started_at.elapsed() < quota::ASK_TIMEOUT / 2, "{:?}", started_at.elapsed());
+        assert!(refused.headers.contains_key("retry-after"));
+        assert_eq!(owner.count(), 1);
+        assert_eq!(upstream.runs(), 1);
+    });
+}
+
+/// Guards against tokens that are lost although their owner counts them: the answer came late.
+#[test]
+fn a_late_grant_serves_the_next_request() {
+    run(async {
+        let upstream = serving_upstream();
+        let name = team_of_node_2(7);
+        let grant = |count, seq| (count == 1).then_some(Message::Grant { seq, tokens: 1 });
+        let late = quota::ASK_TIMEOUT + ms(40);
+        let owner = FakeOwner::start(quota_addr(7, 2), late, grant);
+        let entry = start(&[&upstream], (7, 1), &[2], teams(&name, NO_RATE, 1.0));
+        assert_eq!(ask(&entry, "a").await.status, 200, "from the reserve");
+        monoio::time::sleep(ms(80)).await;
+        assert_eq!(ask(&entry, "b").await.status, 200, "from the late grant");
+        assert_eq!(owner.count(), 1);
+    });
+}
+
+/// Guards against a node that takes tokens from a stranger, or stops at bytes that are no message.
+#[test]
+fn only_the_owner_that_was_asked_grants() {
+    run(async {
+        let upstream = serving_upstream();
+        let name = team_of_node_2(8);
+        let owner = FakeOwner::start(quota_addr(8, 2), ms(60), |_, seq| {
+            Some(Message::Deny { seq, retry_after_ms: 700 })
+        });
+        let entry = start(&[&upstream], (8, 1), &[2], teams(&name, NO_RATE, 1.0));
+        let (asked, stranger) = (owner.asked.clone(), quota_addr(8, 3));
+        monoio::spawn(async move {
+            let socket = UdpSocket::bind(stranger).expect("binds");
+            while asked.borrow().is_empty() {
+                monoio::time::sleep(ms(1)).await;
+            }
+            let Message::Ask { seq, .. } = asked.borrow()[0] else { panic!("not a question") };
+            let grant = Message::Grant { seq, tokens: 5 }.encode().expect("fits");
+            for bytes in [grant.clone(), grant[..2].to_vec(), vec![0; 1_400], Vec::new()] {
+                let sent = socket.send_to(bytes, quota_addr(8, 1)).await;
+                sent.0.expect("sends");
+            }
+        });
+        let refused = ask(&entry, "a").await;
+        assert_eq!((refused.status, upstream.runs()), (429, 0));
+        let wait: f64 = refused.headers["retry-after"].to_str().expect("text").parse().expect("s");
+        assert!((0.65..=1.4).contains(&wait), "{wait}");
+        assert_eq!(ask(&entry, "b").await.status, 429);
+        assert_eq!(owner.count(), 1, "refused without another question");
+    });
+}
+
+/// Guards against an owner that has a full bucket after each of its restarts.
+#[test]
+fn a_restarted_owner_starts_almost_empty() {
+    run(async {
+        let upstream = serving_upstream();
+        let name = team_of_node_2(9);
+        let teams = || teams(&name, 4.0, 100.0);
+        let asking = start(&[&upstream], (9, 1), &[2], teams());
+        let socket = std::net::UdpSocket::bind(quota_addr(9, 2)).expect("binds");
+        socket.set_nonblocking(true).expect("is set");
+        for _ in 0..2 {
+            let own = UdpSocket::from_std(socket.try_clone().expect("clones")).expect("registers");
+            let (_owner, ended) = start_with(own, &[&upstream], (9, 2), &[1], teams());
+            monoio::time::sleep(ms(400)).await;
+            let served = statuses(&asking, 10).await.iter().filter(|s| **s == 200).count();
+            assert!((1..=4).contains(&served), "1 at its start and 4 a second: {served}");
+            ended.set(true);
+            monoio::time::sleep(ms(100)).await;
+        }
+    });
+}
+
+/// Guards against tokens of a quota that was lowered, and against one that was raised without
+/// effect.
+#[test]
+fn a_changed_quota_takes_effect_at_once() {
+    run(async {
+        let upstream = serving_upstream();
+        let entry = start_alone(10, &[&upstream], 2_000.0, 2_000.0);
+        monoio::time::sleep(ms(300)).await;
+        assert_eq!(statuses(&entry, 30).await, [200; 30]);
+        apply(&entry, 3, teams("north", NO_RATE, 1.0));
+        // Until then, tokens that were granted in advance may be used.
+        monoio::time::sleep(quota::TOKEN_LIFETIME).await;
+        let served = statuses(&entry, 30).await.iter().filter(|status| **status == 200).count();
+        assert!(served <= 6, "{served} served after the quota was lowered to one");
+        apply(&entry, 4, teams("north", 2_000.0, 2_000.0));
+        monoio::time::sleep(ms(400)).await;
+        assert_eq!(statuses(&entry, 30).await, [200; 30]);
+    });
+}
+
+/// Guards against traffic between nodes, or refusals, where no team has a quota.
+#[test]
+fn without_a_quota_nothing_is_asked() {
+    run(async {
+        let upstream = serving_upstream();
+        let owner = FakeOwner::start(quota_addr(11, 2), ms(0), |_, _| None);
+        let team = Team {
+            name: "north".into(),
+            keys: vec![KeyDigest::of(b"key1")],
+            priority: 0,
+            quota: None,
+        };
+        let teams = Teams::new(vec![team], []).expect("valid teams");
+        let entry = start(&[&upstream], (11, 1), &[2], teams);
+        assert_eq!(statuses(&entry, 20).await, [200; 20]);
+        assert_eq!((owner.count(), entry.node.state.borrow().counters.quota_packets), (0, 0));
+    });
+}
+
+/// Guards against nodes without a port for quotas that each serve the whole quota.
+#[test]
+fn without_a_port_a_node_grants_its_part() {
+    run(async {
+        let upstream = serving_upstream();
+        let entry = fake::start_with(&[&upstream], |_| {});
+        assert_eq!(settings().quota_addr, None);
+        {
+            let state = &mut *entry.node.state.borrow_mut();
+            state.started_at -= UPTIME;
+            state.peers.extend((2..12).map(|peer| (peer_addr(12, peer), serving("a"))));
+        }
+        apply(&entry, 2, teams("north", 4.0, 4.0));
+        assert_eq!(statuses(&entry, 3).await, [200, 429, 429]);
+    });
+}
+
+/// Guards against refusals that an operator cannot see, and against a label for each of many teams.
+#[test]
+fn status_and_metrics_show_each_team() {
+    run(async {
+        let upstream = serving_upstream();
+        let entry = start_alone(13, &[&upstream], NO_RATE, 1.0);
+        assert_eq!(statuses(&entry, 3).await, [200, 429, 429]);
+        let status = entry.node.status(Instant::now());
+        let team = &status.quotas.teams["north"];
+        assert_eq!((team.allowed, team.over_quota, team.denied), (1, 2, true));
+        assert_eq!(status.quotas.shards_owned, 1);
+        assert_eq!(status.counters.over_quota, 2);
+        let metrics = entry.node.scrape().expect("encodes");
+        let line = "oatcove_team_requests{outcome=\"over_quota\",team=\"north\"} 2";
+        assert!(metrics.contains(line), "{metrics}");
+        let many = (0..100).map(|n| Team {
+            name: format!("team{n}").into(),
+            keys: vec![KeyDigest::of(format!("key{n}").as_bytes())],
+            priority: 0,
+            quota: Some(Quota { rate_per_s: 5.0, burst: 5.0 }),
+        });
+        apply(&entry, 3, Teams::new(many.collect(), []).expect("valid teams"));
+        for n in 0..100 {
+            let request = request(&n.to_string()).replace("key1", &format!("key{n}"));
+            Caller::connect(entry.addr).await.ask(&request).await;
+        }
+        let metrics = entry.node.scrape().expect("encodes");
+        let labels = metrics.lines().filter(|line| line.contains("outcome=\"allowed\",team="));
+        let labels: Vec<&str> = labels.collect();
+        assert!(labels.len() <= quotas::MAX_TEAM_LABELS + 1, "{labels:?}");
+        assert!(labels.iter().any(|line| line.contains("team=\"other\"")), "{labels:?}");
+    });
+}
--- a/crates/oatcove/src/explain/tests.rs
+++ b/crates/oatcove/src/explain/tests.rs
@@ -66,3 +66,19 @@
     );
     assert!(timeline.contains("all nodes, other requests: upstream_leaving=1"), "{timeline}");
 }
+
+const QUOTAS: &str = r#"
+node-1 {"unix_ms":1000,"event":"config_applied","version":8}
+node-1 {"unix_ms":1200,"event":"over_quota","request":"aa","team":"north","config":8,"come_back_ms":700,"owner":"10.0.0.2:7601","left_out":0}
+node-1 {"unix_ms":1300,"event":"over_quota","request":"bb","team":"south","config":8,"come_back_ms":90,"owner":"denied before","left_out":3}
+"#;
+
+/// Guards against a 429 whose team, version and owner are not shown.
+#[test]
+fn timeline_shows_whose_quota_was_used_up() {
+    let text = explain("aa", QUOTAS).join("\n");
+    for part in ["over_quota", "team=\"north\"", "config=8", "10.0.0.2:7601", "config_applied"] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    assert!(!text.contains("south"), "{text}");
+}
