--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of one entry node, in text format.
 //!
 //! No metric has a label for service, route or upstream: with 560 services and 6,700 upstreams, one
-//! scrape would be megabytes. The log has these details.
+//! scrape would be megabytes. The log has these details. Teams with a quota have a label each, up
+//! to [`crate::quotas::MAX_TEAM_LABELS`].
 
 use std::time::{Duration, Instant};
 
@@ -9,13 +10,14 @@
 use opentelemetry::KeyValue;
 
 use crate::follow::Topic;
+use crate::forward::Node;
 use crate::state::{Counters, State};
 
 /// Bucket bounds of the request duration histogram, in seconds.
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 23] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 27] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -47,6 +49,12 @@
     ("oatcove_unauthorized_unknown_key", "Requests rejected with a key of no team", |c| {
         c.unauthorized_unknown_key
     }),
+    ("oatcove_over_quota", "Requests refused for their team's quota", |c| c.over_quota),
+    ("oatcove_quota_unknown", "Requests refused as no owner of the quota responded", |c| {
+        c.quota_unknown
+    }),
+    ("oatcove_quota_packets", "Datagrams about quotas sent", |c| c.quota_packets),
+    ("oatcove_quota_bytes", "Bytes of datagrams about quotas sent", |c| c.quota_bytes),
     ("oatcove_membership_bytes", "Bytes of membership sent", |c| c.membership_bytes),
     ("oatcove_membership_far_bytes", "Bytes of membership sent to another zone", |c| {
         c.membership_far_bytes
@@ -72,6 +80,34 @@
     backing_off: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
     lines_dropped: Gauge<u64>,
+    quota_shards: Gauge<u64>,
+    team_requests: Gauge<u64>,
+}
+
+impl Node {
+    /// Returns the current values of the node's metrics in text format.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`meter::Error::Encode`] if the values cannot be encoded.
+    pub fn scrape(&self) -> Result<String, meter::Error> {
+        let state = self.state.borrow();
+        self.metrics.quota_shards.record(self.quotas.owned_count() as u64, &[]);
+        for (team, counts) in self.quotas.labelled_counts(&state) {
+            let outcomes = [
+                ("allowed", counts.allowed),
+                ("returned", counts.returned),
+                ("over_quota", counts.over_quota),
+                ("quota_unknown", counts.no_owner),
+            ];
+            for (outcome, count) in outcomes {
+                let labels =
+                    [KeyValue::new("team", team.to_string()), KeyValue::new("outcome", outcome)];
+                self.metrics.team_requests.record(count, &labels);
+            }
+        }
+        self.metrics.scrape(&state)
+    }
 }
 
 impl Metrics {
@@ -101,6 +137,8 @@
             backing_off: registry.gauge("oatcove_upstreams_resting"),
             zones_evacuated: registry.gauge("oatcove_zones_evacuated"),
             lines_dropped: registry.gauge("oatcove_log_lines_dropped"),
+            quota_shards: registry.gauge("oatcove_quota_shards_owned"),
+            team_requests: registry.gauge("oatcove_team_requests"),
             registry,
         })
     }
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -60,6 +60,8 @@
         regions: HashMap::new(),
         front_addr: addr,
         peer_addr: addr,
+        quota_addr: None,
+        quota_bounds: quota::Bounds { window: Duration::from_secs(5), overshoot: 0.1, slack: 20.0 },
         seed_addrs: Vec::new(),
         bootstrap: false,
         headers: header_names(),
@@ -245,9 +247,16 @@
 
 /// Starts an entry node in front of `upstreams`.
 pub fn start(upstreams: &[&Upstream]) -> EntryNode {
+    start_with(upstreams, |_| {})
+}
+
+/// Same as [`start`], with changed settings.
+pub fn start_with(upstreams: &[&Upstream], configure: impl FnOnce(&mut Settings)) -> EntryNode {
     let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
     let addr = listener.local_addr().expect("bound");
-    let mut state = State::new(settings());
+    let mut settings = settings();
+    configure(&mut settings);
+    let mut state = State::new(settings);
     state.apply_table(table(1, ClientLimits::default()));
     for (n, upstream) in upstreams.iter().enumerate() {
         let entry = Entry {
