edge: a test of a waiting request no longer depends on processor time

a_waiting_non_idempotent_request_is_not_sent_after_a_disconnect asserted what isn't promised: a load report counts for 40 ms, and a request waits only while it can be in time, so after a stall the request rightly goes out. Its report is now dated ahead and its objective is 10 s; the test waits for the request to be in flight, and for the node to have given it up, before a slot becomes free.

--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -78,14 +78,23 @@
 
 /// Returns a table with an idempotent route `/get/` and an at-most-once route `/post/`.
 pub fn table(version: route::Version, limits: ClientLimits) -> Table {
+    table_with_objective(version, limits, ms(300))
+}
+
+/// Same as [`table`], with a latency objective, and twice that as timeout.
+pub fn table_with_objective(
+    version: route::Version,
+    limits: ClientLimits,
+    objective: Duration,
+) -> Table {
     let route = |prefix: &str, retry_policy| Route {
         name: prefix.into(),
         prefix: prefix.into(),
         retry_policy,
         targets: vec![Target { service: "desk".into(), weight: 1.0 }],
         attempts: 2,
-        timeout: ms(600),
-        objective: ms(300),
+        timeout: 2 * objective,
+        objective,
         priority: 0,
         allowed_regions: Vec::new(),
     };
--- a/crates/edge/src/tests/pipelining.rs
+++ b/crates/edge/src/tests/pipelining.rs
@@ -6,8 +6,8 @@
 use proptest::prelude::*;
 
 use super::fake::{
-    get, incarnation, ms, ok_response, post, read_to_end, run, start, write_raw, Caller, EntryNode,
-    Step, Upstream,
+    get, incarnation, ms, ok_response, post, read_to_end, run, start, table_with_objective,
+    write_raw, Caller, EntryNode, Step, Upstream,
 };
 use crate::state::Stopping;
 
@@ -23,10 +23,15 @@
 
 /// Records a load report of the first upstream, with `running` requests in `slots` slots.
 fn report_load(entry_node: &EntryNode, running: u32, slots: u32) {
+    report_load_at(entry_node, running, slots, Instant::now());
+}
+
+/// Same as [`report_load`], as of a given time.
+fn report_load_at(entry_node: &EntryNode, running: u32, slots: u32, reported_at: Instant) {
     let load = place::Load { running, waiting: 0, slots, slowness: 1.0 };
     let state = &mut *entry_node.node.state.borrow_mut();
     let pool = state.pools.get_mut("desk").expect("a pool");
-    pool.record_report(&incarnation("u0"), Some(load), Instant::now());
+    pool.record_report(&incarnation("u0"), Some(load), reported_at);
 }
 
 /// Returns a response whose body is the request's id, which must have four characters.
@@ -126,18 +131,25 @@
 /// requests that were sent are left to finish.
 #[test]
 fn a_waiting_non_idempotent_request_is_not_sent_after_a_disconnect() {
+    const LONG_OBJECTIVE: Duration = Duration::from_secs(10);
     run(async {
         let upstream = Upstream::start(vec![vec![echo()]]);
         let entry_node = start(&[&upstream]);
-        report_load(&entry_node, 4, 4);
+        // The request waits for as long as the test takes on a slow machine: the report stays
+        // fresh, and the objective is far away.
+        let table = table_with_objective(2, route::ClientLimits::default(), LONG_OBJECTIVE);
+        entry_node.node.state.borrow_mut().apply_table(table);
+        report_load_at(&entry_node, 4, 4, Instant::now() + LONG_OBJECTIVE);
         let mut caller = Caller::connect(entry_node.addr).await;
-        caller.write(&post("one1")).await;
+        caller.write(&post("one1").replace("500", "20000")).await;
+        wait_until(|| entry_node.node.state.borrow().in_flight == 1).await;
         monoio::time::sleep(ms(40)).await;
         assert_eq!((upstream.runs(), entry_node.node.state.borrow().in_flight), (0, 1), "it waits");
         drop(caller);
-        monoio::time::sleep(ms(20)).await;
+        wait_until(|| entry_node.node.state.borrow().counters.abandoned == 1).await;
         report_load(&entry_node, 0, 4);
         wait_until(|| entry_node.node.state.borrow().in_flight == 0).await;
+        monoio::time::sleep(ms(40)).await;
         assert_eq!(upstream.runs(), 0);
         let counters = entry_node.node.state.borrow().counters;
         assert_eq!((counters.abandoned, counters.refused), (1, 0), "nobody was refused");
