--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -80,7 +80,7 @@
 
 /// Returns a table with an idempotent route `/get/` and an at-most-once route `/post/`.
 pub fn table(version: route::Version, limits: ClientLimits) -> Table {
-    table_with_timeout(version, limits, ms(600))
+    table_with_times(version, limits, ms(600), ms(300))
 }
 
 /// Same as [`table`], with routes of this timeout.
@@ -88,6 +88,24 @@
     version: route::Version,
     limits: ClientLimits,
     timeout: Duration,
+) -> Table {
+    table_with_times(version, limits, timeout, ms(300))
+}
+
+/// Same as [`table`], with a latency objective, and twice that as timeout.
+pub fn table_with_objective(
+    version: route::Version,
+    limits: ClientLimits,
+    objective: Duration,
+) -> Table {
+    table_with_times(version, limits, 2 * objective, objective)
+}
+
+fn table_with_times(
+    version: route::Version,
+    limits: ClientLimits,
+    timeout: Duration,
+    objective: Duration,
 ) -> Table {
     let route = |prefix: &str, retry_policy| Route {
         name: prefix.into(),
@@ -96,7 +114,7 @@
         targets: vec![Target { service: "desk".into(), weight: 1.0 }],
         attempts: 2,
         timeout,
-        objective: ms(300),
+        objective,
         priority: 0,
         allowed_regions: Vec::new(),
     };
