place: the spread of first attempts' deadlines is learned, not assumed

Hypothesis: with a deadline of 8 s and an objective of 1 s, a caller that had been retrying for 1.6 s counted as new, took a slot and was late. Change: the spread follows from the recent deadlines of a kind (the tightest of two minutes, since retries only widen it); 0.2 as before where it is unknown or wide. Deadlines are sampled over at least 16 s, so that a burst of retries does not replace them. Tests: one deadline for all, only retries, a wider spread after a new version of the callers, a node that starts in a burst; those before take a clock.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -304,7 +304,11 @@
             ));
         }
         let retrying_for = stated_deadline.map_or(Duration::ZERO, |stated_deadline| {
-            self.state.borrow_mut().retry_detector.retrying_for(&route.name, stated_deadline)
+            self.state.borrow_mut().retry_detector.retrying_for(
+                &route.name,
+                stated_deadline,
+                received_at,
+            )
         });
         let body_start = body.received().clone();
         let service = self.next_service(route);
--- a/crates/place/src/retry_detector/tests.rs
+++ b/crates/place/src/retry_detector/tests.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -10,28 +10,55 @@
 
 const KIND: SmolStr = SmolStr::new_static("browse");
 
-/// Returns a detector that has seen many first attempts of one kind, with deadlines of 1.0 s to
-/// 1.2 s.
-fn detector_after_first_attempts(rng: &mut StdRng) -> RetryDetector {
-    let mut detector = RetryDetector::default();
-    for _ in 0..200 {
-        assert_eq!(
-            detector.retrying_for(&KIND, ms(rng.random_range(1_000..=1_200))),
-            Duration::ZERO
-        );
+/// Interval between two requests.
+const INTERVAL: Duration = Duration::from_millis(20);
+
+/// A detector with a clock of its own.
+struct Node {
+    detector: RetryDetector,
+    now: Instant,
+}
+
+impl Node {
+    fn started() -> Node {
+        Node { detector: RetryDetector::default(), now: Instant::now() }
+    }
+
+    /// Returns for how long the caller of the next request, which states `stated`, has been
+    /// retrying.
+    fn retrying_for(&mut self, stated: Duration) -> Duration {
+        self.now += INTERVAL;
+        self.detector.retrying_for(&KIND, stated, self.now)
+    }
+
+    /// Returns a node that has seen first attempts with deadlines of `deadlines_ms`, for a while.
+    fn after_first_attempts(rng: &mut StdRng, deadlines_ms: std::ops::RangeInclusive<u64>) -> Node {
+        let mut node = Node::started();
+        for _ in 0..2_000 {
+            let stated = ms(rng.random_range(deadlines_ms.clone()));
+            assert_eq!(node.retrying_for(stated), Duration::ZERO, "{stated:?}");
+        }
+        node
+    }
+
+    /// Returns a node that has seen first attempts with deadlines of 1.0 s to 1.2 s, for a while.
+    fn after_varied_first_attempts(seed: u64) -> Node {
+        Node::after_first_attempts(&mut StdRng::seed_from_u64(seed), 1_000..=1_200)
     }
-    detector
 }
 
+/// Callers that all state 8 s, and send their request up to 10 ms later.
+const CONSTANT_MS: std::ops::RangeInclusive<u64> = 7_990..=8_000;
+
 /// Guards against nearly all requests being late in a burst although upstreams respond in time: a
 /// caller that is refused and retries 400 ms later would be served before a new one, if its
 /// objective were counted from the second attempt.
 #[test]
 fn a_retry_is_detected_by_its_shorter_deadline() {
-    let detector = &mut detector_after_first_attempts(&mut StdRng::seed_from_u64(1));
-    let retrying_for = detector.retrying_for(&KIND, ms(700));
+    let mut node = Node::after_varied_first_attempts(1);
+    let retrying_for = node.retrying_for(ms(700));
     assert!((ms(330)..ms(470)).contains(&retrying_for), "{retrying_for:?}");
-    let retrying_for = detector.retrying_for(&KIND, ms(100));
+    let retrying_for = node.retrying_for(ms(100));
     assert!((ms(930)..ms(1_070)).contains(&retrying_for), "{retrying_for:?}");
 }
 
@@ -39,8 +66,8 @@
 /// ever seen counted as the usual one, this would happen once callers state shorter deadlines.
 #[test]
 fn shorter_deadlines_become_usual_after_a_while() {
-    let detector = &mut detector_after_first_attempts(&mut StdRng::seed_from_u64(1));
-    let last = (0..2_000).map(|_| detector.retrying_for(&KIND, ms(500))).last();
+    let mut node = Node::after_varied_first_attempts(1);
+    let last = (0..2_000).map(|_| node.retrying_for(ms(500))).last();
     assert_eq!(last, Some(Duration::ZERO));
 }
 
@@ -49,18 +76,18 @@
 #[yare::parameterized(first = { 0 }, later = { 300 })]
 fn one_absurd_deadline_does_not_affect_other_callers(before: u32) {
     let rng = &mut StdRng::seed_from_u64(2);
-    let mut detector = RetryDetector::default();
+    let mut node = Node::started();
     let mut stated = || ms(rng.random_range(1_000..=1_200));
     for _ in 0..before {
-        detector.retrying_for(&KIND, stated());
+        node.retrying_for(stated());
     }
-    detector.retrying_for(&KIND, Duration::from_secs(30 * 24 * 3_600));
+    node.retrying_for(Duration::from_secs(30 * 24 * 3_600));
     // One further request is enough to ignore that deadline.
-    detector.retrying_for(&KIND, stated());
+    node.retrying_for(stated());
     for _ in 0..100 {
-        assert_eq!(detector.retrying_for(&KIND, stated()), Duration::ZERO);
+        assert_eq!(node.retrying_for(stated()), Duration::ZERO);
     }
-    let retrying_for = detector.retrying_for(&KIND, ms(400));
+    let retrying_for = node.retrying_for(ms(400));
     assert!((ms(600)..ms(800)).contains(&retrying_for), "{retrying_for:?}");
 }
 
@@ -69,20 +96,84 @@
 #[test]
 fn retries_are_detected_when_they_are_the_majority() {
     let rng = &mut StdRng::seed_from_u64(3);
-    let mut detector = detector_after_first_attempts(rng);
+    let mut node = Node::after_first_attempts(rng, 1_000..=1_200);
     for _ in 0..2_000 {
         let is_first = rng.random_bool(0.25);
         let left_ms = if is_first { 1_000..=1_200 } else { 200..=800 };
-        let retrying_for = detector.retrying_for(&KIND, ms(rng.random_range(left_ms)));
+        let retrying_for = node.retrying_for(ms(rng.random_range(left_ms)));
         assert_eq!(retrying_for.is_zero(), is_first, "{retrying_for:?}");
     }
 }
 
 #[test]
 fn unknown_kinds_are_removed() {
-    let mut detector = detector_after_first_attempts(&mut StdRng::seed_from_u64(1));
-    detector.retain(|kind| kind != KIND);
-    assert_eq!(detector.retrying_for(&KIND, ms(100)), Duration::ZERO);
+    let mut node = Node::after_varied_first_attempts(1);
+    node.detector.retain(|kind| kind != KIND);
+    assert_eq!(node.retrying_for(ms(100)), Duration::ZERO);
+}
+
+/// Guards against goodput that falls in a burst: a deadline of 8 s and an objective of 1 s left
+/// callers unrecognized that had been retrying for 1.6 s. Each got a whole objective again, took a
+/// slot, and was answered late.
+#[test]
+fn where_callers_state_one_deadline_each_retry_is_detected() {
+    let rng = &mut StdRng::seed_from_u64(4);
+    let mut node = Node::after_first_attempts(rng, CONSTANT_MS);
+    for _ in 0..2_000 {
+        let is_first = rng.random_bool(0.33);
+        let elapsed = ms(if is_first { 0 } else { rng.random_range(150..3_000) });
+        let stated = ms(rng.random_range(CONSTANT_MS)) - elapsed;
+        let retrying_for = node.retrying_for(stated);
+        assert!(retrying_for.abs_diff(elapsed) <= ms(20), "{elapsed:?}: {retrying_for:?}");
+    }
+}
+
+/// Guards against all callers counting as new because, at the height of a burst, all requests that
+/// arrive for a few seconds are retries.
+#[test]
+fn retries_are_detected_when_there_are_no_first_attempts() {
+    let rng = &mut StdRng::seed_from_u64(5);
+    let mut node = Node::after_first_attempts(rng, CONSTANT_MS);
+    for _ in 0..400 {
+        let stated = ms(rng.random_range(5_000..7_800));
+        assert!(!node.retrying_for(stated).is_zero(), "{stated:?}");
+    }
+}
+
+/// Guards against callers being refused as late for minutes because they are of a new version that
+/// varies its deadline by a sixth, where all callers used to state the same.
+#[test]
+fn a_wider_spread_is_learned_within_minutes() {
+    let rng = &mut StdRng::seed_from_u64(6);
+    let mut node = Node::after_first_attempts(rng, CONSTANT_MS);
+    let three_minutes = 3 * 60 * 1_000 / INTERVAL.as_millis();
+    for _ in 0..three_minutes {
+        node.retrying_for(ms(rng.random_range(6_667..=8_000)));
+    }
+    for _ in 0..1_000 {
+        assert_eq!(node.retrying_for(ms(rng.random_range(6_800..=8_000))), Duration::ZERO);
+    }
+}
+
+/// Guards against first attempts being taken for retries at a node that starts in the middle of a
+/// burst: it has seen no calm time, and must assume that deadlines vary. Once the burst is over it
+/// learns like any other node.
+#[test]
+fn a_node_that_starts_in_a_burst_takes_no_first_attempt_for_a_retry() {
+    let rng = &mut StdRng::seed_from_u64(7);
+    let mut node = Node::started();
+    for _ in 0..300 {
+        let is_first = rng.random_bool(0.33);
+        let elapsed = ms(if is_first { 0 } else { rng.random_range(150..4_000) });
+        let retrying_for = node.retrying_for(ms(rng.random_range(CONSTANT_MS)) - elapsed);
+        assert!(!is_first || retrying_for.is_zero(), "{retrying_for:?}");
+    }
+    let after_burst = 20_000 / INTERVAL.as_millis();
+    for _ in 0..after_burst {
+        node.retrying_for(ms(rng.random_range(CONSTANT_MS)));
+    }
+    let retrying_for = node.retrying_for(ms(7_500));
+    assert!(retrying_for.abs_diff(ms(495)) <= ms(20), "{retrying_for:?}");
 }
 
 proptest! {
@@ -92,12 +183,12 @@
     fn retry_time_never_exceeds_the_longest_deadline(
         stated in prop::collection::vec(0u64..5_000, 1..200),
     ) {
-        let mut detector = RetryDetector::default();
+        let mut node = Node::started();
         let mut longest = Duration::ZERO;
         for stated in stated.into_iter().map(ms) {
             let is_longest = stated >= longest;
             longest = longest.max(stated);
-            let retrying_for = detector.retrying_for(&KIND, stated);
+            let retrying_for = node.retrying_for(stated);
             prop_assert!(retrying_for <= longest);
             prop_assert!(!is_longest || retrying_for.is_zero());
         }
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -91,8 +91,9 @@
         kind: &CallKind,
         stated: Duration,
         rules: &Rules,
+        now: Instant,
     ) -> Duration {
-        let retrying_for = self.retry_detector.retrying_for(&kind.name, stated);
+        let retrying_for = self.retry_detector.retrying_for(&kind.name, stated, now);
         if rules.objective_from_first_attempt {
             retrying_for
         } else {
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -22,9 +22,6 @@
 /// Time after which a caller retries a request that an upstream refused.
 const RETRY_AFTER: Duration = Duration::from_millis(10);
 
-/// Maximum ratio by which a caller's timeout is shorter than the longest one of its kind.
-const MAX_TIMEOUT_REDUCTION_RATIO: f64 = 1.0 / 6.0;
-
 /// Maximum deviation of a request's work from the mean, as a ratio of the mean.
 const MAX_WORK_DEVIATION_RATIO: f64 = 0.5;
 
@@ -120,7 +117,7 @@
                     settings.requests_per_s * burst.map_or(1.0, |burst| burst.rate_factor);
                 let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
                 at += Duration::from_secs_f64(-uniform.ln() / requests_per_s);
-                let reduction = rng.random_range(0.0..MAX_TIMEOUT_REDUCTION_RATIO);
+                let reduction = rng.random_range(0.0..=settings.max_timeout_reduction);
                 let work_factor = rng
                     .random_range(1.0 - MAX_WORK_DEVIATION_RATIO..1.0 + MAX_WORK_DEVIATION_RATIO);
                 self.requests.push(Request {
@@ -174,7 +171,8 @@
         let kind = &self.scenario.kinds[request.kind];
         let stated = request.deadline_at.saturating_sub(now);
         (request.received_at, request.rechecks) = (now, 0);
-        request.retrying_for = self.nodes[request.node].retrying_for(kind, stated, self.rules);
+        let node = &mut self.nodes[request.node];
+        request.retrying_for = node.retrying_for(kind, stated, self.rules, self.base + now);
         self.place(index, self.rules.max_probe_rounds, now);
     }
 
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -37,8 +37,10 @@
     pub mean_work: Duration,
     /// Latency objective: a response that takes longer is worth less.
     pub objective: Duration,
-    /// Longest time that a caller waits, over all of its attempts; each waits up to a sixth less.
+    /// Longest time that a caller waits, over all of its attempts.
     pub max_timeout: Duration,
+    /// Maximum ratio by which a caller's timeout is shorter than the longest one.
+    pub max_timeout_reduction: f64,
     /// Size of a response in bytes.
     pub response_bytes: usize,
 }
@@ -83,6 +85,7 @@
                 mean_work: Duration::from_millis(60),
                 objective: Duration::from_millis(200),
                 max_timeout: Duration::from_millis(1_200),
+                max_timeout_reduction: 1.0 / 6.0,
                 response_bytes: 5_000,
             }],
             zones: 3,
@@ -106,6 +109,40 @@
         }
     }
 
+    /// Returns a service whose callers all wait eight times as long as their objective, and for six
+    /// seconds make `rate_factor` times as many requests as usual.
+    pub fn patient_callers(rate_factor: f64) -> Scenario {
+        Scenario {
+            kinds: vec![CallKind {
+                name: "status".into(),
+                requests_per_s: 150.0,
+                mean_work: Duration::from_millis(370),
+                objective: Duration::from_secs(1),
+                max_timeout: Duration::from_secs(8),
+                max_timeout_reduction: 0.0,
+                response_bytes: 5_000,
+            }],
+            zones: 3,
+            nodes: 21,
+            upstreams_per_kind: 48,
+            slots_per_upstream: 6,
+            max_queued: 12,
+            nearly_full_slowdown: 1.7,
+            noise: Noise {
+                slow_ratio: 0.3,
+                slowdown: 4.0,
+                change_interval: Duration::from_millis(300),
+            },
+            burst: Some(Burst {
+                start: Duration::from_secs(10),
+                end: Duration::from_secs(16),
+                rate_factor,
+            }),
+            max_retries: 2,
+            duration: Duration::from_secs(18),
+        }
+    }
+
     /// Returns the same service on machines that are never slow.
     pub fn steady() -> Scenario {
         let noise =
