--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -3,7 +3,8 @@
 //! [`retries`] decides on the sends of a request, [`choose`] picks the upstream of each, and
 //! [`send`] performs it and records its outcome. [`call`] is the state of a request, [`content`]
 //! its content key. [`crash_detection`] detects upstreams that crashed while running requests, and
-//! [`quarantined`] keeps such requests from other upstreams. [`notices`] applies the backpressure
+//! [`quarantined`] keeps such requests from other upstreams. [`silence`] detects requests that
+//! upstreams neither hold nor answer. [`notices`] applies the backpressure
 //! signals of responses.
 
 mod call;
@@ -14,6 +15,7 @@
 mod quarantined;
 mod retries;
 mod send;
+mod silence;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -11,6 +11,7 @@
 
 use super::call::{Call, Choice, NoChoice, Tried};
 use super::choose::WaitPolicy;
+use super::silence::Unanswered;
 use super::{Body, Node, Reply};
 use crate::as_ms;
 use crate::exchange::{Outcome, Response, SendResult};
@@ -235,9 +236,14 @@
     async fn send(self: &Rc<Node>, call: &Call<'_>, choice: &Choice, body: &Bytes) -> Outcome {
         let length = call.head.framing != h1::Framing::Empty;
         let length = length.then(|| HeaderValue::from(body.len()));
-        let write_rest = async |_: &mut h1::Writer| SendResult::Complete;
+        let unanswered = Unanswered::new(&self.state, call, choice);
+        let write_rest = async |_: &mut h1::Writer| {
+            unanswered.start(body.len());
+            SendResult::Complete
+        };
         let framing = length.map(|length| (http::header::CONTENT_LENGTH, length));
-        self.send_with(call, choice, framing, body, write_rest).await
+        let sending = self.send_with(call, choice, framing, body, write_rest);
+        self.unless_vanished(call, choice, &unanswered, sending).await
     }
 
     /// Sends a request whose body is still being received. It is never sent a second time.
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -134,6 +134,7 @@
             }
             Outcome::NotRun(status, headers) => {
                 self.record_load(service, upstream, headers);
+                self.record_refusal(service, upstream);
                 call.log_line("not_run_by_upstream")
                     .field("upstream", upstream.id())
                     .field("status", status.as_u16())
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,7 +15,7 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 19] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 20] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -26,6 +26,7 @@
         c.second_sends_over_budget
     }),
     ("oatcove_hedges", "Hedges sent", |c| c.hedges),
+    ("oatcove_vanished", "Sends that upstreams neither held nor answered", |c| c.vanished),
     ("oatcove_probes", "Probes sent to upstreams", |c| c.probes),
     ("oatcove_connects", "Connections opened to upstreams", |c| c.connects),
     ("oatcove_reads", "Reads that the platform answered", |c| c.reads),
@@ -59,6 +60,7 @@
     leaving: Gauge<u64>,
     backing_off: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
+    silent_services: Gauge<u64>,
     lines_dropped: Gauge<u64>,
 }
 
@@ -88,6 +90,7 @@
             leaving: registry.gauge("oatcove_upstreams_leaving"),
             backing_off: registry.gauge("oatcove_upstreams_resting"),
             zones_evacuated: registry.gauge("oatcove_zones_evacuated"),
+            silent_services: registry.gauge("oatcove_services_silent"),
             lines_dropped: registry.gauge("oatcove_log_lines_dropped"),
             registry,
         })
@@ -119,6 +122,8 @@
         self.leaving.record(state.backpressure.leaving_count(now) as u64, &[]);
         self.backing_off.record(state.backpressure.backoff_count(now) as u64, &[]);
         self.zones_evacuated.record(state.evacuations.zones().len() as u64, &[]);
+        let silent = state.pools.values().filter(|pool| pool.silence().is_silent(now));
+        self.silent_services.record(silent.count() as u64, &[]);
         self.lines_dropped.record(trace::dropped_lines(), &[]);
         self.registry.scrape(&state.counters)
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -126,6 +126,8 @@
     pub second_sends_over_budget: u64,
     /// Hedges sent.
     pub hedges: u64,
+    /// Sends that their upstream neither held nor answered.
+    pub vanished: u64,
     /// Probes sent.
     pub probes: u64,
     /// Connections opened to upstreams.
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -20,4 +20,5 @@
 mod relay;
 mod requests;
 mod restarts;
+mod silent;
 mod starts;
--- a/crates/emu/src/bin/upstream.rs
+++ b/crates/emu/src/bin/upstream.rs
@@ -22,6 +22,9 @@
     /// Maximum number of requests queued for a slot; further ones are shed
     #[bpaf(long("queue-limit"), argument("N"), fallback(250))]
     queue_limit: usize,
+    /// Give requests that find the queue full no response, instead of shedding them
+    #[bpaf(long("silent-when-full"))]
+    silent_when_full: bool,
     /// Mean service time of a light request, in ms
     #[bpaf(long("light-ms"), argument("MS"), fallback(2))]
     light_ms: u64,
@@ -60,6 +63,9 @@
             "listening on {}",
             listener.local_addr().expect("failed to read the bound address")
         );
-        web::serve(listener, Rc::new(emu::upstream::Upstream::new(config))).await;
+        let upstream = emu::upstream::Upstream::new(config);
+        let silent_when_full = args.silent_when_full;
+        upstream.set_mode(emu::upstream::Mode { silent_when_full, ..Default::default() });
+        web::serve(listener, Rc::new(upstream)).await;
     });
 }
--- a/crates/emu/src/upstream.rs
+++ b/crates/emu/src/upstream.rs
@@ -2,8 +2,9 @@
 //!
 //! It runs at most `slots` requests at once and queues up to `queue_limit`
 //! more. Further requests are shed with 503 and `Retry-After`: they were not
-//! run. A request whose `x-oatcove-timeout-ms` passes in the queue is not run
-//! either, and one whose caller disconnects is cancelled.
+//! run. If the [`Mode`] says so, they get no response at all instead. A request
+//! whose `x-oatcove-timeout-ms` passes in the queue is not run either, and one
+//! whose caller disconnects is cancelled.
 //!
 //! Each executed request is counted under its `idempotency-key` header (or
 //! `x-request-id` without one), so tests can check at-most-once execution.
@@ -94,6 +95,10 @@
     /// empty.
     #[serde(default, rename = "rest")]
     pub retry_after: SmolStr,
+    /// Never responds to a request that finds the queue full, nor to anything after it on the same
+    /// connection.
+    #[serde(default, rename = "silent")]
+    pub silent_when_full: bool,
 }
 
 /// Load report, the response body of `GET /load`.
@@ -114,6 +119,9 @@
     pub executed: u64,
     /// Requests refused before they ran, for whatever reason.
     pub shed: u64,
+    /// Requests that got no response because the queue was full.
+    #[serde(default)]
+    pub ignored: u64,
     /// Probes (`GET /load`) served.
     pub probes: u64,
     /// Largest number of executions of any one idempotency key.
@@ -171,6 +179,11 @@
         self.arrivals.borrow().clone()
     }
 
+    /// Returns how many requests got no response because the queue was full.
+    pub fn ignored(&self) -> u64 {
+        self.stats.borrow().ignored
+    }
+
     /// Returns how many requests were executed in total.
     pub fn executions_total(&self) -> u64 {
         self.stats.borrow().executed
@@ -185,9 +198,11 @@
             }
             _ if !mode.retry_after.is_empty() => Some(shed("resting", &mode.retry_after)),
             _ if mode.draining => Some(shed("draining", "1")),
-            _ if self.queued.get() >= self.config.queue_limit as u64 => {
-                Some(shed("queue full", RETRY_IMMEDIATELY))
+            _ if self.is_full() && mode.silent_when_full => {
+                self.stats.borrow_mut().ignored += 1;
+                return std::future::pending().await;
             }
+            _ if self.is_full() => Some(shed("queue full", RETRY_IMMEDIATELY)),
             _ => None,
         };
         if let Some(refusal) = refusal {
@@ -218,6 +233,11 @@
         response
     }
 
+    /// Returns true if a further request would find the queue full.
+    fn is_full(&self) -> bool {
+        self.queued.get() >= self.config.queue_limit as u64
+    }
+
     fn record_execution(&self, request: &web::Request) {
         let key =
             request.headers().get(IDEMPOTENCY_KEY).or_else(|| request.headers().get(REQUEST_ID));
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,6 +9,8 @@
 //! [`RetryDetector`] estimates for how long the caller of a request has been retrying. [`Roster`]
 //! tracks which upstreams exist, also during outages of the store that lists them.
 //!
+//! [`silence`] detects upstreams that answer nothing when they are full.
+//!
 //! The crate does no I/O: time and randomness are passed in.
 
 mod admit;
@@ -19,6 +21,7 @@
 mod rate;
 mod retry_detector;
 mod roster;
+pub mod silence;
 mod upstream;
 mod warm_up;
 mod work;
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use crate::health::HealthState;
+use crate::silence::{Room, Silence, MAX_QUEUE_REPORT_AGE};
 use crate::upstream::{Load, Prediction, TypicalLoad, Upstream};
 use crate::warm_up::{WarmUp, Window, ASSUMED_COLD_TTL};
 use crate::{Entry, Incarnation, RequestOutcome, Zone};
@@ -143,6 +144,8 @@
     typical_load: TypicalLoad,
     /// Whether upstreams of this service report their load; `None` before the first response.
     reports_load: Option<bool>,
+    /// Whether the upstreams of this service go silent when full.
+    silence: Silence,
     /// Zones whose upstreams get no requests.
     evacuated: BTreeSet<Zone>,
     /// Number of rankings so far under [`Policy::RoundRobin`].
@@ -156,6 +159,7 @@
             node_seed: 0,
             typical_load: INITIAL_TYPICAL_LOAD,
             reports_load: None,
+            silence: Silence::default(),
             evacuated: BTreeSet::new(),
             rotation: Cell::new(0),
         }
@@ -257,11 +261,22 @@
             SLOWNESS_WEIGHT * (load.slowness - self.typical_load.slowness);
         self.typical_load.utilization +=
             UTILIZATION_WEIGHT * (load.utilization() - self.typical_load.utilization);
+        self.silence.record_report(upstream, load, now);
         if let Some(index) = self.position(upstream) {
             self.upstreams[index].record_report(load, now);
         }
     }
 
+    /// Returns what is known of how the upstreams treat requests that they cannot queue.
+    pub fn silence(&self) -> &Silence {
+        &self.silence
+    }
+
+    /// Returns the same, for updates.
+    pub fn silence_mut(&mut self) -> &mut Silence {
+        &mut self.silence
+    }
+
     /// Records for how much longer an upstream reports to be cold; `None` if it is not cold.
     pub fn set_cold_for(
         &mut self,
@@ -442,7 +457,18 @@
         rng: &mut R,
     ) -> Candidate {
         let upstream = &self.upstreams[index];
-        let prediction = upstream.predict(criteria.work, self.typical_load, now);
+        let mut prediction = upstream.predict(criteria.work, self.typical_load, now);
+        let room = Room {
+            occupied: prediction.utilization * f64::from(upstream.slots) - 1.0,
+            slots: upstream.slots,
+            report_age: upstream.report(now).map(|(_, age)| age),
+        };
+        if !self.silence.has_room(room, now) {
+            // Only once the queue is shorter can the request be sent, which may be too late for it.
+            let queue_time = prediction.queue_time.max(criteria.objective_left);
+            prediction.latency += queue_time - prediction.queue_time;
+            prediction.queue_time = queue_time;
+        }
         let health = match upstream.health.state(now) {
             HealthState::Trial if upstream.outstanding > 0 || !criteria.repeatable => {
                 HealthState::Ejected
@@ -470,8 +496,9 @@
             ConnectionPlan::Open | ConnectionPlan::OpenAdditional => NEW_CONNECTION_COST,
             ConnectionPlan::Reuse | ConnectionPlan::Unavailable => 0.0,
         };
-        let has_fresh_report =
-            upstream.report(now).is_some_and(|(_, age)| age <= MAX_FRESH_REPORT_AGE);
+        let has_fresh_report = upstream
+            .report(now)
+            .is_some_and(|(_, age)| age <= self.max_fresh_report_age(prediction, now));
         Candidate {
             index,
             cost,
@@ -484,6 +511,14 @@
         }
     }
 
+    /// Returns the maximum age of a fresh report of an upstream with this prediction.
+    fn max_fresh_report_age(&self, prediction: Prediction, now: Instant) -> Duration {
+        match self.silence.is_silent(now) && prediction.utilization > 1.0 {
+            true => MAX_QUEUE_REPORT_AGE,
+            false => MAX_FRESH_REPORT_AGE,
+        }
+    }
+
     /// Returns the indices of the upstreams to probe for their load: up to `max` of the best
     /// `ranked` ones without a fresh report, at most `max_new` of them over a new connection.
     ///
--- /dev/null
+++ b/crates/place/src/silence.rs
@@ -0,0 +1,191 @@
+//! Upstreams that go silent when they are full.
+
+use std::time::{Duration, Instant};
+
+use crate::upstream::Load;
+use crate::Incarnation;
+
+/// Time within which a short request has arrived at its upstream and a report of it at the node, or
+/// a response that was on its way beside a report: ten times what paths between zones take. While
+/// lost packets are sent again it may take longer, and a request that runs is then taken for
+/// vanished, which costs a second send.
+pub const MAX_TRANSIT: Duration = Duration::from_millis(50);
+
+/// Rate at which the slowest link takes a request, in bytes per second: 8 Mbit/s.
+const MIN_LINK_BYTES_PER_S: f64 = 1e6;
+
+/// Time for which a service counts as silent after the last request that vanished. A service that
+/// has changed its behavior is served as any other after ten minutes, and one that has not loses one
+/// request in that time.
+const SILENT_TTL: Duration = Duration::from_secs(600);
+
+/// Age up to which a report tells that there is room in a queue: that of one that was just asked
+/// for. Other nodes decide by the same report meanwhile.
+pub const MAX_QUEUE_REPORT_AGE: Duration = Duration::from_millis(10);
+
+/// Places in a queue that are left to requests that other nodes send at the same moment.
+const RESERVED_PLACES: f64 = 1.0;
+
+/// Identifies an unanswered request among those of one service at one node.
+pub type SendId = u64;
+
+/// A request that an upstream has received in full and not answered.
+#[derive(Clone, Debug)]
+struct UnansweredSend {
+    id: SendId,
+    upstream: Incarnation,
+    arrives_by: Instant,
+    /// The longest queue that the upstream reported, from the last report before the request on.
+    longest_queue: u32,
+    has_vanished: bool,
+}
+
+/// What is known of how the upstreams of a service treat requests that they cannot queue.
+///
+/// The load pattern: upstreams with a short queue answer nothing to a request that does not fit into
+/// it, nor to anything after it on the same connection. In a burst dozens of nodes see the same
+/// short queue and send to it at once. The requests that do not fit wait for an answer until their
+/// deadline, where a refusal would have let them go elsewhere at once.
+///
+/// A request has vanished if its upstream, later, reports that it holds no requests at all, and the
+/// request is still unanswered. If the upstream's queue was at its longest meanwhile, the service
+/// counts as silent. Lost responses look the same, but also come from upstreams that are not full.
+#[derive(Clone, Debug, Default)]
+pub struct Silence {
+    next_id: SendId,
+    unanswered: Vec<UnansweredSend>,
+    /// The longest queue that any upstream of the service has reported.
+    longest_queue: u32,
+    /// Whether a request vanished at a queue of that length.
+    has_seen_full_queue: bool,
+    silent_since: Option<Instant>,
+    silent_until: Option<Instant>,
+    /// When an upstream last refused a request while its queue was at its longest.
+    refused_at: Option<Instant>,
+}
+
+impl Silence {
+    /// Records that a request of `size_bytes` was sent in full; `load` is the last report of its
+    /// upstream.
+    pub fn record_sent(
+        &mut self,
+        upstream: &Incarnation,
+        load: Option<Load>,
+        size_bytes: usize,
+        now: Instant,
+    ) -> SendId {
+        self.next_id += 1;
+        let on_link = Duration::from_secs_f64(size_bytes as f64 / MIN_LINK_BYTES_PER_S);
+        self.unanswered.push(UnansweredSend {
+            id: self.next_id,
+            upstream: upstream.clone(),
+            arrives_by: now + MAX_TRANSIT + on_link,
+            longest_queue: load.map_or(0, |load| load.waiting),
+            has_vanished: false,
+        });
+        self.next_id
+    }
+
+    /// Records that a request was answered or given up.
+    pub fn record_ended(&mut self, id: SendId) {
+        self.unanswered.retain(|send| send.id != id);
+    }
+
+    /// Records a load report of an upstream.
+    pub fn record_report(&mut self, upstream: &Incarnation, load: Load, now: Instant) {
+        self.longest_queue = self.longest_queue.max(load.waiting);
+        for send in self.unanswered.iter_mut().filter(|send| send.upstream == *upstream) {
+            send.longest_queue = send.longest_queue.max(load.waiting);
+            send.has_vanished |= now >= send.arrives_by && load.running + load.waiting == 0;
+        }
+    }
+
+    /// Records that an upstream refused a request; `load` is the report in its refusal.
+    pub fn record_refusal(&mut self, load: Option<Load>, now: Instant) {
+        let is_full = |load: Load| load.waiting > 0 && load.waiting >= self.longest_queue;
+        if load.is_some_and(is_full) {
+            self.refused_at = Some(now);
+        }
+    }
+
+    /// Returns true if the upstream that got a request has reported that it does not hold it. A
+    /// response that is not there [`MAX_TRANSIT`] later will not come.
+    pub fn has_vanished(&self, id: SendId) -> bool {
+        self.unanswered.iter().any(|send| send.id == id && send.has_vanished)
+    }
+
+    /// Records that a vanished request stayed unanswered. Returns true if the service is known to be
+    /// silent only since then.
+    pub fn record_vanished(&mut self, id: SendId, now: Instant) -> bool {
+        let Some(send) = self.unanswered.iter().find(|send| send.id == id) else { return false };
+        let was_full = send.longest_queue > 0 && send.longest_queue >= self.longest_queue;
+        self.has_seen_full_queue |= was_full;
+        was_full && self.record_silent(now)
+    }
+
+    /// Records that upstreams of the service are silent when full, as this node or a peer found.
+    /// Returns true if that was not known.
+    pub fn record_silent(&mut self, now: Instant) -> bool {
+        let is_new = !self.is_silent(now);
+        if is_new {
+            self.silent_since = Some(now);
+        }
+        self.silent_until = Some(now + SILENT_TTL);
+        is_new
+    }
+
+    /// Returns true while the upstreams of the service are known to be silent when full.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.silent_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns for how long that has been known.
+    pub fn silent_for(&self, now: Instant) -> Option<Duration> {
+        let since = self.silent_since.filter(|_| self.is_silent(now))?;
+        Some(now.saturating_duration_since(since))
+    }
+
+    /// Returns true if an overdue request is worth asking its upstream about: the upstream may have
+    /// been full, and the service has not been seen to refuse what it cannot queue.
+    pub fn is_suspect(&self, id: SendId, now: Instant) -> bool {
+        let refuses = self.refused_at.is_some_and(|at| at + SILENT_TTL > now);
+        let has_queued = self.unanswered.iter().any(|send| send.id == id && send.longest_queue > 0);
+        self.is_silent(now) || (has_queued && !refuses)
+    }
+
+    /// Returns true if a request fits into the queue of an upstream for sure, or if the service
+    /// refuses what does not fit.
+    ///
+    /// Into a queue a request is sent only just after a report of it: requests that waited for room
+    /// at many nodes otherwise find the same old report, and are all sent to the same upstream.
+    pub fn has_room(&self, room: Room, now: Instant) -> bool {
+        let slots = f64::from(room.slots);
+        let places = match room.report_age {
+            Some(age) if age <= MAX_QUEUE_REPORT_AGE => {
+                // Before a queue was seen full: at least as many as the upstream runs.
+                let queue = match self.has_seen_full_queue {
+                    true => self.longest_queue,
+                    false => self.longest_queue.max(room.slots),
+                };
+                slots + f64::from(queue) - RESERVED_PLACES
+            }
+            _ => slots,
+        };
+        // A free slot is always room: with a queue of one place the reserve would take it.
+        !self.is_silent(now) || room.occupied + 1.0 <= places.max(slots)
+    }
+}
+
+/// What is known of the room at an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Requests that it is expected to hold, running or waiting.
+    pub occupied: f64,
+    /// Maximum number of requests that it processes concurrently.
+    pub slots: u32,
+    /// Age of its newest load report.
+    pub report_age: Option<Duration>,
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/place/src/silence/tests.rs
@@ -0,0 +1,105 @@
+use std::time::{Duration, Instant};
+
+use super::{Room, Silence, MAX_TRANSIT, SILENT_TTL};
+use crate::upstream::Load;
+use crate::Incarnation;
+
+fn upstream(id: &str) -> Incarnation {
+    Incarnation { id: id.into(), born_ms: 1 }
+}
+
+fn load(running: u32, waiting: u32) -> Load {
+    Load { running, waiting, slots: 2, slowness: 1.0 }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Returns the state of a node that has sent a request to `u0`, whose queue was at its longest.
+fn sent_to_full(now: Instant) -> (Silence, super::SendId) {
+    let mut silence = Silence::default();
+    silence.record_report(&upstream("u0"), load(2, 4), now);
+    let id = silence.record_sent(&upstream("u0"), Some(load(2, 4)), 500, now);
+    (silence, id)
+}
+
+/// Guards against waiting for an answer until the deadline although the upstream holds no requests.
+#[test]
+fn a_request_that_its_upstream_does_not_hold_has_vanished() {
+    let now = Instant::now();
+    let (mut silence, id) = sent_to_full(now);
+    assert!(silence.is_suspect(id, now));
+    silence.record_report(&upstream("u0"), load(1, 0), now + ms(400));
+    silence.record_report(&upstream("u1"), load(0, 0), now + ms(400));
+    assert!(!silence.has_vanished(id));
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(500));
+    assert!(silence.has_vanished(id));
+    assert!(silence.record_vanished(id, now + ms(800)));
+    assert!(silence.is_silent(now + ms(800)));
+    assert!(!silence.is_silent(now + ms(800) + SILENT_TTL));
+}
+
+/// Guards against taking a request for vanished that is still on its way to its upstream.
+#[yare::parameterized(short = { 500, 49 }, long = { 360_000, 400 })]
+fn a_request_on_its_way_has_not_vanished(size_bytes: usize, age_ms: u64) {
+    let now = Instant::now();
+    let mut silence = Silence::default();
+    let id = silence.record_sent(&upstream("u0"), None, size_bytes, now);
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(age_ms));
+    assert!(!silence.has_vanished(id));
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(age_ms + 20));
+    assert!(silence.has_vanished(id));
+}
+
+/// Guards against placing requests more carefully for ten minutes since a response was lost at an
+/// upstream that had room.
+#[test]
+fn a_lost_response_of_an_upstream_with_room_is_no_silence() {
+    let now = Instant::now();
+    let mut silence = Silence::default();
+    silence.record_report(&upstream("u1"), load(2, 4), now);
+    let id = silence.record_sent(&upstream("u0"), Some(load(1, 0)), 500, now);
+    silence.record_report(&upstream("u0"), load(2, 1), now + ms(300));
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(600));
+    assert!(silence.has_vanished(id));
+    assert!(!silence.record_vanished(id, now + ms(600) + MAX_TRANSIT));
+    assert!(!silence.is_silent(now + ms(600) + MAX_TRANSIT));
+}
+
+/// Guards against extra probes, and requests held back, at services that refuse what they cannot
+/// queue.
+#[test]
+fn a_service_that_refuses_when_full_is_not_suspect() {
+    let now = Instant::now();
+    let (mut silence, id) = sent_to_full(now);
+    silence.record_refusal(Some(load(0, 0)), now);
+    assert!(silence.is_suspect(id, now), "not full when it refused");
+    silence.record_refusal(Some(load(2, 4)), now);
+    assert!(!silence.is_suspect(id, now));
+    assert!(silence.has_room(room(7.0, Some(0)), now));
+}
+
+fn room(occupied: f64, report_age_ms: Option<u64>) -> Room {
+    Room { occupied, slots: 2, report_age: report_age_ms.map(ms) }
+}
+
+/// Guards against requests lost in a burst: the last place in a queue is seen by many nodes at once,
+/// and an old report says nothing about the places left.
+#[yare::parameterized(
+    free_slot = { room(1.0, Some(0)), true },
+    short_queue = { room(3.0, Some(10)), true },
+    short_queue_a_moment_ago = { room(3.0, Some(11)), false },
+    last_place = { room(5.0, Some(0)), false },
+    last_place_but_one = { room(4.0, Some(0)), true },
+    free_slot_a_while_ago = { room(0.5, Some(1_000)), true },
+    no_report_and_likely_a_queue = { room(2.0, None), false },
+)]
+fn a_request_to_a_silent_service_is_sent_only_where_it_fits(room: Room, fits: bool) {
+    let now = Instant::now();
+    let (mut silence, _) = sent_to_full(now);
+    assert!(silence.has_room(room, now), "not known to be silent");
+    assert!(silence.record_silent(now));
+    assert!(!silence.record_silent(now), "known already");
+    assert_eq!(silence.has_room(room, now), fits);
+}
--- a/crates/sim/src/report.rs
+++ b/crates/sim/src/report.rs
@@ -17,6 +17,8 @@
     pub burst_in_time: u32,
     /// Refusals by nodes and upstreams.
     pub refusals: u32,
+    /// Requests that an upstream did not respond to because it was full.
+    pub ignored: u32,
     /// Load probes sent to upstreams.
     pub probes: u32,
     /// KiB of requests and responses sent between zones.
@@ -48,6 +50,7 @@
         self.burst_requests += other.burst_requests;
         self.burst_in_time += other.burst_in_time;
         self.refusals += other.refusals;
+        self.ignored += other.ignored;
         self.probes += other.probes;
         self.cross_zone_kib += other.cross_zone_kib;
     }
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -45,6 +45,8 @@
     WorkDone,
     /// The node receives the response.
     ResponseReceived,
+    /// The deadline passes without a response.
+    DeadlinePassed,
 }
 
 struct Request {
@@ -102,6 +104,9 @@
         events: BinaryHeap::new(),
         report: Report::default(),
     };
+    if scenario.silent_when_full && rules.knows_silence {
+        simulation.nodes.iter_mut().for_each(|node| node.record_silent(base));
+    }
     simulation.schedule_callers(&mut rng);
     while let Some(Reverse((now, request, event))) = simulation.events.pop() {
         simulation.handle_event(event, request, now);
@@ -166,6 +171,7 @@
             Event::Submitted => self.submit(index, now),
             Event::WorkDone => self.finish_work(index, now),
             Event::ResponseReceived => self.receive_response(index, now),
+            Event::DeadlinePassed => self.give_up(index, now),
         }
     }
 
@@ -250,6 +256,10 @@
                 self.schedule(now + duration, index, Event::WorkDone)
             }
             SubmitResult::Queued => {}
+            SubmitResult::Ignored => {
+                self.report.ignored += 1;
+                self.schedule(request.deadline_at, index, Event::DeadlinePassed);
+            }
             SubmitResult::Refused => {
                 let (kind, node) = (request.kind, request.node);
                 let node = &mut self.nodes[node];
@@ -264,6 +274,14 @@
         }
     }
 
+    fn give_up(&mut self, index: RequestIndex, now: Duration) {
+        self.report.unanswered += 1;
+        let request = &self.requests[index];
+        let (kind, upstream) = (request.kind, request.upstream);
+        let cancelled = place::RequestOutcome::Cancelled;
+        self.nodes[request.node].record_outcome(kind, upstream, cancelled, self.base + now);
+    }
+
     fn finish_work(&mut self, index: RequestIndex, now: Duration) {
         let request = &self.requests[index];
         let upstream = &mut self.upstreams[request.upstream];
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -58,6 +58,9 @@
     pub slots_per_upstream: u32,
     /// Maximum number of requests queued at an upstream, which refuses further ones.
     pub max_queued: usize,
+    /// Whether an upstream gives no response to a request that it cannot queue, instead of refusing
+    /// it.
+    pub silent_when_full: bool,
     /// Factor by which work takes longer at an upstream that has over four fifths of its slots in
     /// use.
     pub nearly_full_slowdown: f64,
@@ -90,6 +93,7 @@
             upstreams_per_kind: 11,
             slots_per_upstream: 2,
             max_queued: 4,
+            silent_when_full: false,
             nearly_full_slowdown: 1.7,
             noise: Noise {
                 slow_ratio: 0.25,
@@ -113,6 +117,24 @@
         Scenario { noise, ..Scenario::small() }
     }
 
+    /// Returns a service whose upstreams are silent when full, with requests that may wait for
+    /// several times their work, at 20 nodes. In the burst many
+    /// requests wait at the nodes, and find the same short queue at once when they are sent.
+    pub fn silent() -> Scenario {
+        let mut scenario = Scenario::small();
+        (scenario.nodes, scenario.upstreams_per_kind) = (20, 30);
+        scenario.silent_when_full = true;
+        scenario.kinds[0] = CallKind {
+            name: "upload".into(),
+            requests_per_s: 130.0,
+            mean_work: Duration::from_millis(190),
+            objective: Duration::from_millis(1_500),
+            max_timeout: Duration::from_millis(10_000),
+            response_bytes: 5_000,
+        };
+        scenario
+    }
+
     /// Returns a service with `slots` slots per upstream and the load per slot of the small
     /// service, on machines that are `slowdown` times slower for a third of the time, which changes
     /// every `change_interval`.
@@ -143,6 +165,8 @@
     pub skips_nearly_full_samples: bool,
     /// Cost of sending one KiB to another zone, as a share of a request's value.
     pub cross_zone_cost_per_kib: f64,
+    /// Whether nodes know from the start which upstreams are silent when full.
+    pub knows_silence: bool,
     /// Maximum number of rounds of load probes before a request is placed.
     pub max_probe_rounds: u32,
 }
@@ -156,6 +180,7 @@
             refuses_late: true,
             skips_nearly_full_samples: true,
             cross_zone_cost_per_kib: 0.05,
+            knows_silence: true,
             max_probe_rounds: 2,
         }
     }
--- a/crates/sim/src/upstream.rs
+++ b/crates/sim/src/upstream.rs
@@ -22,6 +22,8 @@
     Queued,
     /// The queue is full.
     Refused,
+    /// The queue is full, and no response follows.
+    Ignored,
 }
 
 pub(crate) struct Upstream {
@@ -75,6 +77,7 @@
                 self.waiting.push_back((request, work));
                 SubmitResult::Queued
             }
+            () if scenario.silent_when_full => SubmitResult::Ignored,
             () => SubmitResult::Refused,
         }
     }
--- a/crates/sim/tests/rules.rs
+++ b/crates/sim/tests/rules.rs
@@ -49,6 +49,18 @@
     assert_better_in_burst(&Scenario::small(), Rules::default(), without, 0.15);
 }
 
+/// Guards against requests that wait for an answer until their deadline. Cause: many nodes see the
+/// last places in the same queue at once, and its upstream does not respond to those that find them
+/// taken.
+#[test]
+fn few_requests_are_sent_to_full_upstreams_that_are_silent() {
+    let without = Rules { knows_silence: false, ..Rules::default() };
+    let (with, without) =
+        (sum(&Scenario::silent(), &Rules::default()), sum(&Scenario::silent(), &without));
+    assert!(without.ignored > 0 && 3 * with.ignored <= without.ignored, "{with:?} {without:?}");
+    assert!(with.in_time >= without.in_time, "{with:?} {without:?}");
+}
+
 /// Guards against traffic between zones that costs more than it gains: requests are sent to another
 /// zone for any small improvement, although upstreams of the own zone are nearly as good.
 #[test]
