--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -2,9 +2,10 @@
 //!
 //! [`retries`] decides on the sends of a request, [`choose`] picks the upstream of each, and
 //! [`send`] performs it and records its outcome. [`call`] is the state of a request, [`content`]
-//! its content key. [`identify`] finds the team of its caller. [`crash_detection`] detects upstreams that crashed while running requests, and
-//! [`quarantined`] keeps such requests from other upstreams. [`notices`] applies the backpressure
-//! signals of responses.
+//! its content key. [`identify`] finds the team of its caller. [`crash_detection`] detects upstreams
+//! that crashed while running requests, and [`quarantined`] keeps such requests from other
+//! upstreams. [`silence`] detects requests that upstreams neither hold nor answer. [`notices`]
+//! applies the backpressure signals of responses.
 
 mod call;
 mod choose;
@@ -15,6 +16,7 @@
 mod quarantined;
 mod retries;
 mod send;
+mod silence;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -21,5 +21,6 @@
 mod relay;
 mod requests;
 mod restarts;
+mod silent;
 mod starts;
 mod teams;
