--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -111,7 +111,7 @@
                     let key = (team.clone(), shard, Role::Owner);
                     match (owned, self.buckets.get_mut(&key)) {
                         (true, None) => {
-                            drop(self.buckets.insert(key, Bucket::new(START_LEVEL, now)))
+                            self.buckets.insert(key, Bucket::new(START_LEVEL, now));
                         }
                         // Another node granted the shard in between.
                         (true, Some(bucket)) if !bucket.is_owned => {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -131,6 +131,7 @@
             upstreams_per_kind: 48,
             slots_per_upstream: 6,
             max_queued: 12,
+            silent_when_full: false,
             nearly_full_slowdown: 1.7,
             noise: Noise {
                 slow_ratio: 0.3,
@@ -167,6 +168,7 @@
             mean_work: Duration::from_millis(190),
             objective: Duration::from_millis(1_500),
             max_timeout: Duration::from_millis(10_000),
+            max_timeout_reduction: 1.0 / 6.0,
             response_bytes: 5_000,
         };
         scenario
