--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -70,6 +70,14 @@
         Bucket { level, filled_at: now, backlog: 0.0, is_owned: true }
     }
 
+    /// Continues to fill up, without the time in which another node owned the shard.
+    fn resume(&mut self, now: Instant) {
+        if !self.is_owned {
+            self.is_owned = true;
+            self.filled_at = now;
+        }
+    }
+
     fn fill(&mut self, limits: Limits, now: Instant) {
         let added = limits.rate_per_s * now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.filled_at = self.filled_at.max(now);
@@ -109,18 +117,16 @@
                 for shard in 0..shard_count(quota) {
                     let owned = view.is_owner(team, shard);
                     let key = (team.clone(), shard, Role::Owner);
-                    match (owned, self.buckets.get_mut(&key)) {
-                        (true, None) => {
-                            drop(self.buckets.insert(key, Bucket::new(START_LEVEL, now)))
+                    if !owned {
+                        if let Some(bucket) = self.buckets.get_mut(&key) {
+                            bucket.is_owned = false;
                         }
-                        // Another node granted the shard in between.
-                        (true, Some(bucket)) if !bucket.is_owned => {
-                            bucket.is_owned = true;
-                            bucket.filled_at = now;
-                        }
-                        (false, Some(bucket)) => bucket.is_owned = false,
-                        (true, Some(_)) | (false, None) => {}
+                        continue;
                     }
+                    self.buckets
+                        .entry(key)
+                        .or_insert_with(|| Bucket::new(START_LEVEL, now))
+                        .resume(now);
                 }
             }
         }
@@ -152,10 +158,7 @@
         let new_bucket = || Bucket::new(START_LEVEL.min(limits.capacity), now);
         let key = (team.clone(), shard, role);
         let bucket = self.buckets.entry(key).or_insert_with(new_bucket);
-        if role == Role::Owner && !bucket.is_owned {
-            bucket.is_owned = true;
-            bucket.filled_at = now;
-        }
+        bucket.resume(now);
         bucket.fill(limits, now);
         let max_backlog = limits.rate_per_s * self.bounds.window.as_secs_f64();
         let granted = bucket.level.min(f64::from(wanted)).floor();
--- a/crates/quota/src/tests/fleet.rs
+++ b/crates/quota/src/tests/fleet.rs
@@ -208,15 +208,14 @@
         rate_per_s: f64,
         mut choose: impl FnMut(&mut SmallRng, u64) -> usize,
     ) {
-        let (mut at_s, mut count) = (0.0, 0);
-        while rate_per_s > 0.0 {
-            at_s += -self.rng.random_range(f64::EPSILON..1.0).ln() / rate_per_s;
-            if at_s >= time.as_secs_f64() {
-                break;
-            }
+        let interval_s =
+            |rng: &mut SmallRng| -rng.random_range(f64::EPSILON..1.0).ln() / rate_per_s;
+        let (mut at_s, mut count) = (interval_s(&mut self.rng), 0);
+        while at_s < time.as_secs_f64() {
             let node = choose(&mut self.rng, count);
             count += 1;
             self.arrive(node, Duration::from_secs_f64(at_s));
+            at_s += interval_s(&mut self.rng);
         }
         self.run_until(self.now + time);
     }
