--- a/crates/team/src/tests.rs
+++ b/crates/team/src/tests.rs
@@ -70,3 +70,37 @@
     let shown = format!("{:?} {:?}", teams(), identify(&teams(), "claims", &headers));
     assert!(!shown.contains("aaaa1111") && !shown.contains("dddd4444"), "{shown}");
 }
+
+/// Guards against digesting a value as long as a head may be, for each request of anybody.
+#[yare::parameterized(
+    longest = { crate::MAX_KEY_BYTES, true },
+    too_long = { crate::MAX_KEY_BYTES + 1, false },
+)]
+fn a_key_has_a_maximum_length(bytes: usize, is_valid: bool) {
+    let key = "k".repeat(bytes);
+    let teams = Teams::new(vec![team("north", &[key.as_str()])], []).unwrap();
+    let found = name_of(identify(&teams, "claims", &with(&[&format!("Bearer {key}")])));
+    let expected = if is_valid { Ok("north".to_owned()) } else { Err(Unauthorized::Malformed) };
+    assert_eq!(found, expected);
+}
+
+/// Guards against records that show keys, or differ between nodes that list keys in another order.
+#[test]
+fn lines_show_fingerprints_in_a_fixed_order() {
+    let of = |keys: &[&str]| {
+        let quota = Some(crate::Quota { rate_per_s: 0.5, burst: 2.0 });
+        let teams = vec![team("south", &["cccc3333"]), Team { quota, ..team("north", keys) }];
+        Teams::new(teams, ["open".into()]).unwrap().lines().collect::<Vec<_>>()
+    };
+    let lines = of(&["aaaa1111", "bbbb2222"]);
+    assert_eq!(lines, of(&["bbbb2222", "aaaa1111"]));
+    assert_eq!(lines.len(), 3, "{lines:?}");
+    assert!(
+        lines[0].starts_with("team north priority=1 rate_per_s=0.5 burst=2 keys="),
+        "{lines:?}"
+    );
+    assert_eq!(lines[2], "open_route open");
+    let fingerprint = KeyDigest::of(b"aaaa1111").to_string();
+    assert!(lines[0].contains(&fingerprint) && !lines.concat().contains("1111"), "{lines:?}");
+    assert_eq!(Teams::new(Vec::new(), ["open".into()]).unwrap().lines().count(), 0);
+}
