--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -65,11 +65,13 @@
         let in_flight = InFlight::start(self.node);
         let limits = limits(self.node);
         let mut decoder = h1::Decoder::new(head.framing);
-        // Without a body to wait for, forwarding the request checks its key just as early.
-        if !decoder.is_done() {
-            if let Err(local_reply) = self.node.check_key(&head) {
-                return self.reject_unread(local_reply, &head, &mut decoder).await;
-            }
+        let checked = match decoder.is_done() {
+            // Without a body to wait for, forwarding the request checks its key just as early.
+            true => Ok(()),
+            false => self.node.check_key(&head),
+        };
+        if let Err(local_reply) = checked {
+            return self.reject_unread(local_reply, &head, &mut decoder).await;
         }
         if matches!(head.framing, h1::Framing::Length(l) if l > limits.body_bytes) {
             let local_reply =
