emu: an address that stays closed for tests

single_sequence_of_changes_explains_every_history took the port of a listener that was closed for an address without a platform; with several copies at once the port was given out again, and node 2 read another copy's platform. ClosedPort keeps the port in use by the client side of a connection; the two tests of the proxy and the e2e test that took ports in the same way use it too. No check is changed; a version that is not in force is reported with what each node holds.

--- a/crates/emu/src/lib.rs
+++ b/crates/emu/src/lib.rs
@@ -3,7 +3,9 @@
 //! [`platform`] stands in for the platform's transactional table service and
 //! VM list, with fault injection. [`upstream`] stands in for one upstream VM:
 //! it has a limited number of slots, sheds load, drains, can be made slow, serves a
-//! load report that lags, and counts executions per idempotency key.
+//! load report that lags, and counts executions per idempotency key. [`closed_port`] is
+//! an address at which nothing listens.
 
+pub mod closed_port;
 pub mod platform;
 pub mod upstream;
--- a/crates/oatcoved/src/follow/history_tests.rs
+++ b/crates/oatcoved/src/follow/history_tests.rs
@@ -187,12 +187,9 @@
     let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
     let platform = listener.local_addr().expect("address");
     monoio::spawn(web::serve(listener, stand_in.clone()));
-    let closed_addr = {
-        let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-        closed.local_addr().expect("address")
-    };
+    let closed = emu::closed_port::ClosedPort::new().expect("a port is free");
     let (first, view) = node(platform, &[]);
-    let mut views = vec![view, node(platform, &[first]).1, node(closed_addr, &[first]).1];
+    let mut views = vec![view, node(platform, &[first]).1, node(closed.addr(), &[first]).1];
     let seen: Vec<Rc<RefCell<Vec<NodeState>>>> = (0..NODES).map(|_| Rc::default()).collect();
     for (view, seen) in views.iter().zip(&seen) {
         monoio::spawn(record_states(view.clone(), seen.clone()));
@@ -215,7 +212,9 @@
     let faults_cleared_at = Instant::now();
     while views.iter().any(|view| state(view).map_or(0, |(v, _)| v) < newest) {
         if faults_cleared_at.elapsed() > CONVERGENCE_TIMEOUT {
-            return Err(format!("version {newest} is not in force everywhere"));
+            let states: Vec<_> =
+                views.iter().map(|view| (state(view), view.borrow().config_head)).collect();
+            return Err(format!("version {newest} is not in force everywhere: {states:?}"));
         }
         monoio::time::sleep(POLL_INTERVAL).await;
     }
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -279,11 +279,8 @@
 fn call_that_no_upstream_ran_is_not_run_with_retry_after() {
     web::runtime().block_on(async {
         let (a, up_a) = upstream(upstream_config(1, 0));
-        let closed = {
-            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-            listener.local_addr().expect("addr")
-        };
-        let node = node("service: svc\ndefaults:\n  max_attempts: 2\n", &[a, closed]);
+        let closed = emu::closed_port::ClosedPort::new().expect("a port is free");
+        let node = node("service: svc\ndefaults:\n  max_attempts: 2\n", &[a, closed.addr()]);
         let response = node.handle(request(http::Method::POST, "/s/svc/claim", "c"), PEER).await;
         assert_eq!(
             (response.status(), outcome(&response)),
@@ -686,14 +683,9 @@
 fn upstreams_that_refuse_connections_do_not_count_as_attempts() {
     web::runtime().block_on(async {
         let (alive, up) = upstream(upstream_config(1, 100));
-        let closed_addr = || {
-            let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("bind");
-            listener.local_addr().expect("addr")
-        };
-        let node = node(
-            "service: svc\ndefaults:\n  max_attempts: 2\n",
-            &[closed_addr(), closed_addr(), closed_addr(), alive],
-        );
+        let closed = [(); 3].map(|()| emu::closed_port::ClosedPort::new().expect("a port is free"));
+        let [a, b, c] = closed.each_ref().map(|port| port.addr());
+        let node = node("service: svc\ndefaults:\n  max_attempts: 2\n", &[a, b, c, alive]);
         for n in 0..3 {
             let key = format!("read-{n}");
             let response = node.handle(request(http::Method::GET, "/s/svc/x", &key), PEER).await;
--- a/xtask/tests/e2e.rs
+++ b/xtask/tests/e2e.rs
@@ -182,8 +182,8 @@
 #[test]
 fn a_node_partitioned_from_the_platform_receives_changes_through_its_peers() {
     let mut cluster = start_cluster("cutoff", &spec(), "service: swap-desk\n");
-    let closed_port = std::net::TcpListener::bind("127.0.0.1:0").expect("bind").local_addr();
-    let unreachable_addr = closed_port.expect("address").to_string();
+    let closed = emu::closed_port::ClosedPort::new().expect("a port is free");
+    let unreachable_addr = closed.addr().to_string();
     let seeds = format!("[\"{}\"]", cluster.entries[0].addr);
     cluster.start_entry("attiki-a", &[("platform_addr", unreachable_addr), ("seed_addrs", seeds)]);
     assert!(cluster.wait_for_status(2, TEST_TIMEOUT, |s| s["templates"]["swap-desk"] == 1));
