--- /dev/null
+++ b/crates/edge/src/bodies/tests.rs
@@ -0,0 +1,42 @@
+use super::BodyBudget;
+use crate::Capacity;
+
+fn budget(memory_bytes: f64) -> BodyBudget {
+    BodyBudget::new(Some(Capacity { cores: 1.0, link_bytes_per_s: 1e6, memory_bytes }))
+}
+
+/// Guards against a node that runs out of memory in a burst of large bodies, and against refusing
+/// bodies although there is memory for them.
+#[test]
+fn bodies_are_held_whole_then_in_part_then_refused() {
+    let budget = budget(8_000.0);
+    let whole = budget.reserve(100, 600).expect("fits");
+    assert_eq!(whole.bytes(), 600);
+    let part = budget.reserve(100, 600).expect("its first part fits");
+    assert_eq!(part.bytes(), 100);
+    let rest = budget.reserve(300, 300).expect("fits");
+    assert!(budget.reserve(1, 1).is_none());
+    assert!(budget.reserve(0, 0).is_some(), "a request without a body");
+    drop((whole, rest));
+    assert_eq!(budget.used(), 100);
+}
+
+/// Guards against a body of unknown length that takes more than the memory left.
+#[test]
+fn a_growing_body_stays_within_the_budget() {
+    let budget = budget(8_000.0);
+    let mut body = budget.reserve(100, 100).expect("fits");
+    assert!(body.covers(1_000));
+    assert!(!body.covers(1_001));
+    assert_eq!(budget.used(), 1_000);
+    drop(body);
+    assert_eq!(budget.used(), 0);
+}
+
+/// Guards against a change at nodes whose memory is not known.
+#[test]
+fn without_a_known_memory_only_first_parts_are_held() {
+    let budget = BodyBudget::new(None);
+    let mut body = budget.reserve(100, 600).expect("fits");
+    assert!(body.covers(100) && !body.covers(101));
+}
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -56,6 +56,10 @@
 /// of its few attempts and retry later than the node is ready.
 const MAX_STARTUP_WAIT: Duration = Duration::from_secs(1);
 
+/// Longest time for which the body of a request is received whose route is not known: it is rejected
+/// after that.
+const MAX_UNROUTED_WAIT: Duration = Duration::from_secs(5);
+
 /// Longest wait for the start of the node, as a ratio of the deadline that the caller states: some
 /// callers abandon an attempt after a third of their deadline.
 const STARTUP_WAIT_RATIO: f64 = 0.25;
@@ -387,6 +391,16 @@
         trace::Line::new("caller_left").field("request", id).log();
     }
 
+    /// Returns how long the caller of a request waits for its response at most.
+    pub fn max_wait(&self, head: &h1::RequestHead) -> Duration {
+        let state = self.state.borrow();
+        let stated = head.headers.get(&state.settings.headers.deadline_ms);
+        let stated = stated.and_then(|ms| ms.to_str().ok()?.parse().ok());
+        let route = state.table.as_ref().and_then(|table| table.find(&head.host, head.path()));
+        let route_timeout = route.map_or(MAX_UNROUTED_WAIT, |route| route.timeout);
+        stated.map_or(route_timeout, Duration::from_millis).min(route_timeout)
+    }
+
     /// Waits while the node has just started and lacks the configuration or the list of upstreams,
     /// at most until `until`.
     async fn wait_until_started(&self, until: Instant) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,7 +3,7 @@
 //! - Requests: [`serve`] reads requests from callers and writes the responses, [`forward`] obtains
 //!   the response to each request using the decisions of the crates `route`, `place` and `limit`,
 //!   and [`exchange`] sends one request to one upstream over a connection from the pool in
-//!   [`conns`]. [`probe`] queries upstreams for their load just before a choice.
+//!   [`conns`]. [`bodies`] bounds the memory that request bodies take. [`probe`] queries upstreams for their load just before a choice.
 //! - Platform: [`follow`] keeps the node's state in sync with the platform, which it accesses only
 //!   through the trait [`follow::Source`]. Most nodes read it through a peer ([`readers`],
 //!   [`relay`]). [`record`] writes the audit record of configurations, and [`holds`] stores which
@@ -15,6 +15,7 @@
 //! All tasks run on one thread. The request path reads a single [`state::State`]; no borrow of it
 //! is held across an await.
 
+pub mod bodies;
 pub mod conns;
 pub mod directory;
 pub mod exchange;
@@ -66,6 +67,17 @@
     pub team: HeaderName,
 }
 
+/// What a node's machine can take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Capacity {
+    /// Processor time that the node may use, in cores.
+    pub cores: f64,
+    /// Rate of its link in each direction, in bytes per second.
+    pub link_bytes_per_s: f64,
+    /// Memory that the node may use, in bytes.
+    pub memory_bytes: f64,
+}
+
 /// Settings of one entry node.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -105,6 +117,8 @@
     pub max_probes_per_upstream_per_s: f64,
     /// Cost of sending one KiB to another zone and back, as a share of the value of a request.
     pub cross_zone_cost_per_kib: f64,
+    /// What the node's machine can take; `None` if that is not known.
+    pub capacity: Option<Capacity>,
 }
 
 impl Settings {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,7 +15,7 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 20] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 21] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -36,6 +36,9 @@
     ("oatcove_refused_crashing", "Requests refused since they crash upstreams", |c| {
         c.refused_crashing
     }),
+    ("oatcove_refused_bodies", "Requests refused since their bodies did not fit", |c| {
+        c.refused_bodies
+    }),
     ("oatcove_membership_bytes", "Bytes of membership sent", |c| c.membership_bytes),
     ("oatcove_membership_far_bytes", "Bytes of membership sent to another zone", |c| {
         c.membership_far_bytes
@@ -60,6 +63,7 @@
     leaving: Gauge<u64>,
     backing_off: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
+    body_bytes: Gauge<u64>,
     silent_services: Gauge<u64>,
     lines_dropped: Gauge<u64>,
 }
@@ -90,6 +94,7 @@
             leaving: registry.gauge("oatcove_upstreams_leaving"),
             backing_off: registry.gauge("oatcove_upstreams_resting"),
             zones_evacuated: registry.gauge("oatcove_zones_evacuated"),
+            body_bytes: registry.gauge("oatcove_body_bytes_reserved"),
             silent_services: registry.gauge("oatcove_services_silent"),
             lines_dropped: registry.gauge("oatcove_log_lines_dropped"),
             registry,
@@ -122,6 +127,7 @@
         self.leaving.record(state.backpressure.leaving_count(now) as u64, &[]);
         self.backing_off.record(state.backpressure.backoff_count(now) as u64, &[]);
         self.zones_evacuated.record(state.evacuations.zones().len() as u64, &[]);
+        self.body_bytes.record(state.body_budget.used() as u64, &[]);
         let silent = state.pools.values().filter(|pool| pool.silence().is_silent(now));
         self.silent_services.record(silent.count() as u64, &[]);
         self.lines_dropped.record(trace::dropped_lines(), &[]);
--- a/crates/edge/src/serve/pipeline.rs
+++ b/crates/edge/src/serve/pipeline.rs
@@ -17,6 +17,7 @@
 use local_sync::oneshot;
 use web::h1;
 
+use crate::bodies::Reservation;
 use crate::forward::{Body, Caller, Node, Reply};
 
 /// Maximum number of requests of one connection that are read and not answered yet. Each may hold a
@@ -133,18 +134,27 @@
 }
 
 /// Guard that counts a request as in flight until it is dropped.
-pub(super) struct InFlight(Rc<Node>);
+pub(super) struct InFlight {
+    node: Rc<Node>,
+    /// The memory that the request's body takes.
+    body: RefCell<Option<Reservation>>,
+}
 
 impl InFlight {
     pub(super) fn start(node: &Rc<Node>) -> Rc<InFlight> {
         node.state.borrow_mut().in_flight += 1;
-        Rc::new(InFlight(node.clone()))
+        Rc::new(InFlight { node: node.clone(), body: RefCell::default() })
+    }
+
+    /// Keeps the memory for the request's body reserved until the guard is dropped.
+    pub(super) fn hold(&self, body: Reservation) {
+        *self.body.borrow_mut() = Some(body);
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.state.borrow_mut().in_flight -= 1;
+        self.node.state.borrow_mut().in_flight -= 1;
     }
 }
 
--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -13,6 +13,7 @@
 use super::pipeline::{
     self, InFlight, PendingReply, Pipeline, QueuedResponse, QueuedWrite, Request,
 };
+use crate::bodies::Reservation;
 use crate::forward::{Body, Caller, Node, Reply};
 use crate::reply::LocalReply;
 
@@ -20,6 +21,10 @@
 /// it can be sent again; longer ones are streamed.
 const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 
+/// `Retry-After` of a request whose body does not fit into memory: the largest bodies take about
+/// that long over the slowest links.
+const RETRY_AFTER_BODIES: Duration = Duration::from_millis(300);
+
 /// Maximum number of bytes received from a caller and not yet parsed as requests. A caller that
 /// sends more is slowed down by TCP flow control.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
@@ -70,6 +75,10 @@
                 LocalReply::failed(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
             return self.reject(local_reply, head.method == Method::HEAD).await;
         }
+        let Some(mut reservation) = self.reserve_body(&head) else {
+            let local_reply = LocalReply::not_run(RETRY_AFTER_BODIES, "too many bodies at once");
+            return self.reject(local_reply, head.method == Method::HEAD).await;
+        };
         if expects_continue(&head) && !decoder.is_done() {
             // `100 Continue` must follow the responses to earlier requests. The timeout for the
             // body starts only then, because the caller does not send the body before.
@@ -81,6 +90,15 @@
             Ok(None) => return Err(Disconnected),
             Err(local_reply) => return self.reject(local_reply, head.method == Method::HEAD).await,
         };
+        let body = match self
+            .read_body_rest(&head, received_at, body, &mut decoder, &mut reservation)
+            .await
+        {
+            Ok(Some(body)) => body,
+            Ok(None) => return Err(Disconnected),
+            Err(local_reply) => return self.reject(local_reply, head.method == Method::HEAD).await,
+        };
+        in_flight.hold(reservation);
         let idempotent = is_idempotent(&head, self.node);
         let exclusive = !idempotent || !decoder.is_done();
         if exclusive {
@@ -123,6 +141,69 @@
         }
     }
 
+    /// Reserves memory for a body, all of it if its length is known and the budget allows. Returns
+    /// `None` if there is none even for its first part.
+    fn reserve_body(&self, head: &h1::RequestHead) -> Option<Reservation> {
+        let budget = self.node.state.borrow().body_budget.clone();
+        let (least, most) = match head.framing {
+            h1::Framing::Empty => (0, 0),
+            h1::Framing::Length(length) => {
+                let length = usize::try_from(length).unwrap_or(usize::MAX);
+                (length.min(MAX_BUFFERED_BODY_BYTES), length)
+            }
+            _ => (MAX_BUFFERED_BODY_BYTES, MAX_BUFFERED_BODY_BYTES),
+        };
+        let reservation = budget.reserve(least, most);
+        let state = &mut *self.node.state.borrow_mut();
+        state.counters.body_bytes_peak = state.counters.body_bytes_peak.max(budget.used() as u64);
+        if reservation.is_none() {
+            state.counters.refused_bodies += 1;
+            let request = head.headers.get(&state.settings.headers.request_id);
+            trace::Line::new("refused")
+                .field("request", request.and_then(|id| id.to_str().ok()).unwrap_or("?"))
+                .field("reason", "too many bodies")
+                .field("body_bytes", budget.used())
+                .log();
+        }
+        reservation
+    }
+
+    /// Reads the remainder of a body as far as memory is reserved for it, until the caller's
+    /// deadline. The upstream is chosen after that, so that none of its slots waits for the body.
+    async fn read_body_rest(
+        &mut self,
+        head: &h1::RequestHead,
+        received_at: Instant,
+        first: Bytes,
+        decoder: &mut h1::Decoder,
+        reservation: &mut Reservation,
+    ) -> Result<Option<Bytes>, LocalReply> {
+        if decoder.is_done() || !reservation.covers(first.len() + 1) {
+            return Ok(Some(first));
+        }
+        let deadline = received_at + self.node.max_wait(head);
+        let reading = async {
+            let mut body = BytesMut::with_capacity(reservation.bytes().max(first.len()));
+            body.extend_from_slice(&first);
+            while !decoder.is_done() && reservation.covers(body.len() + 1) {
+                match self.reader.body_piece(decoder).await? {
+                    Some(piece) => body.extend_from_slice(&piece),
+                    None => break,
+                }
+            }
+            Ok(body.freeze())
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        match monoio::time::timeout(left, reading).await {
+            Ok(Ok(body)) => Ok(Some(body)),
+            Ok(Err(err)) => body_error(err).map(|()| None),
+            Err(_) => {
+                let text = "the body took longer to arrive than its caller waits";
+                Err(LocalReply::failed(StatusCode::REQUEST_TIMEOUT, text))
+            }
+        }
+    }
+
     /// Answers a request that cannot be served; nothing after it is parsed as a request.
     async fn reject(
         &mut self,
@@ -293,13 +374,21 @@
     };
     match monoio::time::timeout(timeout, reading).await {
         Ok(Ok(body)) => Ok(Some(body)),
-        Ok(Err(h1::ReadError::Malformed(err))) => {
-            trace::Line::new("bad_request").field("error", err.to_string()).log();
-            Err(LocalReply::failed(err.status(), "the body cannot be read"))
-        }
-        Ok(Err(h1::ReadError::Closed | h1::ReadError::Io(_))) => Ok(None),
+        Ok(Err(err)) => body_error(err).map(|()| None),
         Err(_) => {
             Err(LocalReply::failed(StatusCode::REQUEST_TIMEOUT, "the body took too long to arrive"))
         }
     }
 }
+
+/// Returns the response to a request whose body could not be read, or nothing if its caller has
+/// disconnected.
+fn body_error(err: h1::ReadError) -> Result<(), LocalReply> {
+    match err {
+        h1::ReadError::Malformed(err) => {
+            trace::Line::new("bad_request").field("error", err.to_string()).log();
+            Err(LocalReply::failed(err.status(), "the body cannot be read"))
+        }
+        h1::ReadError::Closed | h1::ReadError::Io(_) => Ok(()),
+    }
+}
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -142,6 +142,10 @@
     pub upstreams_ended: u64,
     /// Requests refused because they crash upstreams.
     pub refused_crashing: u64,
+    /// Requests refused because their bodies did not fit into memory.
+    pub refused_bodies: u64,
+    /// Most memory that was reserved for bodies at once, in bytes.
+    pub body_bytes_peak: u64,
     /// Bytes of membership packets sent, without UDP headers.
     pub membership_bytes: u64,
     /// Part of `membership_bytes` sent to other zones.
@@ -216,6 +220,8 @@
     pub stopping: Option<Stopping>,
     /// Requests read from callers and not answered yet.
     pub in_flight: u64,
+    /// Memory for the bodies of these requests.
+    pub body_budget: crate::bodies::BodyBudget,
     /// Random number generator for all decisions.
     pub rng: SmallRng,
     /// Random number of this process, for choices that must differ between nodes.
@@ -229,7 +235,9 @@
     pub fn new(settings: Settings) -> State {
         let reads_directly = !crate::readers::begins_with_seeds(&settings);
         let node_seed = rand::random();
+        let body_budget = crate::bodies::BodyBudget::new(settings.capacity);
         State {
+            body_budget,
             settings,
             table: None,
             table_applied_at: Instant::now(),
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -73,6 +73,7 @@
         retry_slack: 10.0,
         max_probes_per_upstream_per_s: 0.0,
         cross_zone_cost_per_kib: 0.04,
+        capacity: None,
     }
 }
 
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -21,4 +21,5 @@
 mod requests;
 mod restarts;
 mod silent;
+mod slow_bodies;
 mod starts;
