--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -158,6 +158,10 @@
     pub quota_packets: u64,
     /// Bytes of these datagrams, without UDP headers.
     pub quota_bytes: u64,
+    /// Requests refused because their bodies did not fit into memory.
+    pub refused_bodies: u64,
+    /// Most memory that was reserved for bodies at once, in bytes.
+    pub body_bytes_peak: u64,
     /// Bytes of membership packets sent, without UDP headers.
     pub membership_bytes: u64,
     /// Part of `membership_bytes` sent to other zones.
@@ -232,6 +236,8 @@
     pub stopping: Option<Stopping>,
     /// Requests read from callers and not answered yet.
     pub in_flight: u64,
+    /// Memory for the bodies of these requests.
+    pub body_budget: crate::bodies::BodyBudget,
     /// Random number generator for all decisions.
     pub rng: SmallRng,
     /// Random number of this process, for choices that must differ between nodes.
@@ -245,7 +251,9 @@
     pub fn new(settings: Settings) -> State {
         let reads_directly = !crate::readers::begins_with_seeds(&settings);
         let node_seed = rand::random();
+        let body_budget = crate::bodies::BodyBudget::new(settings.capacity);
         State {
+            body_budget,
             settings,
             table: None,
             table_applied_at: Instant::now(),
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -22,5 +22,6 @@
 mod requests;
 mod restarts;
 mod silent;
+mod slow_bodies;
 mod starts;
 mod teams;
