edge: the test of planted keys starts with a node that grants tokens

With quotas joined, a node that has just started refused its requests for lack of an owner, so that none was lost at an upstream. All checks are unchanged.

--- a/crates/edge/src/tests/teams.rs
+++ b/crates/edge/src/tests/teams.rs
@@ -501,6 +501,9 @@
         let planted = Team { priority: 3, quota, ..team("north", &[PLANTED]) };
         let planted_teams = Teams::new(vec![planted], ["/other/".into()]).expect("valid teams");
         let entry_node = start_with_teams(&[&first, &second], planted_teams);
+        // A node that has just started does not grant tokens of quotas yet.
+        entry_node.node.state.borrow_mut().started_at -= Duration::from_secs(60);
+        crate::quotas::housekeeping(&entry_node.node, Instant::now());
         let mut outputs = Vec::new();
         let malformed = [
             format!("Authorization: {PLANTED}\r\n"),
