--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -51,6 +51,9 @@
         members
     };
     while let Some(input) = rx.recv().await {
+        if apply_extension(&node, &input) {
+            continue;
+        }
         let (config_head, list_head, direct) = {
             let state = node.state.borrow();
             match state.is_ready() {
@@ -77,6 +80,9 @@
         out.extend(broadcast_findings(&mut members, &node));
         out.extend(broadcast_notices(&mut members, &node));
         for member::Outgoing { to, packet } in out {
+            if matches!(packet.body, wire::Body::Ping(_)) {
+                send_extension(&socket, &node, to).await;
+            }
             let bytes = packet.encode();
             count_sent(&node, to, bytes.len() as u64);
             // A datagram that cannot be sent counts as lost, which the protocol tolerates.
@@ -85,6 +91,34 @@
     }
 }
 
+/// Tells a peer what nodes can still take, and which services are silent, if there is anything to
+/// tell.
+async fn send_extension(socket: &UdpSocket, node: &Node, to: SocketAddr) {
+    let extension = crate::rooms::extension(&mut node.state.borrow_mut());
+    let Some(bytes) = extension.map(|extension| extension.encode()) else { return };
+    count_sent(node, to, bytes.len() as u64);
+    let _ = socket.send_to(bytes, to).await;
+}
+
+/// Applies a datagram that is an extension; returns false for any other.
+fn apply_extension(node: &Node, input: &Input) -> bool {
+    let Input::Datagram(from, bytes) = input else { return false };
+    if !wire::Extension::is_extension(bytes) {
+        return false;
+    }
+    match wire::Extension::decode(bytes) {
+        Ok(extension) if extension.sender == *from => {
+            crate::rooms::apply(&mut node.state.borrow_mut(), &extension);
+        }
+        Ok(_) => {}
+        Err(err) => trace::Line::new("peer_packet_refused")
+            .field("peer", from)
+            .field("error", err.to_string())
+            .log(),
+    }
+    true
+}
+
 fn count_sent(node: &Node, to: SocketAddr, bytes: u64) {
     let state = &mut *node.state.borrow_mut();
     let is_same_zone = state.peers.get(&to).is_some_and(|peer| peer.zone == state.settings.zone);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod record;
 pub mod relay;
 pub mod reply;
+mod rooms;
 pub mod serve;
 pub mod state;
 pub mod status;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -9,11 +9,12 @@
 //! [`RetryDetector`] estimates for how long the caller of a request has been retrying. [`Roster`]
 //! tracks which upstreams exist, also during outages of the store that lists them.
 //!
-//! [`silence`] detects upstreams that answer nothing when they are full.
+//! [`entry_nodes`] chooses the entry nodes that callers are told, and [`silence`] detects upstreams that answer nothing when they are full.
 //!
 //! The crate does no I/O: time and randomness are passed in.
 
 mod admit;
+pub mod entry_nodes;
 mod evacuations;
 mod health;
 mod incarnation;
--- a/crates/place/src/silence.rs
+++ b/crates/place/src/silence.rs
@@ -17,7 +17,7 @@
 /// Time for which a service counts as silent after the last request that vanished. A service that
 /// has changed its behavior is served as any other after ten minutes, and one that has not loses one
 /// request in that time.
-const SILENT_TTL: Duration = Duration::from_secs(600);
+pub const SILENT_TTL: Duration = Duration::from_secs(600);
 
 /// Age up to which a report tells that there is room in a queue: that of one that was just asked
 /// for. Other nodes decide by the same report meanwhile.
@@ -58,7 +58,6 @@
     longest_queue: u32,
     /// Whether a request vanished at a queue of that length.
     has_seen_full_queue: bool,
-    silent_since: Option<Instant>,
     silent_until: Option<Instant>,
     /// When an upstream last refused a request while its queue was at its longest.
     refused_at: Option<Instant>,
@@ -120,17 +119,14 @@
         let Some(send) = self.unanswered.iter().find(|send| send.id == id) else { return false };
         let was_full = send.longest_queue > 0 && send.longest_queue >= self.longest_queue;
         self.has_seen_full_queue |= was_full;
-        was_full && self.record_silent(now)
+        was_full && self.record_silent(SILENT_TTL, now)
     }
 
-    /// Records that upstreams of the service are silent when full, as this node or a peer found.
-    /// Returns true if that was not known.
-    pub fn record_silent(&mut self, now: Instant) -> bool {
+    /// Records that upstreams of the service are silent when full, as this node or a peer found, and
+    /// for how much longer that counts. Returns true if it was not known.
+    pub fn record_silent(&mut self, left: Duration, now: Instant) -> bool {
         let is_new = !self.is_silent(now);
-        if is_new {
-            self.silent_since = Some(now);
-        }
-        self.silent_until = Some(now + SILENT_TTL);
+        self.silent_until = self.silent_until.max(Some(now + left.min(SILENT_TTL)));
         is_new
     }
 
@@ -139,10 +135,10 @@
         self.silent_until.is_some_and(|until| until > now)
     }
 
-    /// Returns for how long that has been known.
-    pub fn silent_for(&self, now: Instant) -> Option<Duration> {
-        let since = self.silent_since.filter(|_| self.is_silent(now))?;
-        Some(now.saturating_duration_since(since))
+    /// Returns for how much longer they count as silent.
+    pub fn silent_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.silent_until?.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
     }
 
     /// Returns true if an overdue request is worth asking its upstream about: the upstream may have
--- a/crates/place/src/silence/tests.rs
+++ b/crates/place/src/silence/tests.rs
@@ -99,7 +99,7 @@
     let now = Instant::now();
     let (mut silence, _) = sent_to_full(now);
     assert!(silence.has_room(room, now), "not known to be silent");
-    assert!(silence.record_silent(now));
-    assert!(!silence.record_silent(now), "known already");
+    assert!(silence.record_silent(SILENT_TTL, now));
+    assert!(!silence.record_silent(SILENT_TTL, now), "known already");
     assert_eq!(silence.has_room(room, now), fits);
 }
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -163,7 +163,7 @@
     /// Records that the upstreams of all kinds of requests are silent when full.
     pub(crate) fn record_silent(&mut self, now: Instant) {
         for pool in &mut self.pools {
-            pool.silence_mut().record_silent(now);
+            pool.silence_mut().record_silent(place::silence::SILENT_TTL, now);
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Notice`]s that upstreams state about themselves. Packets are encoded with postcard and are
 //! never longer than [`MAX_PACKET_BYTES`], so that no link has to fragment them.
 
+mod extension;
 mod update;
 
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+pub use extension::{Extension, NodeRoom, SilentService, MAX_ROOMS, MAX_SILENT_SERVICES};
 pub use update::{HealthReport, MemberUpdate, Standing, Verdict};
 
 /// Maximum size of a datagram, in bytes: below the IPv6 minimum MTU (1280 bytes) less headers.
