edge: tests at addresses of their own in each process

a_seed_names_newcomers_to_each_other failed whenever two processes ran it: their nodes had the same addresses (127.0.77.n), listeners share a port, and nodes subscribed to those of the other process. The address now follows from the process id. No check is changed.

--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -196,10 +196,14 @@
     platform
 }
 
-/// Returns an address that no other test listens on. All others use 127.0.0.1, where a released
-/// port may be assigned to another test at once.
+/// Returns an address that no other test listens on, also in another process: the loopback network
+/// has addresses enough for each. All others use 127.0.0.1, where a released port may be assigned to
+/// another test at once.
 pub fn own_addr(n: u8) -> SocketAddr {
-    SocketAddr::from(([127, 0, 77, n], 7_600))
+    const FIRST_PORT: u16 = 7_600;
+    let [high, mid, low_a, low_b] = std::process::id().to_be_bytes();
+    let port = FIRST_PORT + u16::from_be_bytes([high, mid]);
+    SocketAddr::from(([127, low_a, low_b, n], port))
 }
 
 /// Waits until a node reads the platform through a peer.
--- a/crates/edge/src/tests/starts.rs
+++ b/crates/edge/src/tests/starts.rs
@@ -2,14 +2,18 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::{self, Future};
+use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use monoio::io::AsyncWriteRentExt;
 use monoio::net::TcpListener;
 
 use super::fake::{metrics, ms, run, settings};
-use super::fleet::{addr, own_addr, platform, start, start_with, state_at};
+use super::fleet::{addr, own_addr, platform, start, start_with, state_at, Platform};
 use crate::forward::Node;
 use crate::readers::{self, ReadPath};
 use crate::relay;
@@ -43,6 +47,21 @@
     });
 }
 
+/// Takes the processor from all tasks for `stall`, then lets them run for one turn of the event loop.
+async fn stall_one_turn(stall: Duration) {
+    let mut timer = pin!(monoio::time::sleep(ms(1)));
+    // Starts the timer, which is due after the stall.
+    future::poll_fn(|context| Poll::Ready(timer.as_mut().poll(context).is_ready())).await;
+    std::thread::sleep(stall);
+    timer.await;
+}
+
+/// Starts ten nodes of a zone that know `seed`, and read `own` if they read the platform directly.
+fn start_newcomers(seed: SocketAddr, own: &Platform, first_addr: u8) -> Vec<Rc<Node>> {
+    let start_at = |n| start_with(own, own_addr(n), |settings| settings.seed_addrs = vec![seed]).0;
+    (first_addr..first_addr + 10).map(start_at).collect()
+}
+
 /// Guards against a seed's link that is saturated for seconds when half of the fleet is restarted
 /// at once: more nodes of a zone connect to it than it serves itself. The other nodes must get the
 /// list as early.
@@ -52,12 +71,7 @@
         let seed = start(&platform());
         monoio::time::sleep(ms(100)).await;
         let own = platform();
-        let nodes: Vec<Rc<Node>> = (10..20)
-            .map(|n| {
-                let seeds = vec![seed.1];
-                start_with(&own, own_addr(n), |settings| settings.seed_addrs = seeds).0
-            })
-            .collect();
+        let nodes = start_newcomers(seed.1, &own, 10);
         for node in &nodes {
             wait_until_ready(node, ms(400)).await;
         }
@@ -66,6 +80,26 @@
     });
 }
 
+/// Guards against nodes that are restarted on a busy machine and all read the platform: they get no
+/// processor for longer than they look for a seed, and take that for seeds that do not respond.
+#[test]
+fn newcomers_that_stall_still_read_through_each_other() {
+    const STALL: Duration = Duration::from_millis(45);
+    run(async {
+        let seed = start(&platform());
+        monoio::time::sleep(ms(100)).await;
+        let own = platform();
+        let nodes = start_newcomers(seed.1, &own, 30);
+        let started_at = Instant::now();
+        while !nodes.iter().all(|node| node.state.borrow().is_ready()) {
+            assert!(started_at.elapsed() < ms(4_000), "not ready");
+            stall_one_turn(STALL).await;
+        }
+        assert_eq!(own.snapshots.get(), 0);
+        assert_eq!(seed.0.subscribers.count(), 2, "the rest of the zone reads through these two");
+    });
+}
+
 /// Guards against two nodes that connect to each other thousands of times a second: a peer refers
 /// every node to itself, or to one that refers it back.
 #[test]
