balance: ejected upstreams with outstanding calls count as ejected

may_eject counted upstreams in the tier Ejected; one with calls outstanding, or with its trial call in flight, is in no tier and was not counted, so all of a pool could be ejected. Now every live upstream that gets no calls because of failures counts. The new test (two cases) failed before: Some(Ejected) for Some(Good); the model of the pool says the same rule and agrees (256 cases).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -226,14 +226,10 @@
     /// Without this limit an overload, in which calls to every upstream time
     /// out, would eject them all and turn a slow service into an unavailable one.
     fn may_eject(&self, index: UpstreamIndex, now: Instant) -> bool {
-        let live_count = self.upstreams.iter().filter(|u| u.state == UpstreamState::Live).count();
-        let ejected_count = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .filter(|(i, u)| *i != index && u.tier(now) == Some(Tier::Ejected))
-            .count();
-        2 * (ejected_count + 1) <= live_count
+        let live = || self.upstreams.iter().filter(|u| u.state == UpstreamState::Live);
+        let is_other = |u: &&Upstream| u.addr != self.upstreams[index].addr;
+        let ejected_count = live().filter(is_other).filter(|u| u.is_ejected(now)).count();
+        2 * (ejected_count + 1) <= live().count()
     }
 }
 
--- a/crates/balance/src/model_tests.rs
+++ b/crates/balance/src/model_tests.rs
@@ -74,12 +74,12 @@
 
     fn fail(&mut self, port: u16) {
         let live_count = self.members.values().filter(|m| !m.leaving).count();
-        let ejected_count = self
-            .members
-            .keys()
-            .filter(|p| **p != port && self.tier(**p) == Some(Tier::Ejected))
-            .count();
         let now = self.now_ms;
+        // An ejected upstream with outstanding calls counts too, although it is in no tier.
+        let is_ejected =
+            |m: &Member| m.ejected_until_ms.is_some_and(|until| until > now || m.outstanding > 0);
+        let ejected_count =
+            self.members.iter().filter(|(p, m)| **p != port && !m.leaving && is_ejected(m)).count();
         let m = self.members.get_mut(&port).expect("precondition");
         m.consecutive_failures += 1;
         let is_failed_trial = m.ejected_until_ms.is_some_and(|until| until <= now);
--- a/crates/balance/src/tests.rs
+++ b/crates/balance/src/tests.rs
@@ -5,7 +5,8 @@
 use rand::SeedableRng;
 
 use crate::{
-    Completion, Health, Outcome, Policy, Pool, SelectionCriteria, UpstreamIndex, UpstreamState,
+    Completion, Health, Outcome, Policy, Pool, SelectionCriteria, Tier, UpstreamIndex,
+    UpstreamState,
 };
 
 fn pool(zones: &[&str]) -> Pool {
@@ -147,6 +148,28 @@
     assert_eq!(picked_count, 2);
 }
 
+/// Guards against ejecting more than half because ejected upstreams with calls outstanding are not
+/// counted: each fails while it has one more call, or while its trial call is in flight.
+#[yare::parameterized(
+    ejected = { Duration::ZERO },
+    on_trial = { Duration::from_secs(3) },
+)]
+fn ejected_upstreams_with_outstanding_calls_count(after_ejection: Duration) {
+    let mut pool = pool(&["a"; 4]);
+    let now = Instant::now();
+    for index in [0, 1] {
+        (0..4).for_each(|_| pool.start(index));
+        (0..3).for_each(|_| pool.finish(index, ended(Outcome::Failed), now));
+    }
+    let later = now + after_ejection;
+    for index in [2, 3] {
+        (0..3).for_each(|_| call(&mut pool, index, ended(Outcome::Failed), later));
+    }
+    let counts = pick_counts(&mut pool, criteria(&[]), later);
+    assert!(counts[2] > 300 && counts[3] > 300, "{counts:?}");
+    assert_eq!(pool.upstreams[2].tier(later), Some(Tier::Good));
+}
+
 /// Guards against treating ejected upstreams as gone: with one of two upstreams
 /// ejected and the other leaving, every call would be refused, although the
 /// ejected one may have recovered. It must get one call at a time.
--- a/crates/balance/src/upstream.rs
+++ b/crates/balance/src/upstream.rs
@@ -126,20 +126,24 @@
 
     /// Returns the tier of the upstream, or `None` if it must not get a call now.
     pub fn tier(&self, now: Instant) -> Option<Tier> {
-        let is_on_trial = self.ejected_until.is_some_and(|until| until <= now);
         let has_recent_response =
             self.responded_at.is_some_and(|at| now.duration_since(at) < RESPONSE_TTL);
         match (self.state, self.health) {
             (UpstreamState::Leaving, _) | (_, Health::Draining) => None,
             // One trial call at a time, so that a dead upstream does not fail several calls.
             _ if self.ejected_until.is_some() && self.outstanding > 0 => None,
-            _ if self.ejected_until.is_some() && !is_on_trial => Some(Tier::Ejected),
+            _ if self.is_ejected(now) => Some(Tier::Ejected),
             (_, Health::Failing) if !has_recent_response => Some(Tier::Failing),
             _ if self.refused_until.is_some_and(|until| until > now) => Some(Tier::Refusing),
             _ => Some(Tier::Good),
         }
     }
 
+    /// Returns true while the upstream is ejected or its trial call is outstanding.
+    pub(crate) fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| until > now || self.outstanding > 0)
+    }
+
     /// Returns the expected time of one more call, in units of a normal call's service time.
     ///
     /// The call is expected to wait for every outstanding call of this node;
