edge: an unknown key gets 503 while a peer has read a newer change

Cause: a node knows by membership that a peer has read changes that it has not, and still rejected a key that one of these may add with a final 401.

Change: is_behind(Config) counts like a configuration that isn't fresh. Known keys are served as before.

Seen to fail: the new test, without the condition.

--- a/crates/edge/src/forward/identify.rs
+++ b/crates/edge/src/forward/identify.rs
@@ -62,7 +62,8 @@
         why: Unauthorized,
     ) -> LocalReply {
         let state = &mut *self.state.borrow_mut();
-        let is_current = state.is_fresh(Topic::Config, Instant::now());
+        let is_fresh = state.is_fresh(Topic::Config, Instant::now());
+        let is_current = is_fresh && !state.is_behind(Topic::Config);
         let counters = &mut state.counters;
         let (event, counter, local_reply) = match why {
             Unauthorized::Unknown(_) if !is_current => (
--- a/crates/edge/src/tests/teams.rs
+++ b/crates/edge/src/tests/teams.rs
@@ -266,6 +266,27 @@
     });
 }
 
+/// Guards against a final 401 for a key that has just been added: the node has not read the newest
+/// version yet, and a peer shows that there is one.
+#[test]
+fn a_node_that_is_behind_a_peer_does_not_reject_an_unknown_key_for_good() {
+    run(async {
+        let upstream = answering();
+        let entry_node = start_with_teams(&[&upstream], north_and_south());
+        let request = with_key(&get("/get/1", "1"), OTHER_KEY);
+        let ask = async || Caller::connect(entry_node.addr).await.ask(&request).await.status;
+        let peer = fleet::serving("b");
+        let newest = peer.config_head;
+        entry_node.node.state.borrow_mut().peers.insert(fleet::addr(1), peer);
+        assert_eq!(ask().await, 503);
+        assert!(apply(&entry_node, 3, teams(&[("north", NORTH_KEY)], &[])));
+        entry_node.node.state.borrow_mut().config_progress.up_to = newest;
+        assert_eq!(ask().await, 401, "the newest version has no such key");
+        assert!(apply(&entry_node, 4, teams(&[("west", OTHER_KEY)], &[])));
+        assert_eq!(ask().await, 200);
+    });
+}
+
 /// Guards against a restarted node that serves or rejects callers before it knows their keys.
 #[test]
 fn a_node_without_a_configuration_can_tell_nobody() {
