--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -31,6 +31,9 @@
 /// `Retry-After` when no node that decides on a quota responded: another node may reach one.
 const RETRY_AFTER_NO_OWNER: Duration = Duration::from_millis(20);
 
+/// `Retry-After` while this node has just started and does not know its peers.
+const RETRY_AFTER_STARTING: Duration = Duration::from_millis(300);
+
 /// Lower bound of `Retry-After` over the quota: callers that return sooner are likely refused again.
 const MIN_RETRY_AFTER_OVER_QUOTA: Duration = Duration::from_millis(50);
 
@@ -288,9 +291,15 @@
                 ("over_quota", LocalReply::over_quota(retry_after))
             }
             Refusal::NoOwner => {
-                self.state.borrow_mut().counters.quota_unknown += 1;
+                let state = &mut *self.state.borrow_mut();
+                state.counters.quota_unknown += 1;
+                // At the start of a fleet another node is no better off.
+                let retry_after = match readers::knows_peers(state, Instant::now()) {
+                    true => RETRY_AFTER_NO_OWNER,
+                    false => RETRY_AFTER_STARTING,
+                };
                 let text = "the team's quota is not known";
-                ("quota_unknown", LocalReply::not_run(RETRY_AFTER_NO_OWNER, text))
+                ("quota_unknown", LocalReply::not_run(retry_after, text))
             }
         };
         if let Some(left_out) = self.quotas.next_line(Instant::now()) {
