--- a/crates/edge/src/bodies.rs
+++ b/crates/edge/src/bodies.rs
@@ -5,9 +5,8 @@
 
 use crate::Capacity;
 
-/// Share of a node's memory that bodies may take, each of which is held a second time while it is
-/// sent: a quarter of the memory together. The rest of a node grows with the fleet, to half of the
-/// memory of the smallest machines.
+/// Share of a node's memory that bodies may take. Buffers of their connections and what the allocator
+/// keeps may take as much again; the rest of a node grows with the fleet.
 const MAX_MEMORY_RATIO: f64 = 0.125;
 
 /// Budget of the memory for the bodies of all requests of a node.
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -29,6 +29,10 @@
 /// Upstreams tried for one request at most, unreachable ones included.
 const MAX_UPSTREAMS_TRIED: usize = 4;
 
+/// Length of the pieces in which a body is sent. Each is copied, so that a large body sent at once
+/// would take its memory twice.
+const SEND_PIECE_BYTES: usize = 64 * 1024;
+
 /// `Retry-After` when upstreams refused a request and the node may not send it again. Their refusal
 /// says nothing about other upstreams, and each further attempt of the caller adds to the retry
 /// budget of the fleet.
@@ -237,12 +241,19 @@
         let length = call.head.framing != h1::Framing::Empty;
         let length = length.then(|| HeaderValue::from(body.len()));
         let unanswered = Unanswered::new(&self.state, call, choice);
-        let write_rest = async |_: &mut h1::Writer| {
+        let mut rest = body.clone();
+        let first = rest.split_to(rest.len().min(SEND_PIECE_BYTES));
+        let write_rest = async |writer: &mut h1::Writer| {
+            for piece in rest.chunks(SEND_PIECE_BYTES) {
+                if writer.write(piece.to_vec()).await.is_err() {
+                    return SendResult::UpstreamClosed;
+                }
+            }
             unanswered.start(body.len());
             SendResult::Complete
         };
         let framing = length.map(|length| (http::header::CONTENT_LENGTH, length));
-        let sending = self.send_with(call, choice, framing, body, write_rest);
+        let sending = self.send_with(call, choice, framing, &first, write_rest);
         self.unless_vanished(call, choice, &unanswered, sending).await
     }
 
