--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -2,9 +2,9 @@
 //!
 //! [`retries`] decides on the sends of a request, [`choose`] picks the upstream of each, and
 //! [`send`] performs it and records its outcome. [`call`] is the state of a request, [`content`]
-//! its content key. [`identify`] finds the team of its caller. [`crash_detection`] detects upstreams that crashed while running requests, and
-//! [`quarantined`] keeps such requests from other upstreams. [`notices`] applies the backpressure
-//! signals of responses.
+//! its content key. [`identify`] finds the team of its caller. [`crash_detection`] detects
+//! upstreams that crashed while running requests, and [`quarantined`] keeps such requests from
+//! other upstreams. [`notices`] applies the backpressure signals of responses.
 
 mod call;
 mod choose;
