quota: the allowance of every window

Change: a bucket counts what it granted in the last window by slots of 0.1 s and forgets the rest; in any time t up to a window it grants at most capacity + rate x t. New owners assume that predecessors granted all they could.

--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -20,8 +20,8 @@
 /// served soon after the start of a fleet; full buckets would allow a burst for each restart.
 const START_LEVEL: f64 = 1.0;
 
-/// Time for which a node remembers the level of a shard that it does not own any more. Otherwise
-/// an unsteady view would add the starting level each time.
+/// Time for which a node remembers that it owned a shard. Otherwise an unsteady view would add the
+/// starting level each time.
 const MEMORY: Duration = Duration::from_secs(30);
 
 /// Number of buckets above which expired ones are looked for.
@@ -47,43 +47,104 @@
     Reserve,
 }
 
-/// Rate and capacity of a bucket.
+/// What a bucket may grant: in any time up to a window, its capacity and what is added in that time.
 #[derive(Clone, Copy, Debug)]
 struct Limits {
     rate_per_s: f64,
     capacity: f64,
+    window: Duration,
 }
 
+impl Limits {
+    fn slot_s(&self) -> f64 {
+        self.window.as_secs_f64() / (SLOTS - 1) as f64
+    }
+}
+
+/// Number of slots in which tokens are counted: those of a window, and the current one.
+const SLOTS: usize = 51;
+
+/// Tolerance for sums of fractions of tokens.
+const ROUNDING: f64 = 1e-3;
+
+/// A token bucket that forgets what it granted more than a window ago: a team that asks for more
+/// than its rate all the time gets the allowance of every window.
 #[derive(Clone, Debug)]
 struct Bucket {
-    level: f64,
-    /// When tokens were last added.
-    filled_at: Instant,
+    /// Tokens granted by slot of time, at the index of the slot modulo their number.
+    granted: [f32; SLOTS],
+    /// Index of the current slot, counted from `since`.
+    slot: u64,
+    since: Instant,
     /// Refused requests that are expected to be retried; decreases at the rate of the bucket.
     backlog: f64,
-    /// Whether the node owned the shard in the latest view; only then the bucket fills up.
+    backlog_at: Instant,
+    /// Whether the node owned the shard in the latest view.
     is_owned: bool,
 }
 
 impl Bucket {
-    fn new(level: f64, now: Instant) -> Bucket {
-        Bucket { level, filled_at: now, backlog: 0.0, is_owned: true }
+    /// Creates a bucket that holds `level` tokens.
+    fn new(level: f64, limits: Limits, now: Instant) -> Bucket {
+        // Predecessors may have granted all that they could, and most of it just now.
+        let mut granted = [(limits.rate_per_s * limits.slot_s()) as f32; SLOTS];
+        granted[0] = (limits.capacity - level) as f32;
+        Bucket { granted, slot: 0, since: now, backlog: 0.0, backlog_at: now, is_owned: true }
     }
 
-    /// Continues to fill up, without the time in which another node owned the shard.
-    fn resume(&mut self, now: Instant) {
+    /// Continues after another node may have owned the shard and granted its tokens.
+    fn resume(&mut self, limits: Limits, now: Instant) {
         if !self.is_owned {
-            self.is_owned = true;
-            self.filled_at = now;
+            *self = Bucket::new(0.0, limits, now);
+        }
+    }
+
+    fn advance(&mut self, limits: Limits, now: Instant) {
+        let elapsed_s = now.saturating_duration_since(self.since).as_secs_f64();
+        let slot = ((elapsed_s / limits.slot_s()) as u64).max(self.slot);
+        let begun = (slot - self.slot).min(SLOTS as u64);
+        (slot + 1 - begun..=slot).for_each(|slot| self.granted[index(slot)] = 0.0);
+        self.slot = slot;
+        let since_s = now.saturating_duration_since(self.backlog_at).as_secs_f64();
+        self.backlog = (self.backlog - limits.rate_per_s * since_s).max(0.0);
+        self.backlog_at = self.backlog_at.max(now);
+    }
+
+    /// Returns the number of tokens that the bucket holds; below 0 after its limits were lowered.
+    fn level(&self, limits: Limits) -> f64 {
+        let mut granted = 0.0;
+        let mut level = f64::INFINITY;
+        for age in 0..SLOTS as u64 {
+            granted += f64::from(self.granted[index(self.slot + SLOTS as u64 - age)]);
+            let allowed = limits.capacity + limits.rate_per_s * limits.slot_s() * age as f64;
+            level = level.min(allowed - granted);
         }
+        level
     }
 
-    fn fill(&mut self, limits: Limits, now: Instant) {
-        let added = limits.rate_per_s * now.saturating_duration_since(self.filled_at).as_secs_f64();
-        self.filled_at = self.filled_at.max(now);
-        self.level = (self.level + added).min(limits.capacity);
-        self.backlog = (self.backlog - added).max(0.0);
+    /// Takes up to `wanted` whole tokens.
+    fn take(&mut self, limits: Limits, wanted: u32) -> u32 {
+        let tokens = (self.level(limits) + ROUNDING).floor().clamp(0.0, f64::from(wanted));
+        self.granted[index(self.slot)] += tokens as f32;
+        tokens as u32
     }
+
+    /// Takes tokens back, out of the oldest slots: it is not known when they were granted, and
+    /// those count for the shortest time from now on.
+    fn give_back(&mut self, tokens: u32) {
+        let mut left = tokens as f32;
+        for slot in self.slot + 1..=self.slot + SLOTS as u64 {
+            let granted = &mut self.granted[index(slot)];
+            let removed = granted.min(left);
+            *granted -= removed;
+            left -= removed;
+        }
+    }
+}
+
+/// Returns where a slot is stored.
+fn index(slot: u64) -> usize {
+    (slot % SLOTS as u64) as usize
 }
 
 /// The buckets that one node grants tokens from, by team and shard.
@@ -123,15 +184,16 @@
                         }
                         continue;
                     }
-                    self.buckets
-                        .entry(key)
-                        .or_insert_with(|| Bucket::new(START_LEVEL, now))
-                        .resume(now);
+                    let limits = limits(self.bounds, view, quota, Role::Owner);
+                    let bucket = self.buckets.entry(key);
+                    bucket
+                        .or_insert_with(|| Bucket::new(START_LEVEL, limits, now))
+                        .resume(limits, now);
                 }
             }
         }
         if self.buckets.len() >= MIN_BUCKETS_TO_EXPIRE {
-            let is_recent = |b: &Bucket| now.saturating_duration_since(b.filled_at) < MEMORY;
+            let is_recent = |b: &Bucket| now.saturating_duration_since(b.backlog_at) < MEMORY;
             self.buckets.retain(|(team, shard, role), bucket| {
                 let owned = *role == Role::Owner && view.is_owner(team, *shard);
                 owned || is_recent(bucket)
@@ -154,26 +216,26 @@
             false if view.phase() == Phase::Ready => Role::Reserve,
             false => return Answer::NotOwner,
         };
-        let limits = self.limits(view, quota, role);
-        let new_bucket = || Bucket::new(START_LEVEL.min(limits.capacity), now);
+        let limits = limits(self.bounds, view, quota, role);
         let key = (team.clone(), shard, role);
+        let new_bucket = || Bucket::new(START_LEVEL.min(limits.capacity), limits, now);
         let bucket = self.buckets.entry(key).or_insert_with(new_bucket);
-        bucket.resume(now);
-        bucket.fill(limits, now);
+        bucket.resume(limits, now);
+        bucket.advance(limits, now);
         let max_backlog = limits.rate_per_s * self.bounds.window.as_secs_f64();
-        let granted = bucket.level.min(f64::from(wanted)).floor();
-        if granted >= 1.0 {
-            bucket.level -= granted;
+        let granted = bucket.take(limits, wanted);
+        if granted > 0 {
             bucket.backlog = (bucket.backlog + f64::from(refused)).min(max_backlog);
-            return Answer::Grant(granted as u32);
+            return Answer::Grant(granted);
         }
         match role {
             Role::Reserve => Answer::NotOwner,
             Role::Owner => {
                 bucket.backlog = (bucket.backlog + f64::from(refused) + 1.0).min(max_backlog);
-                let missing = (bucket.backlog - bucket.level).max(1.0 - bucket.level);
+                let level = bucket.level(limits);
+                let missing = (bucket.backlog - level).max(1.0 - level);
                 let wait = missing / limits.rate_per_s;
-                Answer::Deny(Duration::try_from_secs_f64(wait).unwrap_or(self.bounds.window))
+                Answer::Deny(Duration::from_millis((wait * 1e3).round() as u64))
             }
         }
     }
@@ -186,10 +248,10 @@
         tokens: u32,
         now: Instant,
     ) {
-        let limits = self.limits(view, quota, Role::Owner);
+        let limits = limits(self.bounds, view, quota, Role::Owner);
         if let Some(bucket) = self.buckets.get_mut(&(team.clone(), shard, Role::Owner)) {
-            bucket.fill(limits, now);
-            bucket.level = (bucket.level + f64::from(tokens)).min(limits.capacity);
+            bucket.advance(limits, now);
+            bucket.give_back(tokens);
         }
     }
 
@@ -200,22 +262,23 @@
         };
         self.buckets.keys().filter(is_owned).count()
     }
+}
 
-    fn limits(&self, view: &View, quota: &Quota, role: Role) -> Limits {
-        let shards = f64::from(shard_count(quota));
-        let tolerance = self.bounds.tolerance(quota);
-        match role {
-            Role::Owner => Limits {
-                rate_per_s: quota.rate_per_s * view.granted_ratio() / shards,
-                // Below one token, a bucket would never grant any.
-                capacity: ((quota.burst + tolerance * CAPACITY_SHARE) / shards).max(1.0),
-            },
-            // Half at once and half at a rate, so that no window exceeds the share.
-            Role::Reserve => {
-                let per_window = tolerance * RESERVE_SHARE / shards;
-                let rate_per_s = per_window / 2.0 / self.bounds.window.as_secs_f64();
-                Limits { rate_per_s, capacity: per_window / 2.0 }
-            }
+/// Returns what the bucket of one shard may grant.
+fn limits(bounds: Bounds, view: &View, quota: &Quota, role: Role) -> Limits {
+    let (shards, window) = (f64::from(shard_count(quota)), bounds.window);
+    let tolerance = bounds.tolerance(quota);
+    match role {
+        Role::Owner => {
+            let part = view.granted_ratio() / shards;
+            let capacity = (quota.burst + tolerance * CAPACITY_SHARE) * part;
+            // Below one token, a bucket would never grant any.
+            Limits { rate_per_s: quota.rate_per_s * part, capacity: capacity.max(1.0), window }
+        }
+        // Half at once and half at a rate, so that no window exceeds the share.
+        Role::Reserve => {
+            let half = tolerance * RESERVE_SHARE / shards / 2.0;
+            Limits { rate_per_s: half / window.as_secs_f64(), capacity: half, window }
         }
     }
 }
