--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -86,8 +86,8 @@
 impl Bucket {
     /// Creates a bucket that holds `level` tokens.
     fn new(level: f64, limits: Limits, now: Instant) -> Bucket {
-        // Predecessors may have granted all that they could, and most of it just now.
-        let mut granted = [(limits.rate_per_s * limits.slot_s()) as f32; SLOTS];
+        // A predecessor may have granted the rest just now.
+        let mut granted = [0.0; SLOTS];
         granted[0] = (limits.capacity - level) as f32;
         Bucket { granted, slot: 0, since: now, backlog: 0.0, backlog_at: now, is_owned: true }
     }
