--- a/crates/quota/src/tests/decisions.rs
+++ b/crates/quota/src/tests/decisions.rs
@@ -94,6 +94,25 @@
     assert!((10..=14).contains(&tokens), "{tokens}");
 }
 
+/// Guards against an owner that was replaced for a moment and grants a burst that its substitute has
+/// granted already.
+#[test]
+fn an_owner_that_returns_starts_empty() {
+    let (alone, now) = (ready_view([]), Instant::now());
+    let other = || [Member { addr: addr(1), is_alive: true }];
+    let beside = ready_view(other());
+    let is_of_other = |name: &String| !beside.is_owner(name, 0);
+    let team = (0..).map(|n| format!("team{n}")).find(is_of_other).expect("half of them").into();
+    let quota = Quota { rate_per_s: 2.0, burst: 50.0 };
+    let mut ledger = Ledger::new(BOUNDS);
+    ledger.apply_view(&alone, [(&team, &quota)].into_iter(), now);
+    ledger.apply_view(&beside, [(&team, &quota)].into_iter(), now + ms(10_000));
+    ledger.apply_view(&alone, [(&team, &quota)].into_iter(), now + ms(11_000));
+    let part = (&team, &quota, 0);
+    assert_eq!(ledger.ask(&alone, part, (1, 0), now + ms(11_000)), Answer::Deny(ms(500)));
+    assert_eq!(ledger.ask(&alone, part, (50, 0), now + ms(13_050)), Answer::Grant(4));
+}
+
 /// Guards against an owner that grants the whole rate while others, which it does not reach, may
 /// do the same.
 #[test]
