quota: while a team is over its quota, late requests get no tokens

Callers refused with 429 come back after their objective and take tokens that requests in time then lack. Change: a request whose caller has been retrying for so long that it can't be in time gets no token for 2 s after a denial of its team at this node.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -294,14 +294,23 @@
             Ok(team) => team,
             Err(local_reply) => return Reply::Local(local_reply),
         };
+        let retrying_for = stated_deadline.map_or(Duration::ZERO, |stated_deadline| {
+            self.state.borrow_mut().retry_detector.retrying_for(
+                &route.name,
+                stated_deadline,
+                received_at,
+            )
+        });
         let token = match &team {
-            Some(team) => match self.acquire_token(team).await {
-                Ok(token) => token,
-                Err(why) => {
-                    let id = request_id_of(head, &names);
-                    return Reply::Local(self.refuse_for_quota(id, table.version, team, why));
+            Some(team) => {
+                match self.acquire_token(team, self.timeliness(route, retrying_for)).await {
+                    Ok(token) => token,
+                    Err(why) => {
+                        let id = request_id_of(head, &names);
+                        return Reply::Local(self.refuse_for_quota(id, table.version, team, why));
+                    }
                 }
-            },
+            }
             None => None,
         };
         let mut ids = head.headers.get_all(&names.request_id).iter();
@@ -323,13 +332,6 @@
                 "this node is stopping",
             ));
         }
-        let retrying_for = stated_deadline.map_or(Duration::ZERO, |stated_deadline| {
-            self.state.borrow_mut().retry_detector.retrying_for(
-                &route.name,
-                stated_deadline,
-                received_at,
-            )
-        });
         let body_start = body.received().clone();
         let service = self.next_service(route);
         let most_urgent = table.is_most_urgent(route, &service)
@@ -413,6 +415,15 @@
         }
     }
 
+    /// Returns whether a request whose caller has been retrying for this long can still be in time.
+    fn timeliness(&self, route: &Route, retrying_for: Duration) -> quota::Timeliness {
+        let work = self.state.borrow().work_estimates.work(&route.name, route.objective);
+        match retrying_for + work <= route.objective {
+            true => quota::Timeliness::InTime,
+            false => quota::Timeliness::Late,
+        }
+    }
+
     fn next_service(&self, route: &Route) -> ServiceName {
         let state = &mut *self.state.borrow_mut();
         let index = match route.targets.len() {
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -12,7 +12,7 @@
 
 use local_sync::oneshot;
 use monoio::net::udp::UdpSocket;
-use quota::{Answer, Attempt, Issue, Member, Message, Phase, Refusal, Seq, Step};
+use quota::{Answer, Attempt, Issue, Member, Message, Phase, Refusal, Seq, Step, Timeliness};
 use rand::SeedableRng;
 use serde::Serialize;
 use team::{Team, TeamName, Teams};
@@ -238,13 +238,17 @@
     /// # Errors
     ///
     /// Returns why the request must be refused.
-    pub async fn acquire_token(self: &Rc<Node>, team: &Team) -> Result<Option<Token>, Refusal> {
+    pub async fn acquire_token(
+        self: &Rc<Node>,
+        team: &Team,
+        timeliness: Timeliness,
+    ) -> Result<Option<Token>, Refusal> {
         let Some(quota) = &team.quota else { return Ok(None) };
         if self.quotas.applied_version.get() != Some(self.state.borrow().config_version()) {
             housekeeping(self, Instant::now());
         }
         let (mut attempt, mut step) =
-            self.quotas.core.borrow_mut().begin(team, quota, Instant::now());
+            self.quotas.core.borrow_mut().begin(team, quota, timeliness, Instant::now());
         loop {
             let (to, message) = match step {
                 Step::Granted(held) => {
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -34,6 +34,20 @@
     pub shard: Option<Shard>,
 }
 
+/// Time since the last denial during which a team counts as over its quota. The pauses between two
+/// questions are shorter, so it stays over its quota while it sends more than its rate.
+const OVER_QUOTA_TIME: Duration = Duration::from_secs(2);
+
+/// Whether a request can still be of full use to its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Timeliness {
+    /// It can be answered within its latency objective.
+    InTime,
+    /// Its objective has passed, or will have passed when it is answered: its caller has been
+    /// retrying.
+    Late,
+}
+
 /// The state of one team at one node.
 #[derive(Clone, Debug)]
 pub struct Allowance {
@@ -43,6 +57,8 @@
     demand_at: Instant,
     /// No tokens are asked for until then.
     denied_until: Option<Instant>,
+    /// When tokens were last denied.
+    denied_at: Option<Instant>,
     /// When the owner expects to have tokens for all requests refused so far.
     served_at: Instant,
     /// Requests refused since the last question.
@@ -59,6 +75,7 @@
             demand_per_s: 0.0,
             demand_at: now,
             denied_until: None,
+            denied_at: None,
             served_at: now,
             refused: 0,
             next_shard,
@@ -89,6 +106,22 @@
         Some(self.refuse(now, rng))
     }
 
+    /// Returns how long a caller should wait whose request is late while the team is over its quota,
+    /// and counts its request as refused.
+    ///
+    /// The load pattern: a team sends several times its rate, and callers that were refused return.
+    /// Each token that one of them takes, now late, is missing to a request that could be in time:
+    /// the team gets as many answers as its quota allows, and few of them are of use.
+    pub fn refuse_if_late(&mut self, now: Instant, rng: &mut impl Rng) -> Option<Duration> {
+        let ends_at = self.denied_at? + OVER_QUOTA_TIME;
+        if ends_at <= now {
+            return None;
+        }
+        self.refused = self.refused.saturating_add(1);
+        let wait = (ends_at - now).max(self.served_at.saturating_duration_since(now));
+        Some(wait.mul_f64(rng.random_range(1.0..2.0)))
+    }
+
     /// Counts a refused request; returns how long its caller should wait. The time is spread, so
     /// that callers that were refused together do not return together.
     pub fn refuse(&mut self, now: Instant, rng: &mut impl Rng) -> Duration {
@@ -118,6 +151,7 @@
     pub fn deny(&mut self, retry_after: Duration, now: Instant, rng: &mut impl Rng) {
         let pause = Duration::from_millis(rng.random_range(PAUSE_MS));
         self.denied_until = Some(now + pause);
+        self.denied_at = Some(now);
         self.served_at = now + retry_after;
     }
 
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -15,7 +15,7 @@
 
 use std::time::Duration;
 
-pub use allowance::{Allowance, Held, TOKEN_LIFETIME};
+pub use allowance::{Allowance, Held, Timeliness, TOKEN_LIFETIME};
 pub use ledger::{Answer, Ledger};
 pub use message::{DecodeError, Message, Seq, MAX_MESSAGE_BYTES};
 pub use node::{Attempt, Counts, Issue, Node, Refusal, Step, ASK_TIMEOUT};
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -10,8 +10,8 @@
 
 use crate::allowance::Held;
 use crate::{
-    shard_count, Allowance, Answer, Bounds, Ledger, Member, Message, Phase, Seq, Shard, View,
-    TOKEN_LIFETIME,
+    shard_count, Allowance, Answer, Bounds, Ledger, Member, Message, Phase, Seq, Shard, Timeliness,
+    View, TOKEN_LIFETIME,
 };
 
 /// Time after which a question counts as lost. A node with a tenth of a core may stand still for
@@ -177,8 +177,14 @@
         self.ledger.apply_view(&self.view, quotas, now);
     }
 
-    /// Decides on a request of `team`.
-    pub fn begin(&mut self, team: &Team, quota: &Quota, now: Instant) -> (Attempt, Step) {
+    /// Decides on a request of `team`. While the team is over its quota, late requests get no tokens.
+    pub fn begin(
+        &mut self,
+        team: &Team,
+        quota: &Quota,
+        timeliness: Timeliness,
+        now: Instant,
+    ) -> (Attempt, Step) {
         let rng = &mut self.rng;
         let allowance = self
             .allowances
@@ -197,11 +203,18 @@
             seq: None,
             denied: None,
         };
-        if let Some(token) = allowance.take(now) {
-            self.count(&attempt).allowed += 1;
-            return (attempt, Step::Granted(token));
+        let refused_as_late = match timeliness {
+            Timeliness::Late => allowance.refuse_if_late(now, rng),
+            Timeliness::InTime => None,
+        };
+        if refused_as_late.is_none() {
+            if let Some(token) = allowance.take(now) {
+                self.count(&attempt).allowed += 1;
+                return (attempt, Step::Granted(token));
+            }
         }
-        if let Some(retry_after) = allowance.refuse_if_denied(now, rng) {
+        if let Some(retry_after) = refused_as_late.or_else(|| allowance.refuse_if_denied(now, rng))
+        {
             self.count(&attempt).over_quota += 1;
             let refusal = Refusal::OverQuota { retry_after, denied_by: None };
             return (attempt, Step::Refused(refusal));
--- a/crates/quota/src/tests/bounds.rs
+++ b/crates/quota/src/tests/bounds.rs
@@ -48,6 +48,23 @@
     assert!(fleet.most_used(Duration::ZERO) as f64 <= most_allowed(quota(rate_per_s, burst)));
 }
 
+/// Guards against a quota that is not used up because callers who return late are refused: half of
+/// the requests are late, and the others ask for twice the rate.
+#[yare::parameterized(
+    small = { 2.0 },
+    large = { 300.0 },
+)]
+fn late_callers_do_not_keep_the_allowance_from_being_used(rate_per_s: f64) {
+    let mut fleet = Fleet::start(126, quota(rate_per_s, rate_per_s), false, 7);
+    fleet.late_share = 0.5;
+    fleet.run(ms(10_000), 4.0 * rate_per_s, any_node(126));
+    let (before, time) = (fleet.totals.allowed, 20);
+    fleet.run(ms(time * 1_000), 4.0 * rate_per_s, any_node(126));
+    let used = (fleet.totals.allowed - before) as f64 / (rate_per_s * time as f64);
+    println!("{rate_per_s}/s: {used:.3} of the rate, {:?}", fleet.totals);
+    assert!(used >= 0.97, "{used:.3} of the rate");
+}
+
 /// Guards against refusals of a team that stays under its rate.
 #[yare::parameterized(
     tiny_126 = { 126, 0.5, 1.0 },
--- a/crates/quota/src/tests/decisions.rs
+++ b/crates/quota/src/tests/decisions.rs
@@ -5,7 +5,9 @@
 use team::{Quota, Team, Teams};
 
 use super::fleet::{addr, ms, teams, Fleet, BOUNDS};
-use crate::{shard_count, Answer, Ledger, Member, Message, Node, Phase, Refusal, Step, View};
+use crate::{
+    shard_count, Answer, Ledger, Member, Message, Node, Phase, Refusal, Step, Timeliness, View,
+};
 
 const QUOTA: Quota = Quota { rate_per_s: 100.0, burst: 100.0 };
 
@@ -32,7 +34,7 @@
 #[test]
 fn two_owners_deny_before_a_request_is_refused() {
     let (mut node, teams, now) = asking_node(QUOTA);
-    let (mut attempt, step) = node.begin(north(&teams), &QUOTA, now);
+    let (mut attempt, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, now);
     let Step::Ask(first, Message::Ask { shard, .. }) = step else { panic!("{step:?}") };
     let step = node.answered(&mut attempt, Answer::Deny(ms(300)), now);
     let Step::Ask(second, Message::Ask { shard: other, .. }) = step else { panic!("{step:?}") };
@@ -45,22 +47,46 @@
     assert_eq!(denied_by, Some(second));
 }
 
+/// Guards against tokens that go to callers who were refused and return too late, while the team is
+/// over its quota, and against late requests that are refused although there are tokens.
+#[test]
+fn late_requests_get_tokens_only_while_the_team_is_within_its_quota() {
+    let (mut node, teams, now) = asking_node(QUOTA);
+    let (mut attempt, step) = node.begin(north(&teams), &QUOTA, Timeliness::Late, now);
+    assert!(matches!(step, Step::Ask(..)), "{step:?}");
+    node.answered(&mut attempt, Answer::Deny(ms(300)), now);
+    node.answered(&mut attempt, Answer::Deny(ms(300)), now);
+    let later = now + ms(500);
+    let (mut attempt, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, later);
+    assert!(matches!(step, Step::Ask(..)), "{step:?}");
+    // One token for this request, and one more.
+    let step = node.answered(&mut attempt, Answer::Grant(2), later);
+    assert!(matches!(step, Step::Granted(_)), "{step:?}");
+    let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::Late, later);
+    let Step::Refused(Refusal::OverQuota { retry_after, .. }) = step else { panic!("{step:?}") };
+    assert!(retry_after >= ms(1_500), "{retry_after:?}: the team is still over its quota then");
+    let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, later);
+    assert!(matches!(step, Step::Granted(_)), "{step:?}");
+    let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::Late, now + ms(2_100));
+    assert!(matches!(step, Step::Ask(..)), "{step:?}");
+}
+
 /// Guards against a team at many times its rate that costs messages for each request, and against
 /// owners that do not learn how many callers will return.
 #[test]
 fn after_a_denial_requests_are_refused_without_a_question() {
     let (mut node, teams, now) = asking_node(QUOTA);
-    let (mut attempt, _) = node.begin(north(&teams), &QUOTA, now);
+    let (mut attempt, _) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, now);
     node.answered(&mut attempt, Answer::Deny(ms(300)), now);
     node.answered(&mut attempt, Answer::Deny(ms(300)), now);
     let count = 100_000;
     let started_at = Instant::now();
     for _ in 0..count {
-        let (_, step) = node.begin(north(&teams), &QUOTA, now + ms(100));
+        let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, now + ms(100));
         assert!(matches!(step, Step::Refused(Refusal::OverQuota { denied_by: None, .. })));
     }
     println!("{:?} per refusal", started_at.elapsed() / count);
-    let (_, step) = node.begin(north(&teams), &QUOTA, now + ms(400));
+    let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, now + ms(400));
     let Step::Ask(_, Message::Ask { refused, .. }) = step else { panic!("{step:?}") };
     assert_eq!(refused, count + 1);
 }
--- a/crates/quota/src/tests/fleet.rs
+++ b/crates/quota/src/tests/fleet.rs
@@ -10,7 +10,7 @@
 use team::{Quota, Team, Teams};
 
 use crate::{Answer, Attempt, Bounds, Held, Issue, Member, Message, Node, Phase, Refusal, Step};
-use crate::{Seq, ASK_TIMEOUT};
+use crate::{Seq, Timeliness, ASK_TIMEOUT};
 
 pub const BOUNDS: Bounds = Bounds { window: Duration::from_secs(5), overshoot: 0.1, slack: 20.0 };
 
@@ -98,6 +98,8 @@
     pub max_delay: Duration,
     /// Share of the requests that give their token back after up to 2 s.
     pub given_back: f64,
+    /// Share of the requests that are late.
+    pub late_share: f64,
     /// Whether peers can become unreachable; without it all nodes know each other from the start.
     has_faults: bool,
     /// Times at which requests that kept their token got it.
@@ -121,6 +123,7 @@
             loss: 0.0,
             max_delay: ms(3),
             given_back: 0.0,
+            late_share: 0.0,
             has_faults,
             used: Vec::new(),
             totals: Totals::default(),
@@ -281,7 +284,13 @@
             Event::Arrival(_) => {
                 let team = self.teams.by_name(TEAM).expect("configured").clone();
                 let Some(quota) = team.quota else { return };
-                let (attempt, step) = self.nodes[node].core.begin(&team, &quota, now);
+                // Not drawn without late requests, so that the seeds of other tests stay as they are.
+                let timeliness =
+                    match self.late_share > 0.0 && self.rng.random_bool(self.late_share) {
+                        true => Timeliness::Late,
+                        false => Timeliness::InTime,
+                    };
+                let (attempt, step) = self.nodes[node].core.begin(&team, &quota, timeliness, now);
                 self.follow(node, attempt, step);
             }
             Event::Delivery { .. } if !up => {}
