web: a connection that has ended is not used again; no body after HEAD

Conn could be used again after surplus bytes, and after a response that ends with its connection (an option `close` that is not alone, HTTP/1.0, a body until the end of the connection); store's client kept it even after `close`, so that a commit could end Unknown without need. Conn knows now whether it is reusable: its users ask, and send refuses before anything is sent. Bytes that arrive only while it is idle are not seen; the echoed request id covers these, as before. has_connection_close looks at all options. The server writes no body after HEAD.

--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -218,7 +218,7 @@
         Err(web::Error::Timeout) => return (Err("timeout".to_owned()), ClaimOutcome::Unknown),
         Err(_) => return (Err("transport".to_owned()), ClaimOutcome::Unknown),
     };
-    if !web::has_connection_close(response.headers()) {
+    if conn.is_reusable() {
         idle.borrow_mut().push(conn);
     }
     let outcome_header =
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -33,7 +33,7 @@
     /// `None`, the config has changed.
     Changed(Option<Instant>),
     /// A probe has completed; with its connection if that can be reused.
-    Completed(SocketAddr, ProbeResult, Option<web::Conn>),
+    Completed(SocketAddr, ProbeResult, Option<Box<web::Conn>>),
 }
 
 /// Result of one probe.
@@ -105,7 +105,7 @@
                     }
                 }
                 if let Some(conn) = conn {
-                    idle.insert(addr, conn);
+                    idle.insert(addr, *conn);
                 }
                 if let Some(verdict) = scheduler.record_outcome(addr, result.outcome) {
                     log::info!("upstream={addr} probe verdict: {verdict:?}");
@@ -191,7 +191,8 @@
     let (result, conn) = match response {
         Ok((response, conn)) => {
             let signals = Some((notices::read_signals(addr, &response), request_sent_at));
-            (ProbeResult { outcome: outcome(&response), signals }, Some(conn))
+            let conn = Some(conn).filter(web::Conn::is_reusable).map(Box::new);
+            (ProbeResult { outcome: outcome(&response), signals }, conn)
         }
         Err(_) => (ProbeResult { outcome: watch::ProbeOutcome::Down, signals: None }, None),
     };
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -94,7 +94,7 @@
             Ok(response) => {
                 let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
                     && response.headers().contains_key(http::header::RETRY_AFTER);
-                if !web::has_connection_close(response.headers()) {
+                if conn.is_reusable() {
                     self.keep(addr, conn, max_idle, Instant::now());
                 }
                 match refused {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -158,7 +158,7 @@
             .body(body)
             .expect("request has a valid method, path and host");
         let response = conn.send(request, CALL_TIMEOUT).await?;
-        *self.conn.borrow_mut() = Some(conn);
+        *self.conn.borrow_mut() = Some(conn).filter(web::Conn::is_reusable);
         Ok(response)
     }
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -50,6 +50,7 @@
 pub struct Conn {
     writer: h1::Writer,
     reader: h1::Reader,
+    is_reusable: bool,
     /// Address of the server.
     pub peer: SocketAddr,
 }
@@ -94,19 +95,31 @@
             result.map_err(|err| Error::Connect(err.to_string()))?;
         }
         let (read, write) = stream.into_split();
-        Ok(Conn { reader: h1::Reader::new(read), writer: h1::Writer::new(write), peer: addr })
+        let (reader, writer) = (h1::Reader::new(read), h1::Writer::new(write));
+        Ok(Conn { reader, writer, is_reusable: true, peer: addr })
+    }
+
+    /// Returns true if another request may be sent: the last exchange succeeded, its response did
+    /// not end with the connection, and no bytes followed it, which would be taken for the response
+    /// to the next request.
+    pub fn is_reusable(&self) -> bool {
+        self.is_reusable
     }
 
     /// Sends `request` and returns the whole response.
     ///
-    /// The caller must drop the connection after any error, because the stream may be in the middle
-    /// of a message.
+    /// The caller must drop the connection unless [`Conn::is_reusable`] returns true afterwards.
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Send`] when writing fails, [`Error::Http`] when the response is malformed,
+    /// Returns [`Error::Connect`] when the connection is not reusable, and nothing is sent;
+    /// [`Error::Send`] when writing fails, [`Error::Http`] when the response is malformed,
     /// too long or incomplete, and [`Error::Timeout`] when `timeout` passes first.
     pub async fn send(&mut self, request: Request, timeout: Duration) -> Result<Response, Error> {
+        // Reusable again once the whole response is received.
+        if !std::mem::replace(&mut self.is_reusable, false) {
+            return Err(Error::Connect("the connection cannot be used again".to_owned()));
+        }
         match monoio::time::timeout(timeout, self.exchange(request)).await {
             Ok(result) => result,
             Err(_) => Err(Error::Timeout),
@@ -133,9 +146,13 @@
         let head = self.reader.response_head(&parts.method).await.map_err(http_error)?;
         let mut decoder = h1::Decoder::new(head.framing);
         let body = self.reader.body(&mut decoder, MAX_BODY_BYTES).await.map_err(http_error)?;
+        self.is_reusable = head.keep_alive && !self.reader.has_buffered();
         let mut response = http::Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
         Ok(response)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/web/src/h1/head.rs
+++ b/crates/web/src/h1/head.rs
@@ -284,7 +284,7 @@
 }
 
 /// Returns true when a `Connection` header contains `option`.
-fn has_connection_option(headers: &HeaderMap, option: &str) -> bool {
+pub(crate) fn has_connection_option(headers: &HeaderMap, option: &str) -> bool {
     let values = headers.get_all(http::header::CONNECTION).iter();
     values
         .filter_map(|value| value.to_str().ok())
--- a/crates/web/src/h1/mod.rs
+++ b/crates/web/src/h1/mod.rs
@@ -13,6 +13,7 @@
 mod stream;
 
 pub use body::{encode_chunk, Decoder, Progress, LAST_CHUNK};
+pub(crate) use head::has_connection_option;
 pub use head::{
     parse_request, parse_response, write_request, write_response, Framing, ParseError, RequestHead,
     ResponseHead, MAX_RESPONSE_HEAD_BYTES,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -79,14 +79,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct DropConnection;
 
-/// Returns true when `headers` say with `Connection: close` that the sender closes the connection
-/// after this message.
-///
-/// Only the first `Connection` header is compared, as a whole; a list such as `close, te` does not
-/// match.
+/// Returns true when `headers` say with the option `close` of `Connection` that the sender closes
+/// the connection after this message.
 pub fn has_connection_close(headers: &http::HeaderMap) -> bool {
-    let connection = headers.get(http::header::CONNECTION);
-    connection.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+    h1::has_connection_option(headers, "close")
 }
 
 /// Builds a response with `status` and a body.
@@ -112,3 +108,6 @@
         _ => None,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -70,13 +70,14 @@
             Ok(received) => received,
             Err(h1::ReadError::Malformed(err)) => {
                 log::debug!("rejected a malformed request from {peer}: {err}");
-                let _ = send_response(&mut writer, crate::reply(err.status(), format!("{err}\n")))
-                    .await;
+                let response = crate::reply(err.status(), format!("{err}\n"));
+                let _ = send_response(&mut writer, response, false).await;
                 writer.shutdown().await;
                 return;
             }
             Err(h1::ReadError::Closed | h1::ReadError::Io(_)) => return,
         };
+        let head_only = request.method() == http::Method::HEAD;
         let mut response_future = pin!(handler.handle(request, peer));
         // A caller that has closed its connection needs no response. Dropping the handler's future
         // cancels the work, which would otherwise use capacity that waiting callers need.
@@ -94,7 +95,7 @@
             return;
         }
         let close = caller_closes || crate::has_connection_close(response.headers());
-        if send_response(&mut writer, response).await.is_err() || close {
+        if send_response(&mut writer, response, head_only).await.is_err() || close {
             return;
         }
     }
@@ -121,13 +122,21 @@
     Ok((request, !head.keep_alive))
 }
 
-async fn send_response(writer: &mut h1::Writer, response: Response) -> std::io::Result<()> {
+/// Sends a response; without its body if `head_only`, as the caller of a HEAD request would take a
+/// body for the next response.
+async fn send_response(
+    writer: &mut h1::Writer,
+    response: Response,
+    head_only: bool,
+) -> std::io::Result<()> {
     let (parts, body): (_, Bytes) = response.into_parts();
     let mut headers = parts.headers;
     headers.remove(TRANSFER_ENCODING);
     headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     let mut bytes = h1::write_response(parts.status, &headers);
-    bytes.extend_from_slice(&body);
+    if !head_only {
+        bytes.extend_from_slice(&body);
+    }
     writer.write(bytes).await
 }
 
--- a/crates/web/src/server/tests.rs
+++ b/crates/web/src/server/tests.rs
@@ -71,3 +71,23 @@
         assert_eq!(handler.completed.get(), 2);
     });
 }
+
+/// Guards against a caller that takes the body of a response to HEAD for the next response.
+#[test]
+fn response_to_head_has_no_body() {
+    crate::runtime().block_on(async {
+        let (_, mut stream) = start_server().await;
+        let both = b"HEAD /a HTTP/1.1\r\nhost: x\r\n\r\nGET /b HTTP/1.1\r\nhost: x\r\n\r\n";
+        stream.write_all(&both[..]).await.0.expect("sent");
+        let mut text = String::new();
+        while !text.ends_with("/b") {
+            let (read, bytes) = stream.read(vec![0; 1_024]).await;
+            let read = read.expect("reads");
+            assert!(read > 0, "closed after {text:?}");
+            text.push_str(&String::from_utf8_lossy(&bytes[..read]));
+        }
+        let (head, rest) = text.split_once("\r\n\r\n").expect("a head");
+        assert!(head.contains("content-length: 2"), "the length that GET would have: {head}");
+        assert!(rest.starts_with("HTTP/1.1 200"), "{rest}");
+    });
+}
