--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -463,7 +463,9 @@
             slots: upstream.slots,
             report_age: upstream.report(now).map(|(_, age)| age),
         };
-        if !self.silence.has_room(room, now) {
+        // One that may be sent again is, should it vanish; to wait for room would cost it more.
+        let needs_room = !criteria.repeatable && !self.silence.has_room(room, now);
+        if needs_room {
             // Only once the queue is shorter can the request be sent, which may be too late for it.
             let queue_time = prediction.queue_time.max(criteria.objective_left);
             prediction.latency += queue_time - prediction.queue_time;
@@ -498,7 +500,7 @@
         };
         let has_fresh_report = upstream
             .report(now)
-            .is_some_and(|(_, age)| age <= self.max_fresh_report_age(prediction, now));
+            .is_some_and(|(_, age)| age <= self.max_fresh_report_age(criteria, prediction, now));
         Candidate {
             index,
             cost,
@@ -512,8 +514,14 @@
     }
 
     /// Returns the maximum age of a fresh report of an upstream with this prediction.
-    fn max_fresh_report_age(&self, prediction: Prediction, now: Instant) -> Duration {
-        match self.silence.is_silent(now) && prediction.utilization > 1.0 {
+    fn max_fresh_report_age(
+        &self,
+        criteria: SelectionCriteria<'_>,
+        prediction: Prediction,
+        now: Instant,
+    ) -> Duration {
+        let has_queue = prediction.utilization > 1.0;
+        match !criteria.repeatable && has_queue && self.silence.is_silent(now) {
             true => MAX_QUEUE_REPORT_AGE,
             false => MAX_FRESH_REPORT_AGE,
         }
