place: how many requests an upstream does best with is learned

Load: several times the usual. Upstreams that slow down when nearly full do less work when all slots are filled, and late. Hypothesis: learned from lengths of work by utilization (the report in each response), the best number of requests keeps goodput up. Change: Crowding, by service; an upstream counts as full at the lowest number that does nearly the most work. Nothing is left free before full upstreams were seen.

--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -171,15 +171,15 @@
         state
             .work_estimates
             .record_size(&call.route.name, call.body_start.len() + response.known_bytes());
-        if !choice.latency_measures_work {
-            return;
-        }
         let Some(pool) = state.pools.get_mut(&call.service) else { return };
+        let work = state.work_estimates.work(&call.route.name, call.route.objective);
+        let work_ratio = elapsed.as_secs_f64() / work.as_secs_f64().max(0.001);
+        pool.record_crowding(&choice.upstream, work_ratio, now);
         let still_at_usual_speed = pool
             .position(&choice.upstream)
             .and_then(|index| pool.upstreams()[index].report(now))
             .is_some_and(|(load, _)| load.is_at_usual_speed());
-        if still_at_usual_speed {
+        if choice.latency_measures_work && still_at_usual_speed {
             let ratio = elapsed.as_secs_f64() / choice.predicted_latency.as_secs_f64().max(0.001);
             pool.record_latency_ratio(&choice.upstream, ratio, now);
             state.work_estimates.record_work(&call.route.name, call.route.objective, elapsed);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,12 +6,14 @@
 //! ranks upstreams by a predicted latency in which a report weighs less the older it is, and
 //! selects the upstreams worth probing first ([`Pool::probe_targets`]). [`admit`] decides which
 //! requests wait and which are refused when every upstream is predicted to be slow;
-//! [`RetryDetector`] estimates for how long the caller of a request has been retrying. [`Roster`]
+//! [`Crowding`] learns how many requests
+//! an upstream is best given at a time; [`RetryDetector`] estimates for how long the caller of a request has been retrying. [`Roster`]
 //! tracks which upstreams exist, also during outages of the store that lists them.
 //!
 //! The crate does no I/O: time and randomness are passed in.
 
 mod admit;
+mod crowding;
 mod evacuations;
 mod health;
 mod incarnation;
@@ -24,6 +26,7 @@
 mod work;
 
 pub use admit::{admit, AdmissionRequest, Decision};
+pub use crowding::Crowding;
 pub use evacuations::{Evacuations, Zone};
 pub use incarnation::{Incarnation, UpstreamId};
 pub use pool::{Candidate, ConnectionPlan, Policy, Pool, SelectionCriteria};
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -7,6 +7,7 @@
 
 use rand::Rng;
 
+use crate::crowding::Crowding;
 use crate::health::HealthState;
 use crate::upstream::{Load, Prediction, TypicalLoad, Upstream};
 use crate::warm_up::{WarmUp, Window, ASSUMED_COLD_TTL};
@@ -141,6 +142,7 @@
     /// Number specific to this node that determines the order.
     node_seed: u64,
     typical_load: TypicalLoad,
+    crowding: Crowding,
     /// Whether upstreams of this service report their load; `None` before the first response.
     reports_load: Option<bool>,
     /// Zones whose upstreams get no requests.
@@ -155,6 +157,7 @@
             upstreams: Vec::new(),
             node_seed: 0,
             typical_load: INITIAL_TYPICAL_LOAD,
+            crowding: Crowding::default(),
             reports_load: None,
             evacuated: BTreeSet::new(),
             rotation: Cell::new(0),
@@ -330,6 +333,29 @@
         }
     }
 
+    /// Records that a request took `latency_ratio` times its work. The report in its response must
+    /// have been recorded: it tells how many requests ran beside it. The latency says nothing about
+    /// these if the machine is slowed, or if requests wait there, as this one may have.
+    pub fn record_crowding(&mut self, upstream: &Incarnation, latency_ratio: f64, now: Instant) {
+        let Some(index) = self.position(upstream) else { return };
+        let upstream = &self.upstreams[index];
+        match upstream.report(now) {
+            // With a single slot, requests never run concurrently.
+            Some((load, _))
+                if upstream.slots > 1 && load.waiting == 0 && load.is_at_usual_speed() =>
+            {
+                let with_this = load.utilization() + 1.0 / f64::from(upstream.slots);
+                self.crowding.record(with_this, latency_ratio);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns how much longer work takes by utilization at the upstreams of this service.
+    pub fn crowding(&self) -> &Crowding {
+        &self.crowding
+    }
+
     /// Returns true if at most half of the upstreams would be ejected, counting the one at `index`.
     ///
     /// Without this limit, an overload in which every upstream fails requests would eject them all
@@ -442,7 +468,7 @@
         rng: &mut R,
     ) -> Candidate {
         let upstream = &self.upstreams[index];
-        let prediction = upstream.predict(criteria.work, self.typical_load, now);
+        let prediction = upstream.predict(criteria.work, self.typical_load, &self.crowding, now);
         let health = match upstream.health.state(now) {
             HealthState::Trial if upstream.outstanding > 0 || !criteria.repeatable => {
                 HealthState::Ejected
--- a/crates/place/src/upstream.rs
+++ b/crates/place/src/upstream.rs
@@ -5,6 +5,7 @@
 
 use smol_str::SmolStr;
 
+use crate::crowding::{Crowding, NEARLY_FULL_SLOWNESS, NEARLY_FULL_UTILIZATION};
 use crate::health::{Health, HealthState};
 use crate::warm_up::Window;
 use crate::Incarnation;
@@ -17,12 +18,6 @@
 /// decays. Queues change as requests end, which is slower than the changes of machine speed.
 const OCCUPANCY_DECAY_TIME: Duration = Duration::from_secs(1);
 
-/// Utilization above which an upstream counts as nearly full.
-const NEARLY_FULL_UTILIZATION: f64 = 0.8;
-
-/// Factor by which work takes longer at an upstream that is nearly full.
-const NEARLY_FULL_SLOWNESS: f64 = 1.5;
-
 /// Factor by which work takes longer at an upstream that has just started.
 const COLD_SLOWNESS: f64 = 2.0;
 
@@ -114,7 +109,7 @@
 pub struct Prediction {
     /// Time until its response, including `queue_time`.
     pub latency: Duration,
-    /// Time until a slot is free for it.
+    /// Time until a slot is free for it that the upstream does more work with than without.
     pub queue_time: Duration,
     /// Requests per slot including this one; above 1 if it has to wait.
     pub utilization: f64,
@@ -210,7 +205,13 @@
     /// An upstream without a recent report is assumed to be as full as the `typical` one. If it
     /// were assumed to be empty, it would look best whenever all others are full, and each request
     /// of a burst would open a connection to yet another upstream that is full too.
-    pub fn predict(&self, work: Duration, typical: TypicalLoad, now: Instant) -> Prediction {
+    pub fn predict(
+        &self,
+        work: Duration,
+        typical: TypicalLoad,
+        crowding: &Crowding,
+        now: Instant,
+    ) -> Prediction {
         let slots = f64::from(self.slots);
         let typically_occupied = typical.utilization * slots;
         let (slowness, occupied) = match self.report(now) {
@@ -241,7 +242,8 @@
             factor *= COLD_SLOWNESS;
         }
         let service_time = work.mul_f64(factor);
-        let ahead = (occupied + 1.0 - slots).max(0.0) / slots;
+        let concurrency = f64::from(crowding.best_concurrency(self.slots));
+        let ahead = (occupied + 1.0 - concurrency).max(0.0) / concurrency;
         let queue_time = service_time.mul_f64(ahead);
         Prediction { latency: service_time + queue_time, queue_time, utilization, nearly_full }
     }
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -175,14 +175,20 @@
         self.pools[kind].record_outcome(&incarnation(upstream), outcome, now);
     }
 
-    /// Updates the estimates of size and, if the latency measures it, work.
+    /// Updates the estimates of size and, if the latency measures it, work, and what is known of
+    /// crowded upstreams.
     pub(crate) fn record_response(
         &mut self,
-        kind: &CallKind,
+        (index, kind): (usize, &CallKind),
+        upstream: usize,
         latency: Duration,
         measures_work: bool,
+        now: Instant,
     ) {
         self.work_estimates.record_size(&kind.name, kind.response_bytes);
+        let work = self.work_estimates.work(&kind.name, kind.objective);
+        let work_ratio = latency.as_secs_f64() / work.as_secs_f64();
+        self.pools[index].record_crowding(&incarnation(upstream), work_ratio, now);
         if measures_work {
             self.work_estimates.record_work(&kind.name, kind.objective, latency);
         }
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -282,7 +282,13 @@
         node.record_report(kind, upstream, load, self.base + now);
         node.record_outcome(kind, upstream, place::RequestOutcome::Answered, self.base + now);
         let measures_work = request.measures_work && load.is_at_usual_speed();
-        node.record_response(settings, now - request.sent_at, measures_work);
+        node.record_response(
+            (kind, settings),
+            upstream,
+            now - request.sent_at,
+            measures_work,
+            self.base + now,
+        );
         let answered_at = now + CALLER_TO_NODE_LATENCY;
         let in_burst = self.scenario.burst.is_some_and(|burst| {
             burst.start <= request.first_sent_at && request.first_sent_at < burst.end
