place, edge: requests wait in line, are refused at once if no room is expected, and yield when late

Load: several times the usual at hundreds of nodes that get a few requests a second each. Each waiting request looked for a free slot by itself (up to 24 checks with 3 probes), so dozens sent to the same one; 2,356 refusals came after a wait of 315 ms; callers that came back late took slots of others. Change, for each service at a node: a line ordered by urgency (a team's priority before the route's) and arrival, of which only as many look as room is found for between two checks; a request waits only if room is expected in time, by the rate of sends and those ahead; Retry-After is the time until room is expected if that is in time, else 0.15 to 0.3 of the time until the caller gives up (not of the route's timeout); what can't be in time any more yields while others find no room. New: oatcove_waiting, oatcove_waited, oatcove_refused_too_late, and 'ahead' and 'concurrency' in the line 'refused'.

Tests: goodput over load for four kinds of upstreams, waits that can succeed, no wave after a burst, urgency in line.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -330,6 +330,7 @@
             caller_left: caller.has_left,
             retrying_for,
             deadline,
+            caller_deadline: received_at + stated_deadline.unwrap_or(route.timeout),
             sends,
         };
         // The deadline counts from when the request was received, so it includes time spent queued
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -41,6 +41,8 @@
     /// How long the caller had been retrying when the request was received.
     pub(super) retrying_for: Duration,
     pub(super) deadline: Instant,
+    /// When the caller gives up; `deadline` may be earlier.
+    pub(super) caller_deadline: Instant,
     /// Sends so far, for the log.
     pub(super) sends: RefCell<Vec<SendRecord>>,
 }
@@ -101,6 +103,10 @@
         best: Incarnation,
         predicted_latency: Duration,
         queue_time: Duration,
+        /// Requests that the best upstream is given at a time.
+        concurrency: u32,
+        /// Requests that wait at this node and go before it.
+        ahead: u32,
         report_age: Option<Duration>,
     },
 }
@@ -110,6 +116,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the time until the caller gives up, over all of its attempts.
+    pub(super) fn caller_deadline_left(&self) -> Duration {
+        self.caller_deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Returns the time left of the latency objective; the time for which the caller has been
     /// retrying counts against it.
     pub(super) fn objective_left(&self) -> Duration {
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -3,11 +3,13 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use place::{Candidate, ConnectionPlan, Decision, Incarnation};
+use place::{Candidate, ConnectionPlan, Decision, Incarnation, Place, Urgency};
 use rand::Rng;
+use route::ServiceName;
 
 use super::call::{Call, Choice, NoChoice};
 use super::{Node, RETRY_AFTER_NOT_READY};
+use crate::state::SharedState;
 use crate::{probe, start_of};
 
 /// Upstreams probed for their load at once.
@@ -48,6 +50,48 @@
     Forbidden,
 }
 
+/// A request that may have to wait for an upstream. It leaves the line when this is dropped, for
+/// example because its deadline has passed.
+struct WaitingRequest<'a> {
+    state: &'a SharedState,
+    service: &'a ServiceName,
+    urgency: Urgency,
+    place: Option<Place>,
+}
+
+impl<'a> WaitingRequest<'a> {
+    fn new(state: &'a SharedState, call: &'a Call<'_>) -> WaitingRequest<'a> {
+        let urgency = Urgency {
+            team: call.team.as_ref().map_or(0, |team| team.priority),
+            route: call.route.priority,
+        };
+        WaitingRequest { state, service: &call.service, urgency, place: None }
+    }
+
+    /// Returns the number of requests that wait and go before this one.
+    fn ahead(&self) -> u32 {
+        let state = &mut *self.state.borrow_mut();
+        let line = state.line(self.service);
+        self.place.map_or_else(|| line.ahead_of_new(self.urgency), |place| line.ahead_of(place))
+    }
+
+    fn join(&mut self) {
+        if self.place.is_none() {
+            let state = &mut *self.state.borrow_mut();
+            state.counters.waited += 1;
+            self.place = Some(state.line(self.service).join(self.urgency));
+        }
+    }
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        if let Some(place) = self.place {
+            self.state.borrow_mut().line(self.service).leave(place);
+        }
+    }
+}
+
 impl Node {
     /// Chooses the upstream for the next send. Probes upstreams for their load first where that
     /// helps, and waits for a free slot where the request can still be in time.
@@ -58,11 +102,17 @@
         wait_policy: WaitPolicy,
     ) -> Result<Choice, NoChoice> {
         self.check_quarantine(call)?;
-        let mut ranked =
-            self.probe_and_rank(call, tried, MAX_PROBE_ROUNDS, MAX_PROBES_ON_NEW_CONNECTIONS).await;
+        let mut waiting = WaitingRequest::new(&self.state, call);
+        let mut rounds = MAX_PROBE_ROUNDS;
+        let mut max_new_connections = MAX_PROBES_ON_NEW_CONNECTIONS;
         let mut rechecks = 0;
         loop {
-            let rechecks_allowed = (wait_policy == WaitPolicy::Allowed).then_some(rechecks);
+            let may_wait = wait_policy == WaitPolicy::Allowed;
+            if may_wait && !self.may_look(call, waiting.ahead()) {
+                rounds = 0;
+            }
+            let ranked = self.probe_and_rank(call, tried, rounds, max_new_connections).await;
+            let rechecks_allowed = may_wait.then_some(rechecks);
             // The request may be quarantined while upstreams are probed, or while it waits.
             let decision = self.check_quarantine(call)?;
             // The caller may have left meanwhile.
@@ -73,20 +123,31 @@
             if decision == quarantine::Decision::Isolate {
                 best = self.choose_isolated(call, &ranked).unwrap_or(best);
             }
-            match self.admit(call, best, rechecks_allowed) {
+            match self.admit(call, best, rechecks_allowed, waiting.ahead()) {
                 Decision::Send => {
                     return self.choice(call, best).ok_or_else(|| self.no_upstream(call));
                 }
                 Decision::Refuse { retry_after } => {
-                    return Err(self.too_late(call, best, retry_after))
+                    return Err(self.too_late(call, best, retry_after, waiting.ahead()))
+                }
+                Decision::Wait(pause) => {
+                    waiting.join();
+                    monoio::time::sleep(pause).await
                 }
-                Decision::Wait(pause) => monoio::time::sleep(pause).await,
             }
             rechecks += 1;
-            ranked = self.probe_and_rank(call, tried, 1, 0).await;
+            (rounds, max_new_connections) = (1, 0);
         }
     }
 
+    /// Returns true unless others in line look for a free slot first.
+    fn may_look(&self, call: &Call<'_>, ahead: u32) -> bool {
+        let state = self.state.borrow();
+        let work = state.work_estimates.work(&call.route.name, call.route.objective);
+        let room_per_s = state.first_sends_per_s(&call.service, Instant::now());
+        place::may_look(ahead, room_per_s, work)
+    }
+
     /// Ranks the upstreams after up to `rounds` of probes. Up to `max_new_connections` probes of
     /// the first round go over new connections.
     async fn probe_and_rank(
@@ -109,14 +170,32 @@
         ranked
     }
 
-    fn admit(&self, call: &Call<'_>, best: &Candidate, rechecks: Option<u32>) -> Decision {
+    fn admit(
+        &self,
+        call: &Call<'_>,
+        best: &Candidate,
+        rechecks: Option<u32>,
+        ahead: u32,
+    ) -> Decision {
+        let state = &mut *self.state.borrow_mut();
+        let now = Instant::now();
+        let work = state.work_estimates.work(&call.route.name, call.route.objective);
         let admission = place::AdmissionRequest {
             deadline_left: call.deadline_left(),
+            caller_deadline_left: call.caller_deadline_left(),
             objective_left: call.objective_left(),
             most_urgent: call.most_urgent,
             rechecks,
+            ahead,
+            work,
+            room_per_s: state.first_sends_per_s(&call.service, now),
+            is_room_scarce: state.line(&call.service).is_room_scarce(now),
         };
-        place::admit(best, admission, &mut self.state.borrow_mut().rng)
+        let decision = place::admit(best, admission, &mut state.rng);
+        if matches!(decision, Decision::Refuse { .. }) && admission.objective_left >= work {
+            state.line(&call.service).record_no_room(now);
+        }
+        decision
     }
 
     /// Records a candidate that was just ranked as chosen and returns the choice.
@@ -140,7 +219,13 @@
         })
     }
 
-    fn too_late(&self, call: &Call<'_>, best: &Candidate, retry_after: Duration) -> NoChoice {
+    fn too_late(
+        &self,
+        call: &Call<'_>,
+        best: &Candidate,
+        retry_after: Duration,
+        ahead: u32,
+    ) -> NoChoice {
         let state = self.state.borrow();
         let pool = state.pools.get(&call.service);
         let Some(upstream) = pool.and_then(|pool| pool.upstreams().get(best.index)) else {
@@ -152,6 +237,9 @@
             best: upstream.incarnation.clone(),
             predicted_latency: best.prediction.latency,
             queue_time: best.prediction.queue_time,
+            concurrency: pool
+                .map_or(upstream.slots, |pool| pool.crowding().best_concurrency(upstream.slots)),
+            ahead,
             report_age: upstream.report(Instant::now()).map(|(_, age)| age),
         }
     }
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -143,12 +143,23 @@
                     .field("resting", state.backpressure.backoff_count(now));
                 (line, retry_after)
             }
-            NoChoice::TooLate { retry_after, best, predicted_latency, queue_time, report_age } => {
+            NoChoice::TooLate {
+                retry_after,
+                best,
+                predicted_latency,
+                queue_time,
+                concurrency,
+                ahead,
+                report_age,
+            } => {
+                self.state.borrow_mut().counters.refused_too_late += 1;
                 let line = line
                     .field("reason", "would be too late")
                     .field("best", best.id())
                     .field("predicted_ms", as_ms(predicted_latency))
                     .field("wait_ms", as_ms(queue_time))
+                    .field("concurrency", concurrency)
+                    .field("ahead", ahead)
                     .field("report_age_ms", report_age.map(as_ms));
                 (line, retry_after)
             }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,10 +15,14 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 19] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 21] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
+    ("oatcove_waited", "Requests that waited for an upstream", |c| c.waited),
+    ("oatcove_refused_too_late", "Requests refused since their answer would be too late", |c| {
+        c.refused_too_late
+    }),
     ("oatcove_failed", "Requests that may have run and got no answer", |c| c.failed),
     ("oatcove_abandoned", "Requests whose caller left", |c| c.abandoned),
     ("oatcove_second_sends", "Sends after the first of a request", |c| c.second_sends),
@@ -48,6 +52,7 @@
     registry: meter::Metrics<Counters>,
     request_seconds: Histogram<f64>,
     in_flight: Gauge<u64>,
+    waiting: Gauge<u64>,
     config_version: Gauge<u64>,
     config_stale: Gauge<u64>,
     list_stale: Gauge<u64>,
@@ -77,6 +82,7 @@
                 &REQUEST_SECONDS_BUCKETS,
             ),
             in_flight: registry.gauge("oatcove_in_flight"),
+            waiting: registry.gauge("oatcove_waiting"),
             config_version: registry.gauge("oatcove_config_version"),
             config_stale: registry.gauge("oatcove_config_unsure"),
             list_stale: registry.gauge("oatcove_list_unsure"),
@@ -106,6 +112,7 @@
     pub fn scrape(&self, state: &State) -> Result<String, meter::Error> {
         let alive = state.peers.values().filter(|p| p.standing == wire::Standing::Alive);
         self.in_flight.record(state.in_flight, &[]);
+        self.waiting.record(state.waiting_count() as u64, &[]);
         self.config_version.record(state.config_version(), &[]);
         self.upstreams.record(state.roster.len() as u64, &[]);
         self.peers_alive.record(alive.count() as u64, &[]);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -116,6 +116,10 @@
     pub answered: u64,
     /// Requests refused because no upstream could serve them in time.
     pub refused: u64,
+    /// Requests that waited at the node for an upstream.
+    pub waited: u64,
+    /// Part of `refused` that was refused because the response would have been too late.
+    pub refused_too_late: u64,
     /// Requests that may have run and got no response.
     pub failed: u64,
     /// Requests whose caller disconnected.
@@ -158,6 +162,8 @@
     budget: limit::RetryBudget,
     /// When the budget last rejected a request that had no other send in flight.
     exhausted_at: Option<Instant>,
+    /// Requests that wait for an upstream.
+    line: place::Line,
 }
 
 /// The entry node's view of the platform, its peers and its upstreams.
@@ -473,6 +479,16 @@
         allowed
     }
 
+    /// Returns the requests that wait for an upstream of a service.
+    pub fn line(&mut self, service: &ServiceName) -> &mut place::Line {
+        &mut self.sends(service).line
+    }
+
+    /// Returns the number of requests that wait for an upstream.
+    pub fn waiting_count(&self) -> usize {
+        self.sends.values().map(|sends| sends.line.len()).sum()
+    }
+
     fn sends(&mut self, service: &ServiceName) -> &mut Sends {
         let share = self.settings.retry_slack * RETRY_SLACK_FACTOR / self.fleet_size() as f64;
         let burst = share.clamp(1.0, MAX_RETRY_BURST);
@@ -482,6 +498,7 @@
             rate: place::Rate::default(),
             budget: limit::RetryBudget::with_burst(0.0),
             exhausted_at: None,
+            line: place::Line::default(),
         };
         let sends = self.sends.entry(service.clone()).or_insert_with(new_sends);
         sends.budget.set_burst(burst);
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -1,5 +1,6 @@
 //! A simulated entry node: the product's placement and admission code with its learned state.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,7 +11,7 @@
 use smol_str::{format_smolstr, SmolStr};
 
 use crate::scenario::{CallKind, Rules, Scenario};
-use crate::upstream::Upstream;
+use crate::upstream::{RequestIndex, Upstream};
 
 /// Maximum number of upstreams probed in one round.
 const MAX_PROBES_PER_ROUND: usize = 3;
@@ -30,6 +31,7 @@
     pub(crate) deadline_left: Duration,
     pub(crate) objective_left: Duration,
     pub(crate) rechecks: u32,
+    pub(crate) index: RequestIndex,
 }
 
 /// What a node does next with a request.
@@ -54,6 +56,10 @@
     work_estimates: place::WorkEstimates,
     retry_detector: place::RetryDetector,
     rng: SmallRng,
+    /// Requests that wait at the node, and its rate of sends, by kind.
+    lines: Vec<(place::Line, place::Rate)>,
+    /// Places of the requests that wait.
+    places: HashMap<RequestIndex, place::Place>,
 }
 
 impl Node {
@@ -81,7 +87,9 @@
             pools[index / scenario.upstreams_per_kind].put(&entry((index, upstream)), now);
         }
         let (work_estimates, retry_detector) = Default::default();
-        Node { zone, pools, work_estimates, retry_detector, rng }
+        let lines = vec![Default::default(); scenario.kinds.len()];
+        let places = HashMap::new();
+        Node { zone, pools, work_estimates, retry_detector, rng, lines, places }
     }
 
     /// Returns for how long the caller of a request has been retrying, or zero if the objective
@@ -110,6 +118,38 @@
         may_probe: bool,
         rules: &Rules,
         now: Instant,
+    ) -> Step {
+        let step = self.decide(kind, request, may_probe, rules, now);
+        let (line, sends) = &mut self.lines[kind];
+        match step {
+            Step::Probe(_) => {}
+            Step::Wait(_) => {
+                let place = self.places.entry(request.index);
+                place.or_insert_with(|| line.join(place::Urgency::default()));
+            }
+            Step::Refuse { .. } | Step::Send { .. } => {
+                let work = self.work_estimates.work(&request.kind.name, request.kind.objective);
+                if matches!(step, Step::Refuse { .. }) && request.objective_left >= work {
+                    line.record_no_room(now);
+                }
+                if let Some(place) = self.places.remove(&request.index) {
+                    line.leave(place);
+                }
+            }
+        }
+        if let Step::Send { .. } = step {
+            sends.count(now);
+        }
+        step
+    }
+
+    fn decide(
+        &mut self,
+        kind: usize,
+        request: &PlacementRequest<'_>,
+        may_probe: bool,
+        rules: &Rules,
+        now: Instant,
     ) -> Step {
         let name = &request.kind.name;
         let zone = zone_name(self.zone);
@@ -128,18 +168,33 @@
         let ranked = pool.rank(criteria, |_| ConnectionPlan::Reuse, now, &mut self.rng);
         let probe_targets = pool.probe_targets(&ranked, MAX_PROBES_PER_ROUND, 0);
         let upstream_at = |index: usize| upstream_index(&pool.upstreams()[index].incarnation);
-        if may_probe && rules.policy == place::Policy::Reports && !probe_targets.is_empty() {
+        let (line, sends) = &self.lines[kind];
+        let ahead = match self.places.get(&request.index) {
+            Some(place) => line.ahead_of(*place),
+            None => line.ahead_of_new(place::Urgency::default()),
+        };
+        let (room_per_s, is_room_scarce) = (sends.per_s(now), line.is_room_scarce(now));
+        if ahead == 0
+            && may_probe
+            && rules.policy == place::Policy::Reports
+            && !probe_targets.is_empty()
+        {
             return Step::Probe(probe_targets.into_iter().map(upstream_at).collect());
         }
         let best = &ranked[0];
         let admission = AdmissionRequest {
             deadline_left: request.deadline_left,
+            caller_deadline_left: request.deadline_left,
             objective_left: match rules.refuses_late {
                 true => request.objective_left,
                 false => request.deadline_left,
             },
             most_urgent: true,
             rechecks: rules.waits_at_node.then_some(request.rechecks),
+            ahead,
+            room_per_s,
+            is_room_scarce,
+            work: criteria.work,
         };
         match place::admit(best, admission, &mut self.rng) {
             Decision::Wait(pause) => Step::Wait(pause),
--- a/crates/sim/src/run.rs
+++ b/crates/sim/src/run.rs
@@ -191,6 +191,7 @@
             deadline_left: request.deadline_at.saturating_sub(now),
             objective_left: (request.received_at + objective).saturating_sub(now),
             rechecks: request.rechecks,
+            index,
         };
         match node.step(request.kind, &placement, probe_rounds_left > 0, self.rules, instant) {
             Step::Probe(probed) => {
--- a/crates/sim/src/scenario.rs
+++ b/crates/sim/src/scenario.rs
@@ -110,12 +110,13 @@
     }
 
     /// Returns a service whose callers all wait eight times as long as their objective, and for six
-    /// seconds make `rate_factor` times as many requests as usual.
-    pub fn patient_callers(rate_factor: f64) -> Scenario {
+    /// seconds make `rate_factor` times as many requests as usual. Its upstreams have `slots` slots
+    /// and take `nearly_full_slowdown` times as long when nearly full.
+    pub fn patient_callers(rate_factor: f64, slots: u32, nearly_full_slowdown: f64) -> Scenario {
         Scenario {
             kinds: vec![CallKind {
                 name: "status".into(),
-                requests_per_s: 150.0,
+                requests_per_s: 25.0 * f64::from(slots),
                 mean_work: Duration::from_millis(370),
                 objective: Duration::from_secs(1),
                 max_timeout: Duration::from_secs(8),
@@ -125,9 +126,9 @@
             zones: 3,
             nodes: 21,
             upstreams_per_kind: 48,
-            slots_per_upstream: 6,
-            max_queued: 12,
-            nearly_full_slowdown: 1.7,
+            slots_per_upstream: slots,
+            max_queued: 2 * slots as usize,
+            nearly_full_slowdown,
             noise: Noise {
                 slow_ratio: 0.3,
                 slowdown: 4.0,
