--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,7 +6,8 @@
 //! ranks upstreams by a predicted latency in which a report weighs less the older it is, and
 //! selects the upstreams worth probing first ([`Pool::probe_targets`]). [`admit`] decides which
 //! requests wait and which are refused when every upstream is predicted to be slow;
-//! [`RetryDetector`] estimates for how long the caller of a request has been retrying. [`Roster`]
+//! [`Crowding`] learns how many requests
+//! an upstream is best given at a time; [`RetryDetector`] estimates for how long the caller of a request has been retrying. [`Roster`]
 //! tracks which upstreams exist, also during outages of the store that lists them.
 //!
 //! [`entry_nodes`] chooses the entry nodes that callers are told, and [`silence`] detects upstreams that answer nothing when they are full.
@@ -14,10 +15,12 @@
 //! The crate does no I/O: time and randomness are passed in.
 
 mod admit;
+mod crowding;
 pub mod entry_nodes;
 mod evacuations;
 mod health;
 mod incarnation;
+mod line;
 mod pool;
 mod rate;
 mod retry_detector;
@@ -27,9 +30,11 @@
 mod warm_up;
 mod work;
 
-pub use admit::{admit, AdmissionRequest, Decision};
+pub use admit::{admit, may_look, AdmissionRequest, Decision};
+pub use crowding::Crowding;
 pub use evacuations::{Evacuations, Zone};
 pub use incarnation::{Incarnation, UpstreamId};
+pub use line::{Line, Place, Urgency};
 pub use pool::{Candidate, ConnectionPlan, Policy, Pool, SelectionCriteria};
 pub use rate::Rate;
 pub use retry_detector::RetryDetector;
