--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -194,7 +194,7 @@
         };
         let reservation = budget.reserve(least, most);
         let state = &mut *self.node.state.borrow_mut();
-        state.counters.body_bytes_peak = state.counters.body_bytes_peak.max(budget.used() as u64);
+        state.counters.body_bytes_peak = budget.peak() as u64;
         if reservation.is_none() {
             state.counters.refused_bodies += 1;
             let request = head.headers.get(&state.settings.headers.request_id);
