edge: a test of disconnects waits for events

a_disconnect_cancels_only_idempotent_requests looked 130 ms after the request whether an upstream that takes 200 ms is still at work: on a busy machine it is done by then, or the request has not arrived. Now an idempotent request must be cancelled while its upstream has 10 s of work left, and another one must last as long as its upstream works; neither deadline nor objective passes meanwhile. As strict: it fails if idempotent requests are left to finish, and if others are cancelled.

--- a/crates/edge/src/tests/requests.rs
+++ b/crates/edge/src/tests/requests.rs
@@ -2,9 +2,11 @@
 
 use std::time::{Duration, Instant};
 
+use route::ClientLimits;
+
 use super::fake::{
-    get, incarnation, ms, ok_response, post, read_to_end, refusal, run, start, write_raw, Caller,
-    EntryNode, Step, Upstream,
+    get, incarnation, ms, ok_response, post, read_to_end, refusal, run, start,
+    table_with_objective, write_raw, Caller, EntryNode, Step, Upstream,
 };
 
 fn text(text: &str) -> Step {
@@ -235,22 +237,32 @@
 /// while the upstream works, not when the response is written. A non-idempotent request is left to
 /// finish: half of its effect may be worse than all of it.
 #[yare::parameterized(
-    idempotent = { "/get/1", 1 },
-    at_most_once = { "/post/1", 0 },
+    idempotent = { "/get/1", ms(10_000), 1 },
+    at_most_once = { "/post/1", ms(200), 0 },
 )]
-fn a_disconnect_cancels_only_idempotent_requests(path: &str, abandoned: u32) {
+fn a_disconnect_cancels_only_idempotent_requests(path: &str, work_time: Duration, abandoned: u32) {
     run(async {
-        let upstream = Upstream::start(vec![vec![Step::Wait(ms(200)), ok_response("late")]]);
+        let upstream = Upstream::start(vec![vec![Step::Wait(work_time), ok_response("late")]]);
         let entry_node = start(&[&upstream]);
+        // Neither the deadline nor the objective passes while the upstream works.
+        let table = table_with_objective(2, ClientLimits::default(), 2 * ms(10_000));
+        entry_node.node.state.borrow_mut().apply_table(table);
         let mut caller = Caller::connect(entry_node.addr).await;
-        caller.write(&get(path, "7")).await;
-        monoio::time::sleep(ms(30)).await;
+        let sent_at = Instant::now();
+        caller.write(&get(path, "7").replace("500", "20000")).await;
+        while upstream.runs() == 0 {
+            assert!(sent_at.elapsed() < ms(5_000), "the request was not sent");
+            monoio::time::sleep(ms(5)).await;
+        }
         drop(caller);
+        while entry_node.node.state.borrow().in_flight > 0 {
+            assert!(sent_at.elapsed() < ms(9_000), "the disconnect was not noticed");
+            monoio::time::sleep(ms(5)).await;
+        }
+        assert!(abandoned == 1 || sent_at.elapsed() >= work_time, "it was not left to finish");
         monoio::time::sleep(ms(100)).await;
         assert_eq!(upstream.abandoned.get(), abandoned);
-        assert_eq!(entry_node.node.state.borrow().in_flight, u64::from(abandoned == 0));
-        monoio::time::sleep(ms(200)).await;
-        assert_eq!(entry_node.node.state.borrow().in_flight, 0);
+        assert_eq!(entry_node.node.state.borrow().counters.abandoned, 1);
     });
 }
 
