--- a/crates/config/src/template/access.rs
+++ b/crates/config/src/template/access.rs
@@ -75,7 +75,8 @@
         Ok(teams) => teams,
         Err(err) => {
             let name = match &err {
-                TeamError::SharedKey(_, name, _) | TeamError::SharedName(name) => name,
+                TeamError::SharedKey(_, name, _) | TeamError::SharedName(name) => name.as_str(),
+                TeamError::Name(name) => name.as_str(),
             };
             findings.error(&format!("teams.{name}.keys"), err.to_string());
             Teams::default()
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -220,7 +220,8 @@
 fn set_team(headers: &mut HeaderMap, call: &Call<'_>, names: &crate::HeaderNames) {
     headers.remove(http::header::AUTHORIZATION);
     headers.remove(&names.team);
-    if let Some(Ok(name)) = call.team.as_ref().map(|team| HeaderValue::from_str(&team.name)) {
-        headers.insert(&names.team, name);
+    if let Some(team) = &call.team {
+        let name = HeaderValue::from_bytes(team.name.as_bytes());
+        headers.insert(&names.team, name.expect("names of teams are checked"));
     }
 }
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -16,9 +16,13 @@
 /// during which two nodes consider themselves the owner.
 const RESERVE_SHARE: f64 = 0.3;
 
-/// Level at which the bucket of a new owner starts. The first request of a small team is then
-/// served soon after the start of a fleet; full buckets would allow a burst for each restart.
-const START_LEVEL: f64 = 1.0;
+/// Share of the tolerance that the buckets of new owners hold together. When a whole fleet starts,
+/// callers that have been waiting come at once, and would be refused below their team's rate; full
+/// buckets would allow a burst for each restart.
+const START_SHARE: f64 = 0.2;
+
+/// Minimum level at which a bucket starts: the first request of a small team is served at once.
+const MIN_START_LEVEL: f64 = 1.0;
 
 /// Time for which a node remembers that it owned a shard. Otherwise an unsteady view would add the
 /// starting level each time.
@@ -185,10 +189,9 @@
                         continue;
                     }
                     let limits = limits(self.bounds, view, quota, Role::Owner);
+                    let level = start_level(self.bounds, quota).min(limits.capacity);
                     let bucket = self.buckets.entry(key);
-                    bucket
-                        .or_insert_with(|| Bucket::new(START_LEVEL, limits, now))
-                        .resume(limits, now);
+                    bucket.or_insert_with(|| Bucket::new(level, limits, now)).resume(limits, now);
                 }
             }
         }
@@ -218,7 +221,7 @@
         };
         let limits = limits(self.bounds, view, quota, role);
         let key = (team.clone(), shard, role);
-        let new_bucket = || Bucket::new(START_LEVEL.min(limits.capacity), limits, now);
+        let new_bucket = || Bucket::new(MIN_START_LEVEL.min(limits.capacity), limits, now);
         let bucket = self.buckets.entry(key).or_insert_with(new_bucket);
         bucket.resume(limits, now);
         bucket.advance(limits, now);
@@ -264,6 +267,12 @@
     }
 }
 
+/// Returns the level at which the bucket of a shard starts that the node owns as far as it knows.
+fn start_level(bounds: Bounds, quota: &Quota) -> f64 {
+    let share = bounds.tolerance(quota) * START_SHARE / f64::from(shard_count(quota));
+    share.max(MIN_START_LEVEL)
+}
+
 /// Returns what the bucket of one shard may grant.
 fn limits(bounds: Bounds, view: &View, quota: &Quota, role: Role) -> Limits {
     let (shards, window) = (f64::from(shard_count(quota)), bounds.window);
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -315,7 +315,7 @@
         counts: (u32, u32),
         now: Instant,
     ) -> Answer {
-        match self.unanswered >= MAX_UNANSWERED {
+        match self.unanswered >= MAX_UNANSWERED && self.view.has_peers_alive() {
             true => Answer::NotOwner,
             false => self.ledger.ask(&self.view, part, counts, now),
         }
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -98,6 +98,11 @@
         self.me
     }
 
+    /// Returns true if any node besides this one is in touch.
+    pub fn has_peers_alive(&self) -> bool {
+        self.alive.len() > 1
+    }
+
     /// Returns the share of all known nodes that are in touch. An owner grants this share of the
     /// rate: nodes out of touch may have an owner of their own.
     ///
--- a/crates/quota/src/tests/decisions.rs
+++ b/crates/quota/src/tests/decisions.rs
@@ -91,6 +91,28 @@
     assert_eq!(refused, count + 1);
 }
 
+/// Guards against the last node of a fleet, which grants nothing as nobody is left to answer it.
+#[test]
+fn the_last_node_grants_its_part() {
+    let (teams, now) = (teams(Some(QUOTA)), Instant::now());
+    let mut node = Node::new(addr(0), [addr(0), addr(1)], BOUNDS, SmallRng::seed_from_u64(1));
+    let peer = |is_alive| [Member { addr: addr(1), is_alive }].into_iter();
+    node.apply_peers(peer(true), Phase::Ready);
+    node.apply_teams(&teams, now);
+    for n in 0..400 {
+        let at = now + ms(n * 20);
+        let (mut attempt, mut step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, at);
+        while let Step::Ask(..) = step {
+            step = node.timed_out(&mut attempt, at + ms(80));
+        }
+    }
+    node.apply_peers(peer(false), Phase::Ready);
+    let later = now + ms(10_000);
+    node.apply_teams(&teams, later);
+    let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, later + ms(500));
+    assert!(matches!(step, Step::Granted(_)), "{step:?}");
+}
+
 /// Guards against callers that are told to return before there can be a token for them.
 #[test]
 fn an_owner_names_the_time_when_all_that_were_refused_are_served() {
--- a/crates/team/src/lib.rs
+++ b/crates/team/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use identify::{identify, Caller, Unauthorized, SCHEME};
 pub use key::{KeyDigest, MAX_KEY_BYTES};
-pub use teams::{Quota, Team, TeamError, TeamName, Teams};
+pub use teams::{Quota, Team, TeamError, TeamName, Teams, MAX_NAME_BYTES};
 pub use text::DigestText;
 
 #[cfg(test)]
--- a/crates/team/src/teams.rs
+++ b/crates/team/src/teams.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Maximum length of a team's name, in bytes: it is sent in a header and in datagrams.
+pub const MAX_NAME_BYTES: usize = 200;
+
+fn is_valid_name(name: &str) -> bool {
+    (1..=MAX_NAME_BYTES).contains(&name.len())
+        && name.trim() == name
+        && !name.chars().any(char::is_control)
+}
+
 quick_error! {
     /// Why teams cannot be put into force together.
     #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +69,11 @@
         SharedKey(first: TeamName, second: TeamName, fingerprint: String) {
             display("teams {} and {} share the key {}", first, second, fingerprint)
         }
+        /// A name cannot be told to upstreams.
+        Name(name: String) {
+            display("{:?} is no name of a team: 1 to {} bytes without control characters, and \
+                     without blanks at its ends", name, MAX_NAME_BYTES)
+        }
         /// Two teams have the same name.
         SharedName(name: TeamName) {
             display("two teams are named {}", name)
@@ -87,11 +101,15 @@
     /// # Errors
     ///
     /// Returns a [`TeamError`] if two teams share a key or a name: it could not be told whose
-    /// request it is.
+    /// request it is; or if a name cannot be told to upstreams.
     pub fn new(
         mut teams: Vec<Team>,
         open_routes: impl IntoIterator<Item = SmolStr>,
     ) -> Result<Teams, TeamError> {
+        if let Some(team) = teams.iter().find(|team| !is_valid_name(&team.name)) {
+            let name = team.name.chars().take(MAX_NAME_BYTES).collect();
+            return Err(TeamError::Name(name));
+        }
         teams.sort_by(|a, b| a.name.cmp(&b.name));
         if let Some(pair) = teams.windows(2).find(|pair| pair[0].name == pair[1].name) {
             return Err(TeamError::SharedName(pair[0].name.clone()));
--- a/crates/team/src/tests.rs
+++ b/crates/team/src/tests.rs
@@ -63,6 +63,24 @@
     assert_eq!(Teams::new(shared, []), Err(expected));
 }
 
+/// Guards against requests that go out without their team's name, or with that of another team: a
+/// header holds no control characters, and blanks at its ends are stripped.
+#[yare::parameterized(
+    empty = { "" },
+    blank_at_the_end = { "north " },
+    line_break = { "north\r\nx-evil: 1" },
+    too_long = { &"n".repeat(201) },
+)]
+fn names_that_cannot_be_told_to_upstreams_are_refused(name: &str) {
+    let refused = Teams::new(vec![team(name, &["aaaa1111"])], []);
+    assert!(matches!(refused, Err(TeamError::Name(_))), "{refused:?}");
+}
+
+#[test]
+fn names_may_have_letters_of_any_language() {
+    assert!(Teams::new(vec![team("kalna muzejs \u{101}", &["aaaa1111"])], []).is_ok());
+}
+
 /// Guards against keys in logs and panic messages through `Debug`.
 #[test]
 fn debug_output_shows_no_key() {
