quota, edge: a team over its quota is refused before its bodies are received

Found in review: a POST of 200 kB of a team over its quota was received whole (no answer within 1 s) before the 429, on links and memory that other teams need. Tokens denied a moment ago refuse it right after its head now. over_the_quota_a_request_is_refused_before_its_body_is_received fails without it.

--- a/crates/edge/src/forward/identify.rs
+++ b/crates/edge/src/forward/identify.rs
@@ -13,25 +13,39 @@
 use crate::reply::LocalReply;
 
 impl Node {
-    /// Checks the key of a request whose body has not been received yet. [`Node::forward`] checks it
-    /// again, since the configuration may change meanwhile.
+    /// Checks the key of a request whose body has not been received yet, and whether its team is over
+    /// its quota. [`Node::forward`] checks both again, since they may change meanwhile.
     ///
     /// Requests without a route, and those that come before the first configuration, are left to
     /// [`Node::forward`].
     ///
     /// # Errors
     ///
-    /// Returns the response to a caller without a valid key.
-    pub fn check_key(&self, head: &h1::RequestHead) -> Result<(), LocalReply> {
+    /// Returns the response to a caller without a valid key, or whose team is over its quota.
+    pub fn check_caller(&self, head: &h1::RequestHead) -> Result<(), LocalReply> {
         let Some(table) = self.state.borrow().table.clone() else { return Ok(()) };
         let Some(route) = table.find(&head.host, head.path()) else { return Ok(()) };
-        match self.identify(head, &table, route) {
+        let checked = match self.identify(head, &table, route) {
+            Ok(Some(team)) if team.quota.is_some() => self.check_quota(head, &table, &team),
             Ok(_) => Ok(()),
-            Err(local_reply) => {
-                self.state.borrow_mut().counters.requests += 1;
-                Err(local_reply)
-            }
+            Err(local_reply) => Err(local_reply),
+        };
+        if checked.is_err() {
+            self.state.borrow_mut().counters.requests += 1;
         }
+        checked
+    }
+
+    fn check_quota(
+        &self,
+        head: &h1::RequestHead,
+        table: &Table,
+        team: &Team,
+    ) -> Result<(), LocalReply> {
+        let refusal = self.quotas.refuse_if_denied(team, Instant::now());
+        let Some(why) = refusal else { return Ok(()) };
+        let names = self.state.borrow().settings.headers.clone();
+        Err(self.refuse_for_quota(request_id_of(head, &names), table.version, team, why))
     }
 
     /// Returns the team that a request belongs to; `None` if its route needs no key and it has none.
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -135,6 +135,11 @@
         Status { shards_owned: core.owned_count(), teams }
     }
 
+    /// Refuses a request before its body is received, if tokens of its team were denied a moment ago.
+    pub fn refuse_if_denied(&self, team: &Team, now: Instant) -> Option<Refusal> {
+        self.core.borrow_mut().refuse_if_denied(team, now)
+    }
+
     /// Returns the number of shards that the node grants tokens of.
     pub fn owned_count(&self) -> usize {
         self.core.borrow().owned_count()
--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -71,9 +71,9 @@
         let limits = limits(self.node);
         let mut decoder = h1::Decoder::new(head.framing);
         let checked = match decoder.is_done() {
-            // Without a body to wait for, forwarding the request checks its key just as early.
+            // Without a body to wait for, forwarding the request checks its caller just as early.
             true => Ok(()),
-            false => self.node.check_key(&head),
+            false => self.node.check_caller(&head),
         };
         if let Err(local_reply) = checked {
             return self.reject_unread(local_reply, &head, &mut decoder).await;
--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -65,10 +65,24 @@
     (test, n): (u8, u8),
     peers: &[u8],
     teams: Teams,
+) -> (EntryNode, Rc<Cell<bool>>) {
+    start_with_slack(0.0, socket, upstreams, (test, n), peers, teams)
+}
+
+/// Same as [`start_with`], with requests by which a quota may be exceeded. Without any, each bucket
+/// starts with one token and nothing is granted in place of silent owners.
+fn start_with_slack(
+    slack: f64,
+    socket: UdpSocket,
+    upstreams: &[&Upstream],
+    (test, n): (u8, u8),
+    peers: &[u8],
+    teams: Teams,
 ) -> (EntryNode, Rc<Cell<bool>>) {
     let entry = fake::start_with(upstreams, |settings| {
         settings.peer_addr = peer_addr(test, n);
         settings.quota_addr = Some(quota_addr(test, n));
+        settings.quota_bounds = quota::Bounds { overshoot: 0.0, slack, ..settings.quota_bounds };
     });
     {
         let state = &mut *entry.node.state.borrow_mut();
@@ -190,6 +204,24 @@
     });
 }
 
+/// Guards against receiving the long bodies of a team that is over its quota: they would take the
+/// node's link and memory from other teams, only to be refused.
+#[test]
+fn over_the_quota_a_request_is_refused_before_its_body_is_received() {
+    run(async {
+        let upstream = serving_upstream();
+        let entry = start_alone(16, &[&upstream], NO_RATE, 1.0);
+        while ask(&entry, "1").await.status == 200 {}
+        let head = "POST /post/1 HTTP/1.1\r\nHost: seeds.example\r\nx-id: 2\r\nx-deadline: 500\r\n\
+                    Authorization: Bearer key1\r\nContent-Length: 200000\r\n\r\n";
+        let mut caller = Caller::connect(entry.addr).await;
+        let asking = monoio::time::timeout(Duration::from_secs(1), caller.ask(head));
+        let response = asking.await.expect("answered at once");
+        assert_eq!(response.status, 429);
+        assert!(response.headers.contains_key("retry-after"));
+    });
+}
+
 /// Guards against a team that pays for requests that never ran.
 #[test]
 fn a_request_that_did_not_run_returns_its_token() {
@@ -253,7 +285,9 @@
         let upstream = serving_upstream();
         let name = team_of_node_2(6);
         let owner = FakeOwner::start(quota_addr(6, 2), ms(0), |_, _| None);
-        let entry = start(&[&upstream], (6, 1), &[2], teams(&name, NO_RATE, 1.0));
+        let socket = UdpSocket::bind(quota_addr(6, 1)).expect("binds");
+        let teams = teams(&name, NO_RATE, 1.0);
+        let (entry, _) = start_with_slack(10.0, socket, &[&upstream], (6, 1), &[2], teams);
         assert_eq!(ask(&entry, "a").await.status, 200);
         let refused = ask(&entry, "b").await;
         assert_eq!(refused.status, 503);
@@ -272,7 +306,9 @@
         let grant = |count, seq| (count == 1).then_some(Message::Grant { seq, tokens: 1 });
         let late = quota::ASK_TIMEOUT + ms(40);
         let owner = FakeOwner::start(quota_addr(7, 2), late, grant);
-        let entry = start(&[&upstream], (7, 1), &[2], teams(&name, NO_RATE, 1.0));
+        let socket = UdpSocket::bind(quota_addr(7, 1)).expect("binds");
+        let teams = teams(&name, NO_RATE, 1.0);
+        let (entry, _) = start_with_slack(10.0, socket, &[&upstream], (7, 1), &[2], teams);
         assert_eq!(ask(&entry, "a").await.status, 200, "from the reserve");
         monoio::time::sleep(ms(80)).await;
         assert_eq!(ask(&entry, "b").await.status, 200, "from the late grant");
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -224,6 +224,18 @@
         (attempt, step)
     }
 
+    /// Refuses a request before its body is received, if tokens of its team were denied a moment ago
+    /// and this node holds none.
+    pub fn refuse_if_denied(&mut self, team: &Team, now: Instant) -> Option<Refusal> {
+        let allowance = self.allowances.get_mut(&team.name)?;
+        if allowance.held(now).0 > 0 {
+            return None;
+        }
+        let retry_after = allowance.refuse_if_denied(now, &mut self.rng)?;
+        self.counts.entry(team.name.clone()).or_default().over_quota += 1;
+        Some(Refusal::OverQuota { retry_after, denied_by: None })
+    }
+
     /// Continues with the answer to the question of `attempt`.
     pub fn answered(&mut self, attempt: &mut Attempt, answer: Answer, now: Instant) -> Step {
         let question = attempt.seq.take().and_then(|seq| self.questions.remove(&seq));
