edge: a response that is arriving is not cut, a vanished send is awaited without a second

The guard of an unanswered request lived until up to 64 KiB of the response body were there: a report of an idle upstream meanwhile took the request for vanished, and its caller got 502. The guard ends with the head of the response. A vanished send is given up only once another one is granted (attempts left, no hedge in flight, another upstream chosen, retry budget); that is tried again while the first is awaited.

--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -80,11 +80,24 @@
     pub(super) upstreams: Vec<Incarnation>,
     /// How many of them the request may have reached.
     pub(super) reached: u32,
+    /// How many of its sends are in flight.
+    pub(super) in_flight: u32,
+    /// The upstream that gets it instead of one at which it vanished; the second send is withdrawn
+    /// from the retry budget already.
+    pub(super) granted: Option<Choice>,
 }
 
 impl Tried {
+    /// Records a send to an upstream that is about to begin.
+    pub(super) fn record_send(&mut self, upstream: &Incarnation) {
+        self.upstreams.push(upstream.clone());
+        self.reached += 1;
+        self.in_flight += 1;
+    }
+
     /// Records the outcome of the only send in flight and returns it.
     pub(super) fn record_outcome(&mut self, outcome: Outcome) -> Outcome {
+        self.in_flight = 0;
         if matches!(outcome, Outcome::NotSent) {
             self.reached -= 1;
         }
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -1,5 +1,6 @@
 //! The sends of one request: retries one after the other, and hedges beside an overdue send.
 
+use std::cell::RefCell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -59,6 +60,14 @@
     }
 }
 
+/// Why a request gets no further send.
+enum NotChosen {
+    /// No upstream was chosen.
+    NoChoice(NoChoice),
+    /// The retry budget is used up.
+    OverBudget,
+}
+
 /// Returns true for a response that is passed on even if the request could be sent again.
 fn is_final(outcome: &Outcome) -> bool {
     matches!(outcome, Outcome::Answered(response) if !response.head.status.is_server_error())
@@ -89,23 +98,28 @@
                 return self.send_streaming(call, first, reader, decoder).await
             }
         };
-        let mut tried = Tried::default();
+        let tried = RefCell::new(Tried::default());
         let mut fallback = Fallback::NotRun;
         loop {
-            let choice = match self.choose(call, &tried.upstreams, WaitPolicy::Allowed).await {
-                Ok(choice) => choice,
-                Err(why) => return self.refuse(call, why, fallback),
+            let granted = tried.borrow_mut().granted.take();
+            let choice = match granted {
+                Some(choice) => choice,
+                None => match self.choose_next(call, &tried).await {
+                    Ok(choice) => choice,
+                    Err(NotChosen::NoChoice(why)) => return self.refuse(call, why, fallback),
+                    Err(NotChosen::OverBudget) => {
+                        return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL)
+                    }
+                },
             };
-            if tried.upstreams.is_empty() {
-                self.state.borrow_mut().record_first_send(&call.service);
-            } else if tried.reached > 0 && !self.state.borrow_mut().try_second_send(&call.service) {
-                call.log_line("second_send_over_budget").log();
-                return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL);
-            }
-            let outcome = self.send_hedged(call, choice, &mut tried, &buffered).await;
-            let attempts_left = tried.reached < call.route.attempts;
+            let outcome = self.send_hedged(call, choice, &tried, &buffered).await;
+            let (reached, upstreams) = {
+                let tried = tried.borrow();
+                (tried.reached, tried.upstreams.len())
+            };
+            let attempts_left = reached < call.route.attempts;
             match outcome {
-                Outcome::NotSent if tried.upstreams.len() < MAX_UPSTREAMS_TRIED => {}
+                Outcome::NotSent if upstreams < MAX_UPSTREAMS_TRIED => {}
                 Outcome::NotSent => return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL),
                 Outcome::Answered(response) if !response.head.status.is_server_error() => {
                     return Reply::Upstream(response)
@@ -128,6 +142,60 @@
         }
     }
 
+    /// Chooses the upstream for the first send, or for another one within the retry budget.
+    async fn choose_next(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        tried: &RefCell<Tried>,
+    ) -> Result<Choice, NotChosen> {
+        let (upstreams, reached) = {
+            let tried = tried.borrow();
+            (tried.upstreams.clone(), tried.reached)
+        };
+        let choosing = self.choose(call, &upstreams, WaitPolicy::Allowed);
+        let choice = choosing.await.map_err(NotChosen::NoChoice)?;
+        let mut state = self.state.borrow_mut();
+        if upstreams.is_empty() {
+            state.record_first_send(&call.service);
+        } else if reached > 0 && !state.try_second_send(&call.service) {
+            drop(state);
+            call.log_line("second_send_over_budget").log();
+            return Err(NotChosen::OverBudget);
+        }
+        Ok(choice)
+    }
+
+    /// Grants another send to a request that has vanished, which is to be sent to
+    /// [`Tried::granted`]. Returns false if it gets none now: while a hedge is in flight, without
+    /// attempts or retry budget left, or while no other upstream can take it.
+    pub(super) async fn grant_second_send(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        tried: &RefCell<Tried>,
+        unanswered: &Unanswered,
+    ) -> bool {
+        let may_send = || {
+            let tried = tried.borrow();
+            unanswered.is_unanswered()
+                && tried.in_flight <= 1
+                && tried.reached < call.route.attempts
+                && !self.has_repeated_crashes(call)
+        };
+        if !may_send() {
+            return false;
+        }
+        let upstreams = tried.borrow().upstreams.clone();
+        let Ok(choice) = self.choose(call, &upstreams, WaitPolicy::Allowed).await else {
+            return false;
+        };
+        // A hedge may have been sent meanwhile, or the response may have begun to arrive.
+        if !may_send() || !self.state.borrow_mut().try_second_send(&call.service) {
+            return false;
+        }
+        tried.borrow_mut().granted = Some(choice);
+        true
+    }
+
     /// Logs why no upstream was chosen for a request, and returns the response to its caller.
     fn refuse(&self, call: &Call<'_>, why: NoChoice, fallback: Fallback) -> Reply {
         let line = call.log_line("refused");
@@ -179,12 +247,11 @@
         self: &Rc<Node>,
         call: &Call<'_>,
         choice: Choice,
-        tried: &mut Tried,
+        tried: &RefCell<Tried>,
         body: &Bytes,
     ) -> Outcome {
-        tried.upstreams.push(choice.upstream.clone());
-        tried.reached += 1;
-        let mut first = pin!(self.send(call, &choice, body));
+        tried.borrow_mut().record_send(&choice.upstream);
+        let mut first = pin!(self.send(call, &choice, tried, body));
         let at = |factor: f64| call.received_at + choice.predicted_latency.mul_f64(factor);
         let last_hedge_at = call.deadline
             - choice.predicted_latency.mul_f64(MIN_HEDGE_LATENCY_RATIO).min(call.deadline_left());
@@ -194,13 +261,13 @@
         ] {
             let timer = due.saturating_duration_since(Instant::now());
             monoio::select! {
-                outcome = &mut first => return tried.record_outcome(outcome),
+                outcome = &mut first => return tried.borrow_mut().record_outcome(outcome),
                 () = monoio::time::sleep(timer) => {}
             }
             self.record_overdue(call, &choice, factor);
             // A concurrent copy of a suspected request could crash a second upstream.
             let may_hedge = call.is_idempotent()
-                && tried.reached < call.route.attempts
+                && tried.borrow().reached < call.route.attempts
                 && self.quarantine_decision(call) == Decision::Allow;
             let is_futile = factor < MIN_LATE_HEDGE_LATENCY_RATIO
                 && call.objective_left() < choice.predicted_latency;
@@ -208,9 +275,10 @@
                 continue;
             }
             // A response that comes while another upstream is being chosen is returned at once.
+            let upstreams = tried.borrow().upstreams.clone();
             let other = monoio::select! {
-                outcome = &mut first => return tried.record_outcome(outcome),
-                other = self.choose(call, &tried.upstreams, WaitPolicy::Forbidden) => other,
+                outcome = &mut first => return tried.borrow_mut().record_outcome(outcome),
+                other = self.choose(call, &upstreams, WaitPolicy::Forbidden) => other,
             };
             let Ok(other) = other else { continue };
             if !self.state.borrow_mut().try_hedge(&call.service) {
@@ -220,21 +288,29 @@
                 .field("upstream", choice.upstream.id())
                 .field("other", other.upstream.id())
                 .log();
-            tried.upstreams.push(other.upstream.clone());
-            tried.reached += 1;
-            let mut second = pin!(self.send(call, &other, body));
-            return monoio::select! {
+            tried.borrow_mut().record_send(&other.upstream);
+            let mut second = pin!(self.send(call, &other, tried, body));
+            let outcome = monoio::select! {
                 outcome = &mut first => match is_final(&outcome) {
                     true => outcome,
-                    false => combine(outcome, second.await),
+                    false => {
+                        tried.borrow_mut().in_flight = 1;
+                        combine(outcome, second.await)
+                    }
                 },
                 outcome = &mut second => match is_final(&outcome) {
                     true => outcome,
-                    false => combine(outcome, first.await),
+                    false => {
+                        tried.borrow_mut().in_flight = 1;
+                        combine(outcome, first.await)
+                    }
                 },
             };
+            tried.borrow_mut().in_flight = 0;
+            return outcome;
         }
-        tried.record_outcome(first.await)
+        let outcome = first.await;
+        tried.borrow_mut().record_outcome(outcome)
     }
 
     /// Records that an upstream has not responded for `factor` times the predicted latency.
@@ -248,7 +324,13 @@
     }
 
     /// Sends a request whose body was received in full to the chosen upstream.
-    async fn send(self: &Rc<Node>, call: &Call<'_>, choice: &Choice, body: &Bytes) -> Outcome {
+    async fn send(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        choice: &Choice,
+        tried: &RefCell<Tried>,
+        body: &Bytes,
+    ) -> Outcome {
         let length = call.head.framing != h1::Framing::Empty;
         let length = length.then(|| HeaderValue::from(body.len()));
         let unanswered = Unanswered::new(&self.state, call, choice);
@@ -264,8 +346,8 @@
             SendResult::Complete
         };
         let framing = length.map(|length| (http::header::CONTENT_LENGTH, length));
-        let sending = self.send_with(call, choice, framing, &first, write_rest);
-        self.unless_vanished(call, choice, &unanswered, sending).await
+        let sending = self.send_with(call, choice, framing, &first, &unanswered, write_rest);
+        self.unless_vanished(call, choice, tried, &unanswered, sending).await
     }
 
     /// Sends a request whose body is still being received. It is never sent a second time.
@@ -306,7 +388,10 @@
                 return SendResult::UpstreamClosed;
             }
         };
-        match self.send_with(call, &choice, Some(framing), &first, write_rest).await {
+        // It is never taken for vanished: a part of it may still be on its way.
+        let unanswered = Unanswered::new(&self.state, call, &choice);
+        let sending = self.send_with(call, &choice, Some(framing), &first, &unanswered, write_rest);
+        match sending.await {
             Outcome::Answered(response) => Reply::Upstream(response),
             Outcome::NotRun(..) | Outcome::NotSent => {
                 give_up(Fallback::NotRun, RETRY_AFTER_UPSTREAM_REFUSAL)
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -9,6 +9,7 @@
 use web::h1;
 
 use super::call::{Call, Choice, SendRecord};
+use super::silence::Unanswered;
 use super::Node;
 use crate::exchange::{self, Outcome, OutgoingRequest, Response, ResponseTo, SendResult};
 use crate::state::Outstanding;
@@ -25,12 +26,14 @@
 impl Node {
     /// Sends a request to the chosen upstream and records the outcome. `write_rest` sends what
     /// follows `body`; `framing` is the header that states the length or the coding of both.
+    /// `unanswered` ends with the head of the response.
     pub(super) async fn send_with<F>(
         self: &Rc<Node>,
         call: &Call<'_>,
         choice: &Choice,
         framing: Option<(http::HeaderName, HeaderValue)>,
         body: &Bytes,
+        unanswered: &Unanswered,
         write_rest: F,
     ) -> Outcome
     where
@@ -82,6 +85,9 @@
         let was_reused = conn.used;
         let requested_at = Instant::now();
         let on_response_head = |head: &h1::ResponseHead, to: ResponseTo| {
+            if to == ResponseTo::Current {
+                unanswered.end();
+            }
             let is_full_statement = to == ResponseTo::Current && head.status.is_success();
             let requested_at = is_full_statement.then_some(requested_at);
             self.apply_signals(&choice.upstream, head.status, &head.headers, requested_at);
--- a/crates/edge/src/forward/silence.rs
+++ b/crates/edge/src/forward/silence.rs
@@ -1,6 +1,6 @@
 //! Requests that vanish at upstreams that are full, and say nothing.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +8,7 @@
 use place::Incarnation;
 use route::ServiceName;
 
-use super::call::{Call, Choice};
+use super::call::{Call, Choice, Tried};
 use super::Node;
 use crate::exchange::Outcome;
 use crate::probe;
@@ -24,7 +24,8 @@
 /// Shortest time after which the upstream is asked: the request has arrived for sure by then.
 const MIN_PAUSE: Duration = Duration::from_millis(60);
 
-/// An unanswered request, from when all of it was sent until this guard is dropped.
+/// An unanswered request, from when all of it was sent until the head of its response is there or
+/// this guard is dropped.
 pub(super) struct Unanswered {
     state: SharedState,
     service: ServiceName,
@@ -50,6 +51,11 @@
         self.id.set(Some(id));
     }
 
+    /// Returns true if the request was sent and no response to it has begun to arrive.
+    pub(super) fn is_unanswered(&self) -> bool {
+        self.id.get().is_some()
+    }
+
     /// Returns what `read` makes of the state of the request's service; `None` before it was sent.
     fn read<T>(&self, read: impl FnOnce(&mut Silence, SendId) -> T) -> Option<T> {
         let id = self.id.get()?;
@@ -58,9 +64,17 @@
     }
 }
 
+impl Unanswered {
+    /// Records that the request was answered or given up.
+    pub(super) fn end(&self) {
+        self.read(Silence::record_ended);
+        self.id.set(None);
+    }
+}
+
 impl Drop for Unanswered {
     fn drop(&mut self) {
-        self.read(Silence::record_ended);
+        self.end();
     }
 }
 
@@ -75,12 +89,14 @@
         pool.silence_mut().record_refusal(report.map(|(load, _)| load), now);
     }
 
-    /// Waits for the outcome of a send. If its upstream turns out not to hold the request, and the
-    /// request may run again, the send is given up.
+    /// Waits for the outcome of a send. If its upstream turns out not to hold the request, the
+    /// request may run again and another send of it is granted, this one is given up. Else its
+    /// response, which may only be late, is worth more than none.
     pub(super) async fn unless_vanished(
         self: &Rc<Node>,
         call: &Call<'_>,
         choice: &Choice,
+        tried: &RefCell<Tried>,
         unanswered: &Unanswered,
         sending: impl std::future::Future<Output = Outcome>,
     ) -> Outcome {
@@ -92,9 +108,25 @@
         call.log_line("vanished").field("upstream", choice.upstream.id()).log();
         // Whether a request that must not run twice has run is not known: its response may have
         // been lost.
-        match call.is_idempotent() {
-            true => Outcome::Lost(VANISHED),
-            false => sending.await,
+        if !call.is_idempotent() {
+            return sending.await;
+        }
+        monoio::select! {
+            outcome = &mut sending => outcome,
+            () = self.wait_for_grant(call, choice, tried, unanswered) => Outcome::Lost(VANISHED),
+        }
+    }
+
+    /// Returns once another send of a vanished request is granted.
+    async fn wait_for_grant(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        choice: &Choice,
+        tried: &RefCell<Tried>,
+        unanswered: &Unanswered,
+    ) {
+        while !self.grant_second_send(call, tried, unanswered).await {
+            monoio::time::sleep(choice.predicted_latency.max(MIN_PAUSE)).await;
         }
     }
 
@@ -117,8 +149,12 @@
         }
         monoio::time::sleep(MAX_TRANSIT).await;
         let is_new = unanswered.read(|silence, id| silence.record_vanished(id, Instant::now()));
+        let Some(is_new) = is_new else {
+            // Its response has begun to arrive.
+            return std::future::pending().await;
+        };
         self.state.borrow_mut().counters.vanished += 1;
-        if is_new == Some(true) {
+        if is_new {
             trace::Line::new("service_silent").field("service", call.service.as_str()).log();
         }
     }
--- a/crates/edge/src/tests/silent.rs
+++ b/crates/edge/src/tests/silent.rs
@@ -11,8 +11,8 @@
 use web::Handler;
 
 use super::fake::{
-    get, header_names, incarnation, ms, run, start, table_with_objective, Caller, EntryNode,
-    BORN_MS,
+    self, get, header_names, incarnation, ms, run, start, table_with_objective, Caller, EntryNode,
+    Step, BORN_MS,
 };
 
 /// Slots of an upstream. With so many, the first requests in the queue are expected to wait for so
@@ -243,3 +243,62 @@
         assert!(!is_silent(&entry_node));
     });
 }
+
+/// Returns an entry node in front of `upstream`, to which a request is under way, and
+/// which then reported, in the response to another request, that it holds none.
+async fn start_after_idle_report(upstream: &fake::Upstream) -> (EntryNode, Caller) {
+    let entry_node = start(&[upstream]);
+    let mut caller = Caller::connect(entry_node.addr).await;
+    caller.write(&get("/get/1", "7").replace("x-deadline: 500", "x-deadline: 1500")).await;
+    monoio::time::sleep(ms(100)).await;
+    let load = Load { running: 0, waiting: 0, slots: 4, slowness: 1.0 };
+    entry_node.node.state.borrow_mut().pools.get_mut("desk").expect("desk").record_report(
+        &incarnation("u0"),
+        Some(load),
+        Instant::now(),
+    );
+    (entry_node, caller)
+}
+
+/// Guards against a response that is cut, and its caller told 502, while its body still arrives.
+#[test]
+fn a_response_that_is_arriving_is_not_cut() {
+    run(async {
+        let head =
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 6\r\n\r\none";
+        let script = vec![Step::Write(head.into()), Step::Wait(ms(400)), Step::Write("two".into())];
+        let upstream = fake::Upstream::start(vec![script, vec![fake::ok_response("again")]]);
+        let (entry_node, mut caller) = start_after_idle_report(&upstream).await;
+        let response = caller.read().await.expect("a response");
+        assert_eq!(
+            (
+                response.status,
+                response.body.as_str(),
+                counters(&entry_node).vanished,
+                upstream.runs()
+            ),
+            (200, "onetwo", 0, 1)
+        );
+    });
+}
+
+/// Guards against 502 to a caller whose response comes late: no other upstream can take the request,
+/// so that giving up the send gains nothing.
+#[test]
+fn a_vanished_request_that_cannot_be_sent_again_is_awaited() {
+    run(async {
+        let script = vec![Step::Wait(ms(400)), fake::ok_response("late")];
+        let upstream = fake::Upstream::start(vec![script, vec![fake::ok_response("again")]]);
+        let (entry_node, mut caller) = start_after_idle_report(&upstream).await;
+        let response = caller.read().await.expect("a response");
+        assert_eq!(
+            (
+                response.status,
+                response.body.as_str(),
+                counters(&entry_node).vanished,
+                upstream.runs()
+            ),
+            (200, "late", 1, 1)
+        );
+    });
+}
