place: two vanished requests make a service silent, a refusal at a full queue ends it

A service that refuses properly, or lost one response, counted as silent for the whole fleet for ten minutes. While a refusal at a full queue is on record the service is not silent, whatever vanished or a peer claims. A peer's claim counts for a minute at a time. Only a 503 that came at once is a refusal.

Seen to fail before, on: one_lost_response_is_no_silence, a_service_seen_to_refuse_is_not_silent_by_lost_responses and _by_a_peer, a_refusal_at_a_full_queue_ends_the_silence. The other new ones test functions that were not there (record_claim, is_at_once).

--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -143,7 +143,11 @@
             }
             Outcome::NotRun(status, headers) => {
                 self.record_load(service, upstream, headers);
-                self.record_refusal(service, upstream);
+                let size_bytes = call.body_start.len();
+                let is_at_once = place::silence::is_at_once(elapsed, size_bytes);
+                if *status == StatusCode::SERVICE_UNAVAILABLE && is_at_once {
+                    self.record_refusal(service, upstream);
+                }
                 call.log_line("not_run_by_upstream")
                     .field("upstream", upstream.id())
                     .field("status", status.as_u16())
--- a/crates/edge/src/forward/silence.rs
+++ b/crates/edge/src/forward/silence.rs
@@ -79,7 +79,8 @@
 }
 
 impl Node {
-    /// Records that an upstream refused a request, which those that go silent when full do not.
+    /// Records that an upstream refused a request at once for lack of room, which those that go
+    /// silent when full do not.
     pub(super) fn record_refusal(&self, service: &ServiceName, upstream: &Incarnation) {
         let now = Instant::now();
         let state = &mut *self.state.borrow_mut();
@@ -113,7 +114,7 @@
         }
         monoio::select! {
             outcome = &mut sending => outcome,
-            () = self.wait_for_grant(call, choice, tried, unanswered) => Outcome::Lost(VANISHED),
+            () = self.wait_for_grant(call, tried, unanswered) => Outcome::Lost(VANISHED),
         }
     }
 
@@ -121,12 +122,11 @@
     async fn wait_for_grant(
         self: &Rc<Node>,
         call: &Call<'_>,
-        choice: &Choice,
         tried: &RefCell<Tried>,
         unanswered: &Unanswered,
     ) {
         while !self.grant_second_send(call, tried, unanswered).await {
-            monoio::time::sleep(choice.predicted_latency.max(MIN_PAUSE)).await;
+            monoio::time::sleep(MIN_PAUSE).await;
         }
     }
 
--- a/crates/edge/src/rooms.rs
+++ b/crates/edge/src/rooms.rs
@@ -101,7 +101,7 @@
     for silent in &extension.silent_services {
         let Some(pool) = state.pools.get_mut(&silent.service) else { continue };
         let left = Duration::from_secs(silent.left_s.into());
-        if pool.silence_mut().record_silent(left, now) && !left.is_zero() {
+        if pool.silence_mut().record_claim(left, now) {
             trace::Line::new("service_silent")
                 .field("service", silent.service.as_str())
                 .field("peer", extension.sender)
--- a/crates/place/src/silence.rs
+++ b/crates/place/src/silence.rs
@@ -15,10 +15,22 @@
 const MIN_LINK_BYTES_PER_S: f64 = 1e6;
 
 /// Time for which a service counts as silent after the last request that vanished. A service that
-/// has changed its behavior is served as any other after ten minutes, and one that has not loses one
-/// request in that time.
+/// has changed its behavior is served as any other after ten minutes, and one that has not loses
+/// [`MIN_VANISHED`] requests in that time.
 pub const SILENT_TTL: Duration = Duration::from_secs(600);
 
+/// Requests that vanish at full upstreams, each within [`SILENT_TTL`] of the one before, until the
+/// service counts as silent: a single one may be a lost response.
+pub const MIN_VANISHED: u32 = 2;
+
+/// Time for which a peer's claim that a service is silent counts: a peer that is wrong, or has
+/// learned better, does no more harm than that.
+pub const MAX_CLAIM_TTL: Duration = Duration::from_secs(60);
+
+/// Time within which an upstream refuses a request that it cannot queue, besides that of the
+/// transfer. A later refusal tells of a deadline that passed in the queue.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(100);
+
 /// Age up to which a report tells that there is room in a queue: that of one that was just asked
 /// for. Other nodes decide by the same report meanwhile.
 pub const MAX_QUEUE_REPORT_AGE: Duration = Duration::from_millis(10);
@@ -48,8 +60,12 @@
 /// deadline, where a refusal would have let them go elsewhere at once.
 ///
 /// A request has vanished if its upstream, later, reports that it holds no requests at all, and the
-/// request is still unanswered. If the upstream's queue was at its longest meanwhile, the service
-/// counts as silent. Lost responses look the same, but also come from upstreams that are not full.
+/// request is still unanswered. If the upstream's queue was at its longest meanwhile, and it is not
+/// the only such request, the service counts as silent. Lost responses look the same, but also come
+/// from upstreams that are not full.
+///
+/// A service that was seen to refuse a request at a full queue is not silent, whatever vanishes and
+/// whatever peers claim: what vanished then was a lost response.
 #[derive(Clone, Debug, Default)]
 pub struct Silence {
     next_id: SendId,
@@ -58,6 +74,9 @@
     longest_queue: u32,
     /// Whether a request vanished at a queue of that length.
     has_seen_full_queue: bool,
+    /// Requests that vanished at full upstreams, and when the last one did.
+    vanished: u32,
+    vanished_at: Option<Instant>,
     silent_until: Option<Instant>,
     /// When an upstream last refused a request while its queue was at its longest.
     refused_at: Option<Instant>,
@@ -74,11 +93,10 @@
         now: Instant,
     ) -> SendId {
         self.next_id += 1;
-        let on_link = Duration::from_secs_f64(size_bytes as f64 / MIN_LINK_BYTES_PER_S);
         self.unanswered.push(UnansweredSend {
             id: self.next_id,
             upstream: upstream.clone(),
-            arrives_by: now + MAX_TRANSIT + on_link,
+            arrives_by: now + MAX_TRANSIT + transfer_time(size_bytes),
             longest_queue: load.map_or(0, |load| load.waiting),
             has_vanished: false,
         });
@@ -99,14 +117,21 @@
         }
     }
 
-    /// Records that an upstream refused a request; `load` is the report in its refusal.
+    /// Records that an upstream refused a request for lack of room; `load` is the report in its
+    /// refusal. If its queue was at its longest, the service is not silent.
     pub fn record_refusal(&mut self, load: Option<Load>, now: Instant) {
         let is_full = |load: Load| load.waiting > 0 && load.waiting >= self.longest_queue;
         if load.is_some_and(is_full) {
             self.refused_at = Some(now);
+            (self.silent_until, self.vanished) = (None, 0);
         }
     }
 
+    /// Returns true while a refusal at a full queue is on record.
+    pub fn refuses(&self, now: Instant) -> bool {
+        self.refused_at.is_some_and(|at| at + SILENT_TTL > now)
+    }
+
     /// Returns true if the upstream that got a request has reported that it does not hold it. A
     /// response that is not there [`MAX_TRANSIT`] later will not come.
     pub fn has_vanished(&self, id: SendId) -> bool {
@@ -118,13 +143,28 @@
     pub fn record_vanished(&mut self, id: SendId, now: Instant) -> bool {
         let Some(send) = self.unanswered.iter().find(|send| send.id == id) else { return false };
         let was_full = send.longest_queue > 0 && send.longest_queue >= self.longest_queue;
-        self.has_seen_full_queue |= was_full;
-        was_full && self.record_silent(SILENT_TTL, now)
+        if !was_full || self.refuses(now) {
+            return false;
+        }
+        self.has_seen_full_queue = true;
+        let is_recent = self.vanished_at.is_some_and(|at| at + SILENT_TTL > now);
+        self.vanished = if is_recent { self.vanished + 1 } else { 1 };
+        self.vanished_at = Some(now);
+        self.vanished >= MIN_VANISHED && self.record_silent(SILENT_TTL, now)
     }
 
-    /// Records that upstreams of the service are silent when full, as this node or a peer found, and
-    /// for how much longer that counts. Returns true if it was not known.
+    /// Records that a peer claims that the upstreams of the service are silent when full, and for how
+    /// much longer. Returns true if it was not known.
+    pub fn record_claim(&mut self, left: Duration, now: Instant) -> bool {
+        self.record_silent(left.min(MAX_CLAIM_TTL), now)
+    }
+
+    /// Records that upstreams of the service are silent when full, and for how much longer that
+    /// counts; without effect while a refusal is on record. Returns true if it was not known.
     pub fn record_silent(&mut self, left: Duration, now: Instant) -> bool {
+        if self.refuses(now) || left.is_zero() {
+            return false;
+        }
         let is_new = !self.is_silent(now);
         self.silent_until = self.silent_until.max(Some(now + left.min(SILENT_TTL)));
         is_new
@@ -144,9 +184,8 @@
     /// Returns true if an overdue request is worth asking its upstream about: the upstream may have
     /// been full, and the service has not been seen to refuse what it cannot queue.
     pub fn is_suspect(&self, id: SendId, now: Instant) -> bool {
-        let refuses = self.refused_at.is_some_and(|at| at + SILENT_TTL > now);
         let has_queued = self.unanswered.iter().any(|send| send.id == id && send.longest_queue > 0);
-        self.is_silent(now) || (has_queued && !refuses)
+        self.is_silent(now) || (has_queued && !self.refuses(now))
     }
 
     /// Returns true if a request fits into the queue of an upstream for sure, or if the service
@@ -172,6 +211,16 @@
     }
 }
 
+/// Returns the time that a request takes over a slow link.
+fn transfer_time(size_bytes: usize) -> Duration {
+    Duration::from_secs_f64(size_bytes as f64 / MIN_LINK_BYTES_PER_S)
+}
+
+/// Returns true if a refusal that came after `elapsed` came at once.
+pub fn is_at_once(elapsed: Duration, size_bytes: usize) -> bool {
+    elapsed <= MAX_REFUSAL_TIME + transfer_time(size_bytes)
+}
+
 /// What is known of the room at an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Room {
--- a/crates/place/src/silence/tests.rs
+++ b/crates/place/src/silence/tests.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::{Room, Silence, MAX_TRANSIT, SILENT_TTL};
+use super::{is_at_once, Room, Silence, MAX_TRANSIT, SILENT_TTL};
 use crate::upstream::Load;
 use crate::Incarnation;
 
@@ -35,6 +35,9 @@
     assert!(!silence.has_vanished(id));
     silence.record_report(&upstream("u0"), load(0, 0), now + ms(500));
     assert!(silence.has_vanished(id));
+    assert!(!silence.record_vanished(id, now + ms(800)), "one may be a lost response");
+    let id = silence.record_sent(&upstream("u0"), Some(load(2, 4)), 500, now);
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(700));
     assert!(silence.record_vanished(id, now + ms(800)));
     assert!(silence.is_silent(now + ms(800)));
     assert!(!silence.is_silent(now + ms(800) + SILENT_TTL));
@@ -103,3 +106,63 @@
     assert!(!silence.record_silent(SILENT_TTL, now), "known already");
     assert_eq!(silence.has_room(room, now), fits);
 }
+
+/// Guards against a service that refuses properly being held for silent by one lost response.
+#[test]
+fn a_service_seen_to_refuse_is_not_silent_by_lost_responses() {
+    let now = Instant::now();
+    let (mut silence, id) = sent_to_full(now);
+    silence.record_refusal(Some(load(2, 4)), now);
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(500));
+    assert!(!silence.record_vanished(id, now + ms(550)));
+    assert!(!silence.is_silent(now + ms(550)));
+}
+
+/// Guards against a peer's claim that goes before what this node sees itself.
+#[test]
+fn a_service_seen_to_refuse_is_not_silent_by_a_peer() {
+    let now = Instant::now();
+    let (mut silence, _) = sent_to_full(now);
+    silence.record_refusal(Some(load(2, 4)), now);
+    silence.record_silent(SILENT_TTL, now);
+    assert!(!silence.is_silent(now));
+}
+
+/// Guards against a claim that counts for longer than its peer would stand by it.
+#[test]
+fn a_peers_claim_counts_for_a_minute() {
+    let now = Instant::now();
+    let mut silence = Silence::default();
+    assert!(silence.record_claim(SILENT_TTL, now));
+    assert!(silence.is_silent(now) && !silence.is_silent(now + super::MAX_CLAIM_TTL));
+}
+
+/// Guards against a deadline that passed in the queue being taken for a refusal.
+#[yare::parameterized(
+    at_once = { 20, 500, true }, in_the_queue = { 400, 500, false }, long = { 400, 360_000, true },
+)]
+fn a_refusal_is_at_once(elapsed_ms: u64, size_bytes: usize, at_once: bool) {
+    assert_eq!(is_at_once(ms(elapsed_ms), size_bytes), at_once);
+}
+
+/// Guards against ten minutes of care after the service was seen to refuse.
+#[test]
+fn a_refusal_at_a_full_queue_ends_the_silence() {
+    let now = Instant::now();
+    let (mut silence, _) = sent_to_full(now);
+    silence.record_silent(SILENT_TTL, now);
+    silence.record_refusal(Some(load(2, 4)), now + ms(1));
+    assert!(!silence.is_silent(now + ms(1)));
+}
+
+/// Guards against a service held for silent since one response was lost at a node that has seen no
+/// longer queue yet.
+#[test]
+fn one_lost_response_is_no_silence() {
+    let now = Instant::now();
+    let mut silence = Silence::default();
+    silence.record_report(&upstream("u0"), load(2, 1), now);
+    let id = silence.record_sent(&upstream("u0"), Some(load(2, 1)), 500, now);
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(500));
+    assert!(!silence.record_vanished(id, now + ms(550)));
+}
