place: one absurd report doesn't hide the silence of a service

The longest queue was that of all upstreams and all time, so that one report of 4,000 switched the detection off. The load in a 421, which is that of another service's upstream, is not recorded.

Seen to fail before: an_absurd_report_of_an_hour_ago_does_not_hide_the_silence and an_absurd_report_does_not_hide_the_silence_of_others, on. With the conditions of send.rs taken out: the_load_of_a_misdirected_request_is_not_recorded, and three of four cases of only_a_503_that_comes_at_once_is_a_refusal, which guards.

--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -142,7 +142,10 @@
                     .log();
             }
             Outcome::NotRun(status, headers) => {
-                self.record_load(service, upstream, headers);
+                // The load of a misdirected request is that of another upstream.
+                if *status != StatusCode::MISDIRECTED_REQUEST {
+                    self.record_load(service, upstream, headers);
+                }
                 let size_bytes = call.body_start.len();
                 let is_at_once = place::silence::is_at_once(elapsed, size_bytes);
                 if *status == StatusCode::SERVICE_UNAVAILABLE && is_at_once {
--- a/crates/edge/src/tests/silent.rs
+++ b/crates/edge/src/tests/silent.rs
@@ -331,3 +331,42 @@
         );
     });
 }
+
+/// Sends a request to an upstream whose queue is full and whose response is `status`, after `wait`.
+async fn ask_full(status: &str, wait: Duration) -> EntryNode {
+    let response = format!(
+        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nx-not-run: 1\r\nx-load: 20/4\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    let upstream = fake::Upstream::start(vec![vec![Step::Wait(wait), Step::Write(response)]]);
+    let entry_node = start(&[&upstream]);
+    entry_node.node.state.borrow_mut().settings.parse_load = parse_load;
+    let response = Caller::connect(entry_node.addr).await.ask(&get("/get/1", "7")).await;
+    assert_eq!((response.status, upstream.runs()), (503, 1));
+    entry_node
+}
+
+/// Guards against a silent service taken for one that refuses: a quota, another service's upstream
+/// or a deadline that passed in the queue says nothing about room.
+#[yare::parameterized(
+    at_once = { "503 Full", 0, true },
+    after_a_while = { "503 Too late", 200, false },
+    quota = { "429 Slow down", 0, false },
+    misdirected = { "421 Not here", 0, false },
+)]
+fn only_a_503_that_comes_at_once_is_a_refusal(status: &str, wait_ms: u64, is_refusal: bool) {
+    run(async {
+        let entry_node = ask_full(status, ms(wait_ms)).await;
+        let state = entry_node.node.state.borrow();
+        assert_eq!(state.pools["desk"].silence().refuses(Instant::now()), is_refusal);
+    });
+}
+
+/// Guards against the queue of another service's upstream being taken for one of this service.
+#[test]
+fn the_load_of_a_misdirected_request_is_not_recorded() {
+    run(async {
+        let entry_node = ask_full("421 Not here", Duration::ZERO).await;
+        assert_eq!(entry_node.node.state.borrow().pools["desk"].reports_load(), None);
+    });
+}
--- a/crates/place/src/silence.rs
+++ b/crates/place/src/silence.rs
@@ -1,5 +1,6 @@
 //! Upstreams that go silent when they are full.
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use crate::upstream::Load;
@@ -38,6 +39,12 @@
 /// Places in a queue that are left to requests that other nodes send at the same moment.
 const RESERVED_PLACES: f64 = 1.0;
 
+/// Upstreams whose longest queues tell which one is absurd: the longest of all then does not count.
+const MIN_QUEUES_COMPARED: usize = 3;
+
+/// Time for which the longest queue that an upstream has reported counts.
+const QUEUE_TTL: Duration = SILENT_TTL;
+
 /// Identifies an unanswered request among those of one service at one node.
 pub type SendId = u64;
 
@@ -52,6 +59,20 @@
     has_vanished: bool,
 }
 
+/// The longest queue that an upstream has reported lately.
+#[derive(Clone, Copy, Debug)]
+struct LongestQueue {
+    length: u32,
+    /// When it was last as long.
+    at: Instant,
+}
+
+impl LongestQueue {
+    fn is_recent(&self, now: Instant) -> bool {
+        self.at + QUEUE_TTL > now
+    }
+}
+
 /// What is known of how the upstreams of a service treat requests that they cannot queue.
 ///
 /// The load pattern: upstreams with a short queue answer nothing to a request that does not fit into
@@ -70,8 +91,7 @@
 pub struct Silence {
     next_id: SendId,
     unanswered: Vec<UnansweredSend>,
-    /// The longest queue that any upstream of the service has reported.
-    longest_queue: u32,
+    longest_queues: HashMap<Incarnation, LongestQueue>,
     /// Whether a request vanished at a queue of that length.
     has_seen_full_queue: bool,
     /// Requests that vanished at full upstreams, and when the last one did.
@@ -110,17 +130,49 @@
 
     /// Records a load report of an upstream.
     pub fn record_report(&mut self, upstream: &Incarnation, load: Load, now: Instant) {
-        self.longest_queue = self.longest_queue.max(load.waiting);
+        self.record_queue(upstream, load.waiting, now);
         for send in self.unanswered.iter_mut().filter(|send| send.upstream == *upstream) {
             send.longest_queue = send.longest_queue.max(load.waiting);
             send.has_vanished |= now >= send.arrives_by && load.running + load.waiting == 0;
         }
     }
 
+    fn record_queue(&mut self, upstream: &Incarnation, waiting: u32, now: Instant) {
+        if waiting == 0 {
+            return;
+        }
+        let queue = LongestQueue { length: waiting, at: now };
+        match self.longest_queues.get_mut(upstream) {
+            Some(known) if known.length > waiting && known.is_recent(now) => {}
+            Some(known) => *known = queue,
+            None => {
+                self.longest_queues.retain(|_, known| known.is_recent(now));
+                self.longest_queues.insert(upstream.clone(), queue);
+            }
+        }
+    }
+
+    /// Returns the longest queue that upstreams of the service have reported lately, or, if several
+    /// have, that a second one bears out: with a single absurd report no queue would ever look full.
+    fn longest_queue(&self, now: Instant) -> u32 {
+        let queues = self.longest_queues.values().filter(|queue| queue.is_recent(now));
+        let (mut longest, mut second, mut count) = (0, 0, 0);
+        for queue in queues {
+            second = second.max(queue.length.min(longest));
+            longest = longest.max(queue.length);
+            count += 1;
+        }
+        if count >= MIN_QUEUES_COMPARED {
+            second
+        } else {
+            longest
+        }
+    }
+
     /// Records that an upstream refused a request for lack of room; `load` is the report in its
     /// refusal. If its queue was at its longest, the service is not silent.
     pub fn record_refusal(&mut self, load: Option<Load>, now: Instant) {
-        let is_full = |load: Load| load.waiting > 0 && load.waiting >= self.longest_queue;
+        let is_full = |load: Load| load.waiting > 0 && load.waiting >= self.longest_queue(now);
         if load.is_some_and(is_full) {
             self.refused_at = Some(now);
             (self.silent_until, self.vanished) = (None, 0);
@@ -142,7 +194,7 @@
     /// silent only since then.
     pub fn record_vanished(&mut self, id: SendId, now: Instant) -> bool {
         let Some(send) = self.unanswered.iter().find(|send| send.id == id) else { return false };
-        let was_full = send.longest_queue > 0 && send.longest_queue >= self.longest_queue;
+        let was_full = send.longest_queue > 0 && send.longest_queue >= self.longest_queue(now);
         if !was_full || self.refuses(now) {
             return false;
         }
@@ -194,20 +246,24 @@
     /// Into a queue a request is sent only just after a report of it: requests that waited for room
     /// at many nodes otherwise find the same old report, and are all sent to the same upstream.
     pub fn has_room(&self, room: Room, now: Instant) -> bool {
+        if !self.is_silent(now) {
+            return true;
+        }
         let slots = f64::from(room.slots);
         let places = match room.report_age {
             Some(age) if age <= MAX_QUEUE_REPORT_AGE => {
                 // Before a queue was seen full: at least as many as the upstream runs.
+                let longest_queue = self.longest_queue(now);
                 let queue = match self.has_seen_full_queue {
-                    true => self.longest_queue,
-                    false => self.longest_queue.max(room.slots),
+                    true => longest_queue,
+                    false => longest_queue.max(room.slots),
                 };
                 slots + f64::from(queue) - RESERVED_PLACES
             }
             _ => slots,
         };
         // A free slot is always room: with a queue of one place the reserve would take it.
-        !self.is_silent(now) || room.occupied + 1.0 <= places.max(slots)
+        room.occupied + 1.0 <= places.max(slots)
     }
 }
 
--- a/crates/place/src/silence/tests.rs
+++ b/crates/place/src/silence/tests.rs
@@ -166,3 +166,35 @@
     silence.record_report(&upstream("u0"), load(0, 0), now + ms(500));
     assert!(!silence.record_vanished(id, now + ms(550)));
 }
+
+/// Guards against one absurd report of a queue that hides all silence from then on.
+#[test]
+fn an_absurd_report_of_an_hour_ago_does_not_hide_the_silence() {
+    let now = Instant::now();
+    let mut silence = Silence::default();
+    silence.record_report(&upstream("u9"), load(2, 4_000), now);
+    let later = now + Duration::from_secs(3_600);
+    assert!(vanish_twice(&mut silence, later), "hidden");
+}
+
+/// Guards against the same while the report is new, at a service with several upstreams.
+#[test]
+fn an_absurd_report_does_not_hide_the_silence_of_others() {
+    let now = Instant::now();
+    let mut silence = Silence::default();
+    silence.record_report(&upstream("u9"), load(2, 4_000), now);
+    silence.record_report(&upstream("u1"), load(2, 4), now);
+    assert!(vanish_twice(&mut silence, now), "hidden");
+}
+
+/// Lets two requests vanish at `u0`, whose queue is at its longest. Returns true if the service
+/// counts as silent since.
+fn vanish_twice(silence: &mut Silence, now: Instant) -> bool {
+    silence.record_report(&upstream("u0"), load(2, 4), now);
+    let ids = [(); 2].map(|()| silence.record_sent(&upstream("u0"), Some(load(2, 4)), 500, now));
+    silence.record_report(&upstream("u0"), load(0, 0), now + ms(500));
+    for id in ids {
+        silence.record_vanished(id, now + ms(550));
+    }
+    silence.is_silent(now + ms(550))
+}
