place: Retry-After at a silent service is that of its queue

What needed room had its queue time set to the time left of the objective, and callers were told to return after that. The candidate says whether it has room: admit waits for it or refuses, by the real queue time. It ranks as before. A request whose objective has passed is refused too where it may not fit; it was sent if the upstream had no queue by the prediction.

Seen to fail before, on: retry_after_at_a_silent_service_is_that_of_its_queue.

--- a/crates/place/src/admit.rs
+++ b/crates/place/src/admit.rs
@@ -128,7 +128,8 @@
 /// its deadline or its objective in a queue is refused at once, so that the slots serve requests
 /// that can be in time. A request that is late only because every machine is slow is sent: refusing
 /// it would free no slot for others. It is refused if its objective has passed and its deadline
-/// will have passed too, because nobody would receive the response.
+/// will have passed too, because nobody would receive the response. What may find its upstream full
+/// and get no answer is never sent: it waits for room, or is refused.
 pub fn admit<R: Rng>(best: &Candidate, request: AdmissionRequest, rng: &mut R) -> Decision {
     let latency = best.prediction.latency;
     let service_time = latency - best.prediction.queue_time;
@@ -142,7 +143,7 @@
     };
     let is_behind_others =
         request.rechecks.is_some() && !may_look(request.ahead, request.room_per_s, request.work);
-    let may_wait = (has_queue || is_behind_others)
+    let may_wait = (has_queue || !best.has_room || is_behind_others)
         && request.rechecks.is_some_and(|rechecks| rechecks < MAX_RECHECKS)
         && request.objective_left >= service_time.mul_f64(MIN_OBJECTIVE_LEFT_RATIO) + wait;
     let is_too_late = request.objective_left.is_zero() && latency > request.deadline_left;
@@ -151,9 +152,11 @@
     let must_yield = request.is_room_scarce && request.objective_left < request.work;
     match () {
         () if must_yield => refuse(best, request, rng),
-        () if best.prediction.queue_time.is_zero() && !is_too_late => Decision::Send,
+        () if best.has_room && best.prediction.queue_time.is_zero() && !is_too_late => {
+            Decision::Send
+        }
         () if may_wait => Decision::Wait(recheck_interval),
-        () if is_behind_others => refuse(best, request, rng),
+        () if is_behind_others || !best.has_room => refuse(best, request, rng),
         () if latency > request.deadline_left.mul_f64(MAX_DEADLINE_RATIO) => {
             refuse(best, request, rng)
         }
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -124,6 +124,8 @@
     pub prediction: Prediction,
     /// Whether its load report is recent.
     pub has_fresh_report: bool,
+    /// Whether the request fits there for sure, or is refused if it does not fit.
+    pub has_room: bool,
     /// Whether it is in the node's own zone.
     in_own_zone: bool,
     connection: ConnectionPlan,
@@ -483,29 +485,27 @@
         rng: &mut R,
     ) -> Candidate {
         let upstream = &self.upstreams[index];
-        let mut prediction =
-            upstream.predict(criteria.work, self.typical_load, &self.crowding, now);
+        let prediction = upstream.predict(criteria.work, self.typical_load, &self.crowding, now);
         let room = Room {
             occupied: prediction.utilization * f64::from(upstream.slots) - 1.0,
             slots: upstream.slots,
             report_age: upstream.report(now).map(|(_, age)| age),
         };
         // One that may be sent again is, should it vanish; to wait for room would cost it more.
-        let needs_room = !criteria.repeatable && !self.silence.has_room(room, now);
-        if needs_room {
-            // Only once the queue is shorter can the request be sent, which may be too late for it.
-            let queue_time = prediction.queue_time.max(criteria.objective_left);
-            prediction.latency += queue_time - prediction.queue_time;
-            prediction.queue_time = queue_time;
-        }
+        let has_room = criteria.repeatable || self.silence.has_room(room, now);
         let health = match upstream.health.state(now) {
             HealthState::Trial if upstream.outstanding > 0 || !criteria.repeatable => {
                 HealthState::Ejected
             }
             health => health,
         };
-        let ratio =
-            prediction.latency.as_secs_f64() / criteria.objective_left.as_secs_f64().max(0.001);
+        // Only once the queue is shorter can the request be sent, which may be too late for it.
+        let wait = match has_room {
+            true => Duration::ZERO,
+            false => criteria.objective_left.saturating_sub(prediction.queue_time),
+        };
+        let ratio = (prediction.latency + wait).as_secs_f64()
+            / criteria.objective_left.as_secs_f64().max(0.001);
         let miss_cost = ((ratio - SAFE_OBJECTIVE_RATIO)
             / (MISSED_OBJECTIVE_RATIO - SAFE_OBJECTIVE_RATIO))
             .clamp(0.0, 1.0);
@@ -533,6 +533,7 @@
             cost,
             prediction,
             has_fresh_report,
+            has_room,
             in_own_zone,
             connection,
             health,
