--- a/crates/edge/src/tests/silent.rs
+++ b/crates/edge/src/tests/silent.rs
@@ -11,8 +11,8 @@
 use web::Handler;
 
 use super::fake::{
-    get, header_names, incarnation, ms, run, start, table_with_objective, Caller, EntryNode,
-    BORN_MS,
+    self, get, header_names, incarnation, ms, run, start, table_with_objective, Caller, EntryNode,
+    Step, BORN_MS,
 };
 
 /// Slots of an upstream. With so many, the first requests in the queue are expected to wait for so
@@ -163,6 +163,27 @@
     state.pools["desk"].silence().is_silent(Instant::now())
 }
 
+/// Records that a request vanished at `u0`, whose queue was full: the second is proof.
+fn record_vanished(entry_node: &EntryNode) {
+    let now = Instant::now();
+    let state = &mut *entry_node.node.state.borrow_mut();
+    let silence = state.pools.get_mut("desk").expect("desk").silence_mut();
+    let full = Load { running: SLOTS as u32, waiting: 1, slots: SLOTS as u32, slowness: 1.0 };
+    silence.record_report(&incarnation("u0"), full, now);
+    let id = silence.record_sent(&incarnation("u0"), Some(full), 500, now);
+    assert!(!silence.record_vanished(id, now));
+    silence.record_ended(id);
+}
+
+/// Waits for up to 2 s until `is_so`.
+async fn until(is_so: impl Fn() -> bool) {
+    let started_at = Instant::now();
+    while !is_so() {
+        assert!(started_at.elapsed() < ms(2_000), "not so in time");
+        monoio::time::sleep(ms(10)).await;
+    }
+}
+
 /// Guards against an idempotent request that waits for its deadline: its upstream was full, does not
 /// hold it and will never answer it, and another one has become free.
 #[test]
@@ -171,10 +192,11 @@
         let (first, addr) = Upstream::start(true);
         let (second, second_addr) = Upstream::start(true);
         let entry_node = start_node(addr);
+        record_vanished(&entry_node);
         fill(addr).await;
         let mut caller = Caller::connect(entry_node.addr).await;
         caller.write(&get("/get/1", "7").replace("x-deadline: 500", "x-deadline: 2400")).await;
-        monoio::time::sleep(IDLE_AFTER).await;
+        until(|| counters(&entry_node).vanished == 1).await;
         assert_eq!(first.emulated.ignored(), 1);
         list(&entry_node, "u1", second_addr);
         let response = caller.read().await.expect("a response");
@@ -195,6 +217,7 @@
         let (first, addr) = Upstream::start(true);
         let (second, second_addr) = Upstream::start(true);
         let entry_node = start_node(addr);
+        record_vanished(&entry_node);
         fill(addr).await;
         let (mut caller, sent_at) = (Caller::connect(entry_node.addr).await, Instant::now());
         caller.write(&post("7", DEADLINE_MS)).await;
@@ -217,6 +240,7 @@
     run(async {
         let (upstream, addr) = Upstream::start(true);
         let entry_node = start_node(addr);
+        record_vanished(&entry_node);
         fill(addr).await;
         let mut caller = Caller::connect(entry_node.addr).await;
         let lost = caller.ask(&post("7", DEADLINE_MS)).await;
@@ -238,8 +262,111 @@
         fill(addr).await;
         let response = Caller::connect(entry_node.addr).await.ask(&post("7", DEADLINE_MS)).await;
         assert_eq!(response.status, 503);
+        let refuses = || {
+            let state = entry_node.node.state.borrow();
+            state.pools["desk"].silence().refuses(Instant::now())
+        };
+        assert!(refuses(), "the refusal is on record");
         monoio::time::sleep(IDLE_AFTER).await;
         assert_eq!(counters(&entry_node).vanished, 0);
         assert!(!is_silent(&entry_node));
     });
 }
+
+/// Returns an entry node in front of `upstream`, to which a request is under way, and
+/// which then reported, in the response to another request, that it holds none.
+async fn start_after_idle_report(upstream: &fake::Upstream) -> (EntryNode, Caller) {
+    let entry_node = start(&[upstream]);
+    let mut caller = Caller::connect(entry_node.addr).await;
+    caller.write(&get("/get/1", "7").replace("x-deadline: 500", "x-deadline: 1500")).await;
+    monoio::time::sleep(ms(100)).await;
+    let load = Load { running: 0, waiting: 0, slots: 4, slowness: 1.0 };
+    entry_node.node.state.borrow_mut().pools.get_mut("desk").expect("desk").record_report(
+        &incarnation("u0"),
+        Some(load),
+        Instant::now(),
+    );
+    (entry_node, caller)
+}
+
+/// Guards against a response that is cut, and its caller told 502, while its body still arrives.
+#[test]
+fn a_response_that_is_arriving_is_not_cut() {
+    run(async {
+        let head =
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 6\r\n\r\none";
+        let script = vec![Step::Write(head.into()), Step::Wait(ms(400)), Step::Write("two".into())];
+        let upstream = fake::Upstream::start(vec![script, vec![fake::ok_response("again")]]);
+        let (entry_node, mut caller) = start_after_idle_report(&upstream).await;
+        let response = caller.read().await.expect("a response");
+        assert_eq!(
+            (
+                response.status,
+                response.body.as_str(),
+                counters(&entry_node).vanished,
+                upstream.runs()
+            ),
+            (200, "onetwo", 0, 1)
+        );
+    });
+}
+
+/// Guards against 502 to a caller whose response comes late: no other upstream can take the request,
+/// so that giving up the send gains nothing.
+#[test]
+fn a_vanished_request_that_cannot_be_sent_again_is_awaited() {
+    run(async {
+        let script = vec![Step::Wait(ms(400)), fake::ok_response("late")];
+        let upstream = fake::Upstream::start(vec![script, vec![fake::ok_response("again")]]);
+        let (entry_node, mut caller) = start_after_idle_report(&upstream).await;
+        let response = caller.read().await.expect("a response");
+        assert_eq!(
+            (
+                response.status,
+                response.body.as_str(),
+                counters(&entry_node).vanished,
+                upstream.runs()
+            ),
+            (200, "late", 1, 1)
+        );
+    });
+}
+
+/// Sends a request to an upstream whose queue is full and whose response is `status`, after `wait`.
+async fn ask_full(status: &str, wait: Duration) -> EntryNode {
+    let response = format!(
+        "HTTP/1.1 {status}\r\nx-id: {{id}}\r\nx-not-run: 1\r\nx-load: 20/4\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    let upstream = fake::Upstream::start(vec![vec![Step::Wait(wait), Step::Write(response)]]);
+    let entry_node = start(&[&upstream]);
+    entry_node.node.state.borrow_mut().settings.parse_load = parse_load;
+    let response = Caller::connect(entry_node.addr).await.ask(&get("/get/1", "7")).await;
+    assert_eq!((response.status, upstream.runs()), (503, 1));
+    entry_node
+}
+
+/// Guards against a silent service taken for one that refuses: a quota, another service's upstream
+/// or a deadline that passed in the queue says nothing about room.
+#[yare::parameterized(
+    at_once = { "503 Full", 0, true },
+    after_a_while = { "503 Too late", 200, false },
+    quota = { "429 Slow down", 0, false },
+    misdirected = { "421 Not here", 0, false },
+)]
+fn only_a_503_that_comes_at_once_is_a_refusal(status: &str, wait_ms: u64, is_refusal: bool) {
+    run(async {
+        let entry_node = ask_full(status, ms(wait_ms)).await;
+        let state = entry_node.node.state.borrow();
+        assert_eq!(state.pools["desk"].silence().refuses(Instant::now()), is_refusal);
+    });
+}
+
+/// Guards against the queue of another service's upstream being taken for one of this service.
+#[test]
+fn the_load_of_a_misdirected_request_is_not_recorded() {
+    run(async {
+        let entry_node = ask_full("421 Not here", Duration::ZERO).await;
+        assert_eq!(entry_node.node.state.borrow().pools["desk"].reports_load(), None);
+    });
+}
