--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -14,7 +14,7 @@
     self, ms, ok_response, refusal, run, settings, Caller, EntryNode, Response, Step,
 };
 use super::fake::{table, Upstream};
-use super::fleet::serving;
+use super::fleet::{own_addr, serving};
 use crate::quotas;
 
 /// A rate at which no token is added during a test.
@@ -23,14 +23,17 @@
 /// Time after its start at which a node knows its peers.
 const UPTIME: Duration = Duration::from_secs(60);
 
+/// Port of the peer addresses of this file's tests, above those of [`own_addr`].
+const PEER_PORT: u16 = 7_900;
+
 /// Returns the peer address of a node of this file's tests; the test and the node are told apart by
-/// `test` and `n`, as tests run beside each other.
+/// `test` and `n`, as tests run beside each other, also in other processes.
 fn peer_addr(test: u8, n: u8) -> SocketAddr {
-    SocketAddr::from(([127, 0, 78, test * 10 + n], 7_600))
+    SocketAddr::new(own_addr(test * 10 + n).ip(), PEER_PORT)
 }
 
 fn quota_addr(test: u8, n: u8) -> SocketAddr {
-    SocketAddr::from(([127, 0, 78, test * 10 + n], 7_601))
+    SocketAddr::new(peer_addr(test, n).ip(), PEER_PORT + 1)
 }
 
 fn teams(name: &str, rate_per_s: f64, burst: f64) -> Teams {
