--- a/crates/place/src/admit.rs
+++ b/crates/place/src/admit.rs
@@ -143,7 +143,7 @@
     };
     let is_behind_others =
         request.rechecks.is_some() && !may_look(request.ahead, request.room_per_s, request.work);
-    let may_wait = (has_queue || !best.has_room || is_behind_others)
+    let may_wait = (has_queue || is_behind_others)
         && request.rechecks.is_some_and(|rechecks| rechecks < MAX_RECHECKS)
         && request.objective_left >= service_time.mul_f64(MIN_OBJECTIVE_LEFT_RATIO) + wait;
     let is_too_late = request.objective_left.is_zero() && latency > request.deadline_left;
@@ -152,11 +152,9 @@
     let must_yield = request.is_room_scarce && request.objective_left < request.work;
     match () {
         () if must_yield => refuse(best, request, rng),
-        () if best.has_room && best.prediction.queue_time.is_zero() && !is_too_late => {
-            Decision::Send
-        }
+        () if best.prediction.queue_time.is_zero() && !is_too_late => Decision::Send,
         () if may_wait => Decision::Wait(recheck_interval),
-        () if is_behind_others || !best.has_room => refuse(best, request, rng),
+        () if is_behind_others => refuse(best, request, rng),
         () if latency > request.deadline_left.mul_f64(MAX_DEADLINE_RATIO) => {
             refuse(best, request, rng)
         }
--- a/crates/place/src/pool.rs
+++ b/crates/place/src/pool.rs
@@ -9,7 +9,7 @@
 
 use crate::crowding::Crowding;
 use crate::health::HealthState;
-use crate::silence::{Room, Silence, MAX_QUEUE_REPORT_AGE};
+use crate::silence::Silence;
 use crate::upstream::{Load, Prediction, TypicalLoad, Upstream};
 use crate::warm_up::{WarmUp, Window, ASSUMED_COLD_TTL};
 use crate::{Entry, Incarnation, RequestOutcome, Zone};
@@ -124,8 +124,6 @@
     pub prediction: Prediction,
     /// Whether its load report is recent.
     pub has_fresh_report: bool,
-    /// Whether the request fits there for sure, or is refused if it does not fit.
-    pub has_room: bool,
     /// Whether it is in the node's own zone.
     in_own_zone: bool,
     connection: ConnectionPlan,
@@ -486,26 +484,14 @@
     ) -> Candidate {
         let upstream = &self.upstreams[index];
         let prediction = upstream.predict(criteria.work, self.typical_load, &self.crowding, now);
-        let room = Room {
-            occupied: prediction.utilization * f64::from(upstream.slots) - 1.0,
-            slots: upstream.slots,
-            report_age: upstream.report(now).map(|(_, age)| age),
-        };
-        // One that may be sent again is, should it vanish; to wait for room would cost it more.
-        let has_room = criteria.repeatable || self.silence.has_room(room, now);
         let health = match upstream.health.state(now) {
             HealthState::Trial if upstream.outstanding > 0 || !criteria.repeatable => {
                 HealthState::Ejected
             }
             health => health,
         };
-        // Only once the queue is shorter can the request be sent, which may be too late for it.
-        let wait = match has_room {
-            true => Duration::ZERO,
-            false => criteria.objective_left.saturating_sub(prediction.queue_time),
-        };
-        let ratio = (prediction.latency + wait).as_secs_f64()
-            / criteria.objective_left.as_secs_f64().max(0.001);
+        let ratio =
+            prediction.latency.as_secs_f64() / criteria.objective_left.as_secs_f64().max(0.001);
         let miss_cost = ((ratio - SAFE_OBJECTIVE_RATIO)
             / (MISSED_OBJECTIVE_RATIO - SAFE_OBJECTIVE_RATIO))
             .clamp(0.0, 1.0);
@@ -525,15 +511,13 @@
             ConnectionPlan::Open | ConnectionPlan::OpenAdditional => NEW_CONNECTION_COST,
             ConnectionPlan::Reuse | ConnectionPlan::Unavailable => 0.0,
         };
-        let has_fresh_report = upstream
-            .report(now)
-            .is_some_and(|(_, age)| age <= self.max_fresh_report_age(criteria, prediction, now));
+        let has_fresh_report =
+            upstream.report(now).is_some_and(|(_, age)| age <= MAX_FRESH_REPORT_AGE);
         Candidate {
             index,
             cost,
             prediction,
             has_fresh_report,
-            has_room,
             in_own_zone,
             connection,
             health,
@@ -541,20 +525,6 @@
         }
     }
 
-    /// Returns the maximum age of a fresh report of an upstream with this prediction.
-    fn max_fresh_report_age(
-        &self,
-        criteria: SelectionCriteria<'_>,
-        prediction: Prediction,
-        now: Instant,
-    ) -> Duration {
-        let has_queue = prediction.utilization > 1.0;
-        match !criteria.repeatable && has_queue && self.silence.is_silent(now) {
-            true => MAX_QUEUE_REPORT_AGE,
-            false => MAX_FRESH_REPORT_AGE,
-        }
-    }
-
     /// Returns the indices of the upstreams to probe for their load: up to `max` of the best
     /// `ranked` ones without a fresh report, at most `max_new` of them over a new connection.
     ///
--- a/crates/place/src/retry_detector.rs
+++ b/crates/place/src/retry_detector.rs
@@ -52,7 +52,7 @@
 
 /// Maximum ratio between deadlines that count as the same: time passes between the start of an
 /// attempt and its request.
-const MAX_RECURRENCE_RATIO: f64 = 1.004;
+const MAX_RECURRENCE_RATIO: f64 = 1.002;
 
 /// Number of kept deadlines from which on one counts as recurring. Retries come at any time: at the
 /// height of a burst, about one of those kept is as long as a given retry's.
--- a/crates/place/src/silence.rs
+++ b/crates/place/src/silence.rs
@@ -32,13 +32,6 @@
 /// transfer. A later refusal tells of a deadline that passed in the queue.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(100);
 
-/// Age up to which a report tells that there is room in a queue: that of one that was just asked
-/// for. Other nodes decide by the same report meanwhile.
-pub const MAX_QUEUE_REPORT_AGE: Duration = Duration::from_millis(10);
-
-/// Places in a queue that are left to requests that other nodes send at the same moment.
-const RESERVED_PLACES: f64 = 1.0;
-
 /// Upstreams whose longest queues tell which one is absurd: the longest of all then does not count.
 const MIN_QUEUES_COMPARED: usize = 3;
 
@@ -92,8 +85,6 @@
     next_id: SendId,
     unanswered: Vec<UnansweredSend>,
     longest_queues: HashMap<Incarnation, LongestQueue>,
-    /// Whether a request vanished at a queue of that length.
-    has_seen_full_queue: bool,
     /// Requests that vanished at full upstreams, and when the last one did.
     vanished: u32,
     vanished_at: Option<Instant>,
@@ -198,7 +189,6 @@
         if !was_full || self.refuses(now) {
             return false;
         }
-        self.has_seen_full_queue = true;
         let is_recent = self.vanished_at.is_some_and(|at| at + SILENT_TTL > now);
         self.vanished = if is_recent { self.vanished + 1 } else { 1 };
         self.vanished_at = Some(now);
@@ -239,32 +229,6 @@
         let has_queued = self.unanswered.iter().any(|send| send.id == id && send.longest_queue > 0);
         self.is_silent(now) || (has_queued && !self.refuses(now))
     }
-
-    /// Returns true if a request fits into the queue of an upstream for sure, or if the service
-    /// refuses what does not fit.
-    ///
-    /// Into a queue a request is sent only just after a report of it: requests that waited for room
-    /// at many nodes otherwise find the same old report, and are all sent to the same upstream.
-    pub fn has_room(&self, room: Room, now: Instant) -> bool {
-        if !self.is_silent(now) {
-            return true;
-        }
-        let slots = f64::from(room.slots);
-        let places = match room.report_age {
-            Some(age) if age <= MAX_QUEUE_REPORT_AGE => {
-                // Before a queue was seen full: at least as many as the upstream runs.
-                let longest_queue = self.longest_queue(now);
-                let queue = match self.has_seen_full_queue {
-                    true => longest_queue,
-                    false => longest_queue.max(room.slots),
-                };
-                slots + f64::from(queue) - RESERVED_PLACES
-            }
-            _ => slots,
-        };
-        // A free slot is always room: with a queue of one place the reserve would take it.
-        room.occupied + 1.0 <= places.max(slots)
-    }
 }
 
 /// Returns the time that a request takes over a slow link.
@@ -277,16 +241,5 @@
     elapsed <= MAX_REFUSAL_TIME + transfer_time(size_bytes)
 }
 
-/// What is known of the room at an upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct Room {
-    /// Requests that it is expected to hold, running or waiting.
-    pub occupied: f64,
-    /// Maximum number of requests that it processes concurrently.
-    pub slots: u32,
-    /// Age of its newest load report.
-    pub report_age: Option<Duration>,
-}
-
 #[cfg(test)]
 mod tests;
