--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use place::{Candidate, ConnectionPlan, Decision, Incarnation, Place, Urgency};
+use place::{Candidate, ConnectionPlan, Decision, Incarnation, QueuePosition, Urgency};
 use rand::Rng;
 use route::ServiceName;
 
@@ -50,13 +50,13 @@
     Forbidden,
 }
 
-/// A request that may have to wait for an upstream. It leaves the line when this is dropped, for
+/// A request that may have to wait for an upstream. It leaves the queue when this is dropped, for
 /// example because its deadline has passed.
 struct WaitingRequest<'a> {
     state: &'a SharedState,
     service: &'a ServiceName,
     urgency: Urgency,
-    place: Option<Place>,
+    position: Option<QueuePosition>,
 }
 
 impl<'a> WaitingRequest<'a> {
@@ -65,29 +65,30 @@
             team: call.team.as_ref().map_or(0, |team| team.priority),
             route: call.route.priority,
         };
-        WaitingRequest { state, service: &call.service, urgency, place: None }
+        WaitingRequest { state, service: &call.service, urgency, position: None }
     }
 
     /// Returns the number of requests that wait and go before this one.
     fn ahead(&self) -> u32 {
         let state = &mut *self.state.borrow_mut();
-        let line = state.line(self.service);
-        self.place.map_or_else(|| line.ahead_of_new(self.urgency), |place| line.ahead_of(place))
+        let queue = state.wait_queue(self.service);
+        self.position
+            .map_or_else(|| queue.ahead_of_new(self.urgency), |position| queue.ahead_of(position))
     }
 
     fn join(&mut self) {
-        if self.place.is_none() {
+        if self.position.is_none() {
             let state = &mut *self.state.borrow_mut();
             state.counters.waited += 1;
-            self.place = Some(state.line(self.service).join(self.urgency));
+            self.position = Some(state.wait_queue(self.service).join(self.urgency));
         }
     }
 }
 
 impl Drop for WaitingRequest<'_> {
     fn drop(&mut self) {
-        if let Some(place) = self.place {
-            self.state.borrow_mut().line(self.service).leave(place);
+        if let Some(position) = self.position {
+            self.state.borrow_mut().wait_queue(self.service).leave(position);
         }
     }
 }
@@ -140,7 +141,7 @@
         }
     }
 
-    /// Returns true unless others in line look for a free slot first.
+    /// Returns true unless others in the queue look for a free slot first.
     fn may_look(&self, call: &Call<'_>, ahead: u32) -> bool {
         let state = self.state.borrow();
         let work = state.work_estimates.work(&call.route.name, call.route.objective);
@@ -189,11 +190,11 @@
             ahead,
             work,
             room_per_s: state.first_sends_per_s(&call.service, now),
-            is_room_scarce: state.line(&call.service).is_room_scarce(now),
+            is_room_scarce: state.wait_queue(&call.service).is_room_scarce(now),
         };
         let decision = place::admit(best, admission, &mut state.rng);
         if matches!(decision, Decision::Refuse { .. }) && admission.objective_left >= work {
-            state.line(&call.service).record_no_room(now);
+            state.wait_queue(&call.service).record_no_room(now);
         }
         decision
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -185,7 +185,7 @@
     /// When the budget last rejected a request that had no other send in flight.
     exhausted_at: Option<Instant>,
     /// Requests that wait for an upstream.
-    line: place::Line,
+    wait_queue: place::WaitQueue,
 }
 
 /// The entry node's view of the platform, its peers and its upstreams.
@@ -507,13 +507,13 @@
     }
 
     /// Returns the requests that wait for an upstream of a service.
-    pub fn line(&mut self, service: &ServiceName) -> &mut place::Line {
-        &mut self.sends(service).line
+    pub fn wait_queue(&mut self, service: &ServiceName) -> &mut place::WaitQueue {
+        &mut self.sends(service).wait_queue
     }
 
     /// Returns the number of requests that wait for an upstream.
     pub fn waiting_count(&self) -> usize {
-        self.sends.values().map(|sends| sends.line.len()).sum()
+        self.sends.values().map(|sends| sends.wait_queue.len()).sum()
     }
 
     fn sends(&mut self, service: &ServiceName) -> &mut Sends {
@@ -525,7 +525,7 @@
             rate: place::Rate::default(),
             budget: limit::RetryBudget::with_burst(0.0),
             exhausted_at: None,
-            line: place::Line::default(),
+            wait_queue: place::WaitQueue::default(),
         };
         let sends = self.sends.entry(service.clone()).or_insert_with(new_sends);
         sends.budget.set_burst(burst);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -19,13 +19,13 @@
 mod evacuations;
 mod health;
 mod incarnation;
-mod line;
 mod pool;
 mod rate;
 mod retry_detector;
 mod roster;
 pub mod silence;
 mod upstream;
+mod wait_queue;
 mod warm_up;
 mod work;
 
@@ -33,12 +33,12 @@
 pub use crowding::Crowding;
 pub use evacuations::{Evacuations, Zone};
 pub use incarnation::{Incarnation, UpstreamId};
-pub use line::{Line, Place, Urgency};
 pub use pool::{Candidate, ConnectionPlan, Policy, Pool, SelectionCriteria};
 pub use rate::Rate;
 pub use retry_detector::RetryDetector;
 pub use roster::{Change, Entry, Event, Roster, RESTARTED};
 pub use upstream::{Load, Upstream};
+pub use wait_queue::{QueuePosition, Urgency, WaitQueue};
 pub use warm_up::WarmUp;
 pub use work::WorkEstimates;
 
--- a/crates/place/src/line.rs
+++ b/crates/place/src/wait_queue.rs
@@ -2,7 +2,7 @@
 //!
 //! The load pattern: all upstreams are full, and several requests wait at each of hundreds of
 //! nodes. If each of them looked for a free slot by itself, dozens would see the same slot become
-//! free and send to it, all but one into a queue. Only the first in line looks for one.
+//! free and send to it, all but one into a queue. Only the first in the queue looks for one.
 
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
@@ -20,34 +20,34 @@
     pub route: u32,
 }
 
-/// The place of a request in a [`Line`].
+/// The position of a request in a [`WaitQueue`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Place {
+pub struct QueuePosition {
     urgency: Urgency,
     number: u64,
 }
 
 /// Requests that wait, the most urgent first, and those of the same urgency in order of arrival.
 #[derive(Clone, Debug, Default)]
-pub struct Line {
-    waiting: BTreeSet<Place>,
+pub struct WaitQueue {
+    waiting: BTreeSet<QueuePosition>,
     next_number: u64,
     /// When a request that could have been in time last found no room.
     no_room_at: Option<Instant>,
 }
 
-impl Line {
-    /// Adds a request and returns its place.
-    pub fn join(&mut self, urgency: Urgency) -> Place {
-        let place = Place { urgency, number: self.next_number };
+impl WaitQueue {
+    /// Adds a request and returns its position.
+    pub fn join(&mut self, urgency: Urgency) -> QueuePosition {
+        let position = QueuePosition { urgency, number: self.next_number };
         self.next_number += 1;
-        self.waiting.insert(place);
-        place
+        self.waiting.insert(position);
+        position
     }
 
     /// Removes a request that no longer waits.
-    pub fn leave(&mut self, place: Place) {
-        self.waiting.remove(&place);
+    pub fn leave(&mut self, position: QueuePosition) {
+        self.waiting.remove(&position);
     }
 
     /// Records that a request that could have been in time found no room.
@@ -61,14 +61,14 @@
         !self.is_empty() || self.no_room_at.is_some_and(is_recent)
     }
 
-    /// Returns the number of requests before this place.
-    pub fn ahead_of(&self, place: Place) -> u32 {
-        self.waiting.range(..place).count() as u32
+    /// Returns the number of requests before this position.
+    pub fn ahead_of(&self, position: QueuePosition) -> u32 {
+        self.waiting.range(..position).count() as u32
     }
 
     /// Returns the number of requests before one that would join now.
     pub fn ahead_of_new(&self, urgency: Urgency) -> u32 {
-        self.ahead_of(Place { urgency, number: self.next_number })
+        self.ahead_of(QueuePosition { urgency, number: self.next_number })
     }
 
     /// Returns the number of requests that wait.
--- a/crates/sim/src/node.rs
+++ b/crates/sim/src/node.rs
@@ -57,9 +57,9 @@
     retry_detector: place::RetryDetector,
     rng: SmallRng,
     /// Requests that wait at the node, and its rate of sends, by kind.
-    lines: Vec<(place::Line, place::Rate)>,
+    lines: Vec<(place::WaitQueue, place::Rate)>,
     /// Places of the requests that wait.
-    places: HashMap<RequestIndex, place::Place>,
+    places: HashMap<RequestIndex, place::QueuePosition>,
 }
 
 impl Node {
