stall, edge, soak: stalls of an event loop are seen, and how requests ended

Known failures could not be told apart: a slow machine and a fault of the node look the same in "35 of 43 requests served at the end" or "815 ms for 600". Crate `stall` finds a periodic task that ran 100 ms late or more, and says from the kernel's statistics how much of that time the thread computed or waited for a processor; the reading is that of `oatcoved` (run_delay), moved there. Who shows it: entry nodes (log event `stalled`, checked with the housekeeping, ten reads of a file a second), the soak (its own process: callers, upstreams and store; its report), the tests of `edge` (printed if they fail).

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,7 +11,8 @@
 //!   requests are quarantined because they crash upstreams.
 //! - Peers, callers and operators: [`gossip`] runs the membership of entry nodes, [`directory`]
 //!   tells callers which nodes to use, and [`status`] shows the node's state to operators.
-//! - Process: [`stop`] ends the process without cutting off requests.
+//! - Process: [`stop`] ends the process without cutting off requests, [`stalls`] logs when its
+//!   event loop was late.
 //!
 //! All tasks run on one thread. The request path reads a single [`state::State`]; no borrow of it
 //! is held across an await.
@@ -34,6 +35,7 @@
 pub mod reply;
 pub mod serve;
 mod silent_services;
+mod stalls;
 pub mod state;
 pub mod status;
 pub mod stop;
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -13,6 +13,7 @@
 use local_sync::mpsc::unbounded::Tx;
 
 use crate::forward::Node;
+use crate::stalls::StallLog;
 use crate::state::Stopping;
 use crate::{follow, gossip, quotas, unix_ms};
 
@@ -62,7 +63,9 @@
     node: &Rc<Node>,
     mut reload: impl FnMut(&Node, bool),
 ) {
+    let mut stall_log = StallLog::of_this_thread();
     while !signals.stop.load(Ordering::Relaxed) {
+        stall_log.record_run(HOUSEKEEPING_INTERVAL);
         reload(node, signals.reload.swap(false, Ordering::Relaxed));
         housekeeping(node);
         monoio::time::sleep(HOUSEKEEPING_INTERVAL).await;
@@ -95,7 +98,9 @@
     // Cannot fail: the receiving task runs as long as the process.
     let _ = gossip.send(gossip::Input::Leave);
     let mut listener_guard = Some(listener_guard);
+    let mut stall_log = StallLog::of_this_thread();
     loop {
+        stall_log.record_run(HOUSEKEEPING_INTERVAL);
         housekeeping(node);
         monoio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         let elapsed = requested_at.elapsed();
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -20,6 +20,9 @@
 /// First sends that deposit more into a node's retry budget than a test needs.
 const INITIAL_FIRST_SENDS: usize = 40;
 
+/// Interval at which tests check whether their event loop has stalled.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum time that a test waits for a response.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -376,9 +379,23 @@
     )
 }
 
-/// Runs a test on the runtime that the programs use.
+/// Runs a test on the runtime that the programs use. A failed test shows the stalls of its thread.
 pub fn run<F: std::future::Future<Output = ()>>(test: F) {
-    web::runtime().block_on(test);
+    web::runtime().block_on(async {
+        monoio::spawn(print_stalls());
+        test.await
+    });
+}
+
+async fn print_stalls() {
+    let schedstat = stall::Schedstat::of_this_thread().ok();
+    let mut detector = stall::Detector::default();
+    loop {
+        let times = schedstat.as_ref().and_then(stall::Schedstat::read).unwrap_or_default();
+        let stall = detector.record_run(STALL_CHECK_INTERVAL, Instant::now(), times);
+        stall.into_iter().for_each(|stall| println!("the event loop stalled: {stall:?}"));
+        monoio::time::sleep(STALL_CHECK_INTERVAL).await;
+    }
 }
 
 /// Reads a raw connection to its end.
--- a/crates/oatcoved/src/run_delay/tests.rs
+++ b/crates/oatcoved/src/run_delay/tests.rs
@@ -1,16 +1,8 @@
 use std::time::{Duration, Instant};
 
-use super::{parse, RunDelayClock, READING_TTL};
+use stall::Schedstat;
 
-#[yare::parameterized(
-    usual = { "52854191 31724302 126\n", Some(31_724_302) },
-    none = { "0 0 0\n", Some(0) },
-    empty = { "", None },
-    other_format = { "cpu busy\n", None },
-)]
-fn second_number_is_the_run_delay(text: &str, expected_ns: Option<u64>) {
-    assert_eq!(parse(text), expected_ns.map(Duration::from_nanos));
-}
+use super::{RunDelayClock, READING_TTL};
 
 /// Guards against a clock that stays at its first reading, and so takes every delay of the node for
 /// one of its upstreams; and against one that reads the file for each call.
@@ -19,7 +11,7 @@
     let path = std::env::temp_dir().join(format!("oatcove-run-delay-{}", std::process::id()));
     let write = |run_delay_ns: u64| std::fs::write(&path, format!("1 {run_delay_ns} 3\n"));
     write(1_000).expect("writes");
-    let clock = RunDelayClock::of_file(std::fs::File::open(&path).ok());
+    let clock = RunDelayClock::new(std::fs::File::open(&path).ok().map(Schedstat::of_file));
     let now = Instant::now();
     assert_eq!(clock.total(now), Duration::from_nanos(1_000));
     write(5_000).expect("writes");
@@ -30,5 +22,5 @@
 
 #[test]
 fn no_delay_is_known_without_the_file() {
-    assert_eq!(RunDelayClock::of_file(None).total(Instant::now()), Duration::ZERO);
+    assert_eq!(RunDelayClock::new(None).total(Instant::now()), Duration::ZERO);
 }
