web: a listener has its address for itself

What callers would see: with two processes on one address, as after a mistake in the settings, each takes a part of the connections, and nothing is logged. monoio listens with SO_REUSEPORT unless told otherwise.

A second process ends at once with the operating system's error, as a second one on the peers' UDP port already did.

--- a/crates/emu/src/bin/platform.rs
+++ b/crates/emu/src/bin/platform.rs
@@ -19,8 +19,7 @@
     init_logger();
     let mut runtime = web::runtime();
     runtime.block_on(async move {
-        let listener =
-            monoio::net::TcpListener::bind(args.listen).expect("failed to bind the listen address");
+        let listener = web::listen(args.listen).expect("failed to bind the listen address");
         println!(
             "listening on {}",
             listener.local_addr().expect("failed to read the bound address")
--- a/crates/emu/src/bin/upstream.rs
+++ b/crates/emu/src/bin/upstream.rs
@@ -57,8 +57,7 @@
     };
     let mut runtime = web::runtime();
     runtime.block_on(async move {
-        let listener =
-            monoio::net::TcpListener::bind(args.listen).expect("failed to bind the listen address");
+        let listener = web::listen(args.listen).expect("failed to bind the listen address");
         println!(
             "listening on {}",
             listener.local_addr().expect("failed to read the bound address")
--- a/crates/oatcoved/src/main.rs
+++ b/crates/oatcoved/src/main.rs
@@ -49,7 +49,7 @@
 }
 
 async fn run(mut settings: config::NodeSettings) {
-    let listener = match monoio::net::TcpListener::bind(settings.listen_addr) {
+    let listener = match web::listen(settings.listen_addr) {
         Ok(listener) => listener,
         Err(err) => {
             exit_with_error(format_args!("cannot listen on {}: {err}", settings.listen_addr))
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -9,10 +9,12 @@
 mod client;
 pub mod h1;
 mod headers;
+mod listen;
 mod server;
 
 pub use client::{Conn, Error, TcpKeepalive};
 pub use headers::{credentials, strip_connection_headers};
+pub use listen::listen;
 pub use server::{serve, Handler};
 
 use bytes::Bytes;
