edge: a test of an unreachable upstream reserves its port

What was seen: every_interleaving_gives_each_caller_its_own_responses, 21 requests at an upstream for 20; an upstream that no request should reach got one (no_host); an_upstream_that_cannot_be_reached_costs_no_second_send itself.

Cause: that last test takes the port of a listener that it closed again. The operating system gives it to an upstream of another test, which then gets this test's requests.

Evidence: forty copies of tests::pipelining, tests::requests and the partition test beside five loops on five cores, 80 runs on: the unreachable upstream answered in 23, every_interleaving failed in 3, each with one more distinct id than it had sent (12 for 11, 12 for 11, 7 for 6), so a request of somebody else and none that ran twice.

Change: emu::closed_port, whose port stays in use. No other test of the crate takes a port that it closed.

--- a/crates/edge/src/tests/requests.rs
+++ b/crates/edge/src/tests/requests.rs
@@ -339,7 +339,8 @@
 fn an_upstream_that_cannot_be_reached_costs_no_second_send() {
     run(async {
         let second = Upstream::start(vec![vec![ok_response("beans")]]);
-        let gone = Upstream { addr: unused_addr(), ..Upstream::start(Vec::new()) };
+        let closed = emu::closed_port::ClosedPort::new().expect("a port is free");
+        let gone = Upstream { addr: closed.addr(), ..Upstream::start(Vec::new()) };
         let entry_node = start(&[&gone, &second]);
         for id in 0..5 {
             let response = Caller::connect(entry_node.addr).await.ask(&post(&id.to_string())).await;
@@ -349,11 +350,6 @@
     });
 }
 
-fn unused_addr() -> std::net::SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
-    listener.local_addr().expect("bound")
-}
-
 /// Starts an entry node with a start time `ago` before now, which gets its configuration after
 /// `table_after`.
 fn start_without_config(upstream: &Upstream, ago: Duration, table_after: Duration) -> EntryNode {
