edge: a node that has just started reads what arrived in a stall before it refuses

It counts against a caller's few attempts.

Cause: a request waits a quarter of its deadline, on the clock. If the event loop stalls until after that, the request's timer and the arrival of the configuration are handled in the same turn, and the request may be first. Machines that get their processor in slices of a tenth of a second, or start all their processes after a power loss, stall like that.

Change: the wait is a decision apart from I/O (startup::StartupWait): after a check that came late there is another one, until twice the wait at most. A node that gets no configuration refuses as early as before.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -44,6 +44,7 @@
 use crate::quotas;
 use crate::relay;
 use crate::reply::LocalReply;
+use crate::startup::{self, StartupWait};
 use crate::state::SharedState;
 
 /// A connection that was idle for less than this is assumed to be open at its upstream. Some
@@ -65,9 +66,6 @@
 /// callers abandon an attempt after a third of their deadline.
 const STARTUP_WAIT_RATIO: f64 = 0.25;
 
-/// Interval at which a waiting request checks whether the node has started.
-const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// `Retry-After` of a node that has no configuration or no upstreams.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
 
@@ -268,7 +266,7 @@
         let max_wait = stated_deadline.map_or(MAX_STARTUP_WAIT, |stated_deadline| {
             stated_deadline.mul_f64(STARTUP_WAIT_RATIO)
         });
-        self.wait_until_started(received_at + max_wait.min(MAX_STARTUP_WAIT)).await;
+        self.wait_until_started(received_at, max_wait).await;
         let table = {
             let mut state = self.state.borrow_mut();
             state.counters.requests += 1;
@@ -403,16 +401,17 @@
     }
 
     /// Waits while the node has just started and lacks the configuration or the list of upstreams,
-    /// at most until `until`.
-    async fn wait_until_started(&self, until: Instant) {
-        let should_wait = || {
+    /// about `max_wait` at most.
+    async fn wait_until_started(&self, received_at: Instant, max_wait: Duration) {
+        let has_all_data = || {
             let state = self.state.borrow();
-            let has_all_data = state.table.is_some() && !state.roster.is_empty();
-            let until = until.min(state.started_at + MAX_STARTUP_WAIT);
-            !has_all_data && Instant::now() < until
+            state.table.is_some() && !state.roster.is_empty()
         };
-        while should_wait() {
-            monoio::time::sleep(STARTUP_POLL_INTERVAL).await;
+        let until = self.state.borrow().started_at + MAX_STARTUP_WAIT;
+        let max_wait = max_wait.min(until.saturating_duration_since(received_at));
+        let mut wait = StartupWait::new(received_at, max_wait);
+        while !has_all_data() && wait.continues(Instant::now()) {
+            monoio::time::sleep(startup::CHECK_INTERVAL).await;
         }
     }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,8 @@
 //!   the response to each request using the decisions of the crates `route`, `place` and `limit`,
 //!   [`quotas`] obtains the tokens that teams' quotas require, and [`exchange`] sends one request to
 //!   one upstream over a connection from the pool in [`conns`]. [`bodies`] bounds the memory that
-//!   request bodies take. [`probe`] queries upstreams for their load just before a choice.
+//!   request bodies take. [`startup`] decides for how long requests wait for a node that has just
+//!   started. [`probe`] queries upstreams for their load just before a choice.
 //! - Platform: [`follow`] keeps the node's state in sync with the platform, which it accesses only
 //!   through the trait [`follow::Source`]. Most nodes read it through a peer ([`readers`],
 //!   [`relay`]). [`record`] writes the audit record of configurations, and [`holds`] stores which
@@ -36,6 +37,7 @@
 pub mod serve;
 mod silent_services;
 mod stalls;
+mod startup;
 pub mod state;
 pub mod status;
 pub mod stop;
