web, edge: a timeout in a stalled event loop hides nothing that has arrived

Cause: sockets are polled once a turn of the event loop, before timers run. If the loop stalls in between, or in the midst of a turn, a timer that is due is handled before the bytes that arrived earlier are known.

Change: web::timeout gives the loop one more turn if its timer ran 2 ms late or more; a timer in time is as before. It is used wherever time running out costs a caller something: deadlines, idle connections, heads and bodies that are being received, connections to upstreams and to peers, frames of peers, calls to the platform.

Tests, seen to fail without the extra turn: a_response_that_is_ready_after_a_stall_is_delivered (504), a_request_sent_in_a_stall_is_not_lost_to_the_idle_timeout (connection closed), input_that_arrives_in_a_stall_is_received.

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -60,7 +60,7 @@
         timeout: Duration,
         open_guard: OpenGuard,
     ) -> std::io::Result<Conn> {
-        let connecting = monoio::time::timeout(timeout, TcpStream::connect_addr(addr));
+        let connecting = web::timeout(timeout, TcpStream::connect_addr(addr));
         let stream = match connecting.await {
             Ok(stream) => stream?,
             Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -357,7 +357,7 @@
         // The deadline counts from when the request was received, so it includes time spent queued
         // behind a non-idempotent request of its connection or waiting for the node to start.
         let sending = self.send_with_retries(&call, body);
-        let reply = match monoio::time::timeout(call.deadline_left(), sending).await {
+        let reply = match web::timeout(call.deadline_left(), sending).await {
             Ok(reply) => reply,
             Err(_) => {
                 call.log_line("timed_out").log();
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -162,7 +162,7 @@
         true => (RESTART_CONNECT_TIMEOUT, RESTART_FIRST_FRAME_TIMEOUT),
         false => (CONNECT_TIMEOUT, FIRST_FRAME_TIMEOUT),
     };
-    let connecting = monoio::time::timeout(connect_timeout, TcpStream::connect_addr(peer));
+    let connecting = web::timeout(connect_timeout, TcpStream::connect_addr(peer));
     let Ok(Ok(stream)) = connecting.await else { return EndReason::Unreachable };
     let greeting = encode(&Greeting::of(&node.state.borrow(), was_referred));
     let (mut frames, mut stream) = stream.into_split();
@@ -179,7 +179,7 @@
     let mut reader_changed = pin!(wait_until_reader_changes(node, peer));
     loop {
         let frame = monoio::select! {
-            frame = monoio::time::timeout(frame_timeout, receive::<Frame, _>(&mut frames)) => frame,
+            frame = web::timeout(frame_timeout, receive::<Frame, _>(&mut frames)) => frame,
             () = &mut querying => return EndReason::Closed,
             () = &mut config_behind => return EndReason::Behind,
             () = &mut list_behind => return EndReason::Behind,
--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -233,7 +233,7 @@
             Ok(body.freeze())
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        match monoio::time::timeout(left, reading).await {
+        match web::timeout(left, reading).await {
             Ok(Ok(body)) => Ok(Some(body)),
             Ok(Err(err)) => body_error(err).map(|()| None),
             Err(_) => {
@@ -310,7 +310,7 @@
         }
         let limits = limits(self.node);
         let reading = self.reader.request_head(limits.header_bytes);
-        match monoio::time::timeout(limits.header_timeout, reading).await {
+        match web::timeout(limits.header_timeout, reading).await {
             Ok(Ok(head)) => Ok(NextRequest::Head(Box::new(head), self.reader.receive_time())),
             Ok(Err(h1::ReadError::Malformed(err))) => {
                 trace::Line::new("bad_request").field("error", err.to_string()).log();
@@ -377,7 +377,7 @@
     let mut max_idle = limits(node).idle_timeout + IDLE_TIMEOUT_SLACK;
     loop {
         let left = (since + max_idle).saturating_duration_since(Instant::now());
-        match monoio::time::timeout(left, reader.fill()).await {
+        match web::timeout(left, reader.fill()).await {
             Ok(Ok(true)) => return true,
             Ok(Ok(false) | Err(_)) => return false,
             Err(_) => {
@@ -411,7 +411,7 @@
         }
         Ok(body.freeze())
     };
-    match monoio::time::timeout(timeout, reading).await {
+    match web::timeout(timeout, reading).await {
         Ok(Ok(body)) => Ok(Some(body)),
         Ok(Err(err)) => body_error(err).map(|()| None),
         Err(_) => {
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -23,5 +23,6 @@
 mod restarts;
 mod silent;
 mod slow_bodies;
+mod stalls;
 mod starts;
 mod teams;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -84,7 +84,7 @@
         timeout: Duration,
         keepalive: Option<TcpKeepalive>,
     ) -> Result<Conn, Error> {
-        let stream = match monoio::time::timeout(timeout, TcpStream::connect_addr(addr)).await {
+        let stream = match crate::timeout(timeout, TcpStream::connect_addr(addr)).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
             Err(_) => return Err(Error::Connect("timed out".to_owned())),
@@ -120,7 +120,7 @@
         if !std::mem::replace(&mut self.is_reusable, false) {
             return Err(Error::Connect("the connection cannot be used again".to_owned()));
         }
-        match monoio::time::timeout(timeout, self.exchange(request)).await {
+        match crate::timeout(timeout, self.exchange(request)).await {
             Ok(result) => result,
             Err(_) => Err(Error::Timeout),
         }
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -11,11 +11,13 @@
 mod headers;
 mod listen;
 mod server;
+mod timeout;
 
 pub use client::{Conn, Error, TcpKeepalive};
 pub use headers::{credentials, strip_connection_headers};
 pub use listen::listen;
 pub use server::{serve, Handler};
+pub use timeout::{timeout, Elapsed};
 
 use bytes::Bytes;
 
