edge: a stall before the first check of a starting node counts too

Cause: the stall came between the receipt of the request and its first check, which had no earlier one to compare with. Change: the receipt counts as the check before the first. a_stall_before_the_first_check_counts failed before.

--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -20,7 +20,8 @@
     until: Instant,
     /// When it ends in any case.
     at_latest: Instant,
-    last_check: Option<Instant>,
+    /// When the last check was made or, before the first one, the request was received.
+    last_check: Instant,
 }
 
 impl StartupWait {
@@ -28,14 +29,14 @@
     /// again after stalls of the event loop.
     pub(crate) fn new(received_at: Instant, max_wait: Duration) -> StartupWait {
         let until = received_at + max_wait;
-        StartupWait { until, at_latest: until + max_wait, last_check: None }
+        StartupWait { until, at_latest: until + max_wait, last_check: received_at }
     }
 
     /// Records a check at `now` that found the node without its configuration or upstreams. Returns
     /// true while the request waits for the next check.
     pub(crate) fn continues(&mut self, now: Instant) -> bool {
-        let last_check = self.last_check.replace(now);
-        let has_stalled = last_check.is_some_and(|last_check| now > last_check + MAX_CHECK_GAP);
+        let last_check = std::mem::replace(&mut self.last_check, now);
+        let has_stalled = now > last_check + MAX_CHECK_GAP;
         now < self.until || (has_stalled && now < self.at_latest)
     }
 }
--- a/crates/edge/src/startup/tests.rs
+++ b/crates/edge/src/startup/tests.rs
@@ -48,6 +48,16 @@
     }
 }
 
+/// Guards against the same refusal if the stall comes between the receipt of a request and its first
+/// check.
+#[test]
+fn a_stall_before_the_first_check_counts() {
+    let received_at = Instant::now();
+    let mut wait = StartupWait::new(received_at, MAX_WAIT);
+    assert!(wait.continues(received_at + MAX_WAIT + ms(10)));
+    assert!(!wait.continues(received_at + MAX_WAIT + ms(10) + CHECK_INTERVAL));
+}
+
 /// Guards against callers that wait in vain at a node that does not get its configuration.
 #[test]
 fn a_node_without_configuration_refuses_at_the_end_of_the_wait() {
