web: a connection to itself counts as refused

The node would read its own request as the response, which cannot be parsed: lost, not refused.

Change: web::connect, which the pool of connections to upstreams, web::Conn and subscribers use; it looks at the local address only of loopback connections. a_connection_to_itself_is_recognized fails if the check is taken out.

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -11,7 +11,6 @@
 
 use http::HeaderMap;
 use monoio::io::Splitable;
-use monoio::net::TcpStream;
 use place::Incarnation;
 use web::h1;
 
@@ -60,11 +59,7 @@
         timeout: Duration,
         open_guard: OpenGuard,
     ) -> std::io::Result<Conn> {
-        let connecting = web::timeout(timeout, TcpStream::connect_addr(addr));
-        let stream = match connecting.await {
-            Ok(stream) => stream?,
-            Err(_) => return Err(std::io::ErrorKind::TimedOut.into()),
-        };
+        let stream = web::connect(addr, timeout).await?;
         stream.set_nodelay(true)?;
         let (read, write) = stream.into_split();
         Ok(Conn {
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -9,7 +9,6 @@
 use std::time::{Duration, Instant};
 
 use monoio::io::{AsyncWriteRentExt, Splitable};
-use monoio::net::TcpStream;
 
 use super::frame::{encode, receive, AgeQuery, Frame, Greeting};
 use super::{FIRST_FRAME_TIMEOUT, READER_CHECK_INTERVAL, SYNC_CHECK_INTERVAL};
@@ -162,8 +161,9 @@
         true => (RESTART_CONNECT_TIMEOUT, RESTART_FIRST_FRAME_TIMEOUT),
         false => (CONNECT_TIMEOUT, FIRST_FRAME_TIMEOUT),
     };
-    let connecting = web::timeout(connect_timeout, TcpStream::connect_addr(peer));
-    let Ok(Ok(stream)) = connecting.await else { return EndReason::Unreachable };
+    let Ok(stream) = web::connect(peer, connect_timeout).await else {
+        return EndReason::Unreachable;
+    };
     let greeting = encode(&Greeting::of(&node.state.borrow(), was_referred));
     let (mut frames, mut stream) = stream.into_split();
     let started_at = Instant::now();
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -5,7 +5,6 @@
 
 use http::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use monoio::io::Splitable;
-use monoio::net::TcpStream;
 use quick_error::quick_error;
 
 use crate::{h1, Request, Response, MAX_BODY_BYTES};
@@ -84,11 +83,8 @@
         timeout: Duration,
         keepalive: Option<TcpKeepalive>,
     ) -> Result<Conn, Error> {
-        let stream = match crate::timeout(timeout, TcpStream::connect_addr(addr)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(err)) => return Err(Error::Connect(err.to_string())),
-            Err(_) => return Err(Error::Connect("timed out".to_owned())),
-        };
+        let connecting = crate::connect(addr, timeout).await;
+        let stream = connecting.map_err(|err| Error::Connect(err.to_string()))?;
         let _ = stream.set_nodelay(true);
         if let Some(TcpKeepalive { idle, interval, probes }) = keepalive {
             let result = stream.set_tcp_keepalive(Some(idle), Some(interval), Some(probes));
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,6 +7,7 @@
 //! closed.
 
 mod client;
+mod connect;
 pub mod h1;
 mod headers;
 mod listen;
@@ -14,6 +15,7 @@
 mod timeout;
 
 pub use client::{Conn, Error, TcpKeepalive};
+pub use connect::connect;
 pub use headers::{credentials, strip_connection_headers};
 pub use listen::listen;
 pub use server::{serve, Handler};
