relay: a reader checks its path again at once after a check that timed out

What callers saw: a node that reads the platform through a partitioned reader used the old configuration for longer than the 1.5 s of partitioned_readers_drop_their_subscribers (version 7 for 9).

Cause: the time is a chain: up to 300 ms until a check, two checks of 300 ms that time out, 300 ms between them, then the node's search for another reader. Shown without load by a stall of 400 ms at five moments: it failed with "7 for 9" in the search for a reader.

Change: the pause between the two checks is what the first has not used of its interval. As many checks must fail as before, and one that was refused is still followed by a pause. The test with the stall passes at all five moments; the older one is unchanged.

--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -29,7 +29,7 @@
 
 /// Time for which a node whose reader dropped it looks for another reader, before it reads the
 /// platform itself. When the platform resets its connections, all readers lose it in the same
-/// moment and are back at once. A partitioned reader notices after 1.2 s, and what it missed must
+/// moment and are back at once. A partitioned reader notices after 0.9 s, and what it missed must
 /// be in force within two seconds.
 const READER_SWITCH_TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -26,6 +26,18 @@
 /// lost packet is not enough.
 const PATH_FAILURE_THRESHOLD: u32 = 2;
 
+/// Returns the pause after a check that took `check_time`, with so many failed ones in sequence.
+///
+/// Until enough checks have failed, subscribers rely on what this node has read. A check that timed
+/// out is therefore followed by the next one at once; one that was refused is not, as a platform
+/// that restarts refuses connections for a moment.
+fn pause_after(failures: u32, check_time: Duration) -> Duration {
+    match failures {
+        1..PATH_FAILURE_THRESHOLD => PATH_CHECK_INTERVAL.saturating_sub(check_time),
+        _ => PATH_CHECK_INTERVAL,
+    }
+}
+
 /// Drops this node's subscribers while it does not reach the platform.
 ///
 /// The long poll notices a partition only when the operating system's keepalive probes fail, about
@@ -35,16 +47,19 @@
 /// three seconds ago.
 pub async fn watch_path<S: follow::Source>(source: S, node: Rc<Node>) {
     let mut failures = 0;
+    let mut check_time = Duration::ZERO;
     loop {
-        monoio::time::sleep(PATH_CHECK_INTERVAL).await;
+        monoio::time::sleep(pause_after(failures, check_time)).await;
         let is_needed = node.state.borrow().reads_directly && !node.subscribers.is_empty();
         if !is_needed && failures == 0 {
             continue;
         }
+        let started_at = Instant::now();
         failures = match source.takes_connections(PATH_CHECK_INTERVAL).await {
             true => 0,
             false => failures + 1,
         };
+        check_time = started_at.elapsed();
         let is_reachable = failures < PATH_FAILURE_THRESHOLD;
         if node.state.borrow().platform_reachable != is_reachable {
             trace::Line::new(if is_reachable { "path_regained" } else { "path_lost" }).log();
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -194,6 +194,34 @@
     });
 }
 
+/// Guards against the same on machines without a spare processor: the event loop stalls while the
+/// reader checks its path to the platform. The change must be in force as soon.
+#[yare::parameterized(
+    before_the_first_check = { 100 },
+    in_the_first_check = { 400 },
+    before_the_second_check = { 650 },
+    in_the_second_check = { 800 },
+    in_the_search_for_a_reader = { 1_000 },
+)]
+fn a_stall_does_not_keep_an_old_configuration_in_force(stall_after_ms: u64) {
+    run(async {
+        let reader_platform = platform();
+        let reader = start(&reader_platform);
+        monoio::time::sleep(ms(100)).await;
+        let own = Platform { partitioned: Rc::default(), ..reader_platform.clone() };
+        let node = start_behind_unreachable_readers(&own);
+        node.state.borrow_mut().peers.insert(reader.1, serving("a"));
+        wait_until_subscribed(&node).await;
+        reader_platform.partitioned.set(true);
+        reader_platform.config.set(9);
+        let partitioned_at = Instant::now();
+        monoio::time::sleep(ms(stall_after_ms)).await;
+        std::thread::sleep(ms(400));
+        monoio::time::sleep(ms(1_500).saturating_sub(partitioned_at.elapsed())).await;
+        assert_eq!(node.state.borrow().config_version(), 9);
+    });
+}
+
 /// Guards against a node that sends requests to an upstream it had dropped, twelve seconds after
 /// the upstream left. A reader was partitioned while the upstream left, and keeps the vanished
 /// entry for two seconds after the partition ends; it must not relay an entry that it only keeps in
