edge: two tests of pipelines also in a form that no slow machine disturbs

the_requests_in_flight_of_a_connection_are_limited and a_connection_is_not_idle_while_a_request_is_in_flight fail on busy machines for another reason than they check: their thread has no processor, so that the first response is there before the eighth request is counted, or a deadline 50 ms after the upstream's 450 ms passes.

Both are seen to fail with nine requests in flight allowed, and with an idle timeout that begins while a request is in flight. The old ones stay as they are.

--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -20,6 +20,9 @@
 /// First sends that deposit more into a node's retry budget than a test needs.
 const INITIAL_FIRST_SENDS: usize = 40;
 
+/// Interval at which an upstream checks a flag of its test.
+const FLAG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Interval at which tests check whether their event loop has stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -149,6 +152,8 @@
     Write(String),
     /// Waits.
     Wait(Duration),
+    /// Waits until the test sets this.
+    WaitUntil(Rc<Cell<bool>>),
     /// Closes the connection.
     Close,
 }
@@ -258,6 +263,11 @@
                         return;
                     }
                 }
+                Step::WaitUntil(is_set) => {
+                    while !is_set.get() {
+                        monoio::time::sleep(FLAG_CHECK_INTERVAL).await;
+                    }
+                }
                 Step::Close => return,
             }
         }
--- a/crates/edge/src/tests/pipelining.rs
+++ b/crates/edge/src/tests/pipelining.rs
@@ -1,5 +1,7 @@
 //! Pipelining: callers that send further requests before the first is answered.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use monoio::net::TcpStream;
@@ -263,6 +265,32 @@
     });
 }
 
+/// Guards against the same, however slow the machine is: no response can come before the requests in
+/// flight are counted.
+#[test]
+fn the_requests_in_flight_are_limited_while_none_is_answered() {
+    const OBJECTIVE: Duration = Duration::from_secs(10);
+    run(async {
+        let may_answer = Rc::new(Cell::new(false));
+        let upstream = Upstream::start(vec![vec![Step::WaitUntil(may_answer.clone()), echo()]]);
+        let entry_node = start_with_capacity(&upstream);
+        let table = table_with_objective(2, Default::default(), OBJECTIVE);
+        entry_node.node.state.borrow_mut().apply_table(table);
+        let mut caller = Caller::connect(entry_node.addr).await;
+        let count = 3 * MAX_IN_FLIGHT;
+        let get_with_long_deadline = |n| get("/get/1", &format!("i{n:03}")).replace("500", "20000");
+        let requests: String = (0..count).map(get_with_long_deadline).collect();
+        caller.write(&requests).await;
+        wait_until(|| upstream.runs() == MAX_IN_FLIGHT).await;
+        monoio::time::sleep(ms(30)).await;
+        assert_eq!(upstream.runs(), MAX_IN_FLIGHT);
+        may_answer.set(true);
+        for n in 0..count {
+            assert_eq!(caller.read().await.expect("a response").body, format!("i{n:03}"));
+        }
+    });
+}
+
 /// Guards against upstreams that work for a caller that has given up: a request waits behind
 /// another for 200 ms of its 500 ms deadline. The time counts from its receipt, not from when it is
 /// parsed.
@@ -377,6 +405,28 @@
     });
 }
 
+/// Guards against the same, however slow the machine is: no deadline passes while the requests are in
+/// flight.
+#[test]
+fn time_in_flight_is_not_idle_time() {
+    const OBJECTIVE: Duration = Duration::from_secs(10);
+    run(async {
+        let upstream = Upstream::start(vec![slow_echo(800), vec![echo()]]);
+        let entry_node = start_with_capacity(&upstream);
+        let limits = route::ClientLimits { idle_timeout: ms(1), ..Default::default() };
+        let table = table_with_objective(2, limits, OBJECTIVE);
+        entry_node.node.state.borrow_mut().apply_table(table);
+        let mut caller = Caller::connect(entry_node.addr).await;
+        caller.write(&get("/get/1", "one1").replace("500", "20000")).await;
+        assert_eq!(caller.read().await.expect("a response").body, "one1");
+        // Most of the idle timeout is left for a slow machine.
+        monoio::time::sleep(ms(50)).await;
+        caller.write(&get("/get/2", "two2").replace("500", "20000")).await;
+        assert_eq!(caller.read().await.expect("a response").body, "two2");
+        assert!(caller.read().await.is_none(), "closed once it was idle");
+    });
+}
+
 /// Generates a request: whether it is idempotent, and how long it takes in milliseconds.
 fn request() -> impl Strategy<Value = (bool, u64)> {
     (prop::bool::weighted(0.8), 0u64..25)
