edge: a grant of quota, and a probe's response, that arrived in a stall count

What callers saw: 503, as nobody decided on their team's quota, although the grant was there. Found by looking for the same fault elsewhere: 80 ms for an answer of the quota's owner, and what a probe, its verification, a subscriber's greeting were given, ran out in a stalled event loop as deadlines did.

Change: web::timeout there too; oatcoved's check whether an upstream has ended uses web::connect, so that a connection to itself does not count as a living upstream. a_grant_that_arrived_in_a_stall_counts fails with monoio's timeout (503 for 200).

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -69,8 +69,7 @@
     for upstream in upstreams {
         let (node, service, done) = (node.clone(), service.clone(), done.clone());
         monoio::spawn(async move {
-            let probing =
-                monoio::time::timeout(PROBE_TIMEOUT, probe_one(&node, &service, &upstream));
+            let probing = web::timeout(PROBE_TIMEOUT, probe_one(&node, &service, &upstream));
             if probing.await.is_err() {
                 node.conns.close(&upstream);
             }
@@ -136,8 +135,7 @@
     conn: Conn,
 ) -> Option<Conn> {
     let target = Target::of(node, service, upstream)?;
-    let probing =
-        monoio::time::timeout(VERIFY_TIMEOUT, send_probe(node, service, upstream, &target, conn));
+    let probing = web::timeout(VERIFY_TIMEOUT, send_probe(node, service, upstream, &target, conn));
     probing.await.ok().flatten()
 }
 
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -280,7 +280,7 @@
         self.quotas.waiters.borrow_mut().insert(seq, tx);
         let mut waiting = Waiting { quotas: &self.quotas, attempt: Some(attempt), seq };
         send(self, to, &message).await;
-        let answer = monoio::time::timeout(quota::ASK_TIMEOUT, rx).await;
+        let answer = web::timeout(quota::ASK_TIMEOUT, rx).await;
         waiting.attempt = None;
         answer.ok().and_then(Result::ok)
     }
--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -144,7 +144,7 @@
 }
 
 async fn serve_subscriber(mut stream: TcpStream, node: Rc<Node>) {
-    let greeting = monoio::time::timeout(FIRST_FRAME_TIMEOUT, receive::<Greeting, _>(&mut stream));
+    let greeting = web::timeout(FIRST_FRAME_TIMEOUT, receive::<Greeting, _>(&mut stream));
     let Ok(Ok(greeting)) = greeting.await else { return };
     if let Some(peer) = referral(&node, &greeting) {
         // A new node that does not get the referral connects again.
--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -319,6 +319,26 @@
     });
 }
 
+/// Guards against a refusal although the grant is there: the node stalls until after the timeout of its
+/// question, and the owner answers in the turn in which the time runs out.
+#[test]
+fn a_grant_that_arrived_in_a_stall_counts() {
+    run(async {
+        let upstream = serving_upstream();
+        let grant = |_, seq| Some(Message::Grant { seq, tokens: 1 });
+        let owner = FakeOwner::start(quota_addr(17, 2), quota::ASK_TIMEOUT / 2, grant);
+        let team = team_of_node_2(17);
+        let entry = start(&[&upstream], (17, 1), &[2], teams(&team, NO_RATE, 1.0));
+        let mut caller = Caller::connect(entry.addr).await;
+        caller.write(&request("a")).await;
+        while owner.count() == 0 {
+            monoio::time::sleep(ms(1)).await;
+        }
+        std::thread::sleep(2 * quota::ASK_TIMEOUT);
+        assert_eq!(caller.read().await.expect("a response").status, 200);
+    });
+}
+
 /// Guards against a node that takes tokens from a stranger, or stops at bytes that are no message.
 #[test]
 fn only_the_owner_that_was_asked_grants() {
--- a/crates/oatcoved/src/proxy/crashes.rs
+++ b/crates/oatcoved/src/proxy/crashes.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use monoio::net::TcpStream;
 use quarantine::{ContentKey, Decision, FindingVersion, LostRequest, Start};
 
 use super::forward::Call;
@@ -155,9 +154,8 @@
         if has_ended {
             return self.record_upstream_end(addr, &[lost]);
         }
-        let connected = monoio::time::timeout(CRASH_CHECK_TIMEOUT, TcpStream::connect_addr(addr));
-        let is_refused = |err: &io::Error| err.kind() == io::ErrorKind::ConnectionRefused;
-        if matches!(connected.await, Ok(Err(err)) if is_refused(&err)) {
+        let connected = web::connect(addr, CRASH_CHECK_TIMEOUT).await;
+        if connected.is_err_and(|err| err.kind() == io::ErrorKind::ConnectionRefused) {
             let lost = self
                 .view
                 .borrow_mut()
