reach: nodes record whether any upstream responds

Logs and metrics of the incident did not tell a node without a path to any upstream from one whose upstreams fail one by one. The new crate reach counts distinct upstreams that failed since one last responded; three in sequence mean that the node is partitioned from all. Both entry nodes log when that begins and ends, and show it as a gauge and in their status. Nothing acts on it yet.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -171,7 +171,9 @@
             Some(conn) => Ok(conn),
             None => {
                 self.state.borrow_mut().counters.connects += 1;
-                self.conns.open(upstream, addr, timeout).await
+                let conn = self.conns.open(upstream, addr, timeout).await?;
+                self.record_connected();
+                Ok(conn)
             }
         }
     }
--- a/crates/edge/src/forward/crash_detection.rs
+++ b/crates/edge/src/forward/crash_detection.rs
@@ -1,6 +1,7 @@
 //! Detects upstreams that crashed, and the requests that were in flight there.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -49,12 +50,18 @@
         let _ = monoio::time::timeout(MAX_CRASH_DETECTION_WAIT, checking).await;
     }
 
-    async fn try_reconnect(&self, upstream: &Incarnation, addr: std::net::SocketAddr) {
+    async fn try_reconnect(&self, upstream: &Incarnation, addr: SocketAddr) {
         self.state.borrow_mut().counters.connects += 1;
         match self.conns.open(upstream, addr, super::CONNECT_TIMEOUT).await {
             // Replaces the broken connection in the pool.
-            Ok(conn) => self.conns.put(upstream, conn),
-            Err(err) => self.record_connect_failure(upstream, &err),
+            Ok(conn) => {
+                self.record_connected();
+                self.conns.put(upstream, conn);
+            }
+            Err(err) => {
+                self.record_unconnected(addr);
+                self.record_connect_failure(upstream, &err);
+            }
         }
     }
 
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -63,6 +63,7 @@
         let conn = match connecting.await {
             Ok(conn) => conn,
             Err(err) => {
+                self.record_unconnected(addr);
                 self.record_connect_failure(&choice.upstream, &err);
                 call.log_line("connect_failed")
                     .field("upstream", choice.upstream.id())
@@ -85,6 +86,7 @@
         let was_reused = conn.used;
         let requested_at = Instant::now();
         let on_response_head = |head: &h1::ResponseHead, to: ResponseTo| {
+            self.record_path_response();
             if to == ResponseTo::Current {
                 unanswered.end();
             }
@@ -114,6 +116,7 @@
             Outcome::Lost(_) => RequestOutcome::Failed,
         });
         if matches!(outcome, Outcome::Lost(why) if exchange::is_connection_loss(why)) {
+            self.record_path_failure(addr);
             self.detect_crash(call, choice, version, started_at.elapsed()).await;
         }
         outcome
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,8 @@
 //!   [`quotas`] obtains the tokens that teams' quotas require, and [`exchange`] sends one request to
 //!   one upstream over a connection from the pool in [`conns`]. [`bodies`] bounds the memory that
 //!   request bodies take. [`startup`] decides for how long requests wait for a node that has just
-//!   started. [`probe`] queries upstreams for their load just before a choice.
+//!   started. [`probe`] queries upstreams for their load just before a choice. [`paths`] records
+//!   whether the node reaches any upstream at all.
 //! - Platform: [`follow`] keeps the node's state in sync with the platform, which it accesses only
 //!   through the trait [`follow::Source`]. Most nodes read it through a peer ([`readers`],
 //!   [`relay`]). [`record`] writes the audit record of configurations, and [`holds`] stores which
@@ -28,6 +29,7 @@
 pub mod history;
 pub mod holds;
 pub mod metrics;
+mod paths;
 pub mod probe;
 pub mod quotas;
 pub mod readers;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -90,6 +90,7 @@
     zones_evacuated: Gauge<u64>,
     body_bytes: Gauge<u64>,
     silent_services: Gauge<u64>,
+    upstreams_unreachable: Gauge<u64>,
     lines_dropped: Gauge<u64>,
     quota_shards: Gauge<u64>,
     team_requests: Gauge<u64>,
@@ -150,6 +151,7 @@
             zones_evacuated: registry.gauge("oatcove_zones_evacuated"),
             body_bytes: registry.gauge("oatcove_body_bytes_reserved"),
             silent_services: registry.gauge("oatcove_services_silent"),
+            upstreams_unreachable: registry.gauge("oatcove_upstreams_unreachable"),
             lines_dropped: registry.gauge("oatcove_log_lines_dropped"),
             quota_shards: registry.gauge("oatcove_quota_shards_owned"),
             team_requests: registry.gauge("oatcove_team_requests"),
@@ -187,6 +189,7 @@
         self.body_bytes.record(state.body_budget.used() as u64, &[]);
         let silent = state.pools.values().filter(|pool| pool.silence().is_silent(now));
         self.silent_services.record(silent.count() as u64, &[]);
+        self.upstreams_unreachable.record(u64::from(state.paths.is_unreachable()), &[]);
         self.lines_dropped.record(trace::dropped_lines(), &[]);
         self.registry.scrape(&state.counters)
     }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -69,8 +69,11 @@
     for upstream in upstreams {
         let (node, service, done) = (node.clone(), service.clone(), done.clone());
         monoio::spawn(async move {
-            let probing = web::timeout(PROBE_TIMEOUT, probe_one(&node, &service, &upstream));
+            let Some(target) = Target::of(&node, &service, &upstream) else { return };
+            let probing =
+                web::timeout(PROBE_TIMEOUT, probe_one(&node, &service, &upstream, &target));
             if probing.await.is_err() {
+                node.record_path_failure(target.addr);
                 node.conns.close(&upstream);
             }
             drop(done);
@@ -98,11 +101,16 @@
 }
 
 /// Sends one probe and records the load that the response reports.
-async fn probe_one(node: &Rc<Node>, service: &ServiceName, upstream: &Incarnation) {
-    let Some(target) = Target::of(node, service, upstream) else { return };
+async fn probe_one(
+    node: &Rc<Node>,
+    service: &ServiceName,
+    upstream: &Incarnation,
+    target: &Target,
+) {
     let conn = match node.connection(upstream, target.addr, CONNECT_TIMEOUT).await {
         Ok(conn) => conn,
         Err(err) => {
+            node.record_unconnected(target.addr);
             node.record_connect_failure(upstream, &err);
             trace::Line::new("probe_connect_failed")
                 .field("upstream", upstream.id())
@@ -115,7 +123,7 @@
         }
     };
     let was_reused = conn.used;
-    match send_probe(node, service, upstream, &target, conn).await {
+    match send_probe(node, service, upstream, target, conn).await {
         Some(conn) => node.conns.put(upstream, conn),
         // The most recently used connection is gone: those that were idle for longer are gone too.
         None if was_reused => node.conns.close(upstream),
@@ -157,6 +165,7 @@
     conn.writer.write(request).await.ok()?;
     let head = conn.reader.response_head(&Method::GET).await.ok()?;
     let mut decoder = h1::Decoder::new(head.framing);
+    node.record_path_response();
     node.apply_signals(upstream, head.status, &head.headers, None);
     while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
     node.record_load(service, upstream, &head.headers);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -212,6 +212,8 @@
     pub quarantine: quarantine::Quarantine,
     /// Limits, leaving and backoff that upstreams have stated.
     pub backpressure: notice::Backpressure,
+    /// What this node reaches of the upstreams.
+    pub paths: reach::Paths,
     /// Send rates and retry budgets by service.
     sends: HashMap<ServiceName, Sends>,
     /// Configurations that may have no audit record yet.
@@ -271,6 +273,7 @@
             crash_detector: quarantine::CrashDetector::default(),
             quarantine: quarantine::Quarantine::default(),
             backpressure: notice::Backpressure::with_node_seed(node_seed),
+            paths: reach::Paths::default(),
             sends: HashMap::new(),
             unrecorded: crate::record::Unrecorded::default(),
             round_robins: HashMap::new(),
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -43,6 +43,8 @@
     pub reads: Reads,
     /// Time for which the platform has not answered this node; 0 while it answers.
     pub store_away_ms: u64,
+    /// Time for which no upstream has responded to this node; 0 while it reaches any.
+    pub upstreams_unreachable_ms: u64,
     /// Requests read from callers and not answered yet.
     pub in_flight: u64,
     /// Other entry nodes by address.
@@ -157,6 +159,7 @@
                 None => Reads::Nothing,
             },
             store_away_ms: as_ms(state.roster.store_unreachable_for(now)),
+            upstreams_unreachable_ms: as_ms(state.paths.unreachable_for(now).unwrap_or_default()),
             in_flight: state.in_flight,
             peers: state.peers.iter().map(peer).collect(),
             evacuated: state.evacuations.zones().iter().cloned().collect(),
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod gossip;
 pub mod metrics;
 pub mod notices;
+pub mod paths;
 pub mod probe;
 pub mod proxy;
 pub mod relay;
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -27,6 +27,7 @@
     leaving: Gauge<u64>,
     backing_off: Gauge<u64>,
     zones_evacuated: Gauge<u64>,
+    upstreams_unreachable: Gauge<u64>,
 }
 
 const COUNTERS: [meter::CounterSpec<Counters>; 17] = [
@@ -73,6 +74,7 @@
             leaving: base.gauge("oatcove_upstreams_leaving"),
             backing_off: base.gauge("oatcove_upstreams_resting"),
             zones_evacuated: base.gauge("oatcove_zones_evacuated"),
+            upstreams_unreachable: base.gauge("oatcove_upstreams_unreachable"),
             base,
         })
     }
@@ -100,6 +102,7 @@
         self.leaving.record(view.backpressure.leaving_count(now) as u64, &[]);
         self.backing_off.record(view.backpressure.backoff_count(now) as u64, &[]);
         self.zones_evacuated.record(view.evacuated_zones().count() as u64, &[]);
+        self.upstreams_unreachable.record(u64::from(view.paths.is_unreachable()), &[]);
         self.base.scrape(&view.counters)
     }
 }
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -15,7 +15,7 @@
 use store::proto;
 
 use crate::view::View;
-use crate::{gossip, notices};
+use crate::{gossip, notices, paths};
 
 /// Interval at which the scheduler is asked for due probes.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -99,6 +99,10 @@
                 }
             }
             Input::Completed(addr, result, conn) => {
+                match &result.signals {
+                    Some(_) => paths::record_response(&mut view.borrow_mut()),
+                    None => paths::record_failure(&mut view.borrow_mut(), addr),
+                }
                 if let Some((signals, request_sent_at)) = result.signals {
                     if view.borrow_mut().apply_probe_signals(addr, &signals, request_sent_at) {
                         let _ = gossip.send(gossip::Input::UpdatesPending);
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -13,7 +13,7 @@
 
 use super::attempt::{Attempt, Outstanding};
 use super::{crashes, response, Node};
-use crate::notices;
+use crate::{notices, paths};
 
 /// A hedge is sent once a call has taken this many times the mean latency of its kind.
 const HEDGE_LATENCY_RATIO: f64 = 3.0;
@@ -393,6 +393,7 @@
         let (finding_version, _suspected_attempt) = self.begin_attempt(call, addr);
         let request_sent_at = Instant::now();
         let on_response = |response: &web::Response| {
+            paths::record_response(&mut self.view.borrow_mut());
             let signals = notices::read_signals(addr, response);
             // A response without success need not carry all signals, so it ends neither a limit nor
             // a backoff.
@@ -404,6 +405,9 @@
         let result =
             self.idle.send(addr, request, remaining, call.connection_share, on_response).await;
         let elapsed = outstanding.elapsed();
+        if matches!(result, Attempt::NotSent | Attempt::Lost(_)) {
+            paths::record_failure(&mut self.view.borrow_mut(), addr);
+        }
         outstanding.finish(match &result {
             Attempt::Answered(response) if is_upstream_failure(response) => {
                 balance::Outcome::Failed
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -118,6 +118,8 @@
     pub quarantine: quarantine::Quarantine,
     /// Limits, leaving and backoff that upstreams have stated.
     pub backpressure: notice::Backpressure,
+    /// What this node reaches of the upstreams.
+    pub paths: reach::Paths,
     /// Calls in flight.
     pub in_flight: u64,
     /// True once the node is stopping.
@@ -145,6 +147,7 @@
             crash_detector: Default::default(),
             quarantine: Default::default(),
             backpressure: notice::Backpressure::with_node_seed(rand::random()),
+            paths: reach::Paths::default(),
             in_flight: 0,
             stopping: false,
             counters: Counters::default(),
@@ -169,6 +172,9 @@
     pub evacuated: Vec<SmolStr>,
     /// Why the node is isolated, if it is.
     pub isolation: Option<Isolation>,
+    /// Time for which no upstream has responded to this node, in milliseconds; 0 while it reaches
+    /// any.
+    pub upstreams_unreachable_ms: u64,
     /// Calls in flight.
     pub in_flight: u64,
     /// Upstreams by service.
@@ -329,6 +335,10 @@
                 .collect(),
             evacuated: self.evacuated_zones().cloned().collect(),
             isolation: self.isolation(),
+            upstreams_unreachable_ms: self
+                .paths
+                .unreachable_for(now)
+                .map_or(0, |time| time.as_millis() as u64),
             in_flight: self.in_flight,
             upstreams,
             crashing: self.quarantine.findings().into_iter().cloned().collect(),
