--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -16,6 +16,7 @@
 mod limits;
 mod long_bodies;
 mod node_state;
+mod partitioned;
 mod pipelining;
 mod quotas;
 mod relay;
--- /dev/null
+++ b/crates/edge/src/tests/partitioned.rs
@@ -0,0 +1,148 @@
+//! A node that is partitioned from all upstreams, beside one that reaches them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use monoio::net::TcpListener;
+
+use super::fake::{self, get, ms, ok_response, post, Caller, EntryNode, Step, Upstream};
+use super::fleet::serving;
+use crate::{relay, stop};
+
+/// Time after the start of a partition from which its callers must be served.
+const STABILITY: Duration = Duration::from_secs(3);
+
+/// Time for which calls are counted.
+const COUNTED: Duration = Duration::from_secs(2);
+
+/// Callers of each node, half of them with requests that must not run twice.
+const CALLERS: usize = 4;
+
+/// Upstreams that the partitioned node knows.
+const UPSTREAMS: usize = 4;
+
+/// How the connections of a partitioned node fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Failure {
+    /// New ones are refused.
+    Refused,
+    /// They are open, and nothing is answered.
+    Unanswered,
+}
+
+/// Addresses that stand for the upstreams as a partitioned node sees them.
+struct Unreachable {
+    closed: Vec<emu::closed_port::ClosedPort>,
+    silent: Vec<Upstream>,
+}
+
+impl Unreachable {
+    fn new(failure: Failure) -> Unreachable {
+        let silent = || Upstream::start(vec![vec![Step::Wait(Duration::from_secs(60))]]);
+        let closed = || emu::closed_port::ClosedPort::new().expect("a port is free");
+        let count = |wanted| if failure == wanted { UPSTREAMS } else { 0 };
+        Unreachable {
+            closed: (0..count(Failure::Refused)).map(|_| closed()).collect(),
+            silent: (0..count(Failure::Unanswered)).map(|_| silent()).collect(),
+        }
+    }
+
+    fn addrs(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        let silent = self.silent.iter().map(|upstream| upstream.addr);
+        self.closed.iter().map(|port| port.addr()).chain(silent)
+    }
+}
+
+/// Starts a node whose upstreams have these addresses, with its housekeeping and its peer port.
+fn start_node(upstreams: &[SocketAddr]) -> EntryNode {
+    let peers = TcpListener::bind("127.0.0.1:0").expect("binds");
+    let peer_addr = peers.local_addr().expect("bound");
+    let entry_node = fake::start_with(&[], |settings| settings.peer_addr = peer_addr);
+    let node = entry_node.node.clone();
+    for (n, addr) in upstreams.iter().enumerate() {
+        let entry = place::Entry {
+            id: format!("u{n}").into(),
+            born_ms: fake::BORN_MS,
+            service: "desk".into(),
+            addr: *addr,
+            zone: "a".into(),
+            slots: 4,
+            leaving: false,
+            cold_for: Duration::ZERO,
+        };
+        let mut state = node.state.borrow_mut();
+        state.roster.apply(vec![place::Event::Put(entry.clone())], Instant::now());
+        state.apply_change(&place::Change::Put(entry), Instant::now());
+    }
+    monoio::spawn(relay::serve(peers, node.clone()));
+    monoio::spawn(async move {
+        stop::run_until_signal(&stop::Signals::default(), &node, |_, _| {}).await;
+    });
+    entry_node
+}
+
+fn introduce(a: &EntryNode, b: &EntryNode) {
+    let peer_addr = b.node.state.borrow().settings.peer_addr;
+    a.node.state.borrow_mut().peers.insert(peer_addr, serving("a"));
+}
+
+/// Calls a node one request after the other; returns how many of those sent from `from` on were
+/// served, and how many there were.
+async fn call(addr: SocketAddr, name: String, from: Instant, until: Instant) -> (usize, usize) {
+    let (mut served, mut sent) = (0, 0);
+    for n in 0.. {
+        let sent_at = Instant::now();
+        if sent_at >= until {
+            break;
+        }
+        let id = format!("{name}-{n}");
+        let request = if name.starts_with("post") { post(&id) } else { get("/get/1", &id) };
+        let response = Caller::connect(addr).await.ask(&request).await;
+        if sent_at >= from {
+            sent += 1;
+            served += usize::from(response.status == 200);
+        }
+        monoio::time::sleep(ms(20)).await;
+    }
+    (served, sent)
+}
+
+/// Calls a node by several callers; returns how many requests were served, and how many were sent.
+async fn call_all(addr: SocketAddr, from: Instant, until: Instant) -> (usize, usize) {
+    let name = |n: usize| format!("{}{addr}-{n}", if n < CALLERS / 2 { "get" } else { "post" });
+    let callers = (0..CALLERS).map(|n| monoio::spawn(call(addr, name(n), from, until)));
+    let (mut served, mut sent) = (0, 0);
+    for caller in callers.collect::<Vec<_>>() {
+        let counts = caller.await;
+        (served, sent) = (served + counts.0, sent + counts.1);
+    }
+    (served, sent)
+}
+
+/// Guards against callers of a node without a path to any upstream who are refused or time out
+/// although its peers reach the upstreams.
+#[yare::parameterized(
+    connections_are_refused = { Failure::Refused },
+    nothing_is_answered = { Failure::Unanswered },
+)]
+fn callers_of_a_node_that_is_partitioned_from_all_upstreams_are_served(failure: Failure) {
+    fake::run(async move {
+        let upstream = Rc::new(Upstream::start(vec![vec![Step::Wait(ms(20)), ok_response("x")]]));
+        let unreachable = Unreachable::new(failure);
+        let partitioned = start_node(&unreachable.addrs().collect::<Vec<_>>());
+        let in_touch = start_node(&[upstream.addr]);
+        introduce(&partitioned, &in_touch);
+        introduce(&in_touch, &partitioned);
+        let from = Instant::now() + STABILITY;
+        let until = from + COUNTED;
+        let others = monoio::spawn(call_all(in_touch.addr, from, until));
+        let (served, sent) = call_all(partitioned.addr, from, until).await;
+        let (served_by_others, sent_to_others) = others.await;
+        let share = |served: usize, sent: usize| served as f64 / sent.max(1) as f64;
+        assert!(
+            3.0 * share(served, sent) >= 2.0 * share(served_by_others, sent_to_others),
+            "{served} of {sent}, the other node {served_by_others} of {sent_to_others}"
+        );
+    });
+}
