edge: a node without a path to any upstream sends requests through a peer

Each request tried up to four upstreams, one connect timeout after the other, and was refused.

Cause: a node could reach an upstream only over its own connections, though the other nodes reached the upstreams and it reached them. Class: a component that has lost a dependency keeps taking work that only the dependency can do, while its peers still have it.

Change: once three upstreams failed in sequence without a response in between (reach::Paths), a request is offered to a peer that reaches them (reach::Peers ranks them), over the address where peers subscribe. Nothing is sent before the peer accepts, so a declined offer costs no second send. The offer carries the age, the chosen service, the attempts left, whether the first send is counted in a retry budget and whether the team's token is spent, so that deadline, attempts, budget and quota bind the request as at its first node. The peer offers it to nobody else. A request that two upstreams accepted no connection for goes the same way, and one that finds no open connection free while new ones are refused. An overdue idempotent request is hedged through a peer. A partitioned node closes its idle connections and checks one upstream each 250 ms.

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -11,6 +11,7 @@
 
 use http::HeaderMap;
 use monoio::io::Splitable;
+use monoio::net::TcpStream;
 use place::Incarnation;
 use web::h1;
 
@@ -61,15 +62,24 @@
     ) -> std::io::Result<Conn> {
         let stream = web::connect(addr, timeout).await?;
         stream.set_nodelay(true)?;
+        Ok(Conn::new(stream, open_guard))
+    }
+
+    /// Returns a connection to a peer, which is not kept in a pool.
+    pub fn to_peer(stream: TcpStream) -> Conn {
+        Conn::new(stream, OpenGuard::new(&Rc::default()))
+    }
+
+    fn new(stream: TcpStream, open_guard: OpenGuard) -> Conn {
         let (read, write) = stream.into_split();
-        Ok(Conn {
+        Conn {
             reader: h1::Reader::new(read),
             writer: h1::Writer::new(write),
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             used: false,
             _open_guard: open_guard,
-        })
+        }
     }
 
     /// Records a response, and the idle timeout that its `Keep-Alive` header states.
@@ -167,6 +177,11 @@
         self.idle.borrow_mut().remove(upstream);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections whose idle timeout has nearly passed at `now`.
     pub fn expire(&self, now: Instant) {
         self.idle.borrow_mut().retain(|_, list| {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -5,7 +5,8 @@
 //! its content key. [`identify`] finds the team of its caller. [`crash_detection`] detects upstreams
 //! that crashed while running requests, and [`quarantined`] keeps such requests from other
 //! upstreams. [`silence`] detects requests that upstreams neither hold nor answer. [`notices`]
-//! applies the backpressure signals of responses.
+//! applies the backpressure signals of responses. [`via_peer`] sends requests through a peer while
+//! this node reaches no upstream.
 
 mod call;
 mod choose;
@@ -17,6 +18,7 @@
 mod retries;
 mod send;
 mod silence;
+mod via_peer;
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
@@ -100,12 +102,14 @@
     /// Whether it has disconnected. Sends in flight then run to their end, and no further ones are
     /// made.
     pub has_left: Rc<Cell<bool>>,
+    /// How a peer has offered the request, if it came from one.
+    pub offer: Option<relay::Offer>,
 }
 
 impl Caller {
     /// Returns a connected caller whose request was received at `received_at`.
     pub fn waiting_since(received_at: Instant) -> Caller {
-        Caller { received_at, has_left: Rc::default() }
+        Caller { received_at, has_left: Rc::default(), offer: None }
     }
 }
 
@@ -169,15 +173,27 @@
     ) -> std::io::Result<Conn> {
         match self.conns.take(upstream).await {
             Some(conn) => Ok(conn),
-            None => {
-                self.state.borrow_mut().counters.connects += 1;
-                let conn = self.conns.open(upstream, addr, timeout).await?;
-                self.record_connected();
-                Ok(conn)
-            }
+            None => self.new_connection(upstream, addr, timeout).await,
         }
     }
 
+    /// Opens a connection to an upstream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket, or `TimedOut` after `timeout`.
+    pub(crate) async fn new_connection(
+        &self,
+        upstream: &Incarnation,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> std::io::Result<Conn> {
+        self.state.borrow_mut().counters.connects += 1;
+        let conn = self.conns.open(upstream, addr, timeout).await?;
+        self.record_connected();
+        Ok(conn)
+    }
+
     /// Returns a connection for a request that must not run twice. One that was idle for a while is
     /// verified by a probe first, if the budget of probes allows one.
     ///
@@ -214,7 +230,7 @@
     }
 
     /// Takes up to `wanted` probes out of the service's budget; returns how many were granted.
-    fn take_from_probe_budget(&self, service: &ServiceName, wanted: usize) -> usize {
+    pub(crate) fn take_from_probe_budget(&self, service: &ServiceName, wanted: usize) -> usize {
         let (refill_per_s, capacity) = probe::budget_limits(self, service);
         let mut budgets = self.probe_budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
@@ -301,8 +317,9 @@
                 received_at,
             )
         });
+        let has_token = caller.offer.as_ref().is_some_and(|offer| offer.has_token);
         let token = match &team {
-            Some(team) => {
+            Some(team) if !has_token => {
                 match self.acquire_token(team, self.timeliness(route, retrying_for)).await {
                     Ok(token) => token,
                     Err(why) => {
@@ -311,7 +328,7 @@
                     }
                 }
             }
-            None => None,
+            Some(_) | None => None,
         };
         let mut ids = head.headers.get_all(&names.request_id).iter();
         let (Some(request_id), None) = (ids.next().cloned(), ids.next()) else {
@@ -333,7 +350,13 @@
             ));
         }
         let body_start = body.received().clone();
-        let service = self.next_service(route);
+        let offered_service = caller.offer.as_ref().map(|offer| &offer.service);
+        let is_target = |name: &&ServiceName| route.targets.iter().any(|t| t.service == **name);
+        let service = match offered_service.filter(is_target) {
+            Some(service) => service.clone(),
+            None => self.next_service(route),
+        };
+        let attempts = caller.offer.as_ref().map_or(u32::MAX, |offer| offer.attempts);
         let most_urgent = table.is_most_urgent(route, &service)
             && team.as_ref().is_none_or(|team| table.teams.is_most_urgent(team));
         let sends = RefCell::default();
@@ -352,6 +375,8 @@
             received_at,
             caller_left: caller.has_left,
             retrying_for,
+            attempts: attempts.min(route.attempts),
+            offer: caller.offer,
             deadline,
             caller_deadline: received_at + stated_deadline.unwrap_or(route.timeout),
             sends,
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -18,6 +18,7 @@
 use crate::as_ms;
 use crate::exchange::Outcome;
 use crate::quotas;
+use crate::relay::Offer;
 
 /// A request that is being forwarded.
 pub(super) struct Call<'a> {
@@ -43,6 +44,10 @@
     pub(super) caller_left: Rc<Cell<bool>>,
     /// How long the caller had been retrying when the request was received.
     pub(super) retrying_for: Duration,
+    /// Maximum number of upstreams that the request may reach.
+    pub(super) attempts: u32,
+    /// How a peer has offered the request, if one did.
+    pub(super) offer: Option<Offer>,
     pub(super) deadline: Instant,
     /// When the caller gives up; `deadline` may be earlier.
     pub(super) caller_deadline: Instant,
@@ -85,6 +90,8 @@
     /// The upstream that gets it instead of one at which it vanished; the second send is withdrawn
     /// from the retry budget already.
     pub(super) granted: Option<Choice>,
+    /// Whether it was offered to peers.
+    pub(super) peers_asked: bool,
 }
 
 impl Tried {
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -294,13 +294,18 @@
             * CONNECTION_IDLE_TIMEOUT.as_secs_f64()
             / pool.compared_count() as f64;
         let backpressure = &state.backpressure;
+        // While new connections fail, a peer gets what open ones cannot carry.
+        let uses_open_connections = call.offer.is_none()
+            && state.paths.is_unconnectable()
+            && state.peers.values().any(|peer| peer.may_serve());
         let may_send = |upstream: &Incarnation| {
             backpressure.is_empty() || backpressure.may_send(start_of(upstream), now)
         };
         let connection_plan = |upstream: &Incarnation| match self.conns.open_count(upstream) {
             _ if !may_send(upstream) => ConnectionPlan::Unavailable,
-            0 => ConnectionPlan::Open,
             _ if self.conns.has_idle(upstream) => ConnectionPlan::Reuse,
+            _ if uses_open_connections => ConnectionPlan::Unavailable,
+            0 => ConnectionPlan::Open,
             open if open < share && requests_per_connection >= MIN_REQUESTS_PER_CONNECTION => {
                 ConnectionPlan::Open
             }
--- a/crates/edge/src/forward/crash_detection.rs
+++ b/crates/edge/src/forward/crash_detection.rs
@@ -51,13 +51,9 @@
     }
 
     async fn try_reconnect(&self, upstream: &Incarnation, addr: SocketAddr) {
-        self.state.borrow_mut().counters.connects += 1;
-        match self.conns.open(upstream, addr, super::CONNECT_TIMEOUT).await {
+        match self.new_connection(upstream, addr, super::CONNECT_TIMEOUT).await {
             // Replaces the broken connection in the pool.
-            Ok(conn) => {
-                self.record_connected();
-                self.conns.put(upstream, conn);
-            }
+            Ok(conn) => self.conns.put(upstream, conn),
             Err(err) => {
                 self.record_unconnected(addr);
                 self.record_connect_failure(upstream, &err);
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -1,12 +1,13 @@
 //! The sends of one request: retries one after the other, and hedges beside an overdue send.
 
 use std::cell::RefCell;
-use std::pin::pin;
+use std::future::Future;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use quarantine::Decision;
 use web::h1;
 
@@ -32,7 +33,7 @@
 
 /// Length of the pieces in which a body is sent. Each is copied, so that a large body sent at once
 /// would take its memory twice.
-const SEND_PIECE_BYTES: usize = 64 * 1024;
+pub(super) const SEND_PIECE_BYTES: usize = 64 * 1024;
 
 /// `Retry-After` when upstreams refused a request and the node may not send it again. Their refusal
 /// says nothing about other upstreams, and each further attempt of the caller adds to the retry
@@ -102,10 +103,23 @@
         let mut fallback = Fallback::NotRun;
         loop {
             let granted = tried.borrow_mut().granted.take();
+            if granted.is_none() && self.prefers_peer(call, &tried.borrow()) {
+                match self.retry_via_peer(call, &tried, &buffered, fallback).await {
+                    Ok(reply) => return reply,
+                    // No peer takes it.
+                    Err(unchanged) => fallback = unchanged,
+                }
+            }
             let choice = match granted {
                 Some(choice) => choice,
                 None => match self.choose_next(call, &tried).await {
                     Ok(choice) => choice,
+                    Err(NotChosen::NoChoice(why)) if self.needs_peer(call, &tried.borrow()) => {
+                        match self.retry_via_peer(call, &tried, &buffered, fallback).await {
+                            Ok(reply) => return reply,
+                            Err(fallback) => return self.refuse(call, why, fallback),
+                        }
+                    }
                     Err(NotChosen::NoChoice(why)) => return self.refuse(call, why, fallback),
                     Err(NotChosen::OverBudget) => {
                         return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL)
@@ -117,7 +131,7 @@
                 let tried = tried.borrow();
                 (tried.reached, tried.upstreams.len())
             };
-            let attempts_left = reached < call.route.attempts;
+            let attempts_left = reached < call.attempts;
             match outcome {
                 Outcome::NotSent if upstreams < MAX_UPSTREAMS_TRIED => {}
                 Outcome::NotSent => return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL),
@@ -142,6 +156,29 @@
         }
     }
 
+    /// Sends the request through a peer, within the retry budget, and returns the reply to its
+    /// caller: the peer makes all further sends.
+    ///
+    /// # Errors
+    ///
+    /// Returns `fallback` if no peer takes the request.
+    async fn retry_via_peer(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        tried: &RefCell<Tried>,
+        body: &Bytes,
+        fallback: Fallback,
+    ) -> Result<Reply, Fallback> {
+        let Some(peer) = self.offer_to_peers(call, tried).await else { return Err(fallback) };
+        let reached = tried.borrow().reached;
+        if reached > 0 && !self.state.borrow_mut().try_second_send(&call.service) {
+            call.log_line("second_send_over_budget").log();
+            return Ok(give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL));
+        }
+        let outcome = self.send_to_peer(call, tried, peer, body).await;
+        Ok(reply_of_peer(outcome, fallback))
+    }
+
     /// Chooses the upstream for the first send, or for another one within the retry budget.
     async fn choose_next(
         self: &Rc<Node>,
@@ -156,7 +193,10 @@
         let choice = choosing.await.map_err(NotChosen::NoChoice)?;
         let mut state = self.state.borrow_mut();
         if upstreams.is_empty() {
-            state.record_first_send(&call.service);
+            // That of an offered request may be counted by the peer that made the offer.
+            if !call.offer.as_ref().is_some_and(|offer| offer.is_counted) {
+                state.record_first_send(&call.service);
+            }
         } else if reached > 0 && !state.try_second_send(&call.service) {
             drop(state);
             call.log_line("second_send_over_budget").log();
@@ -178,7 +218,7 @@
             let tried = tried.borrow();
             unanswered.is_unanswered()
                 && tried.in_flight <= 1
-                && tried.reached < call.route.attempts
+                && tried.reached < call.attempts
                 && !self.has_repeated_crashes(call)
         };
         if !may_send() {
@@ -250,6 +290,7 @@
         tried: &RefCell<Tried>,
         body: &Bytes,
     ) -> Outcome {
+        let sent_at = Instant::now();
         tried.borrow_mut().record_send(&choice.upstream);
         let mut first = pin!(self.send(call, &choice, tried, body));
         let at = |factor: f64| call.received_at + choice.predicted_latency.mul_f64(factor);
@@ -264,16 +305,28 @@
                 outcome = &mut first => return tried.borrow_mut().record_outcome(outcome),
                 () = monoio::time::sleep(timer) => {}
             }
-            self.record_overdue(call, &choice, factor);
+            self.record_overdue(call, &choice, factor, sent_at);
             // A concurrent copy of a suspected request could crash a second upstream.
             let may_hedge = call.is_idempotent()
-                && tried.borrow().reached < call.route.attempts
+                && tried.borrow().reached < call.attempts
                 && self.quarantine_decision(call) == Decision::Allow;
             let is_futile = factor < MIN_LATE_HEDGE_LATENCY_RATIO
                 && call.objective_left() < choice.predicted_latency;
             if !may_hedge || is_futile {
                 continue;
             }
+            if self.prefers_peer(call, &tried.borrow()) {
+                let peer = monoio::select! {
+                    outcome = &mut first => return tried.borrow_mut().record_outcome(outcome),
+                    peer = self.offer_to_peers(call, tried) => peer,
+                };
+                let Some(peer) = peer else { continue };
+                if !self.state.borrow_mut().try_hedge(&call.service) {
+                    continue;
+                }
+                let second = pin!(self.send_to_peer(call, tried, peer, body));
+                return first_final(first, second, tried).await;
+            }
             // A response that comes while another upstream is being chosen is returned at once.
             let upstreams = tried.borrow().upstreams.clone();
             let other = monoio::select! {
@@ -289,32 +342,27 @@
                 .field("other", other.upstream.id())
                 .log();
             tried.borrow_mut().record_send(&other.upstream);
-            let mut second = pin!(self.send(call, &other, tried, body));
-            let outcome = monoio::select! {
-                outcome = &mut first => match is_final(&outcome) {
-                    true => outcome,
-                    false => {
-                        tried.borrow_mut().in_flight = 1;
-                        combine(outcome, second.await)
-                    }
-                },
-                outcome = &mut second => match is_final(&outcome) {
-                    true => outcome,
-                    false => {
-                        tried.borrow_mut().in_flight = 1;
-                        combine(outcome, first.await)
-                    }
-                },
-            };
-            tried.borrow_mut().in_flight = 0;
-            return outcome;
+            let second = pin!(self.send(call, &other, tried, body));
+            return first_final(first, second, tried).await;
         }
         let outcome = first.await;
         tried.borrow_mut().record_outcome(outcome)
     }
 
     /// Records that an upstream has not responded for `factor` times the predicted latency.
-    fn record_overdue(&self, call: &Call<'_>, choice: &Choice, factor: f64) {
+    fn record_overdue(
+        self: &Rc<Node>,
+        call: &Call<'_>,
+        choice: &Choice,
+        factor: f64,
+        sent_at: Instant,
+    ) {
+        self.check_paths_after_overdue(
+            &call.service,
+            choice.addr,
+            factor >= MIN_LATE_HEDGE_LATENCY_RATIO,
+            sent_at,
+        );
         if !choice.latency_measures_work {
             return;
         }
@@ -358,11 +406,6 @@
         reader: &mut h1::Reader,
         decoder: &mut h1::Decoder,
     ) -> Reply {
-        let choice = match self.choose(call, &[], WaitPolicy::Allowed).await {
-            Ok(choice) => choice,
-            Err(why) => return self.refuse(call, why, Fallback::NotRun),
-        };
-        self.state.borrow_mut().record_first_send(&call.service);
         let chunked = !matches!(call.head.framing, h1::Framing::Length(_));
         let (framing, first) = match call.head.framing {
             h1::Framing::Length(length) => {
@@ -388,6 +431,22 @@
                 return SendResult::UpstreamClosed;
             }
         };
+        let tried = RefCell::new(Tried::default());
+        if self.prefers_peer(call, &tried.borrow()) {
+            if let Some(peer) = self.offer_to_peers(call, &tried).await {
+                let framing = Some(framing);
+                let sending =
+                    self.send_to_peer_with(call, &tried, peer, framing, &first, write_rest);
+                return reply_of_peer(sending.await, Fallback::NotRun);
+            }
+        }
+        let choice = match self.choose(call, &[], WaitPolicy::Allowed).await {
+            Ok(choice) => choice,
+            Err(why) => return self.refuse(call, why, Fallback::NotRun),
+        };
+        if !call.offer.as_ref().is_some_and(|offer| offer.is_counted) {
+            self.state.borrow_mut().record_first_send(&call.service);
+        }
         // It is never taken for vanished: a part of it may still be on its way.
         let unanswered = Unanswered::new(&self.state, call, &choice);
         let sending = self.send_with(call, &choice, Some(framing), &first, &unanswered, write_rest);
@@ -401,6 +460,55 @@
     }
 }
 
+/// Waits for two sends of a request; returns the first final outcome, or what both say together.
+async fn first_final<A, B>(
+    mut first: Pin<&mut A>,
+    mut second: Pin<&mut B>,
+    tried: &RefCell<Tried>,
+) -> Outcome
+where
+    A: Future<Output = Outcome>,
+    B: Future<Output = Outcome>,
+{
+    let outcome = monoio::select! {
+        outcome = &mut first => match is_final(&outcome) {
+            true => outcome,
+            false => {
+                tried.borrow_mut().in_flight = 1;
+                combine(outcome, second.await)
+            }
+        },
+        outcome = &mut second => match is_final(&outcome) {
+            true => outcome,
+            false => {
+                tried.borrow_mut().in_flight = 1;
+                combine(outcome, first.await)
+            }
+        },
+    };
+    tried.borrow_mut().in_flight = 0;
+    outcome
+}
+
+/// Returns the response to a request that was sent through a peer, which has made all the sends
+/// that the request may get.
+fn reply_of_peer(outcome: Outcome, fallback: Fallback) -> Reply {
+    match outcome {
+        Outcome::Answered(response) => Reply::Upstream(response),
+        Outcome::NotRun(_, headers) => give_up(fallback, retry_after_of(&headers)),
+        Outcome::NotSent => give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL),
+        Outcome::Lost(_) => give_up(fallback.after_lost_send(), RETRY_AFTER_UPSTREAM_REFUSAL),
+    }
+}
+
+/// Returns when a caller may retry, as a peer that refused the request states it.
+fn retry_after_of(headers: &HeaderMap) -> Duration {
+    let stated = headers.get(http::header::RETRY_AFTER).and_then(|value| value.to_str().ok());
+    let stated_s = stated.and_then(|seconds| seconds.parse().ok());
+    let stated = stated_s.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    stated.map_or(RETRY_AFTER_UPSTREAM_REFUSAL, |stated| stated.min(notice::MAX_RETRY_AFTER))
+}
+
 /// Returns the response to a request that gets no further send.
 fn give_up(fallback: Fallback, retry_after: Duration) -> Reply {
     match fallback {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -131,6 +131,46 @@
     }
 }
 
+/// Which connection checks a path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewConnection {
+    /// A new one, even if another one is idle.
+    Always,
+    /// An idle one, if there is any.
+    IfNoneIsIdle,
+}
+
+/// Finds out whether this node reaches an upstream, and returns whether it does.
+pub async fn check_path(
+    node: Rc<Node>,
+    service: ServiceName,
+    upstream: Incarnation,
+    new_connection: NewConnection,
+) -> bool {
+    let Some(target) = Target::of(&node, &service, &upstream) else { return false };
+    let started_at = Instant::now();
+    let checking = async {
+        let idle = match new_connection {
+            NewConnection::Always => None,
+            NewConnection::IfNoneIsIdle => node.conns.take(&upstream).await,
+        };
+        let conn = match idle {
+            Some(conn) => conn,
+            None => node.new_connection(&upstream, target.addr, CONNECT_TIMEOUT).await.ok()?,
+        };
+        send_probe(&node, &service, &upstream, &target, conn).await
+    };
+    let conn = web::timeout(PROBE_TIMEOUT, checking).await.ok().flatten();
+    if let Some(conn) = conn {
+        node.conns.put(&upstream, conn);
+    }
+    let has_responded = node.state.borrow().paths.has_responded_since(started_at);
+    if !has_responded {
+        node.record_path_failure(target.addr);
+    }
+    has_responded
+}
+
 /// Verifies by a probe that the upstream still holds an idle connection open. Returns the
 /// connection, or `None` when it is unusable.
 ///
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -4,9 +4,12 @@
 //! datagrams, and gets frames: the configuration and the list of upstreams as the peer has them,
 //! then each change as the peer applies it. The peer has already decided which upstreams are kept
 //! through an outage. Frames are encoded with postcard behind a length prefix of four bytes.
+//!
+//! The same address takes offers of requests ([`offer`]).
 
 mod frame;
 mod new_nodes;
+mod offer;
 mod serve;
 mod subscribe;
 mod subscribers;
@@ -14,6 +17,8 @@
 use std::time::Duration;
 
 pub use self::frame::{decode_entries, Frame};
+pub(crate) use self::offer::offer;
+pub use self::offer::{AcceptedOffer, Offer};
 pub use self::serve::{serve, watch_path};
 pub use self::subscribe::run;
 pub use self::subscribers::Subscribers;
--- a/crates/edge/src/relay/frame.rs
+++ b/crates/edge/src/relay/frame.rs
@@ -241,6 +241,15 @@
 {
     let (read, length) = stream.read_exact(vec![0; 4]).await;
     read?;
+    receive_rest(stream, &length).await
+}
+
+/// Receives the remainder of a message whose encoded `length` was received already.
+pub(super) async fn receive_rest<T, R>(stream: &mut R, length: &[u8]) -> io::Result<T>
+where
+    T: DeserializeOwned,
+    R: AsyncReadRentExt,
+{
     let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
     if length > MAX_FRAME_BYTES {
         return Err(io::ErrorKind::InvalidData.into());
--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -1,13 +1,15 @@
-//! Serves this node's state to subscribers, and decides whether it may.
+//! Serves this node's state to subscribers, and decides whether it may. Also accepts the connections
+//! of peers that offer requests.
 
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
+use monoio::io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt, Splitable};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::frame::{encode, receive, AgeQuery, Frame, Greeting};
+use super::frame::{encode, receive, receive_rest, AgeQuery, Frame, Greeting};
+use super::offer;
 use super::subscribers::{FrameReceiver, FrameSender};
 use super::{FIRST_FRAME_TIMEOUT, READER_CHECK_INTERVAL, SYNC_CHECK_INTERVAL};
 use crate::follow;
@@ -71,12 +73,12 @@
     }
 }
 
-/// Serves subscribers until the listener fails.
+/// Serves subscribers, and requests that peers offer, until the listener fails.
 pub async fn serve(listener: TcpListener, node: Rc<Node>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                monoio::spawn(serve_subscriber(stream, node.clone()));
+                monoio::spawn(serve_connection(stream, node.clone()));
             }
             Err(err) => {
                 trace::Line::new("accept_failed").field("error", err.to_string()).log();
@@ -143,9 +145,20 @@
     state.counters.relay_far_bytes += if state.settings.zone == zone { 0 } else { bytes };
 }
 
-async fn serve_subscriber(mut stream: TcpStream, node: Rc<Node>) {
-    let greeting = web::timeout(FIRST_FRAME_TIMEOUT, receive::<Greeting, _>(&mut stream));
-    let Ok(Ok(greeting)) = greeting.await else { return };
+/// Serves a peer, which either offers a request or subscribes.
+async fn serve_connection(mut stream: TcpStream, node: Rc<Node>) {
+    let first = web::timeout(FIRST_FRAME_TIMEOUT, stream.read_exact(vec![0; 4]));
+    match first.await {
+        Ok((Ok(_), bytes)) if bytes == offer::PREFACE => offer::serve_offer(stream, node).await,
+        Ok((Ok(_), bytes)) => serve_subscriber(stream, node, &bytes).await,
+        Ok((Err(_), _)) | Err(_) => {}
+    }
+}
+
+/// Serves a subscriber, whose greeting has a length of `greeting_length`, as encoded.
+async fn serve_subscriber(mut stream: TcpStream, node: Rc<Node>, greeting_length: &[u8]) {
+    let greeting = receive_rest::<Greeting, _>(&mut stream, greeting_length);
+    let Ok(Ok(greeting)) = web::timeout(FIRST_FRAME_TIMEOUT, greeting).await else { return };
     if let Some(peer) = referral(&node, &greeting) {
         // A new node that does not get the referral connects again.
         let _ = stream.write_all(encode(&Frame::Referral { peer })).await;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -17,6 +17,7 @@
 use self::pipeline::Pipeline;
 use self::requests::RequestReader;
 use crate::forward::Node;
+use crate::relay::AcceptedOffer;
 
 /// Maximum time for which a closing connection is still read. Closing it while bytes arrive resets
 /// the connection, which can destroy a response that the caller has not read yet.
@@ -33,7 +34,7 @@
                 // Fails only if the connection is already closed.
                 let _ = stream.set_nodelay(true);
                 let node = node.clone();
-                monoio::spawn(async move { serve_connection(stream, node).await });
+                monoio::spawn(async move { serve_connection(stream, node, None).await });
             }
             Err(err) => {
                 // Happens when the process is out of file descriptors; without a pause this would
@@ -53,17 +54,33 @@
     Disconnected,
 }
 
-async fn serve_connection(stream: TcpStream, node: Rc<Node>) {
+/// Serves the request that a peer has offered on this connection, and closes it.
+pub(crate) async fn serve_offered(stream: TcpStream, node: Rc<Node>, accepted: AcceptedOffer) {
+    serve_connection(stream, node, Some(Rc::new(accepted))).await;
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    node: Rc<Node>,
+    accepted_offer: Option<Rc<AcceptedOffer>>,
+) {
     let (read, write) = stream.into_split();
     let mut reader = h1::Reader::with_receive_times(read);
     let mut writer = h1::Writer::new(write);
     let end = {
         let pipeline = Pipeline::default();
         let (writes, queued_writes) = unbounded::channel();
-        let request_reader =
-            RequestReader { reader: &mut reader, writes, pipeline: &pipeline, node: &node };
+        let to_peer = accepted_offer.is_some();
+        let request_reader = RequestReader {
+            reader: &mut reader,
+            writes,
+            pipeline: &pipeline,
+            node: &node,
+            accepted_offer,
+        };
         let mut reading = pin!(request_reader.run());
-        let mut writing = pin!(responses::write_all(&mut writer, queued_writes, &pipeline, &node));
+        let writing = responses::write_all(&mut writer, queued_writes, &pipeline, &node, to_peer);
+        let mut writing = pin!(writing);
         monoio::select! {
             end = &mut writing => end,
             () = &mut reading => ConnectionEnd::Disconnected,
--- a/crates/edge/src/serve/pipeline.rs
+++ b/crates/edge/src/serve/pipeline.rs
@@ -19,6 +19,7 @@
 
 use crate::bodies::Reservation;
 use crate::forward::{Body, Caller, Node, Reply};
+use crate::relay::Offer;
 
 /// Maximum number of requests of one connection that are read and not answered yet. Each may hold a
 /// complete response of 64 KiB that waits for the ones before it: half a megabyte per connection.
@@ -166,6 +167,8 @@
     /// Whether it may run more than once.
     pub(super) idempotent: bool,
     pub(super) in_flight: Rc<InFlight>,
+    /// How a peer has offered it, if one did.
+    pub(super) offer: Option<Offer>,
 }
 
 /// Forwards a request in a task of its own.
@@ -179,8 +182,8 @@
     let (mut sender, receiver) = oneshot::channel();
     let node = node.clone();
     monoio::spawn(async move {
-        let Request { head, body, received_at, idempotent, in_flight } = request;
-        let caller = Caller::waiting_since(received_at);
+        let Request { head, body, received_at, idempotent, in_flight, offer } = request;
+        let caller = Caller { offer, ..Caller::waiting_since(received_at) };
         let left = caller.has_left.clone();
         let mut forwarding = pin!(node.forward(&head, Body::Full(body), caller));
         let reply = monoio::select! {
--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -15,6 +15,7 @@
 };
 use crate::bodies::Reservation;
 use crate::forward::{Body, Caller, Node, Reply};
+use crate::relay::AcceptedOffer;
 use crate::reply::LocalReply;
 
 /// Request bodies up to this size are received completely before the request is forwarded, so that
@@ -39,6 +40,8 @@
     pub(super) writes: unbounded::Tx<QueuedWrite>,
     pub(super) pipeline: &'a Pipeline,
     pub(super) node: &'a Rc<Node>,
+    /// The offer of the connection's only request, if a peer made one.
+    pub(super) accepted_offer: Option<Rc<AcceptedOffer>>,
 }
 
 /// The caller has disconnected or was idle for too long: it does not wait for responses any more.
@@ -67,11 +70,14 @@
             NextRequest::Head(head, received_at) => (head, received_at),
             NextRequest::Rejected(local_reply) => return self.reject(local_reply, false).await,
         };
+        let accepted_offer = self.accepted_offer.clone();
+        let received_at = accepted_offer.as_ref().map_or(received_at, |offer| offer.received_at);
         let in_flight = InFlight::start(self.node);
         let limits = limits(self.node);
         let mut decoder = h1::Decoder::new(head.framing);
-        let checked = match decoder.is_done() {
+        let checked = match decoder.is_done() || accepted_offer.is_some() {
             // Without a body to wait for, forwarding the request checks its caller just as early.
+            // The peer that offers a request has checked it.
             true => Ok(()),
             false => self.node.check_caller(&head),
         };
@@ -116,19 +122,21 @@
             return self.wait_for_disconnect().await;
         }
         let (head_only, body_bytes) = (head.method == Method::HEAD, body.len());
-        let mut last = !head.keep_alive;
+        let mut last = !head.keep_alive || accepted_offer.is_some();
+        let offer = accepted_offer.map(|accepted| accepted.offer.clone());
         self.pipeline.request_started(body_bytes);
         let reply = match decoder.is_done() {
             true => {
                 let in_flight = in_flight.clone();
-                let request = Request { head: *head, body, received_at, idempotent, in_flight };
+                let request =
+                    Request { head: *head, body, received_at, idempotent, in_flight, offer };
                 pipeline::forward(self.node, request)
             }
             false => {
                 let partial =
                     Body::Partial { first: body, reader: self.reader, decoder: &mut decoder };
-                let reply =
-                    self.node.forward(&head, partial, Caller::waiting_since(received_at)).await;
+                let caller = Caller { offer, ..Caller::waiting_since(received_at) };
+                let reply = self.node.forward(&head, partial, caller).await;
                 // The unread rest of a body would be parsed as the next request.
                 last |= !decoder.is_done();
                 PendingReply::Ready(Box::new(reply))
--- a/crates/edge/src/serve/responses.rs
+++ b/crates/edge/src/serve/responses.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use local_sync::mpsc::unbounded;
 use web::h1;
@@ -22,13 +22,16 @@
 /// Writes the responses of a connection until one of them closes it or the caller disconnects.
 ///
 /// A response that is ready before its predecessors waits for them: a complete one in memory, a
-/// long one at its upstream, which is stopped by TCP flow control.
+/// long one at its upstream, which is stopped by TCP flow control. `to_peer` tells that the other
+/// side is a peer, which has offered the request.
 pub(super) async fn write_all(
     writer: &mut h1::Writer,
     mut writes: unbounded::Rx<QueuedWrite>,
     pipeline: &Pipeline,
     node: &Rc<Node>,
+    to_peer: bool,
 ) -> ConnectionEnd {
+    let not_run = to_peer.then(|| node.state.borrow().settings.headers.not_run.clone());
     while let Some(queued) = writes.recv().await {
         let QueuedWrite::Response(response) = queued else {
             let continue_response = h1::write_response(StatusCode::CONTINUE, &HeaderMap::new());
@@ -51,7 +54,7 @@
                 write_upstream_response(writer, response, head_only, close).await
             }
             Reply::Local(local_reply) => {
-                write_local_reply(writer, &local_reply, head_only, close).await
+                write_local_reply(writer, &local_reply, not_run.as_ref(), head_only, close).await
             }
         };
         drop(in_flight);
@@ -66,14 +69,19 @@
     ConnectionEnd::Disconnected
 }
 
-/// Writes a response made by the node itself; returns false if the caller has disconnected.
+/// Writes a response made by the node itself; returns false if the caller has disconnected. A peer is
+/// told by the header `not_run` that its request did not run.
 async fn write_local_reply(
     writer: &mut h1::Writer,
     local_reply: &LocalReply,
+    not_run: Option<&HeaderName>,
     head_only: bool,
     close: bool,
 ) -> bool {
     let (mut headers, body) = local_reply.parts();
+    if let (Some(not_run), Some(_)) = (not_run, local_reply.retry_after) {
+        headers.insert(not_run, HeaderValue::from_static("1"));
+    }
     headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     set_close(&mut headers, close);
     let mut bytes = h1::write_response(local_reply.status, &headers);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -132,6 +132,12 @@
     pub hedges: u64,
     /// Sends that their upstream neither held nor answered.
     pub vanished: u64,
+    /// Requests sent through a peer, as this node reached no upstream.
+    pub sent_via_peers: u64,
+    /// Requests of peers that this node took.
+    pub offers_accepted: u64,
+    /// Requests of peers that this node declined.
+    pub offers_declined: u64,
     /// Probes sent.
     pub probes: u64,
     /// Connections opened to upstreams.
@@ -214,6 +220,8 @@
     pub backpressure: notice::Backpressure,
     /// What this node reaches of the upstreams.
     pub paths: reach::Paths,
+    /// What peers have said of their paths to the upstreams.
+    pub peer_paths: reach::Peers,
     /// Send rates and retry budgets by service.
     sends: HashMap<ServiceName, Sends>,
     /// Configurations that may have no audit record yet.
@@ -274,6 +282,7 @@
             quarantine: quarantine::Quarantine::default(),
             backpressure: notice::Backpressure::with_node_seed(node_seed),
             paths: reach::Paths::default(),
+            peer_paths: reach::Peers::default(),
             sends: HashMap::new(),
             unrecorded: crate::record::Unrecorded::default(),
             round_robins: HashMap::new(),
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -15,7 +15,7 @@
 use crate::forward::Node;
 use crate::stalls::StallLog;
 use crate::state::Stopping;
-use crate::{follow, gossip, quotas, unix_ms};
+use crate::{follow, gossip, paths, quotas, unix_ms};
 
 /// Interval of housekeeping and of checks for signals.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(100);
@@ -77,6 +77,7 @@
     follow::expire(node, now);
     node.conns.expire(now);
     quotas::housekeeping(node, now);
+    paths::housekeeping(node, now);
     let mut state = node.state.borrow_mut();
     state.quarantine.expire(unix_ms());
     state.backpressure.expire(now);
--- a/crates/reach/src/paths.rs
+++ b/crates/reach/src/paths.rs
@@ -5,20 +5,22 @@
 use std::time::{Duration, Instant};
 
 /// Upstreams that must have failed in sequence before the node counts as partitioned from all of
-/// them; fewer if fewer are listed. One or two may have crashed.
-const MIN_FAILED_UPSTREAMS: usize = 3;
+/// them, or all upstreams if fewer are listed. One or two may have crashed.
+pub const MIN_FAILED_UPSTREAMS: usize = 3;
+
+/// Failures in sequence before the node counts as partitioned, however few upstreams are listed.
+const MIN_FAILURES: u32 = 3;
 
 /// Interval at which a node that is partitioned checks whether it still is.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Upstreams checked at once after a send that is overdue: as many as it takes to decide.
-const CHECKS_AFTER_OVERDUE: usize = MIN_FAILED_UPSTREAMS;
-
 /// What a node reaches of its upstreams.
 #[derive(Clone, Debug, Default)]
 pub struct Paths {
     /// Upstreams that failed to respond since one last did.
     failed: BTreeSet<SocketAddr>,
+    /// Number of their failures.
+    failures: u32,
     /// Upstreams that accepted no connection since one last did.
     unconnected: BTreeSet<SocketAddr>,
     responded_at: Option<Instant>,
@@ -61,6 +63,7 @@
     /// Records that an upstream responded, with whatever status.
     pub fn record_response(&mut self, now: Instant) -> Option<Change> {
         self.failed.clear();
+        self.failures = 0;
         self.responded_at = Some(now);
         let since = self.unreachable_since.take()?;
         Some(Change::Regained(now.saturating_duration_since(since)))
@@ -89,7 +92,9 @@
         now: Instant,
     ) -> Option<Change> {
         self.failed.insert(upstream);
-        if self.is_unreachable() || self.failed.len() < threshold(listed) {
+        self.failures = self.failures.saturating_add(1);
+        let has_failed = self.failed.len() >= threshold(listed) && self.failures >= MIN_FAILURES;
+        if self.is_unreachable() || !has_failed {
             return None;
         }
         self.unreachable_since = Some(now);
@@ -97,17 +102,19 @@
         Some(Change::Lost(silent_for))
     }
 
-    /// Returns how many upstreams to check because a send is overdue that began at `sent_at`. None
-    /// are checked if any upstream has responded since, or if others were just checked.
-    pub fn checks_after_overdue(&mut self, sent_at: Instant, now: Instant) -> usize {
-        let has_responded = self.responded_at.is_some_and(|at| at >= sent_at);
-        match has_responded || self.is_unreachable() || !self.may_check(now) {
-            true => 0,
-            false => {
-                self.checked_at = Some(now);
-                CHECKS_AFTER_OVERDUE
-            }
+    /// Returns true if any upstream has responded since `at`.
+    pub fn has_responded_since(&self, at: Instant) -> bool {
+        self.responded_at.is_some_and(|responded_at| responded_at >= at)
+    }
+
+    /// Returns true if the paths are to be checked now because a send is overdue and no upstream has
+    /// responded since it began.
+    pub fn take_overdue_check(&mut self, now: Instant) -> bool {
+        let is_due = !self.is_unreachable() && self.may_check(now);
+        if is_due {
+            self.checked_at = Some(now);
         }
+        is_due
     }
 
     /// Returns true if an upstream is to be checked over a new connection now, to find out whether
--- a/crates/reach/src/paths/tests.rs
+++ b/crates/reach/src/paths/tests.rs
@@ -65,12 +65,14 @@
 }
 
 /// Guards against a partition that is not noticed where fewer upstreams are listed than the
-/// threshold.
+/// threshold, and against one that a single failure of the only upstream declares.
 #[test]
-fn the_only_upstream_is_enough() {
+fn three_failures_of_the_only_upstream_are_enough() {
+    let now = Instant::now();
     let mut paths = Paths::default();
-    let lost = paths.record_failure(upstream(1), 1, Instant::now());
-    assert_eq!(lost, Some(Change::Lost(None)));
+    assert_eq!(paths.record_failure(upstream(1), 1, now), None);
+    assert_eq!(paths.record_failure(upstream(1), 1, now), None);
+    assert_eq!(paths.record_failure(upstream(1), 1, now), Some(Change::Lost(None)));
 }
 
 /// Guards against a node that opens one connection after the other in vain, while its open ones
@@ -101,15 +103,16 @@
     assert!(!paths.take_due_check(after(start, 2_000)));
 }
 
-/// Guards against a partition that is not noticed while connections stay open and nothing arrives.
+/// Guards against a partition that is not noticed while connections stay open and nothing arrives,
+/// and against a check for each of many overdue sends.
 #[test]
 fn an_overdue_send_without_any_response_since_leads_to_checks() {
     let start = Instant::now();
     let mut paths = Paths::default();
     paths.record_response(start);
-    let sent_at = after(start, 100);
-    assert_eq!(paths.checks_after_overdue(sent_at, after(start, 500)), 3);
-    assert_eq!(paths.checks_after_overdue(sent_at, after(start, 510)), 0, "checked just now");
+    assert!(!paths.has_responded_since(after(start, 100)));
+    assert!(paths.take_overdue_check(after(start, 500)));
+    assert!(!paths.take_overdue_check(after(start, 510)), "checked just now");
     paths.record_response(after(start, 600));
-    assert_eq!(paths.checks_after_overdue(sent_at, after(start, 900)), 0, "others respond");
+    assert!(paths.has_responded_since(after(start, 100)));
 }
