edge: nodes that are partitioned from all upstreams are not named to callers

Callers were sent to such nodes for as long as a partition lasted, since the directory names nodes by membership and configuration, which they keep up. A node tells its peers by a datagram of its own when it loses its last path, every four seconds while it has none, and when it has one again. The directory leaves such nodes out while two others are left, and no request is offered to them. Older nodes refuse the datagram as a packet of another version.

Seen to fail: with a directory that ignores claims nodes_without_a_path_to_any_upstream_are_not_named_to_callers fails, with a node that does not announce the end peers_learn_of_a_partition_and_of_its_end fails.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,12 +1,13 @@
 //! Selects the entry nodes that callers are told to use.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use place::Zone;
 use rand::seq::IndexedRandom;
 use wire::Standing;
 
-use crate::state::State;
+use crate::state::{Peer, State};
 
 /// Number of nearby nodes that is enough to leave out farther ones: bytes between zones are paid
 /// for, and a single node leaves no alternative if it fails.
@@ -36,24 +37,36 @@
 /// partitioned itself, but then it returns itself and the peers that it still reaches, which its
 /// caller can use too.
 ///
+/// Nodes that are partitioned from all upstreams are left out, unless there are not enough others:
+/// they can only serve through those.
+///
 /// Nodes of the caller's zone are preferred, then those of its region, then those of regions in
 /// which the requests of the host may run: through any other node, request bodies would pass a
 /// region in which the requests may not run.
 pub fn addresses(state: &mut State, lookup: Lookup<'_>) -> Vec<SocketAddr> {
+    let (now, peers, peer_paths) = (Instant::now(), &state.peers, &state.peer_paths);
     let front = |peer: &SocketAddr| SocketAddr::new(peer.ip(), state.settings.front_addr.port());
-    let serving = |standing: Standing| {
-        state
-            .peers
+    let serving = |standing: Standing, is_partitioned: bool| {
+        let serves = move |peer: &Peer| peer.standing == standing && peer.config_head > 0;
+        let has_paths =
+            move |addr: SocketAddr| peer_paths.is_partitioned(addr, now) == is_partitioned;
+        peers
             .iter()
-            .filter(move |(_, peer)| peer.standing == standing && peer.config_head > 0)
+            .filter(move |(addr, peer)| serves(peer) && has_paths(**addr))
             .map(move |(addr, peer)| (front(addr), &peer.zone))
     };
-    let mut nodes: Vec<(SocketAddr, &Zone)> = serving(Standing::Alive).collect();
-    if state.is_ready() {
-        nodes.push((state.settings.front_addr, &state.settings.zone));
+    let this_node = |is_partitioned: bool| {
+        let serves = state.is_ready() && state.paths.is_unreachable() == is_partitioned;
+        serves.then_some((state.settings.front_addr, &state.settings.zone))
+    };
+    let mut nodes: Vec<(SocketAddr, &Zone)> = serving(Standing::Alive, false).collect();
+    nodes.extend(this_node(false));
+    if nodes.len() < MIN_NEARBY_NODES {
+        nodes.extend(serving(Standing::Suspect, false));
     }
     if nodes.len() < MIN_NEARBY_NODES {
-        nodes.extend(serving(Standing::Suspect));
+        nodes.extend(serving(Standing::Alive, true));
+        nodes.extend(this_node(true));
     }
     let host = lookup.host.to_ascii_lowercase();
     let allowed_regions = state.table.as_ref().and_then(|table| table.allowed_regions_of(&host));
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -51,9 +51,12 @@
         members
     };
     while let Some(input) = rx.recv().await {
-        if apply_hints(&node, &input) {
+        if apply_hints(&node, &input) || apply_path_claim(&node, &input) {
             continue;
         }
+        if matches!(input, Input::Tick) {
+            announce_paths(&socket, &node).await;
+        }
         let (config_head, list_head, direct) = {
             let state = node.state.borrow();
             match state.is_ready() {
@@ -110,14 +113,64 @@
             crate::silent_services::apply(&mut node.state.borrow_mut(), &hints);
         }
         Ok(_) => {}
-        Err(err) => trace::Line::new("peer_packet_refused")
-            .field("peer", from)
-            .field("error", err.to_string())
-            .log(),
+        Err(err) => log_refused(*from, &err),
+    }
+    true
+}
+
+/// Tells all peers whether this node is partitioned from all upstreams, when that has changed, and
+/// from time to time while it is. A datagram that is lost is made up for by the next one, or by the
+/// end of the claim's validity.
+async fn announce_paths(socket: &UdpSocket, node: &Node) {
+    let (claim, peers) = {
+        let state = &mut *node.state.borrow_mut();
+        let is_partitioned = state.paths.is_unreachable();
+        if !state.peer_paths.take_due_announcement(is_partitioned, Instant::now()) {
+            return;
+        }
+        let is_reachable = |peer: &Peer| peer.standing <= wire::Standing::Suspect;
+        let peers = state.peers.iter().filter(|(_, peer)| is_reachable(peer));
+        let peers: Vec<SocketAddr> = peers.map(|(addr, _)| *addr).collect();
+        (wire::PathClaim { sender: state.settings.peer_addr, is_partitioned }, peers)
+    };
+    for peer in peers {
+        let bytes = claim.encode();
+        count_sent(node, peer, bytes.len() as u64);
+        let _ = socket.send_to(bytes, peer).await;
+    }
+}
+
+/// Applies a datagram that holds a path claim; returns false for any other.
+fn apply_path_claim(node: &Node, input: &Input) -> bool {
+    let Input::Datagram(from, bytes) = input else { return false };
+    if !wire::PathClaim::is_in(bytes) {
+        return false;
+    }
+    match wire::PathClaim::decode(bytes) {
+        Ok(claim) if claim.sender == *from => {
+            let peers = &mut node.state.borrow_mut().peer_paths;
+            let now = Instant::now();
+            if peers.is_partitioned(*from, now) != claim.is_partitioned {
+                trace::Line::new("peer_paths")
+                    .field("peer", from)
+                    .field("partitioned", claim.is_partitioned)
+                    .log();
+            }
+            peers.record_claim(*from, claim.is_partitioned, now);
+        }
+        Ok(_) => {}
+        Err(err) => log_refused(*from, &err),
     }
     true
 }
 
+fn log_refused(from: SocketAddr, err: &wire::DecodeError) {
+    trace::Line::new("peer_packet_refused")
+        .field("peer", from)
+        .field("error", err.to_string())
+        .log();
+}
+
 fn count_sent(node: &Node, to: SocketAddr, bytes: u64) {
     let state = &mut *node.state.borrow_mut();
     let is_same_zone = state.peers.get(&to).is_some_and(|peer| peer.zone == state.settings.zone);
@@ -146,10 +199,7 @@
         Input::Datagram(from, bytes) => match wire::Packet::decode(&bytes) {
             Ok(packet) => members.receive(from, packet, now),
             Err(err) => {
-                trace::Line::new("peer_packet_refused")
-                    .field("peer", from)
-                    .field("error", err.to_string())
-                    .log();
+                log_refused(from, &err);
                 Vec::new()
             }
         },
--- a/crates/edge/src/tests/partitioned.rs
+++ b/crates/edge/src/tests/partitioned.rs
@@ -4,11 +4,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use monoio::net::udp::UdpSocket;
 use monoio::net::TcpListener;
 
 use super::fake::{self, get, ms, ok_response, post, Caller, EntryNode, Step, Upstream};
-use super::fleet::serving;
-use crate::{relay, stop};
+use super::fleet::{addr as peer_addr, own_addr, serving, state_at};
+use crate::{directory, gossip, relay, stop};
 
 /// Time after the start of a partition from which its callers must be served.
 const STABILITY: Duration = Duration::from_secs(3);
@@ -146,3 +147,68 @@
         );
     });
 }
+
+/// Returns the addresses that a node at 10.0.0.1 names to callers of its zone `a`, where the peers
+/// with these numbers have said that they are partitioned.
+fn named(partitioned: &[u8], is_partitioned_itself: bool) -> Vec<String> {
+    let mut state = state_at(peer_addr(1), &[(2, "a"), (3, "a"), (4, "b"), (5, "b")]);
+    state.settings.front_addr = peer_addr(1);
+    let now = Instant::now();
+    for n in partitioned {
+        state.peer_paths.record_claim(peer_addr(*n), true, now);
+    }
+    for n in 0..if is_partitioned_itself { 3 } else { 0 } {
+        state.paths.record_failure(peer_addr(200 + n), 3, now);
+    }
+    let lookup = directory::Lookup { zone: "a", ..directory::Lookup::default() };
+    let addrs = directory::addresses(&mut state, lookup).into_iter();
+    let mut addrs: Vec<String> = addrs.map(|addr| addr.ip().to_string()).collect();
+    addrs.sort();
+    addrs
+}
+
+/// Guards against callers that are sent to nodes which can serve them only through the others.
+#[test]
+fn nodes_without_a_path_to_any_upstream_are_not_named_to_callers() {
+    assert_eq!(named(&[], false), ["10.0.0.1", "10.0.0.2", "10.0.0.3"]);
+    assert_eq!(named(&[3], false), ["10.0.0.1", "10.0.0.2"]);
+    assert_eq!(named(&[], true), ["10.0.0.2", "10.0.0.3"]);
+    assert_eq!(named(&[2, 3], true), ["10.0.0.4", "10.0.0.5"], "the whole zone");
+    let all = named(&[2, 3, 4, 5], true);
+    assert_eq!(all, ["10.0.0.1", "10.0.0.2", "10.0.0.3"], "nobody is better off");
+}
+
+/// Guards against peers that never learn of a partition or of its end.
+#[test]
+fn peers_learn_of_a_partition_and_of_its_end() {
+    fake::run(async {
+        let start = |addr: SocketAddr| {
+            let node = fake::start_with(&[], |settings| settings.peer_addr = addr).node;
+            let socket = UdpSocket::bind(addr).expect("binds");
+            let (tx, rx) = local_sync::mpsc::unbounded::channel();
+            monoio::spawn(gossip::run(socket, node.clone(), tx, rx));
+            node
+        };
+        let (a, b) = (start(own_addr(71)), start(own_addr(72)));
+        a.state.borrow_mut().peers.insert(own_addr(72), serving("a"));
+        let knows = |is_partitioned: bool| {
+            let b = b.clone();
+            async move {
+                let started_at = Instant::now();
+                let is_known =
+                    || b.state.borrow().peer_paths.is_partitioned(own_addr(71), Instant::now());
+                while is_known() != is_partitioned {
+                    assert!(started_at.elapsed() < STABILITY, "not known: {is_partitioned}");
+                    monoio::time::sleep(ms(20)).await;
+                }
+            }
+        };
+        for n in 0..3 {
+            let failed = peer_addr(200 + n);
+            a.state.borrow_mut().paths.record_failure(failed, 3, Instant::now());
+        }
+        knows(true).await;
+        a.state.borrow_mut().paths.record_response(Instant::now());
+        knows(false).await;
+    });
+}
--- a/crates/wire/src/hints.rs
+++ b/crates/wire/src/hints.rs
@@ -61,18 +61,10 @@
     /// Returns a [`DecodeError`] when the bytes are not exactly one set of hints within its limits.
     pub fn decode(bytes: &[u8]) -> Result<Hints, DecodeError> {
         let malformed = |message: &str| DecodeError::Malformed(message.to_owned());
-        let hints: Hints = match bytes.split_first() {
-            Some((&HINTS_VERSION, rest)) if bytes.len() <= MAX_PACKET_BYTES => {
-                match postcard::take_from_bytes(rest) {
-                    Ok((hints, [])) => hints,
-                    Ok(_) => return Err(malformed("bytes after the hints")),
-                    Err(err) => return Err(malformed(&err.to_string())),
-                }
-            }
-            Some((&HINTS_VERSION, _)) => return Err(malformed("too long")),
-            Some((&version, _)) => return Err(DecodeError::Version(version)),
-            None => return Err(malformed("empty datagram")),
-        };
+        if Hints::are_in(bytes) && bytes.len() > MAX_PACKET_BYTES {
+            return Err(malformed("too long"));
+        }
+        let hints: Hints = crate::decode_exactly(HINTS_VERSION, bytes)?;
         let is_within_limits = hints.silent_services.len() <= MAX_SILENT_SERVICES
             && hints.silent_services.iter().all(|silent| silent.service.len() <= MAX_SERVICE_BYTES);
         is_within_limits.then_some(hints).ok_or_else(|| malformed("too many entries"))
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,10 +4,11 @@
 //! ([`Body`]), and piggybacked updates: [`MemberUpdate`]s of the membership protocol,
 //! [`HealthReport`]s from probing upstreams, [`Finding`]s about requests that crash upstreams, and
 //! [`Notice`]s that upstreams state about themselves. Packets are encoded with postcard and are
-//! never longer than [`MAX_PACKET_BYTES`], so that no link has to fragment them. [`Hints`] are a
-//! datagram of their own.
+//! never longer than [`MAX_PACKET_BYTES`], so that no link has to fragment them. [`Hints`] and
+//! [`PathClaim`]s are datagrams of their own.
 
 mod hints;
+mod path_claim;
 mod update;
 
 use std::net::SocketAddr;
@@ -15,17 +16,19 @@
 use notice::Notice;
 use quarantine::Finding;
 use quick_error::quick_error;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 pub use hints::{Hints, SilentService, MAX_SILENT_SERVICES};
+pub use path_claim::PathClaim;
 pub use update::{HealthReport, MemberUpdate, Standing, Verdict};
 
 /// Maximum size of a datagram, in bytes: below the IPv6 minimum MTU (1280 bytes) less headers.
 pub const MAX_PACKET_BYTES: usize = 1_200;
 
 /// Protocol version, the first byte of every packet. Packets of other versions are rejected. It must
-/// never become 6, the first byte of [`Hints`].
+/// never become 6 or 7, the first bytes of [`Hints`] and of a [`PathClaim`].
 const PROTOCOL_VERSION: u8 = 5;
 
 /// Maximum length of a zone name in a received packet, in bytes.
@@ -124,15 +127,7 @@
     /// one that no node can have produced.
     pub fn decode(bytes: &[u8]) -> Result<Packet, DecodeError> {
         let malformed = |message: &str| DecodeError::Malformed(message.to_owned());
-        let packet: Packet = match bytes.split_first() {
-            Some((&PROTOCOL_VERSION, rest)) => match postcard::take_from_bytes(rest) {
-                Ok((packet, [])) => packet,
-                Ok(_) => return Err(malformed("bytes after the packet")),
-                Err(err) => return Err(malformed(&err.to_string())),
-            },
-            Some((&version, _)) => return Err(DecodeError::Version(version)),
-            None => return Err(malformed("empty datagram")),
-        };
+        let packet: Packet = decode_exactly(PROTOCOL_VERSION, bytes)?;
         let zone_fits = |zone: &SmolStr| zone.len() <= MAX_ZONE_BYTES;
         let zones_fit = zone_fits(&packet.sender.zone)
             && packet.members.iter().all(|member| zone_fits(&member.zone));
@@ -146,6 +141,20 @@
     }
 }
 
+/// Decodes a datagram that holds exactly one message behind its version.
+fn decode_exactly<T: DeserializeOwned>(version: u8, bytes: &[u8]) -> Result<T, DecodeError> {
+    let malformed = |message: &str| DecodeError::Malformed(message.to_owned());
+    match bytes.split_first() {
+        Some((first, rest)) if *first == version => match postcard::take_from_bytes(rest) {
+            Ok((message, [])) => Ok(message),
+            Ok(_) => Err(malformed("bytes after the message")),
+            Err(err) => Err(malformed(&err.to_string())),
+        },
+        Some((&other, _)) => Err(DecodeError::Version(other)),
+        None => Err(malformed("empty datagram")),
+    }
+}
+
 /// Returns the encoded length of `item`, in bytes.
 ///
 /// An item that cannot be encoded counts as [`MAX_PACKET_BYTES`].
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -166,3 +166,18 @@
     largest.silent_services.push(silent);
     assert!(crate::Hints::decode(&largest.encode()).is_err());
 }
+
+/// Guards against nodes of an older version that take a path claim for a packet or for hints.
+#[test]
+fn path_claims_are_told_apart_from_other_datagrams() {
+    for is_partitioned in [true, false] {
+        let claim = crate::PathClaim { sender: hints().sender, is_partitioned };
+        let bytes = claim.encode();
+        assert!(crate::PathClaim::is_in(&bytes) && !crate::Hints::are_in(&bytes));
+        assert_eq!(crate::PathClaim::decode(&bytes), Ok(claim));
+        assert_eq!(Packet::decode(&bytes), Err(DecodeError::Version(7)));
+        assert!(crate::PathClaim::decode(&bytes[..bytes.len() - 1]).is_err());
+        assert!(crate::PathClaim::decode(&[&bytes[..], &[0]].concat()).is_err());
+    }
+    assert!(!crate::PathClaim::is_in(&hints().encode()));
+}
