oatcoved: a node without a path to any upstream sends calls through a peer

A partitioned node sends a call to a peer like a caller's, with a header that names the upstreams it may still reach and the commit up to which this node has read the config. A peer that reaches no upstream, or has read less, declines with 503 before it admits the call, and another peer is asked; a peer passes a call on to no third node. The same for a call that two upstreams accepted no connection for. A partitioned node probes a random upstream each 250 ms.

--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -56,5 +56,10 @@
 /// stop.
 pub const LEAVING: &str = "x-oatcove-leaving";
 
+/// Request header of a call that an entry node offers to another one, as it reaches no upstream: the
+/// number of upstreams that the call may reach, and the commit up to which the node has read the
+/// config. Response header of a node that declines the call, with value `declined`.
+pub const OFFER: &str = "x-oatcove-offer";
+
 /// Request and response header with the request id, passed on end to end.
 pub const REQUEST_ID: &str = "x-request-id";
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use local_sync::mpsc::unbounded::{Rx, Tx};
+use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use store::proto;
 
@@ -73,6 +74,7 @@
         let now = Instant::now();
         match input {
             Input::Tick => {
+                check_paths(&view, &tx, now);
                 for due in scheduler.take_due(now) {
                     view.borrow_mut().counters.probes_sent += 1;
                     let path = probe_path(&view.borrow(), &due.service);
@@ -120,6 +122,24 @@
     }
 }
 
+/// Probes a random upstream while this node reaches none, to find out whether that has ended.
+fn check_paths(view: &RefCell<View>, tx: &Tx<Input>, now: Instant) {
+    let target = {
+        let view = &mut *view.borrow_mut();
+        if !view.paths.take_due_check(now) {
+            return;
+        }
+        let is_upstream = |vm: &&proto::Vm| {
+            vm.role == proto::VmRole::Upstream && vm.state == proto::VmState::Live
+        };
+        let vm = view.vms.values().filter(is_upstream).choose(&mut rand::rng());
+        vm.map(|vm| (vm.addr, probe_path(view, &vm.service)))
+    };
+    if let Some((addr, path)) = target {
+        monoio::spawn(probe(addr, path, None, tx.clone()));
+    }
+}
+
 /// Passes the VM list and the probe budgets to the scheduler. Returns the upstreams whose health
 /// reports by this node must be withdrawn; see [`watch::ProbeScheduler::set_list`].
 fn update_targets(
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -9,13 +9,15 @@
 //! template lists its method as idempotent.
 //!
 //! [`forward`] handles one call, [`attempt`] sends it to one upstream,
-//! [`response`] builds requests and responses, and [`crashes`] quarantines calls
-//! that crash upstreams.
+//! [`response`] builds requests and responses, [`crashes`] quarantines calls
+//! that crash upstreams, and [`via_peer`] sends calls through another entry node
+//! while this one reaches no upstream.
 
 mod attempt;
 mod crashes;
 mod forward;
 mod response;
+mod via_peer;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -12,7 +12,8 @@
 use smol_str::SmolStr;
 
 use super::attempt::{Attempt, Outstanding};
-use super::{crashes, response, Node};
+use super::via_peer::{Offer, PeerResult};
+use super::{crashes, response, via_peer, Node};
 use crate::{notices, paths};
 
 /// A hedge is sent once a call has taken this many times the mean latency of its kind.
@@ -27,6 +28,9 @@
 /// of them and is not run.
 const MAX_UPSTREAMS_TRIED: usize = 4;
 
+/// Upstreams that accepted no connection for a call before it is offered to peers.
+const MAX_NOT_SENT: usize = 2;
+
 /// A call that is being handled.
 pub(super) struct Call<'a> {
     pub(super) request: &'a web::Request,
@@ -45,6 +49,8 @@
     deadline: Instant,
     /// Maximum number of connections of this node to one upstream.
     connection_share: u32,
+    /// How a peer has offered the call, if one did.
+    offer: Option<Offer>,
     /// Whether the template lists the call's method as idempotent.
     idempotent: bool,
     kind: balance::CallKind,
@@ -56,7 +62,7 @@
         *self.content.get_or_init(|| crashes::content(self.request, &self.service, self.path))
     }
 
-    fn remaining(&self) -> Duration {
+    pub(super) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
@@ -73,6 +79,8 @@
 enum CallResult {
     /// An upstream responded.
     Answered(web::Response),
+    /// A peer that the call was sent through responded, with an outcome of its own.
+    RespondedByPeer(web::Response),
     /// No upstream ran the call, and it is not sent any more because it crashes upstreams. The
     /// caller may retry after this time.
     Quarantined(Duration),
@@ -154,6 +162,12 @@
                 return (response, response::NOT_RUN);
             }
         };
+        if let Some(response) = call.offer.and_then(|offer| self.decline(offer, &request_id)) {
+            let counters = &mut self.view.borrow_mut().counters;
+            counters.offers_declined += 1;
+            counters.not_run += 1;
+            return (response, response::NOT_RUN);
+        }
         let Some(admitted) = self.admit(&call) else {
             let mut view = self.view.borrow_mut();
             view.counters.not_run += 1;
@@ -170,6 +184,7 @@
             CallResult::Answered(_) => limit::Outcome::Served,
             CallResult::NotRun { refused: true } => limit::Outcome::Refused,
             CallResult::NotRun { refused: false }
+            | CallResult::RespondedByPeer(_)
             | CallResult::Quarantined(_)
             | CallResult::Unknown(_) => limit::Outcome::Other,
         };
@@ -180,6 +195,15 @@
                 view.counters.done += 1;
                 (response::done(response, &request_id), response::DONE)
             }
+            CallResult::RespondedByPeer(response) => {
+                let outcome = via_peer::outcome_of(&response);
+                match outcome {
+                    response::DONE => view.counters.done += 1,
+                    response::NOT_RUN => view.counters.not_run += 1,
+                    _ => view.counters.unknown += 1,
+                }
+                (response::of_peer(response, outcome, &request_id), outcome)
+            }
             CallResult::Quarantined(retry_after) => {
                 view.counters.not_run += 1;
                 let text = "this call crashes the upstreams that run it\n";
@@ -263,6 +287,7 @@
             has_keys,
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             connection_share: connection_share(&params, view.entries.len()),
+            offer: Offer::of(request.headers()),
             idempotent: params.idempotent_methods.iter().any(|m| m == request.method().as_str()),
             kind: kind(request.method(), path),
             params,
@@ -277,7 +302,10 @@
         if !limits.limiter.try_acquire(&call.team, started_at) {
             return None;
         }
-        limits.retry_budget.deposit(call.params.retry_budget_percent);
+        // A call that a peer offers is counted there.
+        if call.offer.is_none() {
+            limits.retry_budget.deposit(call.params.retry_budget_percent);
+        }
         Some(AdmittedCall {
             node: self,
             service: &call.service,
@@ -295,9 +323,11 @@
         let mut tried: Vec<SocketAddr> = Vec::new();
         let (mut lost, mut refused) = (None, false);
         let mut failure = None;
-        let max_attempts = call.params.max_attempts.max(1) as usize;
+        let offered_attempts = call.offer.map_or(u64::MAX, |offer| offer.attempts);
+        let max_attempts = call.params.max_attempts.min(offered_attempts).max(1) as usize;
         let max_tried = max_attempts.max(MAX_UPSTREAMS_TRIED);
         let mut not_sent = 0;
+        let mut peers_asked = false;
         while tried.len() < max_tried && tried.len() - not_sent < max_attempts {
             match self.quarantine_retry_after(call) {
                 Some(retry_after) if lost.is_none() && failure.is_none() => {
@@ -306,6 +336,26 @@
                 Some(_) => break,
                 None => {}
             }
+            let needs_peer = self.is_partitioned() || not_sent >= MAX_NOT_SENT;
+            if needs_peer && call.offer.is_none() && !peers_asked {
+                peers_asked = true;
+                let reached = tried.len() - not_sent;
+                if reached > 0 && !self.withdraw_retry(call) {
+                    break;
+                }
+                match self.send_via_peer(call, (max_attempts - reached) as u64).await {
+                    PeerResult::Declined => {}
+                    PeerResult::Responded(response)
+                        if via_peer::outcome_of(&response) == response::NOT_RUN && reached > 0 =>
+                    {
+                        break
+                    }
+                    PeerResult::Responded(response) => {
+                        return CallResult::RespondedByPeer(response)
+                    }
+                    PeerResult::Lost(err) => return CallResult::Unknown(Some(err)),
+                }
+            }
             let Some(addr) = self.pick_isolated(call, &tried) else { break };
             if tried.len() > not_sent && !self.withdraw_retry(call) {
                 break;
--- a/crates/oatcoved/src/proxy/response.rs
+++ b/crates/oatcoved/src/proxy/response.rs
@@ -36,6 +36,7 @@
         let team = HeaderValue::from_str(&call.team).expect("team names are checked");
         headers.insert(crate::TEAM, team);
     }
+    headers.remove(crate::OFFER);
     let host = HeaderValue::try_from(addr.to_string()).expect("an address is a valid header value");
     headers.insert(http::header::HOST, host);
     headers.insert(crate::REQUEST_ID, request_id.clone());
@@ -53,6 +54,15 @@
     with_outcome(response, DONE, request_id)
 }
 
+/// Builds the response to a call to which a peer responded with this outcome.
+pub(super) fn of_peer(
+    response: web::Response,
+    outcome: &'static str,
+    request_id: &HeaderValue,
+) -> web::Response {
+    with_outcome(response, outcome, request_id)
+}
+
 /// Builds the response to a call that may have run.
 pub(super) fn unknown(status: StatusCode, text: &str, id: &HeaderValue) -> web::Response {
     with_outcome(web::reply(status, text.to_owned()), UNKNOWN, id)
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -34,6 +34,10 @@
     pub config_stale_ignored: u64,
     /// Config and VM-list reads served by a peer while the platform was unreachable.
     pub relayed_reads: u64,
+    /// Calls sent through a peer, as this node reached no upstream.
+    pub sent_via_peers: u64,
+    /// Calls of peers that this node declined.
+    pub offers_declined: u64,
     /// Probes sent to upstreams.
     pub probes_sent: u64,
     /// Membership packets sent to peers.
@@ -120,6 +124,8 @@
     pub backpressure: notice::Backpressure,
     /// What this node reaches of the upstreams.
     pub paths: reach::Paths,
+    /// What peers have said of their paths to the upstreams.
+    pub peer_paths: reach::Peers,
     /// Calls in flight.
     pub in_flight: u64,
     /// True once the node is stopping.
@@ -148,6 +154,7 @@
             quarantine: Default::default(),
             backpressure: notice::Backpressure::with_node_seed(rand::random()),
             paths: reach::Paths::default(),
+            peer_paths: reach::Peers::default(),
             in_flight: 0,
             stopping: false,
             counters: Counters::default(),
