oatcoved: discovery leaves out nodes that are partitioned from all upstreams

Seen to fail: without the filter nodes_without_a_path_to_any_upstream_are_left_out_while_two_others_remain gives five addresses for four.

--- a/crates/oatcoved/src/discovery.rs
+++ b/crates/oatcoved/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -9,6 +10,9 @@
 
 use crate::view::View;
 
+/// Number of entry nodes with a path to an upstream that are enough to leave out those without.
+const MIN_ENTRIES_WITH_PATH: usize = 2;
+
 /// One entry node in a discovery response.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -34,6 +38,9 @@
 /// come last. If more than half of the others seem dead, this node is more likely
 /// partitioned itself, so it then removes only those that have announced that
 /// they left.
+///
+/// Nodes that are partitioned from all upstreams are removed too, if enough others are left: they
+/// can only serve calls through those.
 pub fn entries(view: &View, zone: Option<&str>) -> Entries {
     let mut candidates: BTreeMap<SocketAddr, SmolStr> =
         view.entries.iter().map(|vm| (vm.addr, vm.zone.clone())).collect();
@@ -53,10 +60,18 @@
         Some(Standing::Dead) => !trusts_dead_standings,
         _ => true,
     });
+    let now = Instant::now();
+    let has_path = |addr: &SocketAddr| !view.peer_paths.is_partitioned(*addr, now);
+    let others_with_path = candidates.keys().filter(|addr| has_path(addr)).count();
+    let drops_partitioned = others_with_path >= MIN_ENTRIES_WITH_PATH;
+    if drops_partitioned {
+        candidates.retain(|addr, _| has_path(addr));
+    }
     // This node includes itself even if the VM list does not contain it yet, so that a caller
     // that reached it never gets an empty list. While stopping, it does so only if it knows no
     // other node.
-    if !view.stopping || candidates.is_empty() {
+    let is_partitioned = drops_partitioned && view.paths.is_unreachable();
+    if !(view.stopping || is_partitioned) || candidates.is_empty() {
         candidates.insert(own_addr, view.settings.zone.clone());
     }
     let mut sorted: Vec<Entry> =
--- a/crates/oatcoved/src/discovery/tests.rs
+++ b/crates/oatcoved/src/discovery/tests.rs
@@ -83,3 +83,19 @@
     stopping.entries.clear();
     assert_eq!(ports(&stopping), [7100]);
 }
+
+/// Guards against callers that are sent to entry nodes which can serve them only through others.
+#[test]
+fn nodes_without_a_path_to_any_upstream_are_left_out_while_two_others_remain() {
+    let now = std::time::Instant::now();
+    let mut view = view_with_entries();
+    view.peer_paths.record_claim(addr(7102), true, now);
+    assert_eq!(ports(&view), [7100, 7104, 7101, 7103]);
+    for n in 0..3 {
+        view.paths.record_failure(addr(9000 + n), 3, now);
+    }
+    assert_eq!(ports(&view), [7104, 7101, 7103], "this node has no path either");
+    view.peer_paths.record_claim(addr(7101), true, now);
+    view.peer_paths.record_claim(addr(7103), true, now);
+    assert_eq!(ports(&view).len(), 5, "one node alone is no alternative");
+}
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -14,7 +14,7 @@
 use rand::SeedableRng;
 use smol_str::SmolStr;
 
-use crate::view::View;
+use crate::view::{Peer, View};
 
 /// Interval at which the membership state advances. It is well below the shortest timeout of the
 /// membership.
@@ -69,6 +69,12 @@
     };
     while let Some(input) = rx.recv().await {
         let now = Instant::now();
+        if apply_path_claim(&view, &input, now) {
+            continue;
+        }
+        if matches!(input, Input::Tick) {
+            announce_paths(&socket, &view, now).await;
+        }
         let mut outgoing = handle_input(&mut members, &view, input, now);
         for event in members.take_events() {
             match event {
@@ -93,6 +99,50 @@
     }
 }
 
+/// Tells all peers whether this node is partitioned from all upstreams, when that has changed, and
+/// from time to time while it is.
+async fn announce_paths(socket: &UdpSocket, view: &RefCell<View>, now: Instant) {
+    let (claim, peers) = {
+        let view = &mut *view.borrow_mut();
+        view.peer_paths.expire(now);
+        let is_partitioned = view.paths.is_unreachable();
+        if !view.peer_paths.take_due_announcement(is_partitioned, now) {
+            return;
+        }
+        let is_reachable =
+            |peer: &Peer| peer.standing.is_some_and(|s| s <= wire::Standing::Suspect);
+        let peers = view.peers.iter().filter(|(_, peer)| is_reachable(peer));
+        let peers: Vec<SocketAddr> = peers.map(|(addr, _)| *addr).collect();
+        (wire::PathClaim { sender: view.settings.listen_addr, is_partitioned }, peers)
+    };
+    for peer in peers {
+        // A datagram that is lost is made up for by the next one, or by the end of the claim.
+        let (_, bytes) = socket.send_to(claim.encode(), peer).await;
+        let counters = &mut view.borrow_mut().counters;
+        counters.peer_packets_sent += 1;
+        counters.peer_bytes_sent += bytes.len() as u64;
+    }
+}
+
+/// Applies a datagram that holds a path claim; returns false for any other.
+fn apply_path_claim(view: &RefCell<View>, input: &Input, now: Instant) -> bool {
+    let Input::Datagram(from, bytes) = input else { return false };
+    if !wire::PathClaim::is_in(bytes) {
+        return false;
+    }
+    let view = &mut *view.borrow_mut();
+    match wire::PathClaim::decode(bytes) {
+        Ok(claim) if claim.sender == *from => {
+            view.peer_paths.record_claim(*from, claim.is_partitioned, now);
+        }
+        Ok(_) | Err(_) => {
+            view.counters.peer_packets_refused += 1;
+            log::debug!("peer={from} path claim rejected");
+        }
+    }
+    true
+}
+
 /// Broadcasts new findings on calls that crash upstreams.
 fn broadcast_findings(
     members: &mut member::Members,
