oatcoved: a partitioned node reports no upstream as failing

A probe without a response counts against its upstream only if another upstream has responded within the last second; otherwise two others are checked first, and without any response the probe says nothing. Verdicts found just before the partition was noticed are withdrawn.

--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -24,6 +24,12 @@
 /// Timeout of one probe, including connecting.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum age of a response that shows that this node reaches upstreams.
+const RECENT_RESPONSE_AGE: Duration = Duration::from_secs(1);
+
+/// Upstreams that are checked before the failure of another one counts.
+const MAX_UPSTREAMS_CHECKED: usize = 2;
+
 /// Inputs of the probing task.
 pub enum Input {
     /// The tick interval has passed.
@@ -35,6 +41,10 @@
     Changed(Option<Instant>),
     /// A probe has completed; with its connection if that can be reused.
     Completed(SocketAddr, ProbeResult, Option<Box<web::Conn>>),
+    /// An upstream was checked beside its usual probes; with whether it responded.
+    Checked(SocketAddr, bool),
+    /// A probe of this upstream got no response, and others were checked since.
+    Confirmation(SocketAddr),
 }
 
 /// Result of one probe.
@@ -69,6 +79,7 @@
     let mut idle = std::collections::HashMap::new();
     let mut list_requested_at = None;
     let mut had_lease = false;
+    let mut was_partitioned = false;
     monoio::spawn(tick(tx.clone()));
     while let Some(input) = rx.recv().await {
         let now = Instant::now();
@@ -87,6 +98,12 @@
                     withdraw_reports(scheduler.reset_failing(), &view, &gossip);
                 }
                 had_lease = scheduler.holds_lease(now);
+                let is_partitioned = view.borrow().paths.is_unreachable();
+                if is_partitioned && !was_partitioned {
+                    // What it found failing just before may be due to the partition too.
+                    withdraw_reports(scheduler.reset_failing(), &view, &gossip);
+                }
+                was_partitioned = is_partitioned;
             }
             Input::Confirmed(at) => {
                 list_requested_at = Some(at);
@@ -101,10 +118,7 @@
                 }
             }
             Input::Completed(addr, result, conn) => {
-                match &result.signals {
-                    Some(_) => paths::record_response(&mut view.borrow_mut()),
-                    None => paths::record_failure(&mut view.borrow_mut(), addr),
-                }
+                record_path(&view, addr, result.signals.is_some());
                 if let Some((signals, request_sent_at)) = result.signals {
                     if view.borrow_mut().apply_probe_signals(addr, &signals, request_sent_at) {
                         let _ = gossip.send(gossip::Input::UpdatesPending);
@@ -113,30 +127,112 @@
                 if let Some(conn) = conn {
                     idle.insert(addr, *conn);
                 }
-                if let Some(verdict) = scheduler.record_outcome(addr, result.outcome) {
-                    log::info!("upstream={addr} probe verdict: {verdict:?}");
-                    report_verdict(addr, verdict, &view, &gossip);
-                }
+                let verdict = match &result.signals {
+                    Some(_) => scheduler.record_outcome(addr, result.outcome),
+                    None => record_unanswered(&mut scheduler, &view, &tx, addr, now),
+                };
+                report_change(addr, verdict, &view, &gossip);
+            }
+            Input::Checked(addr, responds) => record_path(&view, addr, responds),
+            Input::Confirmation(addr) => {
+                let verdict = match has_recent_response(&view, now) {
+                    true => scheduler.record_outcome(addr, watch::ProbeOutcome::Down),
+                    false => {
+                        scheduler.discard_outcome(addr);
+                        None
+                    }
+                };
+                report_change(addr, verdict, &view, &gossip);
             }
         }
     }
 }
 
-/// Probes a random upstream while this node reaches none, to find out whether that has ended.
-fn check_paths(view: &RefCell<View>, tx: &Tx<Input>, now: Instant) {
-    let target = {
-        let view = &mut *view.borrow_mut();
-        if !view.paths.take_due_check(now) {
-            return;
+/// Records a probe without a response. It is evidence against its upstream only while this node
+/// reaches others: some are checked first, unless one has responded just now.
+fn record_unanswered(
+    scheduler: &mut watch::ProbeScheduler,
+    view: &RefCell<View>,
+    tx: &Tx<Input>,
+    addr: SocketAddr,
+    now: Instant,
+) -> Option<wire::Verdict> {
+    let others = random_upstreams(&view.borrow(), Some(addr), MAX_UPSTREAMS_CHECKED);
+    if others.is_empty() || has_recent_response(view, now) {
+        return scheduler.record_outcome(addr, watch::ProbeOutcome::Down);
+    }
+    let tx = tx.clone();
+    monoio::spawn(async move {
+        for (other, path) in others {
+            let responds = check(other, &path).await;
+            let _ = tx.send(Input::Checked(other, responds));
         }
-        let is_upstream = |vm: &&proto::Vm| {
-            vm.role == proto::VmRole::Upstream && vm.state == proto::VmState::Live
-        };
-        let vm = view.vms.values().filter(is_upstream).choose(&mut rand::rng());
-        vm.map(|vm| (vm.addr, probe_path(view, &vm.service)))
+        let _ = tx.send(Input::Confirmation(addr));
+    });
+    None
+}
+
+fn has_recent_response(view: &RefCell<View>, now: Instant) -> bool {
+    let since = now.checked_sub(RECENT_RESPONSE_AGE);
+    since.is_some_and(|since| view.borrow().paths.has_responded_since(since))
+}
+
+/// Returns up to `count` different live upstreams other than `except`, at random, each with the path
+/// of its probes.
+fn random_upstreams(
+    view: &View,
+    except: Option<SocketAddr>,
+    count: usize,
+) -> Vec<(SocketAddr, String)> {
+    let is_candidate = |vm: &&proto::Vm| {
+        vm.role == proto::VmRole::Upstream
+            && vm.state == proto::VmState::Live
+            && Some(vm.addr) != except
     };
-    if let Some((addr, path)) = target {
-        monoio::spawn(probe(addr, path, None, tx.clone()));
+    let vms = view.vms.values().filter(is_candidate).choose_multiple(&mut rand::rng(), count);
+    vms.into_iter().map(|vm| (vm.addr, probe_path(view, &vm.service))).collect()
+}
+
+/// Returns whether the upstream at `addr` responds to a probe on a new connection.
+async fn check(addr: SocketAddr, path: &str) -> bool {
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    match web::Conn::connect(addr, PROBE_TIMEOUT).await {
+        Ok(conn) => send_probe(conn, path, deadline).await.is_ok(),
+        Err(_) => false,
+    }
+}
+
+/// Checks a random upstream while this node reaches none, to find out whether that has ended.
+fn check_paths(view: &RefCell<View>, tx: &Tx<Input>, now: Instant) {
+    if !view.borrow_mut().paths.take_due_check(now) {
+        return;
+    }
+    for (addr, path) in random_upstreams(&view.borrow(), None, 1) {
+        let tx = tx.clone();
+        monoio::spawn(async move {
+            let responds = check(addr, &path).await;
+            let _ = tx.send(Input::Checked(addr, responds));
+        });
+    }
+}
+
+fn record_path(view: &RefCell<View>, addr: SocketAddr, responds: bool) {
+    match responds {
+        true => paths::record_response(&mut view.borrow_mut()),
+        false => paths::record_failure(&mut view.borrow_mut(), addr),
+    }
+}
+
+/// Reports the verdict on an upstream, if it has changed.
+fn report_change(
+    addr: SocketAddr,
+    verdict: Option<wire::Verdict>,
+    view: &RefCell<View>,
+    gossip: &Tx<gossip::Input>,
+) {
+    if let Some(verdict) = verdict {
+        log::info!("upstream={addr} probe verdict: {verdict:?}");
+        report_verdict(addr, verdict, view, gossip);
     }
 }
 
--- a/crates/oatcoved/src/probe/tests.rs
+++ b/crates/oatcoved/src/probe/tests.rs
@@ -1,4 +1,11 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
 use http::StatusCode;
+use local_sync::mpsc::unbounded;
+use store::proto;
 use yare::parameterized;
 
 use crate::probe::outcome;
@@ -30,3 +37,56 @@
 ) {
     assert_eq!(outcome(&response(status, retry_after, body)), expected);
 }
+
+/// Guards against upstreams that no node uses any more because a node that is partitioned from all
+/// of them reports them as failing.
+#[test]
+fn a_partitioned_node_reports_no_upstream_as_failing() {
+    /// Time after the start of a partition from which it must have no effect on other nodes.
+    const STABILITY: Duration = Duration::from_secs(3);
+    web::runtime().block_on(async {
+        let closed: Vec<_> =
+            (0..4).map(|_| emu::closed_port::ClosedPort::new().expect("a port is free")).collect();
+        let vm = |addr: SocketAddr, role: proto::VmRole| proto::Vm {
+            addr,
+            zone: "z-0".into(),
+            role,
+            service: "svc".into(),
+            state: proto::VmState::Live,
+            id: Default::default(),
+        };
+        let mut view = crate::test_support::view();
+        let text = "service: svc\ndefaults:\n  probe_budget_per_s: 40\n";
+        let row = proto::Row {
+            key: "svc".into(),
+            version: 1,
+            value: text.to_owned(),
+            change_id: "c".into(),
+        };
+        crate::follow::apply_templates(&mut view, proto::Rows { head: 1, rows: vec![row] });
+        let mut vms: Vec<proto::Vm> =
+            closed.iter().map(|port| vm(port.addr(), proto::VmRole::Upstream)).collect();
+        vms.push(vm(view.settings.listen_addr, proto::VmRole::Entry));
+        crate::follow::apply_vms(&mut view, &vms);
+        view.vms = vms.into_iter().map(|vm| (vm.addr, vm)).collect();
+        let view = Rc::new(RefCell::new(view));
+        let (gossip, _gossip_inputs) = unbounded::channel();
+        let (probe, probe_inputs) = unbounded::channel();
+        monoio::spawn(super::run(view.clone(), probe.clone(), probe_inputs, gossip));
+        let started_at = Instant::now();
+        let _ = probe.send(super::Input::Changed(Some(started_at)));
+        // A node waits before it probes newly assigned upstreams.
+        let mut partitioned_at = None;
+        while partitioned_at.is_none_or(|at: Instant| at.elapsed() < STABILITY) {
+            assert!(started_at.elapsed() < Duration::from_secs(30), "no probe was sent");
+            let _ = probe.send(super::Input::Confirmed(Instant::now()));
+            monoio::time::sleep(Duration::from_millis(100)).await;
+            if view.borrow().counters.probes_sent > 0 {
+                partitioned_at.get_or_insert_with(Instant::now);
+            }
+        }
+        assert!(view.borrow().paths.is_unreachable());
+        let reports = view.borrow().health_reports.clone();
+        assert!(reports.is_empty(), "{reports:?}");
+    });
+}
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -322,6 +322,14 @@
         changed.then_some(verdict)
     }
 
+    /// Discards the outcome of a probe that says nothing about its upstream, because this node
+    /// reaches no upstream.
+    pub fn discard_outcome(&mut self, addr: SocketAddr) {
+        if let Some(assignment) = self.assignments.get_mut(&addr) {
+            assignment.in_flight = false;
+        }
+    }
+
     /// Resets the upstreams found failing to healthy and returns them.
     ///
     /// The caller must call this when the lease expires: without probes this
