--- a/crates/edge/src/tests/partitioned.rs
+++ b/crates/edge/src/tests/partitioned.rs
@@ -1,11 +1,14 @@
 //! A node that is partitioned from all upstreams, beside one that reaches them.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use monoio::io::Splitable;
 use monoio::net::udp::UdpSocket;
-use monoio::net::TcpListener;
+use monoio::net::{TcpListener, TcpStream};
+use web::h1;
 
 use super::fake::{self, get, ms, ok_response, post, Caller, EntryNode, Step, Upstream};
 use super::fleet::{addr as peer_addr, own_addr, serving, state_at};
@@ -212,3 +215,92 @@
         knows(false).await;
     });
 }
+
+/// An upstream whose connections are reset, and new ones refused, while a partition lasts.
+async fn run_severable(addr: SocketAddr, listener: TcpListener, is_cut: Rc<Cell<bool>>) {
+    let mut listener = Some(listener);
+    loop {
+        let listening = listener.take().or_else(|| TcpListener::bind(addr).ok());
+        let Some(listening) = listening else {
+            monoio::time::sleep(ms(5)).await;
+            continue;
+        };
+        let accepting = async {
+            while let Ok((stream, _)) = listening.accept().await {
+                monoio::spawn(answer_until_cut(stream, is_cut.clone()));
+            }
+        };
+        monoio::select! {
+            () = accepting => {}
+            () = until_set(&is_cut, true) => {}
+        }
+        drop(listening);
+        until_set(&is_cut, false).await;
+    }
+}
+
+async fn until_set(flag: &Cell<bool>, value: bool) {
+    while flag.get() != value {
+        monoio::time::sleep(ms(2)).await;
+    }
+}
+
+async fn answer_until_cut(stream: TcpStream, is_cut: Rc<Cell<bool>>) {
+    let (read, write) = stream.into_split();
+    let (mut reader, mut writer) = (h1::Reader::new(read), h1::Writer::new(write));
+    let answering = async {
+        while let Ok(head) = reader.request_head(64 * 1024).await {
+            let id = head.headers.get("x-id").and_then(|id| id.to_str().ok()).unwrap_or("");
+            monoio::time::sleep(ms(60)).await;
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ncontent-length: 1\r\n\r\nx"
+            );
+            if writer.write(text.into_bytes()).await.is_err() {
+                return;
+            }
+        }
+    };
+    monoio::select! {
+        () = answering => {}
+        () = until_set(&is_cut, true) => {}
+    }
+}
+
+/// Guards against a popular request that is quarantined in the whole fleet because a partition
+/// resets its connections at several upstreams and refuses new ones, as a crash would.
+#[test]
+fn a_request_that_is_lost_in_a_partition_is_not_taken_for_one_that_crashes_upstreams() {
+    fake::run(async {
+        let is_cut = Rc::new(Cell::new(false));
+        let start = || {
+            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+            let addr = listener.local_addr().expect("bound");
+            monoio::spawn(run_severable(addr, listener, is_cut.clone()));
+            addr
+        };
+        let entry_node = start_node(&(0..8).map(|_| start()).collect::<Vec<_>>());
+        let call = |n: usize| {
+            let addr = entry_node.addr;
+            monoio::spawn(async move {
+                let request = get("/get/popular", &format!("popular-{n}"));
+                Caller::connect(addr).await.ask(&request).await.status
+            })
+        };
+        for n in 0..200 {
+            // Two partitions of 0.3 s, in series.
+            is_cut.set((40..70).contains(&n) || (110..140).contains(&n));
+            drop(call(n));
+            monoio::time::sleep(ms(10)).await;
+        }
+        let findings: Vec<String> = {
+            let state = entry_node.node.state.borrow();
+            state.quarantine.findings().iter().map(|finding| format!("{finding:?}")).collect()
+        };
+        assert_eq!(call(201).await, 200, "{findings:?}");
+        assert_eq!(
+            entry_node.node.state.borrow().quarantine.quarantined().count(),
+            0,
+            "{findings:?}"
+        );
+    });
+}
