edge: connections refused in a partition are no evidence of a crash

A partition that resets connections and refuses new ones looks like crashes of all upstreams at once: a popular request that was in flight at several of them was quarantined in the whole fleet, for up to an hour, if one copy of it was sent after the first loss was known.

A refused connection now counts as the end of an upstream only if another one responds to a check; listings of restarts and 421 count as before, and so does the only upstream.

Also tests that a peer takes what open connections cannot carry while new ones are refused.

--- a/crates/edge/src/forward/crash_detection.rs
+++ b/crates/edge/src/forward/crash_detection.rs
@@ -8,10 +8,12 @@
 use local_sync::oneshot;
 use place::Incarnation;
 use quarantine::{FindingVersion, LostRequest};
+use route::ServiceName;
 
 use super::call::{Call, Choice};
 use super::Node;
-use crate::{as_ms, start_of};
+use crate::probe::NewConnection;
+use crate::{as_ms, probe, start_of};
 
 /// Longest time that a request waits to learn whether the upstream that lost its response has
 /// crashed. An address without a listener refuses a connection within a round trip; an unreachable
@@ -36,37 +38,88 @@
             lost.clone(),
             Instant::now(),
         );
-        if ended {
-            return self.handle_upstream_ended(&choice.upstream, &[lost]);
-        }
         let (checked, checking) = oneshot::channel();
         let (node, upstream, addr) = (self.clone(), choice.upstream.clone(), choice.addr);
         // A task of its own, since the future of the request may be dropped meanwhile.
         monoio::spawn(async move {
-            node.try_reconnect(&upstream, addr).await;
+            match ended {
+                true => node.handle_refusal(&upstream, vec![lost]).await,
+                false => node.try_reconnect(&upstream, addr).await,
+            }
             // Fails when the request no longer waits.
             let _ = checked.send(());
         });
         let _ = monoio::time::timeout(MAX_CRASH_DETECTION_WAIT, checking).await;
     }
 
-    async fn try_reconnect(&self, upstream: &Incarnation, addr: SocketAddr) {
+    async fn try_reconnect(self: &Rc<Node>, upstream: &Incarnation, addr: SocketAddr) {
         match self.new_connection(upstream, addr, super::CONNECT_TIMEOUT).await {
             // Replaces the broken connection in the pool.
             Ok(conn) => self.conns.put(upstream, conn),
             Err(err) => {
                 self.record_unconnected(addr);
-                self.record_connect_failure(upstream, &err);
+                if let Some(lost) = self.take_lost_requests(upstream, &err) {
+                    self.handle_refusal(upstream, lost).await;
+                }
             }
         }
     }
 
     /// Records that no connection to an upstream could be established. If its address refuses it,
     /// the upstream has ended, and requests lost there shortly before were in flight when it did.
-    pub fn record_connect_failure(&self, upstream: &Incarnation, err: &io::Error) {
-        if err.kind() == io::ErrorKind::ConnectionRefused {
-            self.record_upstream_ended(upstream);
+    pub fn record_connect_failure(self: &Rc<Node>, upstream: &Incarnation, err: &io::Error) {
+        let Some(lost) = self.take_lost_requests(upstream, err) else { return };
+        if self.other_upstreams(upstream).is_empty() {
+            return self.handle_upstream_ended(upstream, &lost);
+        }
+        let (node, upstream) = (self.clone(), upstream.clone());
+        monoio::spawn(async move { node.handle_refusal(&upstream, lost).await });
+    }
+
+    /// Returns the requests that were lost with an upstream that refuses connections; `None` if it
+    /// does not, or has lost none.
+    fn take_lost_requests(
+        &self,
+        upstream: &Incarnation,
+        err: &io::Error,
+    ) -> Option<Vec<LostRequest>> {
+        if err.kind() != io::ErrorKind::ConnectionRefused {
+            return None;
+        }
+        let state = &mut *self.state.borrow_mut();
+        let start = start_of(upstream);
+        let lost = state.crash_detector.record_refused_connection(start, Instant::now());
+        state.counters.upstreams_ended += u64::from(!lost.is_empty());
+        (!lost.is_empty()).then_some(lost)
+    }
+
+    /// Handles an upstream whose address refuses connections. It counts as ended only if another one
+    /// responds: in a partition from all upstreams, connections are reset and refused as well.
+    async fn handle_refusal(self: &Rc<Node>, upstream: &Incarnation, lost: Vec<LostRequest>) {
+        let others = self.other_upstreams(upstream);
+        let mut responds = others.is_empty();
+        for (service, other) in others {
+            let check =
+                probe::check_path(self.clone(), service, other, NewConnection::IfNoneIsIdle);
+            responds = check.await;
+            if responds {
+                break;
+            }
         }
+        match responds {
+            true => self.handle_upstream_ended(upstream, &lost),
+            false => trace::Line::new("crash_not_confirmed")
+                .field("upstream", upstream.id())
+                .field("under_way", lost)
+                .log(),
+        }
+    }
+
+    /// Returns some other upstreams, with their services.
+    fn other_upstreams(&self, upstream: &Incarnation) -> Vec<(ServiceName, Incarnation)> {
+        let mut others = self.random_upstreams(reach::MIN_FAILED_UPSTREAMS);
+        others.retain(|(_, other)| other != upstream);
+        others
     }
 
     /// Records that an upstream has ended: its address refuses connections or belongs to another
--- a/crates/edge/src/paths.rs
+++ b/crates/edge/src/paths.rs
@@ -83,7 +83,7 @@
     }
 
     /// Returns up to `count` different upstreams, at random, with their services.
-    fn random_upstreams(&self, count: usize) -> Vec<(ServiceName, Incarnation)> {
+    pub(crate) fn random_upstreams(&self, count: usize) -> Vec<(ServiceName, Incarnation)> {
         if count == 0 {
             return Vec::new();
         }
--- a/crates/edge/src/tests/partitioned.rs
+++ b/crates/edge/src/tests/partitioned.rs
@@ -216,27 +216,32 @@
     });
 }
 
-/// An upstream whose connections are reset, and new ones refused, while a partition lasts.
-async fn run_severable(addr: SocketAddr, listener: TcpListener, is_cut: Rc<Cell<bool>>) {
-    let mut listener = Some(listener);
-    loop {
-        let listening = listener.take().or_else(|| TcpListener::bind(addr).ok());
-        let Some(listening) = listening else {
-            monoio::time::sleep(ms(5)).await;
-            continue;
-        };
-        let accepting = async {
-            while let Ok((stream, _)) = listening.accept().await {
-                monoio::spawn(answer_until_cut(stream, is_cut.clone()));
+/// Starts an upstream that refuses new connections while `is_cut` is set, and resets open ones while
+/// `is_reset` is. Its address is one that no other test listens on meanwhile.
+fn start_severable(
+    addr: SocketAddr,
+    is_cut: &Rc<Cell<bool>>,
+    is_reset: &Rc<Cell<bool>>,
+) -> SocketAddr {
+    let (is_cut, is_reset) = (is_cut.clone(), is_reset.clone());
+    let mut listener = TcpListener::bind(addr).expect("binds");
+    monoio::spawn(async move {
+        loop {
+            let accepting = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    monoio::spawn(answer_until_reset(stream, is_reset.clone()));
+                }
+            };
+            monoio::select! {
+                () = accepting => {}
+                () = until_set(&is_cut, true) => {}
             }
-        };
-        monoio::select! {
-            () = accepting => {}
-            () = until_set(&is_cut, true) => {}
+            drop(listener);
+            until_set(&is_cut, false).await;
+            listener = TcpListener::bind(addr).expect("binds again");
         }
-        drop(listening);
-        until_set(&is_cut, false).await;
-    }
+    });
+    addr
 }
 
 async fn until_set(flag: &Cell<bool>, value: bool) {
@@ -245,7 +250,7 @@
     }
 }
 
-async fn answer_until_cut(stream: TcpStream, is_cut: Rc<Cell<bool>>) {
+async fn answer_until_reset(stream: TcpStream, is_reset: Rc<Cell<bool>>) {
     let (read, write) = stream.into_split();
     let (mut reader, mut writer) = (h1::Reader::new(read), h1::Writer::new(write));
     let answering = async {
@@ -262,7 +267,7 @@
     };
     monoio::select! {
         () = answering => {}
-        () = until_set(&is_cut, true) => {}
+        () = until_set(&is_reset, true) => {}
     }
 }
 
@@ -272,13 +277,8 @@
 fn a_request_that_is_lost_in_a_partition_is_not_taken_for_one_that_crashes_upstreams() {
     fake::run(async {
         let is_cut = Rc::new(Cell::new(false));
-        let start = || {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
-            let addr = listener.local_addr().expect("bound");
-            monoio::spawn(run_severable(addr, listener, is_cut.clone()));
-            addr
-        };
-        let entry_node = start_node(&(0..8).map(|_| start()).collect::<Vec<_>>());
+        let start = |n: u8| start_severable(own_addr(80 + n), &is_cut, &is_cut);
+        let entry_node = start_node(&(0..8).map(start).collect::<Vec<_>>());
         let call = |n: usize| {
             let addr = entry_node.addr;
             monoio::spawn(async move {
@@ -304,3 +304,41 @@
         );
     });
 }
+
+/// Guards against callers who are refused because open connections are in use and new ones are
+/// refused, although a peer opens new ones.
+#[test]
+fn a_peer_takes_what_open_connections_cannot_carry() {
+    const CALLERS_BEFORE: usize = 1;
+    const CALLERS_WHILE: usize = 12;
+    fake::run(async {
+        let (is_cut, never) = (Rc::new(Cell::new(false)), Rc::new(Cell::new(false)));
+        let start = |n: u8| start_severable(own_addr(90 + n), &is_cut, &never);
+        let partitioned = start_node(&(0..UPSTREAMS as u8).map(start).collect::<Vec<_>>());
+        let reachable: Vec<Upstream> = (0..UPSTREAMS)
+            .map(|_| Upstream::start(vec![vec![Step::Wait(ms(60)), ok_response("x")]]))
+            .collect();
+        let in_touch = start_node(&reachable.iter().map(|u| u.addr).collect::<Vec<_>>());
+        introduce(&partitioned, &in_touch);
+        let now = Instant::now();
+        let calls = async |count: usize, from: Instant, until: Instant| {
+            let name =
+                |n: usize| format!("{}-{n}-{count}", if n < count / 2 { "post" } else { "get" });
+            let callers =
+                (0..count).map(|n| monoio::spawn(call(partitioned.addr, name(n), from, until)));
+            let (mut served, mut sent) = (0, 0);
+            for caller in callers.collect::<Vec<_>>() {
+                let counts = caller.await;
+                (served, sent) = (served + counts.0, sent + counts.1);
+            }
+            (served, sent)
+        };
+        calls(CALLERS_BEFORE, now, now + ms(500)).await;
+        is_cut.set(true);
+        let from = Instant::now() + STABILITY;
+        let (served, sent) = calls(CALLERS_WHILE, from, from + COUNTED).await;
+        let counters = |entry_node: &EntryNode| entry_node.node.state.borrow().counters;
+        let seen = (counters(&partitioned), counters(&in_touch));
+        assert!(sent - served <= 10 + sent / 50, "{served} of {sent}: {seen:?}");
+    });
+}
