--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -359,7 +359,7 @@
         let attempts = caller.offer.as_ref().map_or(u32::MAX, |offer| offer.attempts);
         let most_urgent = table.is_most_urgent(route, &service)
             && team.as_ref().is_none_or(|team| table.teams.is_most_urgent(team));
-        let sends = RefCell::default();
+        let (last_send, sends) = (Cell::default(), RefCell::default());
         let call = Call {
             head,
             request_id,
@@ -379,6 +379,7 @@
             offer: caller.offer,
             deadline,
             caller_deadline: received_at + stated_deadline.unwrap_or(route.timeout),
+            last_send,
             sends,
         };
         // The deadline counts from when the request was received, so it includes time spent queued
@@ -388,6 +389,7 @@
             Ok(reply) => reply,
             Err(_) => {
                 call.log_line("timed_out").log();
+                self.record_timed_out(&call);
                 match call.sends.borrow().is_empty() {
                     true => Reply::Local(LocalReply::not_run(
                         RETRY_AFTER_OTHER_NODE,
@@ -409,6 +411,16 @@
         reply
     }
 
+    /// Records that the deadline of a request has passed. If no upstream has responded since the
+    /// request was last sent, that says as much of this node's paths as of the upstream.
+    fn record_timed_out(&self, call: &Call<'_>) {
+        let Some((addr, sent_at)) = call.last_send.get() else { return };
+        let has_responded = self.state.borrow().paths.has_responded_since(sent_at);
+        if !has_responded {
+            self.record_path_failure(addr);
+        }
+    }
+
     /// Records that the caller of a request left before it got a response.
     pub fn record_caller_left(&self, head: &h1::RequestHead) {
         let mut state = self.state.borrow_mut();
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -51,6 +51,8 @@
     pub(super) deadline: Instant,
     /// When the caller gives up; `deadline` may be earlier.
     pub(super) caller_deadline: Instant,
+    /// The last send by this node: the upstream's address, and when it began.
+    pub(super) last_send: Cell<Option<(SocketAddr, Instant)>>,
     /// Sends so far, for the log.
     pub(super) sends: RefCell<Vec<SendRecord>>,
 }
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -52,6 +52,7 @@
             .record_send(start_of(&choice.upstream), Instant::now());
         let (version, _guard) = self.begin_attempt(call, &choice.upstream);
         let started_at = Instant::now();
+        call.last_send.set(Some((choice.addr, started_at)));
         let timeout = CONNECT_TIMEOUT.min(call.deadline_left());
         let (upstream, addr) = (&choice.upstream, choice.addr);
         let connecting = async {
