--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -13,6 +13,7 @@
 
 use super::call::{Call, Choice, NoChoice, Tried};
 use super::choose::WaitPolicy;
+use super::send::{write_pieces, SEND_PIECE_BYTES};
 use super::silence::Unanswered;
 use super::{Body, Node, Reply};
 use crate::as_ms;
@@ -31,10 +32,6 @@
 /// Upstreams tried for one request at most, unreachable ones included.
 const MAX_UPSTREAMS_TRIED: usize = 4;
 
-/// Length of the pieces in which a body is sent. Each is copied, so that a large body sent at once
-/// would take its memory twice.
-pub(super) const SEND_PIECE_BYTES: usize = 64 * 1024;
-
 /// `Retry-After` when upstreams refused a request and the node may not send it again. Their refusal
 /// says nothing about other upstreams, and each further attempt of the caller adds to the retry
 /// budget of the fleet.
@@ -385,13 +382,11 @@
         let mut rest = body.clone();
         let first = rest.split_to(rest.len().min(SEND_PIECE_BYTES));
         let write_rest = async |writer: &mut h1::Writer| {
-            for piece in rest.chunks(SEND_PIECE_BYTES) {
-                if writer.write(piece.to_vec()).await.is_err() {
-                    return SendResult::UpstreamClosed;
-                }
+            let result = write_pieces(writer, &rest).await;
+            if result == SendResult::Complete {
+                unanswered.start(body.len());
             }
-            unanswered.start(body.len());
-            SendResult::Complete
+            result
         };
         let framing = length.map(|length| (http::header::CONTENT_LENGTH, length));
         let sending = self.send_with(call, choice, framing, &first, &unanswered, write_rest);
--- a/crates/edge/src/forward/send.rs
+++ b/crates/edge/src/forward/send.rs
@@ -19,6 +19,10 @@
 /// its deadline still reaches the caller.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
+/// Length of the pieces in which a body is sent. Each is copied, so that a large body sent at once
+/// would take its memory twice.
+pub(super) const SEND_PIECE_BYTES: usize = 64 * 1024;
+
 /// Timeout for connecting to an upstream: a hundred times the round trip between zones. A lost SYN
 /// packet would take seconds to be sent again.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -208,6 +212,16 @@
     }
 }
 
+/// Writes what follows the first piece of a body.
+pub(super) async fn write_pieces(writer: &mut h1::Writer, rest: &Bytes) -> SendResult {
+    for piece in rest.chunks(SEND_PIECE_BYTES) {
+        if writer.write(piece.to_vec()).await.is_err() {
+            return SendResult::UpstreamClosed;
+        }
+    }
+    SendResult::Complete
+}
+
 /// Returns the headers that are sent to the upstream.
 fn upstream_headers(
     call: &Call<'_>,
--- a/crates/edge/src/forward/via_peer.rs
+++ b/crates/edge/src/forward/via_peer.rs
@@ -10,7 +10,7 @@
 use web::h1;
 
 use super::call::{Call, SendRecord, Tried};
-use super::retries::SEND_PIECE_BYTES;
+use super::send::{write_pieces, SEND_PIECE_BYTES};
 use super::Node;
 use crate::as_ms;
 use crate::conns::Conn;
@@ -74,14 +74,7 @@
         let framing = length.then(|| (http::header::CONTENT_LENGTH, HeaderValue::from(body.len())));
         let mut rest = body.clone();
         let first = rest.split_to(rest.len().min(SEND_PIECE_BYTES));
-        let write_rest = async |writer: &mut h1::Writer| {
-            for piece in rest.chunks(SEND_PIECE_BYTES) {
-                if writer.write(piece.to_vec()).await.is_err() {
-                    return SendResult::UpstreamClosed;
-                }
-            }
-            SendResult::Complete
-        };
+        let write_rest = async |writer: &mut h1::Writer| write_pieces(writer, &rest).await;
         self.send_to_peer_with(call, tried, peer, framing, &first, write_rest).await
     }
 
--- a/crates/edge/src/relay/offer.rs
+++ b/crates/edge/src/relay/offer.rs
@@ -84,8 +84,8 @@
     }
 }
 
-/// Returns true if this node takes a request that is offered. A request is never offered twice in a
-/// row, and never goes back to an older configuration.
+/// Returns true if this node takes a request that is offered: it reaches upstreams, and its
+/// configuration is not older than the one by which the request is handled.
 fn accepts(state: &State, offer: &Offer) -> bool {
     state.is_ready()
         && !state.paths.is_unreachable()
