--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -39,6 +39,11 @@
 }
 
 impl Process {
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the CPU time that the main thread of the process has used so far, from
     /// `/proc/PID/schedstat`. Other threads, such as the log writer, are not counted.
     ///
