edge: an expired lease on the configuration leaves a trace

The record of the incident has no line that tells a node that knew that its configuration may be outdated (hypothesis 1) from one that was sure of it (hypotheses 2 and 3): a request that is served leaves no line, and lines about others do not say how old the configuration is.

Leases are renewed in one place, State::renew_lease. No decision changes.

Test: requests_on_an_expired_lease_are_counted.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -73,7 +73,7 @@
 }
 
 impl Topic {
-    fn name(self) -> &'static str {
+    pub(crate) fn name(self) -> &'static str {
         match self {
             Topic::Config => "config",
             Topic::Upstreams => "upstreams",
@@ -198,7 +198,7 @@
                     true => bound.as_of(requested_at, Instant::now(), batch.events.is_empty()),
                     false => requested_at,
                 };
-                node.state.borrow_mut().progress_mut(topic).lease.renew(as_of);
+                node.state.borrow_mut().renew_lease(topic, as_of, Instant::now());
                 // Recorded before the batch is applied: frames to subscribers carry the position.
                 let batch = without_stale_evacuations(&node, topic, batch);
                 if record_progress(&node, topic, batch.cursor, batch.newest) {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -287,7 +287,7 @@
         self.wait_until_started(received_at, max_wait).await;
         let table = {
             let mut state = self.state.borrow_mut();
-            state.counters.requests += 1;
+            state.record_handled(Instant::now());
             state.table.clone()
         };
         let Some(table) = table else {
@@ -303,6 +303,7 @@
                 .field("host", head.host.as_str())
                 .field("path", head.path())
                 .field("config", table.version)
+                .field("config_age_ms", self.state.borrow().config_age_ms(Instant::now()))
                 .log();
             return Reply::Local(LocalReply::failed(StatusCode::NOT_FOUND, "no such route"));
         };
@@ -359,6 +360,7 @@
         let attempts = caller.offer.as_ref().map_or(u32::MAX, |offer| offer.attempts);
         let most_urgent = table.is_most_urgent(route, &service)
             && team.as_ref().is_none_or(|team| table.teams.is_most_urgent(team));
+        let config_age_ms = self.state.borrow().config_age_ms(received_at);
         let (last_send, sends) = (Cell::default(), RefCell::default());
         let call = Call {
             head,
@@ -367,6 +369,7 @@
             body_start,
             route,
             config_version: table.version,
+            config_age_ms,
             service,
             has_teams: !table.teams.is_empty(),
             team,
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -31,6 +31,9 @@
     pub(super) route: &'a Route,
     /// Version of the configuration that the request is handled by.
     pub(super) config_version: route::Version,
+    /// Time since the configuration was last known to be the newest when the request was received;
+    /// `None` if it never was.
+    pub(super) config_age_ms: Option<u64>,
     pub(super) service: ServiceName,
     /// Whether callers are told apart by their keys.
     pub(super) has_teams: bool,
@@ -171,6 +174,7 @@
             .field("route", self.route.name.as_str())
             .field("service", self.service.as_str())
             .field("config", self.config_version)
+            .field("config_age_ms", self.config_age_ms)
             .field("age_ms", as_ms(self.received_at.elapsed()))
             .field("tried_ms", as_ms(self.retrying_for))
             .field("left_ms", as_ms(self.deadline_left()))
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -239,7 +239,7 @@
 /// Renews the lease on a topic, given how old the peer's data was at the time of the query.
 fn renew_lease(state: &mut State, topic: Topic, queried_at: Instant, age: Option<Duration>) {
     let as_of = age.and_then(|age| queried_at.checked_sub(age));
-    as_of.into_iter().for_each(|as_of| state.progress_mut(topic).lease.renew(as_of));
+    as_of.into_iter().for_each(|as_of| state.renew_lease(topic, as_of, Instant::now()));
 }
 
 /// Sends freshness queries to the peer periodically; returns when the connection fails.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -15,7 +15,7 @@
 
 use crate::follow::Topic;
 use crate::history::Cursor;
-use crate::Settings;
+use crate::{as_ms, Settings};
 
 /// The state, shared by the tasks of the node's single thread.
 pub type SharedState = Rc<RefCell<State>>;
@@ -152,6 +152,8 @@
     pub upstreams_ended: u64,
     /// Requests refused because they crash upstreams.
     pub refused_crashing: u64,
+    /// Requests handled while the lease on the configuration had expired.
+    pub on_expired_config: u64,
     /// Requests refused because their key is unknown and the configuration may be outdated.
     pub refused_unknown_key: u64,
     /// Requests rejected because they have no key.
@@ -232,6 +234,8 @@
     pub config_progress: ReadProgress,
     /// How far the list's history was read.
     pub list_progress: ReadProgress,
+    /// Requests handled since the lease on the configuration expired; 0 while it is valid.
+    handled_since_expiry: u64,
     /// Number of store rollbacks detected in either topic. The platform was restored from an older
     /// copy each time, and its most recent writes were lost.
     pub store_rollbacks: u32,
@@ -288,6 +292,7 @@
             round_robins: HashMap::new(),
             config_progress: ReadProgress::default(),
             list_progress: ReadProgress::default(),
+            handled_since_expiry: 0,
             store_rollbacks: 0,
             peers: BTreeMap::new(),
             started_at: Instant::now(),
@@ -379,6 +384,11 @@
         }
     }
 
+    /// Returns the time since the configuration was last known to be the newest.
+    pub fn config_age_ms(&self, now: Instant) -> Option<u64> {
+        self.config_progress.lease.age(now).map(as_ms)
+    }
+
     /// Returns true while what was read of a topic is within its staleness bound.
     pub fn is_fresh(&self, topic: Topic, now: Instant) -> bool {
         self.progress(topic).lease.is_valid(self.staleness_bound(topic), now)
@@ -389,6 +399,38 @@
         [Topic::Config, Topic::Upstreams].into_iter().all(|topic| self.is_fresh(topic, now))
     }
 
+    /// Records that everything of a topic up to `as_of` is known. Logs the end of a time in which the
+    /// lease had expired.
+    pub fn renew_lease(&mut self, topic: Topic, as_of: Instant, now: Instant) {
+        let before = self.progress(topic).lease;
+        self.progress_mut(topic).lease.renew(as_of);
+        let Some(age) = before.age(now) else { return };
+        if before.is_valid(self.staleness_bound(topic), now) || !self.is_fresh(topic, now) {
+            return;
+        }
+        let line = trace::Line::new("lease_renewed")
+            .field("topic", topic.name())
+            .field("age_ms", as_ms(age))
+            .field(
+                "from",
+                self.relay_peer.map_or_else(|| "platform".to_owned(), |p| p.to_string()),
+            );
+        match topic {
+            Topic::Config => line.field("requests", std::mem::take(&mut self.handled_since_expiry)),
+            Topic::Upstreams => line,
+        }
+        .log();
+    }
+
+    /// Records that a request is handled by the current configuration.
+    pub fn record_handled(&mut self, now: Instant) {
+        self.counters.requests += 1;
+        if self.table.is_some() && !self.is_fresh(Topic::Config, now) {
+            self.counters.on_expired_config += 1;
+            self.handled_since_expiry += 1;
+        }
+    }
+
     /// Returns true when both topics were read, from the platform or from a peer.
     pub fn has_read_all_topics(&self) -> bool {
         self.config_progress.has_read && self.list_progress.has_read
--- a/crates/edge/src/status.rs
+++ b/crates/edge/src/status.rs
@@ -151,7 +151,7 @@
             keys: teams.map_or(0, team::Teams::key_count),
             config_head: state.config_progress.newest,
             list_head: state.list_progress.newest,
-            config_age_ms: state.config_progress.lease.age(now).map(as_ms),
+            config_age_ms: state.config_age_ms(now),
             list_age_ms: state.list_progress.lease.age(now).map(as_ms),
             reads: match state.relay_peer {
                 _ if state.reads_directly => Reads::Platform,
--- a/crates/edge/src/tests/node_state.rs
+++ b/crates/edge/src/tests/node_state.rs
@@ -274,3 +274,18 @@
     state.reads_directly = true;
     assert!(matches!(crate::status::Status::of(&state, now).reads, crate::status::Reads::Platform));
 }
+
+/// Guards against a node that handles requests by an outdated configuration without a trace.
+#[test]
+fn requests_on_an_expired_lease_are_counted() {
+    let mut state = State::new(settings());
+    state.apply_table(table(7, ClientLimits::default()));
+    let now = Instant::now() + ms(10_000);
+    state.renew_lease(Topic::Config, now - ms(1_590), now);
+    state.record_handled(now);
+    assert_eq!(state.counters.on_expired_config, 0);
+    state.record_handled(now + ms(10));
+    state.renew_lease(Topic::Config, now + ms(10), now + ms(10));
+    state.record_handled(now + ms(10));
+    assert_eq!((state.counters.requests, state.counters.on_expired_config), (3, 1));
+}
