edge, lease: failing tests of a configuration that is used beyond its bound

Callers get a 404 for a route of a version that was accepted longer ago than the bound (2 s here):

a_node_serves_by_what_it_holds_while_the_platform_rejects_it passes: it guards against a fix that refuses callers in an outage. a_response_is_not_as_of_... assumes that a long poll whose empty response arrives after its end did run to its end.

--- /dev/null
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -0,0 +1,190 @@
+//! Requests at a node that cannot tell whether its configuration is the newest.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use route::{ClientLimits, Table};
+
+use super::fake::{get, ms, ok_response, run, start, table_with_version_route, Caller, Upstream};
+use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
+use crate::history::Cursor;
+
+/// Time within which a configuration must be in force: the bound in the settings of these tests.
+const BOUND: Duration = Duration::from_millis(2_000);
+
+/// Interval at which a caller sends requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
+
+/// A platform whose responses are in transit for a while. Each version has a route of its own.
+#[derive(Clone, Default)]
+struct SlowPlatform {
+    version: Rc<Cell<route::Version>>,
+    transit_time: Rc<Cell<Duration>>,
+    /// Number of long polls so far.
+    long_polls: Rc<Cell<u32>>,
+    /// Rejects every call.
+    rejects: Rc<Cell<bool>>,
+}
+
+impl SlowPlatform {
+    fn of_version(version: route::Version) -> SlowPlatform {
+        let platform = SlowPlatform::default();
+        platform.version.set(version);
+        platform
+    }
+
+    fn batch(&self) -> Batch {
+        let newest = self.version.get();
+        let table: Table = table_with_version_route(newest, ClientLimits::default());
+        Batch { events: vec![Event::Config(table)], cursor: newest, newest }
+    }
+
+    fn check(&self) -> Result<(), SourceError> {
+        match self.rejects.get() {
+            true => Err(SourceError::Unavailable("status 503".into())),
+            false => Ok(()),
+        }
+    }
+}
+
+impl Source for SlowPlatform {
+    async fn snapshot(&self, _topic: Topic) -> Result<Batch, SourceError> {
+        self.check()?;
+        let batch = self.batch();
+        monoio::time::sleep(self.transit_time.get()).await;
+        Ok(batch)
+    }
+
+    async fn changes(
+        &self,
+        _topic: Topic,
+        cursor: Cursor,
+        long_poll_timeout: Duration,
+        grace: Duration,
+    ) -> Result<Batch, SourceError> {
+        self.check()?;
+        self.long_polls.set(self.long_polls.get() + 1);
+        let started_at = Instant::now();
+        while self.version.get() <= cursor && started_at.elapsed() < long_poll_timeout {
+            monoio::time::sleep(ms(5)).await;
+        }
+        let batch = match self.version.get() > cursor {
+            true => self.batch(),
+            false => Batch { events: Vec::new(), cursor, newest: 0 },
+        };
+        let left = (long_poll_timeout + grace).saturating_sub(started_at.elapsed());
+        monoio::time::sleep(self.transit_time.get().min(left)).await;
+        match self.transit_time.get() < left {
+            true => Ok(batch),
+            false => Err(SourceError::Unavailable("timed out".into())),
+        }
+    }
+
+    async fn takes_connections(&self, _timeout: Duration) -> bool {
+        !self.rejects.get()
+    }
+}
+
+/// Sends requests on the route of `version` from `from` to `until`, and returns how long after
+/// `from` each was sent and the status of its response.
+async fn ask_for_route(
+    addr: std::net::SocketAddr,
+    version: route::Version,
+    from: Instant,
+    until: Instant,
+) -> Vec<(Duration, u16)> {
+    monoio::time::sleep(from.saturating_duration_since(Instant::now())).await;
+    let mut responses = Vec::new();
+    while Instant::now() < until {
+        let sent_at = Instant::now();
+        let request = get(&format!("/v{version}/1"), "7");
+        let response = Caller::connect(addr).await.ask(&request).await;
+        responses.push((sent_at - from, response.status));
+        monoio::time::sleep(REQUEST_INTERVAL).await;
+    }
+    responses
+}
+
+/// Returns the responses by which a version has a route that only an older one lacks.
+fn handled_by_older(responses: &[(Duration, u16)]) -> Vec<(Duration, u16)> {
+    responses.iter().copied().filter(|(_, status)| *status == 404).collect()
+}
+
+/// Guards against a request that is handled by an older version, since the read by which the node
+/// replaces an expired lease takes longer than the bound leaves for it.
+#[test]
+fn a_slow_read_after_a_lease_has_expired_does_not_delay_a_configuration() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
+        let entry_node = start(&[&upstream]);
+        let platform = SlowPlatform::of_version(7);
+        let now = Instant::now();
+        {
+            let state = &mut *entry_node.node.state.borrow_mut();
+            state.apply_table(table_with_version_route(7, ClientLimits::default()));
+            state.config_progress.has_read = true;
+            state.list_progress.has_read = true;
+            state.reads_directly = false;
+            state.renew_lease(Topic::Config, now, now);
+            state.renew_lease(Topic::Upstreams, now, now);
+        }
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
+        platform.version.set(9);
+        platform.transit_time.set(ms(700));
+        let node = entry_node.node.clone();
+        let lease_ttl = node.state.borrow().settings.config_bound.lease_ttl();
+        monoio::spawn(async move {
+            monoio::time::sleep(lease_ttl + ms(50)).await;
+            // Its peer cannot tell either.
+            node.state.borrow_mut().reads_directly = true;
+        });
+        let responses = ask_for_route(entry_node.addr, 9, now + BOUND, now + ms(2_800)).await;
+        assert_eq!(handled_by_older(&responses), [], "{responses:?}");
+        assert!(responses.iter().any(|(_, status)| *status == 200), "{responses:?}");
+    });
+}
+
+/// Guards against a lease that outlasts what is known: a response with one change is in transit for
+/// long, and a second change follows right behind the first.
+#[test]
+fn a_change_right_behind_one_that_was_in_transit_for_long_is_in_force_in_time() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
+        let entry_node = start(&[&upstream]);
+        let platform = SlowPlatform::of_version(7);
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
+        while platform.long_polls.get() == 0 {
+            monoio::time::sleep(ms(1)).await;
+        }
+        platform.transit_time.set(ms(1_100));
+        platform.version.set(8);
+        monoio::time::sleep(ms(20)).await;
+        platform.version.set(9);
+        let published_at = Instant::now();
+        let from = published_at + BOUND;
+        let responses = ask_for_route(entry_node.addr, 9, from, from + ms(900)).await;
+        assert_eq!(handled_by_older(&responses), [], "{responses:?}");
+        assert!(responses.iter().any(|(_, status)| *status == 200), "{responses:?}");
+    });
+}
+
+/// Guards against a node that refuses everybody while the platform responds to no node: what it
+/// holds is the best there is.
+#[test]
+fn a_node_serves_by_what_it_holds_while_the_platform_rejects_it() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
+        let entry_node = start(&[&upstream]);
+        let platform = SlowPlatform::of_version(7);
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
+        while platform.long_polls.get() == 0 {
+            monoio::time::sleep(ms(1)).await;
+        }
+        platform.rejects.set(true);
+        let from = Instant::now() + BOUND;
+        let responses = ask_for_route(entry_node.addr, 7, from, from + ms(1_500)).await;
+        let refused: Vec<_> = responses.iter().filter(|(_, status)| *status != 200).collect();
+        assert!(refused.is_empty(), "{responses:?}");
+    });
+}
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -111,11 +111,27 @@
     table_with_times(version, limits, 2 * objective, objective)
 }
 
+/// Same as [`table`], with a route `/v1/` of version 1, `/v2/` of version 2 and so on.
+pub fn table_with_version_route(version: route::Version, limits: ClientLimits) -> Table {
+    table_with_prefixes(version, limits, ms(600), ms(300), &["/get/", &format!("/v{version}/")])
+}
+
 fn table_with_times(
     version: route::Version,
     limits: ClientLimits,
     timeout: Duration,
     objective: Duration,
+) -> Table {
+    table_with_prefixes(version, limits, timeout, objective, &["/get/"])
+}
+
+/// Returns a table with idempotent routes of these prefixes and an at-most-once route `/post/`.
+fn table_with_prefixes(
+    version: route::Version,
+    limits: ClientLimits,
+    timeout: Duration,
+    objective: Duration,
+    idempotent_prefixes: &[&str],
 ) -> Table {
     let route = |prefix: &str, retry_policy| Route {
         name: prefix.into(),
@@ -128,10 +144,12 @@
         priority: 0,
         allowed_regions: Vec::new(),
     };
-    let routes = vec![
-        ("seeds.example".into(), route("/get/", RetryPolicy::Idempotent)),
-        ("seeds.example".into(), route("/post/", RetryPolicy::AtMostOnce)),
-    ];
+    let routes = idempotent_prefixes
+        .iter()
+        .map(|prefix| route(prefix, RetryPolicy::Idempotent))
+        .chain([route("/post/", RetryPolicy::AtMostOnce)])
+        .map(|route| ("seeds.example".into(), route))
+        .collect();
     let service = Service {
         name: "desk".into(),
         probe_path: "/healthz".into(),
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod crash_cluster;
 mod crashes;
 mod evacuation;
+mod expired_leases;
 pub mod fake;
 pub mod fleet;
 mod idle;
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -79,6 +79,27 @@
         prop_assert!(as_of >= requested_at && as_of <= requested_at + elapsed);
     }
 
+    /// A response that was in transit for long is not as of a time after the platform sent it, whether
+    /// the long poll ran to its end or ended early, with changes or without.
+    #[test]
+    fn a_response_is_not_as_of_a_time_after_it_was_sent(
+        within_ms in 1_000u64..60_000,
+        sent_after in 0.0..1.0f64,
+        transit_ms in 0u64..10_000,
+        is_empty: bool,
+    ) {
+        let bound = StalenessBound::new(ms(within_ms));
+        let requested_at = Instant::now();
+        let sent_at = requested_at + bound.long_poll_timeout().mul_f64(sent_after);
+        let arrived_at = sent_at + ms(transit_ms);
+        // Later ones are given up.
+        let given_up_at = requested_at + bound.long_poll_timeout() + bound.long_poll_grace();
+        prop_assume!(arrived_at <= given_up_at);
+        // An empty response that arrives after the end of its poll is as of that end.
+        prop_assume!(!is_empty || arrived_at < requested_at + bound.long_poll_timeout());
+        prop_assert!(bound.as_of(requested_at, arrived_at, is_empty) <= sent_at);
+    }
+
     /// A late or repeated response does not make the data look older.
     #[test]
     fn renewals_may_be_in_any_order(ages_ms in proptest::collection::vec(0u64..10_000, 1..10)) {
