edge: requests are not handled by a configuration older than its bound while it is being read

Callers saw requests run by the old service of a route, or 404 for a new route, longer after a version was accepted than the settings allow. Cause: the lease on the configuration expires after 0.8 of the bound, and the rest is left for the node's own read. Nothing stopped requests when that read took longer: an expired lease had an effect on what is passed on to peers only. Class: a lease whose end is not enforced where the data is used.

Now a request that comes when the data is as old as the bound waits for the read, a quarter of its deadline at most, as at the start of a node, and is then refused (503, did not run, another node can serve at once). While the platform responds to nobody, what is held is used as before (staleness::Knowledge, pure): the read has failed and no peer is ahead, or the data is twice as old as the bound. Requests within the bound never wait. Holds whatever delays the read, since it is decided with the time at which the request is handled.

Changed test: a_node_that_may_be_outdated_does_not_reject_an_unknown_key_for_good now says that the platform's reads fail, which is the case that it names; all expected statuses stay.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -238,6 +238,7 @@
             }
             Err(err) => {
                 record_failure(&node, topic, failures, requested_at, &err);
+                node.state.borrow_mut().progress_mut(topic).read_failed = true;
                 drop_subscribers(&node, topic, requested_at);
                 failures += 1;
                 let backoff = RETRY_BACKOFF.0 * (1 << failures.min(MAX_BACKOFF_DOUBLINGS));
@@ -442,6 +443,7 @@
 }
 
 fn record_success(node: &Node, topic: Topic, failures: u32) {
+    node.state.borrow_mut().progress_mut(topic).read_failed = false;
     if topic == Topic::Upstreams {
         let state = &mut *node.state.borrow_mut();
         state.roster.store_answered(Instant::now());
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -40,6 +40,7 @@
 use self::call::Call;
 use crate::conns::{Conn, Conns};
 use crate::exchange::Response;
+use crate::follow::Topic;
 use crate::gossip;
 use crate::metrics::Metrics;
 use crate::probe;
@@ -284,7 +285,9 @@
         let max_wait = stated_deadline.map_or(MAX_STARTUP_WAIT, |stated_deadline| {
             stated_deadline.mul_f64(STARTUP_WAIT_RATIO)
         });
-        self.wait_until_started(received_at, max_wait).await;
+        if !self.wait_for_config(received_at, max_wait).await {
+            return Reply::Local(self.refuse_outdated(head, &names));
+        }
         let table = {
             let mut state = self.state.borrow_mut();
             state.record_handled(Instant::now());
@@ -443,18 +446,33 @@
     }
 
     /// Waits while the node has just started and lacks the configuration or the list of upstreams,
-    /// about `max_wait` at most.
-    async fn wait_until_started(&self, received_at: Instant, max_wait: Duration) {
+    /// or while its configuration may be outdated, about `max_wait` at most. Returns false if the
+    /// configuration must not be used.
+    async fn wait_for_config(&self, received_at: Instant, max_wait: Duration) -> bool {
         let has_all_data = || {
             let state = self.state.borrow();
             state.table.is_some() && !state.roster.is_empty()
         };
         let until = self.state.borrow().started_at + MAX_STARTUP_WAIT;
-        let max_wait = max_wait.min(until.saturating_duration_since(received_at));
-        let mut wait = StartupWait::new(received_at, max_wait);
-        while !has_all_data() && wait.continues(Instant::now()) {
-            monoio::time::sleep(startup::CHECK_INTERVAL).await;
-        }
+        let startup_wait = max_wait.min(until.saturating_duration_since(received_at));
+        wait_while(received_at, startup_wait, || !has_all_data()).await;
+        let is_usable = || self.state.borrow().is_usable(Topic::Config, Instant::now());
+        wait_while(received_at, max_wait, || !is_usable()).await;
+        is_usable()
+    }
+
+    /// Returns the response to a request that must not be handled by the configuration of this node.
+    fn refuse_outdated(&self, head: &h1::RequestHead, names: &crate::HeaderNames) -> LocalReply {
+        let state = &mut *self.state.borrow_mut();
+        state.counters.requests += 1;
+        state.counters.refused_outdated += 1;
+        trace::Line::new("refused")
+            .field("request", request_id_of(head, names))
+            .field("reason", "configuration may be outdated")
+            .field("config", state.config_version())
+            .field("config_age_ms", state.config_age_ms(Instant::now()))
+            .log();
+        LocalReply::not_run(RETRY_AFTER_OTHER_NODE, "the configuration may be outdated")
     }
 
     /// Returns whether a request whose caller has been retrying for this long can still be in time.
@@ -502,6 +520,14 @@
     }
 }
 
+/// Waits while a condition holds, until about `max_wait` after `received_at`.
+async fn wait_while(received_at: Instant, max_wait: Duration, condition: impl Fn() -> bool) {
+    let mut wait = StartupWait::new(received_at, max_wait);
+    while condition() && wait.continues(Instant::now()) {
+        monoio::time::sleep(startup::CHECK_INTERVAL).await;
+    }
+}
+
 fn request_id_of<'a>(head: &'a h1::RequestHead, names: &crate::HeaderNames) -> &'a str {
     let id = head.headers.get(&names.request_id);
     id.and_then(|id| id.to_str().ok()).unwrap_or("?")
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod reply;
 pub mod serve;
 mod silent_services;
+mod staleness;
 mod stalls;
 mod startup;
 pub mod state;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,7 +17,7 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 35] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 36] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -50,6 +50,9 @@
         "Requests handled by a configuration that may have been outdated",
         |c| c.on_expired_config,
     ),
+    ("oatcove_refused_outdated", "Requests refused since the configuration may be outdated", |c| {
+        c.refused_outdated
+    }),
     ("oatcove_refused_unknown_key", "Requests refused since their key may be new", |c| {
         c.refused_unknown_key
     }),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -15,6 +15,7 @@
 
 use crate::follow::Topic;
 use crate::history::Cursor;
+use crate::staleness::Knowledge;
 use crate::{as_ms, Settings};
 
 /// The state, shared by the tasks of the node's single thread.
@@ -105,6 +106,9 @@
     pub has_read: bool,
     /// When the node last knew that there was nothing newer.
     pub lease: lease::Lease,
+    /// Whether the last attempt to read the platform failed. False while the node reads through a
+    /// peer.
+    pub read_failed: bool,
 }
 
 /// Counters since start.
@@ -154,6 +158,8 @@
     pub refused_crashing: u64,
     /// Requests handled while the lease on the configuration had expired.
     pub on_expired_config: u64,
+    /// Requests refused because the configuration may be outdated.
+    pub refused_outdated: u64,
     /// Requests refused because their key is unknown and the configuration may be outdated.
     pub refused_unknown_key: u64,
     /// Requests rejected because they have no key.
@@ -431,6 +437,13 @@
         }
     }
 
+    /// Returns true if requests may be handled by what was read of a topic.
+    pub fn is_usable(&self, topic: Topic, now: Instant) -> bool {
+        let ReadProgress { lease, read_failed, .. } = *self.progress(topic);
+        let (age, bound) = (lease.age(now), self.staleness_bound(topic));
+        Knowledge { age, bound, read_failed, is_behind: self.is_behind(topic) }.is_usable()
+    }
+
     /// Returns true when both topics were read, from the platform or from a peer.
     pub fn has_read_all_topics(&self) -> bool {
         self.config_progress.has_read && self.list_progress.has_read
--- a/crates/edge/src/tests/teams.rs
+++ b/crates/edge/src/tests/teams.rs
@@ -255,8 +255,12 @@
         let upstream = answering();
         let entry_node = start_with_teams(&[&upstream], north_and_south());
         let outdated_at = Instant::now() - ms(10_000);
-        entry_node.node.state.borrow_mut().config_progress.lease = lease::Lease::default();
-        entry_node.node.state.borrow_mut().config_progress.lease.renew(outdated_at);
+        {
+            let progress = &mut entry_node.node.state.borrow_mut().config_progress;
+            progress.lease = lease::Lease::default();
+            progress.lease.renew(outdated_at);
+            progress.read_failed = true;
+        }
         for request in [get("/get/1", "1"), post("2")] {
             let request = with_headers(&request, lines);
             let response = Caller::connect(entry_node.addr).await.ask(&request).await;
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -36,6 +36,11 @@
         StalenessBound(within.max(MIN_BOUND))
     }
 
+    /// Returns the bound itself.
+    pub fn duration(self) -> Duration {
+        self.0
+    }
+
     /// Returns the maximum duration of one long poll of the platform.
     pub fn long_poll_timeout(self) -> Duration {
         self.percent(LONG_POLL_TIMEOUT_PERCENT).min(MAX_LONG_POLL_TIMEOUT)
