lease, edge: a response with changes renews the lease as of its request

Callers saw requests handled by an older version at nodes that were sure of their configuration. Cause: a response with changes counted as of its arrival less the grace period, on the ground that it would have been given up if it had been in transit for longer. A second change right behind the first was then missed by a lease that counted from after it. The same for an empty response that came before the end of its poll. Class: an upper limit taken for a property of each message.

LongPoll::as_of now returns the time of the request, and the end of the poll only for an empty response that arrives after it. The next poll is shorter by the age of the data (LongPoll::new), so that the data is no older at its end than after a poll of full length; with a change in the last moment it is answered at once. A poll counts as silent, and is repeated at once, when it was given up.

The property tests of as_of cover polls of any length.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -168,6 +168,8 @@
             wait_for_list(&node).await;
         }
         let (requested_at, bound) = (Instant::now(), node.state.borrow().staleness_bound(topic));
+        let long_poll =
+            lease::LongPoll::new(bound, node.state.borrow().progress(topic).lease, requested_at);
         let is_long_poll = cursor.is_some() && failures == 0;
         let read = match cursor {
             None => source.snapshot(topic).await,
@@ -179,7 +181,7 @@
                 read = source.changes(
                     topic,
                     after,
-                    bound.long_poll_timeout(),
+                    long_poll.timeout(),
                     bound.long_poll_grace(),
                 ) => read,
                 () = wait_until_behind(&node, topic) => Err(SourceError::Behind),
@@ -195,7 +197,7 @@
                 let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
                 failures = 0;
                 let as_of = match is_long_poll {
-                    true => bound.as_of(requested_at, Instant::now(), batch.events.is_empty()),
+                    true => long_poll.as_of(Instant::now(), batch.events.is_empty()),
                     false => requested_at,
                 };
                 node.state.borrow_mut().renew_lease(topic, as_of, Instant::now());
@@ -231,7 +233,10 @@
             }
             // Only this connection may have gone silent: a new one shows whether the platform
             // responds.
-            Err(err) if is_long_poll && requested_at.elapsed() >= bound.long_poll_timeout() => {
+            Err(err)
+                if is_long_poll
+                    && requested_at.elapsed() >= long_poll.timeout() + bound.long_poll_grace() =>
+            {
                 record_failure(&node, topic, failures, requested_at, &err);
                 failures += 1;
                 Duration::ZERO
--- a/crates/edge/src/tests/expired_leases.rs
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -23,6 +23,8 @@
     transit_time: Rc<Cell<Duration>>,
     /// Number of long polls so far.
     long_polls: Rc<Cell<u32>>,
+    /// Number of the next long polls that go silent.
+    silent_polls: Rc<Cell<u32>>,
     /// Rejects every call.
     rejects: Rc<Cell<bool>>,
 }
@@ -66,6 +68,11 @@
         self.check()?;
         self.long_polls.set(self.long_polls.get() + 1);
         let started_at = Instant::now();
+        if self.silent_polls.get() > 0 {
+            self.silent_polls.set(self.silent_polls.get() - 1);
+            monoio::time::sleep(long_poll_timeout + grace).await;
+            return Err(SourceError::Unavailable("timed out".into()));
+        }
         while self.version.get() <= cursor && started_at.elapsed() < long_poll_timeout {
             monoio::time::sleep(ms(5)).await;
         }
@@ -146,7 +153,7 @@
 }
 
 /// Guards against a lease that outlasts what is known: a response with one change is in transit for
-/// long, and a second change follows right behind the first.
+/// long, a second change follows right behind the first, and the next long poll goes silent.
 #[test]
 fn a_change_right_behind_one_that_was_in_transit_for_long_is_in_force_in_time() {
     run(async {
@@ -162,6 +169,11 @@
         monoio::time::sleep(ms(20)).await;
         platform.version.set(9);
         let published_at = Instant::now();
+        platform.silent_polls.set(1);
+        while entry_node.node.state.borrow().config_version() < 8 {
+            monoio::time::sleep(ms(5)).await;
+        }
+        platform.transit_time.set(Duration::ZERO);
         let from = published_at + BOUND;
         let responses = ask_for_route(entry_node.addr, 9, from, from + ms(900)).await;
         assert_eq!(handled_by_older(&responses), [], "{responses:?}");
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -41,7 +41,8 @@
         self.0
     }
 
-    /// Returns the maximum duration of one long poll of the platform.
+    /// Returns the maximum duration of one long poll of the platform, and the age that data reaches
+    /// before a response renews the lease.
     pub fn long_poll_timeout(self) -> Duration {
         self.percent(LONG_POLL_TIMEOUT_PERCENT).min(MAX_LONG_POLL_TIMEOUT)
     }
@@ -64,22 +65,44 @@
         self.percent(LEASE_TTL_PERCENT)
     }
 
-    /// Returns the time up to which a node knows everything after a long poll sent at
-    /// `requested_at` was answered at `now`.
+    fn percent(self, percent: u32) -> Duration {
+        self.0 * percent / 100
+    }
+}
+
+/// A long poll of the platform for changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LongPoll {
+    requested_at: Instant,
+    timeout: Duration,
+}
+
+impl LongPoll {
+    /// Creates a long poll that is sent at `now` for changes of data with this lease.
     ///
-    /// An empty response says that nothing had changed by the end of the poll. Of any other
-    /// response only the arrival is known. It was in transit for less than the grace period, or the
-    /// poll would have been given up.
-    pub fn as_of(self, requested_at: Instant, now: Instant, is_empty: bool) -> Instant {
-        let sent_at = match is_empty {
-            true => requested_at + self.long_poll_timeout(),
-            false => now.checked_sub(self.long_poll_grace()).unwrap_or(requested_at),
-        };
-        sent_at.clamp(requested_at, now.max(requested_at))
+    /// The older the data already is, the shorter the poll: a response with changes does not tell
+    /// what changed after it was sent.
+    pub fn new(bound: StalenessBound, lease: Lease, now: Instant) -> LongPoll {
+        let age = lease.age(now).unwrap_or_default();
+        LongPoll { requested_at: now, timeout: bound.long_poll_timeout().saturating_sub(age) }
     }
 
-    fn percent(self, percent: u32) -> Duration {
-        self.0 * percent / 100
+    /// Returns how long the platform waits for changes.
+    pub fn timeout(self) -> Duration {
+        self.timeout
+    }
+
+    /// Returns the time up to which a node knows everything after the response arrived at `now`.
+    ///
+    /// An empty response says that nothing had changed by the end of the poll. Any other response
+    /// may have been sent at any time since the request, and in transit since: a node that stalls
+    /// finds it in its socket only later.
+    pub fn as_of(self, now: Instant, is_empty: bool) -> Instant {
+        let ends_at = self.requested_at + self.timeout;
+        match is_empty && now >= ends_at {
+            true => ends_at,
+            false => self.requested_at,
+        }
     }
 }
 
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 
-use super::{Lease, StalenessBound};
+use super::{Lease, LongPoll, StalenessBound};
 
 /// Maximum duration of a read of the platform, as a share of the bound.
 const MAX_READ_RATIO: f64 = 0.1;
@@ -14,6 +14,14 @@
     Duration::from_millis(ms)
 }
 
+/// Returns a long poll for changes of data of this age, and when it is sent.
+fn long_poll(within_ms: u64, age_ms: u64) -> (LongPoll, Instant) {
+    let requested_at = Instant::now() + ms(60_000);
+    let mut lease = Lease::default();
+    lease.renew(requested_at - ms(age_ms));
+    (LongPoll::new(StalenessBound::new(ms(within_ms)), lease, requested_at), requested_at)
+}
+
 #[test]
 fn a_bound_that_is_too_short_is_raised_to_a_second() {
     assert_eq!(StalenessBound::new(Duration::ZERO), StalenessBound::new(ms(1_000)));
@@ -70,13 +78,14 @@
     #[test]
     fn a_response_is_as_of_a_time_between_request_and_arrival(
         within_ms in 1_000u64..60_000,
+        age_ms in 0u64..60_000,
         elapsed_ms in 0u64..60_000,
         is_empty: bool,
     ) {
-        let bound = StalenessBound::new(ms(within_ms));
-        let (requested_at, elapsed) = (Instant::now(), ms(elapsed_ms));
-        let as_of = bound.as_of(requested_at, requested_at + elapsed, is_empty);
-        prop_assert!(as_of >= requested_at && as_of <= requested_at + elapsed);
+        let (long_poll, requested_at) = long_poll(within_ms, age_ms);
+        let arrived_at = requested_at + ms(elapsed_ms);
+        let as_of = long_poll.as_of(arrived_at, is_empty);
+        prop_assert!(as_of >= requested_at && as_of <= arrived_at);
     }
 
     /// A response that was in transit for long is not as of a time after the platform sent it, whether
@@ -84,20 +93,34 @@
     #[test]
     fn a_response_is_not_as_of_a_time_after_it_was_sent(
         within_ms in 1_000u64..60_000,
+        age_ms in 0u64..60_000,
         sent_after in 0.0..1.0f64,
         transit_ms in 0u64..10_000,
         is_empty: bool,
     ) {
         let bound = StalenessBound::new(ms(within_ms));
-        let requested_at = Instant::now();
-        let sent_at = requested_at + bound.long_poll_timeout().mul_f64(sent_after);
+        let (long_poll, requested_at) = long_poll(within_ms, age_ms);
+        let sent_at = requested_at + long_poll.timeout().mul_f64(sent_after);
         let arrived_at = sent_at + ms(transit_ms);
+        let ends_at = requested_at + long_poll.timeout();
         // Later ones are given up.
-        let given_up_at = requested_at + bound.long_poll_timeout() + bound.long_poll_grace();
-        prop_assume!(arrived_at <= given_up_at);
+        prop_assume!(arrived_at <= ends_at + bound.long_poll_grace());
         // An empty response that arrives after the end of its poll is as of that end.
-        prop_assume!(!is_empty || arrived_at < requested_at + bound.long_poll_timeout());
-        prop_assert!(bound.as_of(requested_at, arrived_at, is_empty) <= sent_at);
+        prop_assume!(!is_empty || arrived_at < ends_at);
+        prop_assert!(long_poll.as_of(arrived_at, is_empty) <= sent_at);
+    }
+
+    /// However the polls before went, the data is no older at the end of a poll than after one of
+    /// full length, or at once if it already is.
+    #[test]
+    fn a_poll_ends_before_the_data_is_older_than_a_full_poll(
+        within_ms in 1_000u64..60_000,
+        age_ms in 0u64..60_000,
+    ) {
+        let bound = StalenessBound::new(ms(within_ms));
+        let (long_poll, _) = long_poll(within_ms, age_ms);
+        let age_at_end = ms(age_ms) + long_poll.timeout();
+        prop_assert!(age_at_end <= bound.long_poll_timeout().max(ms(age_ms)));
     }
 
     /// A late or repeated response does not make the data look older.
