edge: a list of upstreams older than its bound is not used while it is being read

The same cause as for the configuration, found by looking for it elsewhere: the lease on the list of upstreams expires after 0.8 of its bound, and requests went on being sent by the old list for as long as the node's own read took, to upstreams that had been listed as leaving for longer than the bound.

The list is checked where an upstream is chosen, so that it also counts for requests that waited at the node, for second sends and hedges. A request waits for the read for a quarter of the time that it has left, a hedge does not wait; then it is refused (503, list may be outdated). While the platform is unavailable the list is used as before.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -65,9 +65,9 @@
 /// after that.
 const MAX_UNROUTED_WAIT: Duration = Duration::from_secs(5);
 
-/// Longest wait for the start of the node, as a ratio of the deadline that the caller states: some
-/// callers abandon an attempt after a third of their deadline.
-const STARTUP_WAIT_RATIO: f64 = 0.25;
+/// Longest wait for the node's data, as a ratio of the deadline that the caller states: some callers
+/// abandon an attempt after a third of their deadline.
+const MAX_DATA_WAIT_RATIO: f64 = 0.25;
 
 /// `Retry-After` of a node that has no configuration or no upstreams.
 const RETRY_AFTER_NOT_READY: Duration = Duration::from_millis(300);
@@ -283,7 +283,7 @@
         let stated_deadline =
             stated_deadline.and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
         let max_wait = stated_deadline.map_or(MAX_STARTUP_WAIT, |stated_deadline| {
-            stated_deadline.mul_f64(STARTUP_WAIT_RATIO)
+            stated_deadline.mul_f64(MAX_DATA_WAIT_RATIO)
         });
         if !self.wait_for_config(received_at, max_wait).await {
             return Reply::Local(self.refuse_outdated(head, &names));
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -125,6 +125,8 @@
     CallerLeft,
     /// The request crashes upstreams.
     Quarantined { retry_after: Duration },
+    /// The list of upstreams may be outdated.
+    OutdatedList,
     /// Even the best upstream would respond too late.
     TooLate {
         retry_after: Duration,
--- a/crates/edge/src/forward/choose.rs
+++ b/crates/edge/src/forward/choose.rs
@@ -8,7 +8,8 @@
 use route::ServiceName;
 
 use super::call::{Call, Choice, NoChoice};
-use super::{Node, RETRY_AFTER_NOT_READY};
+use super::{wait_while, Node, MAX_DATA_WAIT_RATIO, RETRY_AFTER_NOT_READY};
+use crate::follow::Topic;
 use crate::state::SharedState;
 use crate::{probe, start_of};
 
@@ -109,6 +110,9 @@
         let mut rechecks = 0;
         loop {
             let may_wait = wait_policy == WaitPolicy::Allowed;
+            if !self.wait_for_list(call, may_wait).await {
+                return Err(NoChoice::OutdatedList);
+            }
             if may_wait && !self.may_look(call, waiting.ahead()) {
                 rounds = 0;
             }
@@ -141,6 +145,17 @@
         }
     }
 
+    /// Waits while the list of upstreams may be outdated, if `may_wait`. Returns false if the list
+    /// must not be used.
+    async fn wait_for_list(&self, call: &Call<'_>, may_wait: bool) -> bool {
+        let is_usable = || self.state.borrow().is_usable(Topic::Upstreams, Instant::now());
+        if may_wait && !is_usable() {
+            let max_wait = call.deadline_left().mul_f64(MAX_DATA_WAIT_RATIO);
+            wait_while(Instant::now(), max_wait, || !is_usable()).await;
+        }
+        is_usable()
+    }
+
     /// Returns true unless others in the queue look for a free slot first.
     fn may_look(&self, call: &Call<'_>, ahead: u32) -> bool {
         let state = self.state.borrow();
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -15,7 +15,7 @@
 use super::choose::WaitPolicy;
 use super::send::{write_pieces, SEND_PIECE_BYTES};
 use super::silence::Unanswered;
-use super::{Body, Node, Reply};
+use super::{Body, Node, Reply, RETRY_AFTER_OTHER_NODE};
 use crate::as_ms;
 use crate::exchange::{Outcome, Response, SendResult};
 use crate::reply::LocalReply;
@@ -238,6 +238,10 @@
         let line = call.log_line("refused");
         let (line, retry_after) = match why {
             NoChoice::CallerLeft => return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL),
+            NoChoice::OutdatedList => {
+                self.state.borrow_mut().counters.refused_outdated += 1;
+                (line.field("reason", "list may be outdated"), RETRY_AFTER_OTHER_NODE)
+            }
             NoChoice::Quarantined { retry_after } => {
                 self.state.borrow_mut().counters.refused_crashing += 1;
                 (line.field("reason", "crashes upstreams"), retry_after)
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,9 +50,11 @@
         "Requests handled by a configuration that may have been outdated",
         |c| c.on_expired_config,
     ),
-    ("oatcove_refused_outdated", "Requests refused since the configuration may be outdated", |c| {
-        c.refused_outdated
-    }),
+    (
+        "oatcove_refused_outdated",
+        "Requests refused since configuration or upstreams may be outdated",
+        |c| c.refused_outdated,
+    ),
     ("oatcove_refused_unknown_key", "Requests refused since their key may be new", |c| {
         c.refused_unknown_key
     }),
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -158,7 +158,7 @@
     pub refused_crashing: u64,
     /// Requests handled while the lease on the configuration had expired.
     pub on_expired_config: u64,
-    /// Requests refused because the configuration may be outdated.
+    /// Requests refused because the configuration or the list of upstreams may be outdated.
     pub refused_outdated: u64,
     /// Requests refused because their key is unknown and the configuration may be outdated.
     pub refused_unknown_key: u64,
