lease: the decision whether old data may be used moves from edge

It needs nothing of an entry node, and the own interface is to use it, too. The tests of expired leases wait for conditions 5 s at most: one of them waited without end for a version that its platform, whose first poll had become short, never delivered.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -38,7 +38,6 @@
 pub mod reply;
 pub mod serve;
 mod silent_services;
-mod staleness;
 mod stalls;
 mod startup;
 pub mod state;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -15,7 +15,6 @@
 
 use crate::follow::Topic;
 use crate::history::Cursor;
-use crate::staleness::Knowledge;
 use crate::{as_ms, Settings};
 
 /// The state, shared by the tasks of the node's single thread.
@@ -441,7 +440,7 @@
     pub fn is_usable(&self, topic: Topic, now: Instant) -> bool {
         let ReadProgress { lease, read_failed, .. } = *self.progress(topic);
         let (age, bound) = (lease.age(now), self.staleness_bound(topic));
-        Knowledge { age, bound, read_failed, is_behind: self.is_behind(topic) }.is_usable()
+        lease::Knowledge { age, bound, read_failed, is_behind: self.is_behind(topic) }.is_usable()
     }
 
     /// Returns true when both topics were read, from the platform or from a peer.
--- a/crates/edge/src/tests/expired_leases.rs
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -13,6 +13,12 @@
 /// Time within which a configuration must be in force: the bound in the settings of these tests.
 const BOUND: Duration = Duration::from_millis(2_000);
 
+/// A long poll that is at least this long has just been sent when the data is up to date.
+const MIN_FULL_POLL: Duration = Duration::from_millis(700);
+
+/// Maximum time for which a test waits for a condition.
+const MAX_WAIT: Duration = Duration::from_secs(5);
+
 /// Interval at which a caller sends requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -21,8 +27,8 @@
 struct SlowPlatform {
     version: Rc<Cell<route::Version>>,
     transit_time: Rc<Cell<Duration>>,
-    /// Number of long polls so far.
-    long_polls: Rc<Cell<u32>>,
+    /// Whether a long poll of nearly full length was received.
+    polled: Rc<Cell<bool>>,
     /// Number of the next long polls that go silent.
     silent_polls: Rc<Cell<u32>>,
     /// Rejects every call.
@@ -66,7 +72,7 @@
         grace: Duration,
     ) -> Result<Batch, SourceError> {
         self.check()?;
-        self.long_polls.set(self.long_polls.get() + 1);
+        self.polled.set(self.polled.get() || long_poll_timeout >= MIN_FULL_POLL);
         let started_at = Instant::now();
         if self.silent_polls.get() > 0 {
             self.silent_polls.set(self.silent_polls.get() - 1);
@@ -93,6 +99,14 @@
     }
 }
 
+async fn wait_until(condition: impl Fn() -> bool) {
+    let started_at = Instant::now();
+    while !condition() {
+        assert!(started_at.elapsed() < MAX_WAIT, "the condition does not hold in time");
+        monoio::time::sleep(ms(1)).await;
+    }
+}
+
 /// Sends requests on the route of `version` from `from` to `until`, and returns how long after
 /// `from` each was sent and the status of its response.
 async fn ask_for_route(
@@ -162,18 +176,14 @@
         let entry_node = start(&[&upstream]);
         let platform = SlowPlatform::of_version(7);
         monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
-        while platform.long_polls.get() == 0 {
-            monoio::time::sleep(ms(1)).await;
-        }
+        wait_until(|| platform.polled.get()).await;
         platform.transit_time.set(ms(1_100));
         platform.version.set(8);
         monoio::time::sleep(ms(20)).await;
         platform.version.set(9);
         let published_at = Instant::now();
         platform.silent_polls.set(1);
-        while entry_node.node.state.borrow().config_version() < 8 {
-            monoio::time::sleep(ms(5)).await;
-        }
+        wait_until(|| entry_node.node.state.borrow().config_version() >= 8).await;
         platform.transit_time.set(Duration::ZERO);
         let from = published_at + BOUND;
         let responses = ask_for_route(entry_node.addr, 9, from, from + ms(900)).await;
@@ -191,9 +201,7 @@
         let entry_node = start(&[&upstream]);
         let platform = SlowPlatform::of_version(7);
         monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
-        while platform.long_polls.get() == 0 {
-            monoio::time::sleep(ms(1)).await;
-        }
+        wait_until(|| platform.polled.get()).await;
         platform.rejects.set(true);
         let from = Instant::now() + BOUND;
         let responses = ask_for_route(entry_node.addr, 7, from, from + ms(1_500)).await;
--- a/crates/edge/src/staleness.rs
+++ b/crates/lease/src/knowledge.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use lease::StalenessBound;
+use crate::StalenessBound;
 
 /// Multiple of the bound after which a node that cannot read the platform uses its data even though
 /// peers have newer data.
@@ -15,15 +15,15 @@
 
 /// What a node knows of its data on one topic.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Knowledge {
+pub struct Knowledge {
     /// Time since the data was last known to be complete; `None` if it never was.
-    pub(crate) age: Option<Duration>,
+    pub age: Option<Duration>,
     /// Time within which changes must be in force.
-    pub(crate) bound: StalenessBound,
+    pub bound: StalenessBound,
     /// Whether the last attempt to read the platform failed.
-    pub(crate) read_failed: bool,
+    pub read_failed: bool,
     /// Whether a peer has newer data.
-    pub(crate) is_behind: bool,
+    pub is_behind: bool,
 }
 
 impl Knowledge {
@@ -32,7 +32,7 @@
     /// Data within the bound may be used. Older data may be used while the platform is unavailable,
     /// as there is nothing better: unless a peer has newer data, which this node is about to get
     /// from it. A node that gets it from nobody is partitioned, and serves its callers as it can.
-    pub(crate) fn is_usable(self) -> bool {
+    pub fn is_usable(self) -> bool {
         match self.age {
             // Data that was never complete is replaced or completed while the node starts.
             None => true,
--- a/crates/edge/src/staleness/tests.rs
+++ b/crates/lease/src/knowledge/tests.rs
@@ -1,8 +1,7 @@
 use std::time::Duration;
 
-use lease::StalenessBound;
-
 use super::Knowledge;
+use crate::StalenessBound;
 
 const BOUND: Duration = Duration::from_millis(2_000);
 
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -10,8 +10,12 @@
 //!
 //! Of hundreds of nodes, a few long-poll the platform and relay the changes to the rest.
 
+mod knowledge;
+
 use std::time::{Duration, Instant};
 
+pub use self::knowledge::Knowledge;
+
 /// Shortest bound that can be met. Below it, nodes would query the platform and each other all the
 /// time.
 const MIN_BOUND: Duration = Duration::from_secs(1);
