oatcoved: calls are not handled by a config older than its bound while the platform is polled

Polls renew a lease now, and calls are decided by lease::Knowledge as on the other interface: they wait for the poll for 0.2 s and are then refused (503, not-run); while the platform is unavailable the config is used as before.

Test: a_config_older_than_the_bound_is_not_used_while_the_platform_is_polled; with the decision always positive it fails (200, done).

--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -37,7 +37,10 @@
 ) {
     loop {
         let previous_head = view.borrow().synced_head();
-        if let Err(err) = read_config(&store, &view).await {
+        let requested_at = Instant::now();
+        let polled = read_config(&store, &view).await;
+        record_poll(&mut view.borrow_mut(), requested_at, polled.is_ok());
+        if let Err(err) = polled {
             log::warn!("config poll failed, keeping the config of commit {previous_head}: {err}");
             let relay_peer = crate::relay::config_source(&view.borrow(), &mut rand::rng());
             if let Some(peer) = relay_peer {
@@ -58,6 +61,15 @@
     }
 }
 
+/// Records whether the platform answered a poll for config that was sent at `requested_at`. Rows from
+/// a peer renew no lease, since it is not known how old they were when the peer read them.
+fn record_poll(view: &mut View, requested_at: Instant, succeeded: bool) {
+    view.config_poll_failed = !succeeded;
+    if succeeded {
+        view.config_lease.renew(requested_at);
+    }
+}
+
 /// Reads newer template, drain and evacuation rows from `store`, which is the platform or a peer,
 /// and applies them.
 async fn read_config(store: &store::Store, view: &RefCell<View>) -> Result<(), store::StoreError> {
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -30,7 +30,7 @@
     upstreams_unreachable: Gauge<u64>,
 }
 
-const COUNTERS: [meter::CounterSpec<Counters>; 19] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 20] = [
     ("oatcove_calls", "Calls received", |c| c.calls),
     ("oatcove_calls_done", "Calls answered by an upstream", |c| c.done),
     ("oatcove_calls_not_run", "Calls told not-run", |c| c.not_run),
@@ -51,6 +51,9 @@
     ("oatcove_refused_crashing", "Calls refused since they crash upstreams", |c| {
         c.refused_crashing
     }),
+    ("oatcove_calls_refused_outdated", "Calls refused since the config may be outdated", |c| {
+        c.refused_outdated
+    }),
     ("oatcove_calls_unauthorized", "Calls without a valid key", |c| c.unauthorized),
 ];
 
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -31,6 +31,16 @@
 /// Upstreams that accepted no connection for a call before it is offered to peers.
 const MAX_NOT_SENT: usize = 2;
 
+/// Maximum time for which a call waits while the config may be outdated. A poll that the platform
+/// answers takes a few milliseconds.
+const MAX_CONFIG_WAIT: Duration = Duration::from_millis(200);
+
+/// Interval at which a waiting call checks the config.
+const CONFIG_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time after which the caller of a call that another entry node can handle at once may retry.
+const RETRY_AFTER_OTHER_NODE: Duration = Duration::from_millis(20);
+
 /// A call that is being handled.
 pub(super) struct Call<'a> {
     pub(super) request: &'a web::Request,
@@ -144,6 +154,14 @@
         path: &str,
     ) -> (web::Response, &'static str) {
         let request_id = self.request_id(&request);
+        if !self.wait_for_config().await {
+            let counters = &mut self.view.borrow_mut().counters;
+            counters.not_run += 1;
+            counters.refused_outdated += 1;
+            let text = "the config of this entry node may be outdated\n";
+            let response = response::refused_for(text, RETRY_AFTER_OTHER_NODE, &request_id);
+            return (response, response::NOT_RUN);
+        }
         let call = match self.resolve_call(&request, &request_id, service, path) {
             Ok(call) => call,
             Err(rejection) => {
@@ -234,6 +252,16 @@
         }
     }
 
+    /// Waits briefly while the config may be outdated; returns false if it must not be used.
+    async fn wait_for_config(&self) -> bool {
+        let is_usable = || self.view.borrow().is_config_usable(Instant::now());
+        let since = Instant::now();
+        while !is_usable() && since.elapsed() < MAX_CONFIG_WAIT {
+            monoio::time::sleep(CONFIG_CHECK_INTERVAL).await;
+        }
+        is_usable()
+    }
+
     fn request_id(&self, request: &web::Request) -> HeaderValue {
         match request.headers().get(crate::REQUEST_ID) {
             Some(id) => id.clone(),
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -11,6 +11,7 @@
 use crate::proxy::Node;
 
 mod keys;
+mod outdated;
 mod partitioned;
 
 fn upstream_config(light_ms: u64, queue_limit: usize) -> UpstreamConfig {
--- /dev/null
+++ b/crates/oatcoved/src/proxy/tests/outdated.rs
@@ -0,0 +1,39 @@
+//! Calls to a node whose config may be outdated.
+
+use std::time::{Duration, Instant};
+
+use http::Method;
+use web::Handler;
+
+use super::{node, outcome, request, upstream, upstream_config, PEER};
+
+/// Time within which a change of the config must be in force.
+const BOUND: Duration = Duration::from_secs(6);
+
+/// Guards against a call that is handled by a config older than the bound: the process was stopped,
+/// and the call arrives before its next poll is answered.
+#[test]
+fn a_config_older_than_the_bound_is_not_used_while_the_platform_is_polled() {
+    web::runtime().block_on(async {
+        let (addr, upstream) = upstream(upstream_config(5, 100));
+        let node = node("service: svc\n", &[addr]);
+        let ask = async || node.handle(request(Method::GET, "/s/svc/light", "k"), PEER).await;
+        node.view.borrow_mut().config_lease.renew(Instant::now() - BOUND);
+        let response = ask().await;
+        assert_eq!((response.status().as_u16(), outcome(&response)), (503, "not-run"));
+        assert!(response.headers().contains_key("retry-after"));
+        assert_eq!(node.view.borrow().counters.refused_outdated, 1);
+
+        node.view.borrow_mut().config_poll_failed = true;
+        assert_eq!(outcome(&ask().await), "done", "the platform is unavailable");
+
+        node.view.borrow_mut().config_poll_failed = false;
+        let polling = async {
+            monoio::time::sleep(Duration::from_millis(50)).await;
+            node.view.borrow_mut().config_lease.renew(Instant::now());
+        };
+        let (response, ()) = monoio::join!(ask(), polling);
+        assert_eq!(outcome(&response), "done", "a call waits for the poll");
+        drop(upstream);
+    });
+}
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -3,12 +3,15 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use smol_str::SmolStr;
 use store::proto;
 
+/// Time within which an accepted change of the config must be in force on every entry node.
+const CONFIG_BOUND: Duration = Duration::from_secs(6);
+
 /// Counters of one entry node since start.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Counters {
@@ -54,6 +57,8 @@
     pub refused_crashing: u64,
     /// Calls rejected because their caller has no valid key.
     pub unauthorized: u64,
+    /// Calls refused because the config may be outdated.
+    pub refused_outdated: u64,
 }
 
 /// Another entry node, as known from the membership.
@@ -98,6 +103,10 @@
     pub templates: HashMap<SmolStr, LoadedTemplate>,
     /// Highest table commit whose template rows have all been read.
     pub config_head: proto::Version,
+    /// When the config of this node was last known to be the newest.
+    pub config_lease: lease::Lease,
+    /// Whether the last poll of the platform for config failed.
+    pub config_poll_failed: bool,
     /// Upstream pools by service.
     pub pools: HashMap<SmolStr, balance::Pool>,
     /// Live entry VMs of the VM list.
@@ -141,6 +150,8 @@
             settings,
             templates: HashMap::new(),
             config_head: 0,
+            config_lease: lease::Lease::default(),
+            config_poll_failed: false,
             pools: HashMap::new(),
             entries: Vec::new(),
             vms: Default::default(),
@@ -218,6 +229,19 @@
         self.config_head.min(self.drain_head)
     }
 
+    /// Returns true if calls may be handled by the config of this node.
+    pub fn is_config_usable(&self, now: Instant) -> bool {
+        let is_ahead = |peer: &Peer| peer.config_head > self.synced_head();
+        let bound = CONFIG_BOUND.max(2 * self.settings.config_poll_interval);
+        let knowledge = lease::Knowledge {
+            age: self.config_lease.age(now),
+            bound: lease::StalenessBound::new(bound),
+            read_failed: self.config_poll_failed,
+            is_behind: self.peers.values().any(is_ahead),
+        };
+        knowledge.is_usable()
+    }
+
     /// Returns true while an availability zone is evacuated: its upstreams get no new calls.
     pub fn is_evacuated(&self, zone: &str) -> bool {
         self.evacuations.get(zone).is_some_and(|(evacuation, _)| !evacuation.lifted)
