lease: the poll after a change may end with data of 0.6 of the bound

a_poll_ends_before_the_data_is_too_old holds the new limit, and that the lease is valid at the end of a poll.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -26,6 +26,7 @@
 
 /// Shares of a bound, in percent.
 const LONG_POLL_TIMEOUT_PERCENT: u32 = 40;
+const MAX_AGE_AFTER_POLL_PERCENT: u32 = 60;
 const LONG_POLL_GRACE_PERCENT: u32 = 20;
 const PEER_QUERY_INTERVAL_PERCENT: u32 = 12;
 const LEASE_TTL_PERCENT: u32 = 80;
@@ -45,12 +46,17 @@
         self.0
     }
 
-    /// Returns the maximum duration of one long poll of the platform, and the age that data reaches
-    /// before a response renews the lease.
+    /// Returns the maximum duration of one long poll of the platform.
     pub fn long_poll_timeout(self) -> Duration {
         self.percent(LONG_POLL_TIMEOUT_PERCENT).min(MAX_LONG_POLL_TIMEOUT)
     }
 
+    /// Returns the age that data may have at the end of a long poll. A response with changes renews
+    /// the lease less than an empty one, so that the next poll begins with older data.
+    pub fn max_age_after_poll(self) -> Duration {
+        self.percent(MAX_AGE_AFTER_POLL_PERCENT)
+    }
+
     /// Returns how long after the end of a long poll its response may arrive before the poll is
     /// given up.
     pub fn long_poll_grace(self) -> Duration {
@@ -88,7 +94,8 @@
     /// what changed after it was sent.
     pub fn new(bound: StalenessBound, lease: Lease, now: Instant) -> LongPoll {
         let age = lease.age(now).unwrap_or_default();
-        LongPoll { requested_at: now, timeout: bound.long_poll_timeout().saturating_sub(age) }
+        let left = bound.max_age_after_poll().saturating_sub(age);
+        LongPoll { requested_at: now, timeout: bound.long_poll_timeout().min(left) }
     }
 
     /// Returns how long the platform waits for changes.
--- a/crates/lease/src/tests.rs
+++ b/crates/lease/src/tests.rs
@@ -110,17 +110,18 @@
         prop_assert!(long_poll.as_of(arrived_at, is_empty) <= sent_at);
     }
 
-    /// However the polls before went, the data is no older at the end of a poll than after one of
-    /// full length, or at once if it already is.
+    /// However the polls before went, the data is not too old at the end of a poll, and its lease is
+    /// valid then; data that is older already is polled for at once.
     #[test]
-    fn a_poll_ends_before_the_data_is_older_than_a_full_poll(
+    fn a_poll_ends_before_the_data_is_too_old(
         within_ms in 1_000u64..60_000,
         age_ms in 0u64..60_000,
     ) {
         let bound = StalenessBound::new(ms(within_ms));
         let (long_poll, _) = long_poll(within_ms, age_ms);
         let age_at_end = ms(age_ms) + long_poll.timeout();
-        prop_assert!(age_at_end <= bound.long_poll_timeout().max(ms(age_ms)));
+        prop_assert!(age_at_end <= bound.max_age_after_poll().max(ms(age_ms)));
+        prop_assert!(bound.max_age_after_poll() < bound.lease_ttl());
     }
 
     /// A late or repeated response does not make the data look older.
