lease, edge: a platform that rejects a node does not keep it from serving

How the last read ended is told apart now (LastRead): rejected, so that the data is used as before the change, or timed out, where the node may only be slow and waits while a peer is ahead. SourceError::TimedOut is what a call without a response returns; an_unanswered_call_times_out_soon expects it instead of any failure.

Tests: rejected, slow_node, platform_silent and partitioned of old_data_is_used_only_while_there_is_no_better.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lease::LastRead;
 use quick_error::quick_error;
 use rand::Rng;
 
@@ -112,7 +113,11 @@
     /// Why a read failed.
     #[derive(Clone, Debug, PartialEq, Eq)]
     pub enum SourceError {
-        /// The platform is unreachable or overloaded, or did not respond in time.
+        /// The platform did not respond in time.
+        TimedOut {
+            display("timed out")
+        }
+        /// The platform is unreachable or overloaded.
         Unavailable(message: String) {
             display("unavailable: {}", message)
         }
@@ -243,7 +248,7 @@
             }
             Err(err) => {
                 record_failure(&node, topic, failures, requested_at, &err);
-                node.state.borrow_mut().progress_mut(topic).read_failed = true;
+                node.state.borrow_mut().progress_mut(topic).last_read = last_read_of(&err);
                 drop_subscribers(&node, topic, requested_at);
                 failures += 1;
                 let backoff = RETRY_BACKOFF.0 * (1 << failures.min(MAX_BACKOFF_DOUBLINGS));
@@ -441,6 +446,16 @@
     }
 }
 
+fn last_read_of(err: &SourceError) -> LastRead {
+    match err {
+        SourceError::TimedOut => LastRead::TimedOut,
+        SourceError::Unavailable(_)
+        | SourceError::Behind
+        | SourceError::HistoryGone
+        | SourceError::BadResponse(_) => LastRead::Rejected,
+    }
+}
+
 /// Disconnects the subscribers: the platform may respond to them where it does not to this node.
 fn drop_subscribers(node: &Node, topic: Topic, requested_at: Instant) {
     let bound = node.state.borrow().staleness_bound(topic);
@@ -448,7 +463,7 @@
 }
 
 fn record_success(node: &Node, topic: Topic, failures: u32) {
-    node.state.borrow_mut().progress_mut(topic).read_failed = false;
+    node.state.borrow_mut().progress_mut(topic).last_read = LastRead::Answered;
     if topic == Topic::Upstreams {
         let state = &mut *node.state.borrow_mut();
         state.roster.store_answered(Instant::now());
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -105,9 +105,8 @@
     pub has_read: bool,
     /// When the node last knew that there was nothing newer.
     pub lease: lease::Lease,
-    /// Whether the last attempt to read the platform failed. False while the node reads through a
-    /// peer.
-    pub read_failed: bool,
+    /// How the last attempt to read the platform ended.
+    pub last_read: lease::LastRead,
 }
 
 /// Counters since start.
@@ -438,9 +437,9 @@
 
     /// Returns true if requests may be handled by what was read of a topic.
     pub fn is_usable(&self, topic: Topic, now: Instant) -> bool {
-        let ReadProgress { lease, read_failed, .. } = *self.progress(topic);
+        let ReadProgress { lease, last_read, .. } = *self.progress(topic);
         let (age, bound) = (lease.age(now), self.staleness_bound(topic));
-        lease::Knowledge { age, bound, read_failed, is_behind: self.is_behind(topic) }.is_usable()
+        lease::Knowledge { age, bound, last_read, is_behind: self.is_behind(topic) }.is_usable()
     }
 
     /// Returns true when both topics were read, from the platform or from a peer.
--- a/crates/edge/src/tests/expired_leases.rs
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lease::LastRead;
 use route::{ClientLimits, Table};
 
 use super::fake::{get, ms, ok_response, run, start, table_with_version_route, Caller, Upstream};
@@ -77,7 +78,7 @@
         if self.silent_polls.get() > 0 {
             self.silent_polls.set(self.silent_polls.get() - 1);
             monoio::time::sleep(long_poll_timeout + grace).await;
-            return Err(SourceError::Unavailable("timed out".into()));
+            return Err(SourceError::TimedOut);
         }
         while self.version.get() <= cursor && started_at.elapsed() < long_poll_timeout {
             monoio::time::sleep(ms(5)).await;
@@ -90,7 +91,7 @@
         monoio::time::sleep(self.transit_time.get().min(left)).await;
         match self.transit_time.get() < left {
             true => Ok(batch),
-            false => Err(SourceError::Unavailable("timed out".into())),
+            false => Err(SourceError::TimedOut),
         }
     }
 
@@ -225,9 +226,9 @@
         let response = ask().await;
         assert_eq!((response.status, upstream.runs()), (503, 0));
         assert!(response.headers.contains_key("retry-after"));
-        node.state.borrow_mut().progress_mut(Topic::Upstreams).read_failed = true;
+        node.state.borrow_mut().progress_mut(Topic::Upstreams).last_read = LastRead::Rejected;
         assert_eq!(ask().await.status, 200, "there is no better list");
-        node.state.borrow_mut().progress_mut(Topic::Upstreams).read_failed = false;
+        node.state.borrow_mut().progress_mut(Topic::Upstreams).last_read = LastRead::Answered;
         let renewing = async {
             monoio::time::sleep(ms(50)).await;
             node.state.borrow_mut().renew_lease(Topic::Upstreams, Instant::now(), Instant::now());
--- a/crates/lease/src/knowledge.rs
+++ b/crates/lease/src/knowledge.rs
@@ -9,10 +9,22 @@
 
 use crate::StalenessBound;
 
-/// Multiple of the bound after which a node that cannot read the platform uses its data even though
-/// peers have newer data.
+/// Multiple of the bound after which a node whose reads time out uses its data even though peers have
+/// newer data.
 const MAX_BEHIND_FACTOR: u32 = 2;
 
+/// How the last attempt of a node to read the platform ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LastRead {
+    /// The platform answered, or the node reads through a peer, or has not tried yet.
+    #[default]
+    Answered,
+    /// The platform rejected the call or the connection: it does not serve this node.
+    Rejected,
+    /// There was no response in time: the platform may be unavailable, or the node or its link slow.
+    TimedOut,
+}
+
 /// What a node knows of its data on one topic.
 #[derive(Clone, Copy, Debug)]
 pub struct Knowledge {
@@ -20,8 +32,8 @@
     pub age: Option<Duration>,
     /// Time within which changes must be in force.
     pub bound: StalenessBound,
-    /// Whether the last attempt to read the platform failed.
-    pub read_failed: bool,
+    /// How the last attempt to read the platform ended.
+    pub last_read: LastRead,
     /// Whether a peer has newer data.
     pub is_behind: bool,
 }
@@ -30,15 +42,18 @@
     /// Returns true if requests may be handled by the data.
     ///
     /// Data within the bound may be used. Older data may be used while the platform is unavailable,
-    /// as there is nothing better: unless a peer has newer data, which this node is about to get
-    /// from it. A node that gets it from nobody is partitioned, and serves its callers as it can.
+    /// as there is nothing better. A node whose read timed out while a peer has newer data may only
+    /// be slow; one that gets that data from nobody is partitioned, and serves its callers as it
+    /// can.
     pub fn is_usable(self) -> bool {
-        match self.age {
+        let bound = self.bound.duration();
+        match (self.age, self.last_read) {
             // Data that was never complete is replaced or completed while the node starts.
-            None => true,
-            Some(age) if age < self.bound.duration() => true,
-            Some(_) if !self.read_failed => false,
-            Some(age) => !self.is_behind || age >= self.bound.duration() * MAX_BEHIND_FACTOR,
+            (None, _) => true,
+            (Some(age), _) if age < bound => true,
+            (Some(_), LastRead::Answered) => false,
+            (Some(_), LastRead::Rejected) => true,
+            (Some(age), LastRead::TimedOut) => !self.is_behind || age >= bound * MAX_BEHIND_FACTOR,
         }
     }
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -14,7 +14,7 @@
 
 use std::time::{Duration, Instant};
 
-pub use self::knowledge::Knowledge;
+pub use self::knowledge::{Knowledge, LastRead};
 
 /// Shortest bound that can be met. Below it, nodes would query the platform and each other all the
 /// time.
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use lease::LastRead;
 use local_sync::mpsc::unbounded::Tx;
 use smol_str::SmolStr;
 use store::proto;
@@ -64,7 +65,8 @@
 /// Records whether the platform answered a poll for config that was sent at `requested_at`. Rows from
 /// a peer renew no lease, since it is not known how old they were when the peer read them.
 fn record_poll(view: &mut View, requested_at: Instant, succeeded: bool) {
-    view.config_poll_failed = !succeeded;
+    // Of a failed poll it is not told whether the platform rejected it.
+    view.last_config_poll = if succeeded { LastRead::Answered } else { LastRead::TimedOut };
     if succeeded {
         view.config_lease.renew(requested_at);
     }
--- a/crates/oatcoved/src/proxy/tests/outdated.rs
+++ b/crates/oatcoved/src/proxy/tests/outdated.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use http::Method;
+use lease::LastRead;
 use web::Handler;
 
 use super::{node, outcome, request, upstream, upstream_config, PEER};
@@ -24,10 +25,10 @@
         assert!(response.headers().contains_key("retry-after"));
         assert_eq!(node.view.borrow().counters.refused_outdated, 1);
 
-        node.view.borrow_mut().config_poll_failed = true;
+        node.view.borrow_mut().last_config_poll = LastRead::TimedOut;
         assert_eq!(outcome(&ask().await), "done", "the platform is unavailable");
 
-        node.view.borrow_mut().config_poll_failed = false;
+        node.view.borrow_mut().last_config_poll = LastRead::Answered;
         let polling = async {
             monoio::time::sleep(Duration::from_millis(50)).await;
             node.view.borrow_mut().config_lease.renew(Instant::now());
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -105,8 +105,8 @@
     pub config_head: proto::Version,
     /// When the config of this node was last known to be the newest.
     pub config_lease: lease::Lease,
-    /// Whether the last poll of the platform for config failed.
-    pub config_poll_failed: bool,
+    /// How the last poll of the platform for config ended.
+    pub last_config_poll: lease::LastRead,
     /// Upstream pools by service.
     pub pools: HashMap<SmolStr, balance::Pool>,
     /// Live entry VMs of the VM list.
@@ -151,7 +151,7 @@
             templates: HashMap::new(),
             config_head: 0,
             config_lease: lease::Lease::default(),
-            config_poll_failed: false,
+            last_config_poll: lease::LastRead::default(),
             pools: HashMap::new(),
             entries: Vec::new(),
             vms: Default::default(),
@@ -236,7 +236,7 @@
         let knowledge = lease::Knowledge {
             age: self.config_lease.age(now),
             bound: lease::StalenessBound::new(bound),
-            read_failed: self.config_poll_failed,
+            last_read: self.last_config_poll,
             is_behind: self.peers.values().any(is_ahead),
         };
         knowledge.is_usable()
