edge: peers are looked at only for requests on old data; lease_renewed names the peer

State::is_usable looked through all peers for each request, also while the data was recent. A line lease_renewed of a node that has just found another peer said that it read the platform. The wait of a request says in its module that it is for outdated data, too.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -520,7 +520,7 @@
     }
 }
 
-/// Waits while a condition holds, until about `max_wait` after `received_at`.
+/// Has a request wait while a condition holds, until about `max_wait` after `received_at`.
 async fn wait_while(received_at: Instant, max_wait: Duration, condition: impl Fn() -> bool) {
     let mut wait = StartupWait::new(received_at, max_wait);
     while condition() && wait.continues(Instant::now()) {
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -219,9 +219,9 @@
                     return EndReason::InvalidFrame;
                 };
                 let state = &mut *node.state.borrow_mut();
+                (state.reads_directly, state.relay_peer) = (false, Some(peer));
                 renew_lease(state, Topic::Config, queried_at, config_age);
                 renew_lease(state, Topic::Upstreams, queried_at, list_age);
-                (state.reads_directly, state.relay_peer) = (false, Some(peer));
                 state.list_from_platform = false;
                 frame_timeout = FRAME_TIMEOUT;
                 has_data.set(true);
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -1,4 +1,5 @@
-//! Decides for how long a request waits for a node that has just started.
+//! Decides for how long a request waits for data that its node reads: of a node that has just
+//! started, or in place of outdated data.
 //!
 //! The load pattern: after a power loss all processes of a machine start at once, and each is often
 //! without a processor for a tenth of a second. The configuration arrives in such a stall, and the
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -439,7 +439,9 @@
     pub fn is_usable(&self, topic: Topic, now: Instant) -> bool {
         let ReadProgress { lease, last_read, .. } = *self.progress(topic);
         let (age, bound) = (lease.age(now), self.staleness_bound(topic));
-        lease::Knowledge { age, bound, last_read, is_behind: self.is_behind(topic) }.is_usable()
+        // Looks at all peers, which requests on recent data are spared.
+        let is_behind = age.is_some_and(|age| age >= bound.duration()) && self.is_behind(topic);
+        lease::Knowledge { age, bound, last_read, is_behind }.is_usable()
     }
 
     /// Returns true when both topics were read, from the platform or from a peer.
