--- a/crates/edge/src/tests/expired_leases.rs
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use lease::LastRead;
-use route::{ClientLimits, Table};
+use route::ClientLimits;
 
-use super::fake::{get, ms, ok_response, run, start, table_with_version_route, Caller, Upstream};
+use super::fake::{
+    get, ms, ok_response, run, start, table_with_version_route, Caller, EntryNode, Upstream,
+};
 use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
 use crate::history::Cursor;
 
@@ -45,7 +47,7 @@
 
     fn batch(&self) -> Batch {
         let newest = self.version.get();
-        let table: Table = table_with_version_route(newest, ClientLimits::default());
+        let table = table_with_version_route(newest, ClientLimits::default());
         Batch { events: vec![Event::Config(table)], cursor: newest, newest }
     }
 
@@ -128,7 +130,21 @@
     responses
 }
 
-/// Returns the responses by which a version has a route that only an older one lacks.
+/// Starts an entry node that follows the configuration of a platform with this version, and returns
+/// both once the node has read it.
+async fn start_following(
+    upstream: &Upstream,
+    version: route::Version,
+) -> (EntryNode, SlowPlatform) {
+    let entry_node = start(&[upstream]);
+    let platform = SlowPlatform::of_version(version);
+    monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
+    wait_until(|| platform.polled.get()).await;
+    (entry_node, platform)
+}
+
+/// Returns the responses of a node that does not know the route: it handles requests by an older
+/// version.
 fn handled_by_older(responses: &[(Duration, u16)]) -> Vec<(Duration, u16)> {
     responses.iter().copied().filter(|(_, status)| *status == 404).collect()
 }
@@ -174,10 +190,7 @@
 fn a_change_right_behind_one_that_was_in_transit_for_long_is_in_force_in_time() {
     run(async {
         let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
-        let entry_node = start(&[&upstream]);
-        let platform = SlowPlatform::of_version(7);
-        monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
-        wait_until(|| platform.polled.get()).await;
+        let (entry_node, platform) = start_following(&upstream, 7).await;
         platform.transit_time.set(ms(1_100));
         platform.version.set(8);
         monoio::time::sleep(ms(20)).await;
@@ -199,10 +212,7 @@
 fn a_node_serves_by_what_it_holds_while_the_platform_rejects_it() {
     run(async {
         let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
-        let entry_node = start(&[&upstream]);
-        let platform = SlowPlatform::of_version(7);
-        monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
-        wait_until(|| platform.polled.get()).await;
+        let (entry_node, platform) = start_following(&upstream, 7).await;
         platform.rejects.set(true);
         let from = Instant::now() + BOUND;
         let responses = ask_for_route(entry_node.addr, 7, from, from + ms(1_500)).await;
