edge: the bound of six long polls after a change is checked again

The change came 2.0 s after the start, at the very end of a poll. It comes amid a poll now, where six is right: one for each topic and reader. The check that the other nodes read nothing stays. What a late change costs is held by a_poll_ends_before_the_data_is_too_old.

--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -74,7 +74,8 @@
     run(async {
         let platform = platform();
         let nodes = fleet(&platform);
-        monoio::time::sleep(ms(2_000)).await;
+        // Amid a long poll: a change at its end is followed by a short one.
+        monoio::time::sleep(ms(2_300)).await;
         let before = platform.long_polls.get();
         let read_count = |node: &Rc<Node>| node.state.borrow().counters.reads;
         let reads_before: Vec<u64> = nodes.iter().map(read_count).collect();
@@ -89,9 +90,8 @@
         assert_eq!(nodes.iter().filter(|node| node.state.borrow().reads_directly).count(), 3);
         let long_polls = platform.long_polls.get() - before;
         assert!(
-            long_polls <= 12,
-            "{long_polls} new long polls after two changes with three readers: for each topic one \
-             to the end of the interrupted one, and the next"
+            long_polls <= 6,
+            "{long_polls} new long polls after two changes with three readers"
         );
         let reads: Vec<u64> = nodes.iter().map(read_count).collect();
         assert_eq!(reads[3..], reads_before[3..], "only the readers read the platform");
