review: one broken-off answer takes sound answers behind it along

Adds review case 2. A node streams an answer of 64 KiB or more before it is whole and passes on what is pipelined behind it; if the endpoint breaks it off, the answers of sound endpoints behind it are dropped with the connection.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -51,6 +51,8 @@
 
 #[path = "../1/case.rs"]
 mod case1;
+#[path = "../2/case.rs"]
+mod case2;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -72,6 +74,7 @@
     });
     let verdict = match case.as_str() {
         "1" => case1::run(&context),
+        "2" => case2::run(&context),
         other => Verdict::CouldNotRun(format!("no such case: {other}")),
     };
     context.stop();
