review: a change of the seeds splits the fleet, and both parts grant a whole quota

The three seeds of the settings are removed, the settings then name three other nodes, and these are stopped and started. The membership takes its seeds only at the start of a process, so the restarted nodes and the others never meet again, and each part takes itself for the whole fleet.

The case of broken-off answers moves to folder 3.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -46,12 +46,14 @@
         prefix: "/cancel/",
         idempotent: false,
         deadline: Duration::from_millis(3000),
+        key: None,
     },
     Kind {
         method: "GET",
         prefix: "/arrivals/",
         idempotent: true,
         deadline: Duration::from_millis(2500),
+        key: None,
     },
 ];
 
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -15,6 +15,8 @@
     pub prefix: &'static str,
     pub idempotent: bool,
     pub deadline: Duration,
+    /// Key of the client's tenant; `None` where clients need none.
+    pub key: Option<&'static str>,
 }
 
 /// When a client sends: at each tick, a little later than others.
@@ -42,6 +44,7 @@
     /// The work that the client wants done: the same for an attempt and its retry.
     pub operation: String,
     pub idempotent: bool,
+    pub sent_at: Instant,
     /// Status; 0 if there was no answer.
     pub status: u16,
     /// Endpoint that answered a health check whose answer this is.
@@ -104,10 +107,14 @@
         kind.method,
         left.as_millis()
     );
+    if let Some(key) = kind.key {
+        head.push_str(&format!("Authorization: Bearer {key}\r\n"));
+    }
     if !body.is_empty() {
         head.push_str(&format!("Content-Length: {}\r\n", body.len()));
     }
     let request = format!("{head}\r\n{body}");
+    let sent_at = Instant::now();
     let answer = exchange(conn, front, request.as_bytes(), left);
     let status = answer.as_ref().map_or(0, Message::status);
     let header = |name: &str| answer.as_ref().and_then(|answer| answer.header(name));
@@ -116,6 +123,7 @@
         request_id: request_id.clone(),
         operation: operation.to_owned(),
         idempotent: kind.idempotent,
+        sent_at,
         status,
         instance_id: header("x-instance-id").map(str::to_owned),
         is_signed: header("x-server-signature").is_some(),
--- a/review/standin/endpoint.rs
+++ b/review/standin/endpoint.rs
@@ -25,8 +25,9 @@
     pub request_id: String,
     pub endpoint: String,
     pub target: String,
-    /// Whether the endpoint breaks off its answer.
-    pub is_broken_off: bool,
+    pub arrived_at: Instant,
+    /// Whether the endpoint breaks off some of its answers at this time.
+    pub is_disturbed: bool,
 }
 
 #[derive(Default)]
@@ -181,7 +182,8 @@
             request_id: request_id.clone(),
             endpoint: self.id.clone(),
             target: request.target().to_owned(),
-            is_broken_off,
+            arrived_at,
+            is_disturbed: self.broken_off.load(Ordering::Relaxed) > 0,
         });
         let end = if is_broken_off { ", and will break off its answer" } else { "" };
         context.log(format_args!("{} runs {request_id} {}{end}", self.id, request.target()));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -53,6 +53,8 @@
 mod case1;
 #[path = "../2/case.rs"]
 mod case2;
+#[path = "../3/case.rs"]
+mod case3;
 
 fn main() {
     let mut args = std::env::args().skip(1);
@@ -75,6 +77,7 @@
     let verdict = match case.as_str() {
         "1" => case1::run(&context),
         "2" => case2::run(&context),
+        "3" => case3::run(&context),
         other => Verdict::CouldNotRun(format!("no such case: {other}")),
     };
     context.stop();
