edge: responses that cannot be attributed leave a line

A probe logs a response that echoes a request's id, a request one that echoes none. They tell apart the hypotheses of docs/incidents/late-copy-of-a-response.md; nothing else changes.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -235,7 +235,13 @@
                 {}
             }
             None if head.headers.contains_key(&names.signature) => return Err("answer without id"),
-            _ => {
+            echoed => {
+                if echoed.is_none() {
+                    trace::Line::new("response_without_id")
+                        .field("request", request_id.to_str().unwrap_or("?"))
+                        .field("status", head.status.as_u16())
+                        .log();
+                }
                 on_response_head(&head, ResponseTo::Current);
                 return Ok((head, mismatched > 0));
             }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -206,6 +206,14 @@
     let head = conn.reader.response_head(&Method::GET).await.ok()?;
     let mut decoder = h1::Decoder::new(head.framing);
     node.record_path_response();
+    let request_id = node.state.borrow().settings.headers.request_id.clone();
+    if let Some(id) = head.headers.get(request_id) {
+        trace::Line::new("probe_response_mismatched")
+            .field("upstream", upstream.id())
+            .field("request", id.to_str().unwrap_or("?"))
+            .field("status", head.status.as_u16())
+            .log();
+    }
     node.apply_signals(upstream, head.status, &head.headers, None);
     while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
     node.record_load(service, upstream, &head.headers);
