edge: a late copy of a response is not the response to a probe

Callers take the 503 for "not run" and send again.

Cause: send_probe took the next response on the connection without a look at its request id. A second copy of the response to an earlier request ended the probe; the connection counted as idle, and the response to the probe came where the next request expected its own.

Change: a response that echoes a request id is skipped, neither its status nor its load counts, and the connection is closed after the probe (Probed::Mismatched). The other idle connections of the upstream stay. The three probe paths (load, path check, verification) share the function.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -213,8 +213,9 @@
             return Ok(conn);
         }
         match probe::verify(self, service, upstream, conn).await {
-            Some(conn) => Ok(conn),
-            None => {
+            probe::Probed::Reusable(conn) => Ok(conn),
+            probe::Probed::Mismatched => self.new_connection(upstream, addr, timeout).await,
+            probe::Probed::Ended => {
                 trace::Line::new("connection_forgotten").field("upstream", upstream.id()).log();
                 self.conns.close(upstream);
                 self.connection(upstream, addr, timeout).await
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -84,6 +84,17 @@
     let _ = monoio::time::timeout(max_wait, finished.recv()).await;
 }
 
+/// What a probe leaves of its connection.
+pub enum Probed {
+    /// The upstream responded, and the connection can be reused.
+    Reusable(Conn),
+    /// The upstream responded, and sent something else that was not asked for. The connection is
+    /// closed: more may follow.
+    Mismatched,
+    /// The upstream did not respond, or ends the connection.
+    Ended,
+}
+
 /// Address and path of a probe.
 struct Target {
     addr: SocketAddr,
@@ -124,10 +135,10 @@
     };
     let was_reused = conn.used;
     match send_probe(node, service, upstream, target, conn).await {
-        Some(conn) => node.conns.put(upstream, conn),
+        Probed::Reusable(conn) => node.conns.put(upstream, conn),
         // The most recently used connection is gone: those that were idle for longer are gone too.
-        None if was_reused => node.conns.close(upstream),
-        None => {}
+        Probed::Ended if was_reused => node.conns.close(upstream),
+        Probed::Ended | Probed::Mismatched => {}
     }
 }
 
@@ -158,10 +169,9 @@
             Some(conn) => conn,
             None => node.new_connection(&upstream, target.addr, CONNECT_TIMEOUT).await.ok()?,
         };
-        send_probe(&node, &service, &upstream, &target, conn).await
+        Some(send_probe(&node, &service, &upstream, &target, conn).await)
     };
-    let conn = web::timeout(PROBE_TIMEOUT, checking).await.ok().flatten();
-    if let Some(conn) = conn {
+    if let Ok(Some(Probed::Reusable(conn))) = web::timeout(PROBE_TIMEOUT, checking).await {
         node.conns.put(&upstream, conn);
     }
     let has_responded = node.state.borrow().paths.has_responded_since(started_at);
@@ -171,8 +181,7 @@
     has_responded
 }
 
-/// Verifies by a probe that the upstream still holds an idle connection open. Returns the
-/// connection, or `None` when it is unusable.
+/// Verifies by a probe that the upstream still holds an idle connection open.
 ///
 /// An upstream that has dropped its state of an idle connection resets it at the next request, and
 /// a reset does not tell whether that request was run. A lost probe does no harm.
@@ -181,46 +190,74 @@
     service: &ServiceName,
     upstream: &Incarnation,
     conn: Conn,
-) -> Option<Conn> {
-    let target = Target::of(node, service, upstream)?;
+) -> Probed {
+    let Some(target) = Target::of(node, service, upstream) else { return Probed::Ended };
     let probing = web::timeout(VERIFY_TIMEOUT, send_probe(node, service, upstream, &target, conn));
-    probing.await.ok().flatten()
+    probing.await.unwrap_or(Probed::Ended)
 }
 
-/// Sends a probe over `conn` and records what the response reports; returns the connection if it
-/// can be reused.
+/// Sends a probe over `conn` and records what the response reports.
 async fn send_probe(
     node: &Node,
     service: &ServiceName,
     upstream: &Incarnation,
     target: &Target,
     mut conn: Conn,
-) -> Option<Conn> {
+) -> Probed {
     node.state.borrow_mut().counters.probes += 1;
     let mut headers = HeaderMap::new();
     let host = http::HeaderValue::try_from(target.addr.to_string())
         .expect("a socket address is a valid header value");
     headers.insert(http::header::HOST, host);
     let request = h1::write_request(&Method::GET, &target.path, &headers);
-    conn.writer.write(request).await.ok()?;
-    let head = conn.reader.response_head(&Method::GET).await.ok()?;
-    let mut decoder = h1::Decoder::new(head.framing);
-    node.record_path_response();
-    let request_id = node.state.borrow().settings.headers.request_id.clone();
-    if let Some(id) = head.headers.get(request_id) {
-        trace::Line::new("probe_response_mismatched")
-            .field("upstream", upstream.id())
-            .field("request", id.to_str().unwrap_or("?"))
-            .field("status", head.status.as_u16())
-            .log();
-    }
-    node.apply_signals(upstream, head.status, &head.headers, None);
-    while conn.reader.body_piece(&mut decoder).await.ok()?.is_some() {}
+    let receiving = async {
+        conn.writer.write(request).await?;
+        receive_response(node, upstream, &mut conn.reader).await
+    };
+    let Ok((head, had_mismatched)) = receiving.await else { return Probed::Ended };
     node.record_load(service, upstream, &head.headers);
     node.record_cold_time(service, upstream, &head.headers);
-    let reusable = head.keep_alive && !conn.reader.has_buffered();
     conn.record_response(&head.headers);
-    reusable.then_some(conn)
+    match () {
+        () if !head.keep_alive => Probed::Ended,
+        () if had_mismatched || conn.reader.has_buffered() => Probed::Mismatched,
+        () => Probed::Reusable(conn),
+    }
+}
+
+/// Receives the response to a probe; also returns whether responses to requests came before it.
+///
+/// An upstream may send a late duplicate of the response to an earlier request. Taken for the
+/// response to the probe, it would leave that one to the next request on the connection.
+async fn receive_response(
+    node: &Node,
+    upstream: &Incarnation,
+    reader: &mut h1::Reader,
+) -> Result<(h1::ResponseHead, bool), h1::ReadError> {
+    let request_id = node.state.borrow().settings.headers.request_id.clone();
+    let mut had_mismatched = false;
+    loop {
+        let head = reader.response_head(&Method::GET).await?;
+        node.record_path_response();
+        let mut decoder = h1::Decoder::new(head.framing);
+        let echoed = head.headers.get(&request_id);
+        match echoed {
+            None => node.apply_signals(upstream, head.status, &head.headers, None),
+            Some(id) => {
+                had_mismatched = true;
+                trace::Line::new("probe_response_mismatched")
+                    .field("upstream", upstream.id())
+                    .field("request", id.to_str().unwrap_or("?"))
+                    .field("status", head.status.as_u16())
+                    .log();
+            }
+        }
+        let is_own = echoed.is_none();
+        while reader.body_piece(&mut decoder).await?.is_some() {}
+        if is_own {
+            return Ok((head, had_mismatched));
+        }
+    }
 }
 
 /// Returns how many probes per second a node may send to a service, and how many unused ones it may
--- /dev/null
+++ b/crates/edge/src/tests/attribution.rs
@@ -0,0 +1,57 @@
+//! Responses that arrive where the response to another request, or to a probe, is expected.
+
+use std::time::Duration;
+
+use super::fake::{
+    incarnation, ms, ok_response, post, run, with_idle_connection, Caller, Step, Upstream,
+};
+use crate::probe;
+
+/// Time that an upstream takes for a probe: its response arrives after a late copy was read.
+const PROBE_TIME: Duration = Duration::from_millis(10);
+
+/// Returns a response to a probe, which echoes no request id and is not signed.
+fn probe_response(status: &str) -> Step {
+    Step::Write(format!("HTTP/1.1 {status}\r\nx-load: 0,0,4\r\ncontent-length: 0\r\n\r\n"))
+}
+
+/// Returns a second copy of the response to request 1.
+fn late_copy() -> Step {
+    let head = "HTTP/1.1 200 OK\r\nx-id: 1\r\nx-signature: s\r\n";
+    Step::Write(format!("{head}content-length: 3\r\n\r\none"))
+}
+
+/// Guards against a refusal of a request that ran: the probe that verifies a connection takes a late
+/// copy of an earlier response for its own, and the request takes the response to the probe.
+#[yare::parameterized(unhealthy = { "503 Draining" }, healthy = { "200 OK" })]
+fn a_late_copy_is_not_the_response_to_a_verifying_probe(status: &str) {
+    run(async {
+        let upstream = Upstream::start(vec![
+            vec![ok_response("one")],
+            vec![late_copy(), Step::Wait(PROBE_TIME), probe_response(status)],
+            vec![ok_response("two")],
+        ]);
+        let entry_node = with_idle_connection(&upstream).await;
+        let response = Caller::connect(entry_node.addr).await.ask(&post("2")).await;
+        assert_eq!((response.status, response.body.as_str()), (200, "two"));
+        assert_eq!(upstream.runs(), 3, "the request, the probe and the request");
+        assert_eq!(upstream.connections.get(), 2, "the connection is not used again");
+    });
+}
+
+/// Guards against the same for a probe for load reports, whose connection any request may use next.
+#[test]
+fn a_late_copy_is_not_the_response_to_a_probe_for_load() {
+    run(async {
+        let upstream = Upstream::start(vec![
+            vec![ok_response("one")],
+            vec![late_copy(), Step::Wait(PROBE_TIME), probe_response("503 Draining")],
+        ]);
+        let entry_node = with_idle_connection(&upstream).await;
+        let upstreams = vec![incarnation("u0")];
+        probe::probe_all(&entry_node.node, &"desk".into(), upstreams, ms(1_000)).await;
+        monoio::time::sleep(2 * PROBE_TIME).await;
+        assert_eq!(upstream.runs(), 2, "the request and the probe");
+        assert!(!entry_node.node.conns.has_idle(&incarnation("u0")), "the connection was kept");
+    });
+}
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -333,6 +333,22 @@
     EntryNode { node, addr }
 }
 
+/// Returns an entry node that may probe its one upstream and has one idle connection to it.
+pub async fn with_idle_connection(upstream: &Upstream) -> EntryNode {
+    let entry_node = start(&[upstream]);
+    {
+        let state = &mut *entry_node.node.state.borrow_mut();
+        state.settings.max_probes_per_upstream_per_s = 50.0;
+        let load = place::Load { running: 0, waiting: 0, slots: 4, slowness: 1.0 };
+        let pool = state.pools.get_mut("desk").expect("a pool");
+        pool.record_report(&incarnation("u0"), Some(load), Instant::now());
+    }
+    let response = Caller::connect(entry_node.addr).await.ask(&post("1")).await;
+    assert_eq!(response.status, 200);
+    monoio::time::sleep(ms(150)).await;
+    entry_node
+}
+
 /// A response as a caller received it.
 #[derive(Clone, Debug)]
 pub struct Response {
--- a/crates/edge/src/tests/idle.rs
+++ b/crates/edge/src/tests/idle.rs
@@ -1,26 +1,6 @@
 //! Idle connections that upstreams drop without closing them.
 
-use std::time::Instant;
-
-use super::fake::{
-    incarnation, ms, ok_response, post, run, start, Caller, EntryNode, Step, Upstream,
-};
-
-/// Returns an entry node that may probe its one upstream and has one idle connection to it.
-async fn with_idle_connection(upstream: &Upstream) -> EntryNode {
-    let entry_node = start(&[upstream]);
-    {
-        let state = &mut *entry_node.node.state.borrow_mut();
-        state.settings.max_probes_per_upstream_per_s = 50.0;
-        let load = place::Load { running: 0, waiting: 0, slots: 4, slowness: 1.0 };
-        let pool = state.pools.get_mut("desk").expect("a pool");
-        pool.record_report(&incarnation("u0"), Some(load), Instant::now());
-    }
-    let response = Caller::connect(entry_node.addr).await.ask(&post("1")).await;
-    assert_eq!(response.status, 200);
-    monoio::time::sleep(ms(150)).await;
-    entry_node
-}
+use super::fake::{incarnation, ms, ok_response, run, with_idle_connection, Step, Upstream};
 
 /// Guards against sending a non-idempotent request on an idle connection that its upstream dropped
 /// silently, earlier than its keep-alive timeout: it is reset and answered 502, and the caller
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole request path over loopback, with scripted upstreams.
 
 mod allowed_regions;
+mod attribution;
 mod backoffs;
 mod budgets;
 mod callers;
