edge: a response without a request id is not that of a request on a reused connection

Cause: receive_head took every response without an id and without a signature for the current one. Upstreams echo the id, so such a response belongs to a probe or to nobody. Passed on, a 503 tells the caller that its request did not run.

Change: on a connection that was used before it is skipped like a response to another request, and the connection is not used again. On a new connection nothing else was asked for, so there it still counts: a peer's own replies and errors of an upstream's HTTP layer have no id. An empty id counts as none.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -89,8 +89,8 @@
 pub enum ResponseTo {
     /// The one just sent.
     Current,
-    /// An earlier one on the same connection: the response is late or a duplicate.
-    Earlier,
+    /// Another one, or a probe: the response is late or a duplicate.
+    Other,
 }
 
 /// How an exchange ended.
@@ -108,7 +108,7 @@
 /// Sends `request` and receives its response; also returns the connection if it can be reused.
 ///
 /// `write_rest` sends what follows the first bytes of the request, such as a streamed body.
-/// `on_response_head` is called with the head of every response, those to earlier requests and
+/// `on_response_head` is called with the head of every response, those to other requests and
 /// those that are not passed on included.
 pub async fn run<F>(
     mut conn: Conn,
@@ -163,8 +163,9 @@
     F: AsyncFnOnce(&mut h1::Writer) -> SendResult,
 {
     let OutgoingRequest { method, bytes, request_id } = request;
-    let Conn { reader, writer, .. } = conn;
-    let mut receiving = pin!(receive_head(reader, &method, names, on_response_head, &request_id));
+    let Conn { reader, writer, used, .. } = conn;
+    let receiving = receive_head(reader, &method, names, on_response_head, &request_id, !*used);
+    let mut receiving = pin!(receiving);
     let mut sending = pin!(async {
         // An upstream that responds before it has read everything may close the connection. Its
         // response still counts; if there is none, receiving it reports the failure.
@@ -201,18 +202,19 @@
     }
 }
 
-/// Receives the head of the response to `request_id`; also returns whether responses to other
-/// requests came before it.
+/// Receives the head of the response to `request_id`; also returns whether other responses came
+/// before it. `is_first` tells that nothing else was asked for on the connection.
 ///
-/// An upstream may send a late duplicate of the response to an earlier request. Taken for the
-/// response to this request it would leak another caller's data. The echoed request id tells them
-/// apart, and the right response follows.
+/// An upstream may send a late duplicate of the response to an earlier request or probe. Taken for
+/// the response to this request it would leak another caller's data, or tell that a request did not
+/// run. The right response follows.
 async fn receive_head(
     reader: &mut h1::Reader,
     method: &Method,
     names: &HeaderNames,
     on_response_head: impl Fn(&h1::ResponseHead, ResponseTo),
     request_id: &http::HeaderValue,
+    is_first: bool,
 ) -> Result<(h1::ResponseHead, bool), &'static str> {
     for mismatched in 0..MAX_MISMATCHED_RESPONSES {
         let head = match reader.response_head(method).await {
@@ -221,35 +223,50 @@
             Err(h1::ReadError::Closed) => return Err(CLOSED_BEFORE_RESPONSE),
             Err(h1::ReadError::Io(_)) => return Err(CONNECTION_BROKEN),
         };
-        match head.headers.get(&names.request_id) {
-            Some(echoed) if echoed != request_id => {
-                on_response_head(&head, ResponseTo::Earlier);
-                let mut decoder = h1::Decoder::new(head.framing);
-                if decoder.is_close_delimited() {
-                    return Err("answer to another request");
-                }
-                while let Some(_discarded) = reader
-                    .body_piece(&mut decoder)
-                    .await
-                    .map_err(|_| "answer to another request, cut off")?
-                {}
-            }
+        let response_to = match echoed_id(&head.headers, names) {
+            Some(echoed) if echoed == request_id => ResponseTo::Current,
+            Some(_) => ResponseTo::Other,
             None if head.headers.contains_key(&names.signature) => return Err("answer without id"),
-            echoed => {
-                if echoed.is_none() {
-                    trace::Line::new("response_without_id")
-                        .field("request", request_id.to_str().unwrap_or("?"))
-                        .field("status", head.status.as_u16())
-                        .log();
-                }
-                on_response_head(&head, ResponseTo::Current);
-                return Ok((head, mismatched > 0));
+            None if is_first => ResponseTo::Current,
+            None => {
+                trace::Line::new("response_without_id")
+                    .field("request", request_id.to_str().unwrap_or("?"))
+                    .field("status", head.status.as_u16())
+                    .log();
+                ResponseTo::Other
             }
+        };
+        on_response_head(&head, response_to);
+        match response_to {
+            ResponseTo::Current => return Ok((head, mismatched > 0)),
+            ResponseTo::Other => discard_body(reader, &head).await?,
         }
     }
     Err("answers to other requests only")
 }
 
+/// Returns the request id that a response echoes. Some upstreams echo an empty one where the request
+/// had none.
+pub fn echoed_id<'a>(headers: &'a HeaderMap, names: &HeaderNames) -> Option<&'a http::HeaderValue> {
+    headers.get(&names.request_id).filter(|id| !id.is_empty())
+}
+
+/// Receives the body of a response to another request.
+async fn discard_body(
+    reader: &mut h1::Reader,
+    head: &h1::ResponseHead,
+) -> Result<(), &'static str> {
+    let mut decoder = h1::Decoder::new(head.framing);
+    if decoder.is_close_delimited() {
+        return Err("answer to another request");
+    }
+    while let Some(_discarded) =
+        reader.body_piece(&mut decoder).await.map_err(|_| "answer to another request, cut off")?
+    {
+    }
+    Ok(())
+}
+
 /// Receives a body, up to [`MAX_BUFFERED_RESPONSE_BYTES`] of it.
 async fn receive_body(
     reader: &mut h1::Reader,
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -11,6 +11,7 @@
 use web::h1;
 
 use crate::conns::Conn;
+use crate::exchange;
 use crate::forward::{Node, CONNECT_TIMEOUT};
 
 /// Longest time that a request waits for load reports, as a ratio of its latency objective.
@@ -234,13 +235,13 @@
     upstream: &Incarnation,
     reader: &mut h1::Reader,
 ) -> Result<(h1::ResponseHead, bool), h1::ReadError> {
-    let request_id = node.state.borrow().settings.headers.request_id.clone();
+    let names = node.state.borrow().settings.headers.clone();
     let mut had_mismatched = false;
     loop {
         let head = reader.response_head(&Method::GET).await?;
         node.record_path_response();
         let mut decoder = h1::Decoder::new(head.framing);
-        let echoed = head.headers.get(&request_id);
+        let echoed = exchange::echoed_id(&head.headers, &names);
         match echoed {
             None => node.apply_signals(upstream, head.status, &head.headers, None),
             Some(id) => {
--- a/crates/edge/src/tests/attribution.rs
+++ b/crates/edge/src/tests/attribution.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use super::fake::{
-    incarnation, ms, ok_response, post, run, with_idle_connection, Caller, Step, Upstream,
+    get, incarnation, ms, ok_response, post, run, start, with_idle_connection, Caller, Step,
+    Upstream,
 };
 use crate::probe;
 
@@ -55,3 +56,27 @@
         assert!(!entry_node.node.conns.has_idle(&incarnation("u0")), "the connection was kept");
     });
 }
+
+/// Guards against a refusal of a request that ran: a response that echoes no id belongs to a probe
+/// or to nobody.
+#[yare::parameterized(
+    unhealthy = { "503 Draining", &post("2") },
+    healthy = { "200 OK", &post("2") },
+    idempotent = { "503 Draining", &get("/get/1", "2") },
+)]
+fn a_response_without_an_id_is_not_that_of_a_request(status: &str, request: &str) {
+    run(async {
+        let upstream = Upstream::start(vec![
+            vec![ok_response("one")],
+            vec![probe_response(status), Step::Wait(PROBE_TIME), ok_response("two")],
+            vec![ok_response("three")],
+        ]);
+        let entry_node = start(&[&upstream]);
+        let mut caller = Caller::connect(entry_node.addr).await;
+        assert_eq!(caller.ask(&get("/get/1", "1")).await.body, "one");
+        let response = caller.ask(request).await;
+        assert_eq!((response.status, response.body.as_str()), (200, "two"));
+        assert_eq!(caller.ask(&get("/get/1", "3")).await.body, "three");
+        assert_eq!(upstream.connections.get(), 2, "the connection is not used again");
+    });
+}
