edge: a failure that may have run is not passed on as a refusal

What callers see: 408, 429 and 503 promise them that their request has not run. An upstream that answers a request with one of these and does not state that it has not run (its only ways are the header and 421) had its status passed on, so a claim that may have run was sent again.

Such a reply to a request that must not run twice is now 502, without the upstream's signature; idempotent requests get what they got.

tests::attribution::a_failure_that_may_have_run_is_not_passed_on_as_a_refusal failed on the code before (3 of 3).

--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -133,10 +133,10 @@
                 Outcome::NotSent if upstreams < MAX_UPSTREAMS_TRIED => {}
                 Outcome::NotSent => return give_up(fallback, RETRY_AFTER_UPSTREAM_REFUSAL),
                 Outcome::Answered(response) if !response.head.status.is_server_error() => {
-                    return Reply::Upstream(response)
+                    return reply_of_upstream(call, response)
                 }
                 Outcome::Answered(response) if !call.is_idempotent() || !attempts_left => {
-                    return Reply::Upstream(response)
+                    return reply_of_upstream(call, response)
                 }
                 Outcome::Answered(response) => fallback = Fallback::Error(response),
                 Outcome::NotRun(..) if attempts_left => {}
@@ -450,7 +450,7 @@
         let unanswered = Unanswered::new(&self.state, call, &choice);
         let sending = self.send_with(call, &choice, Some(framing), &first, &unanswered, write_rest);
         match sending.await {
-            Outcome::Answered(response) => Reply::Upstream(response),
+            Outcome::Answered(response) => reply_of_upstream(call, response),
             Outcome::NotRun(..) | Outcome::NotSent => {
                 give_up(Fallback::NotRun, RETRY_AFTER_UPSTREAM_REFUSAL)
             }
@@ -489,6 +489,33 @@
     outcome
 }
 
+/// Returns the reply to a request that an upstream has answered, without the statement that it did
+/// not run. A status that makes that statement to the caller is not passed on for a request that
+/// must not run twice.
+fn reply_of_upstream(call: &Call<'_>, response: Response) -> Reply {
+    match states_not_run(response.head.status) && !call.is_idempotent() {
+        true => {
+            call.log_line("refusal_not_passed_on")
+                .field("status", response.head.status.as_u16())
+                .log();
+            let text = "the upstream failed; the request may have run";
+            Reply::Local(LocalReply::failed(StatusCode::BAD_GATEWAY, text))
+        }
+        false => Reply::Upstream(response),
+    }
+}
+
+/// Returns true for a status by which callers are told that their request did not run.
+fn states_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the response to a request that was sent through a peer, which has made all the sends
 /// that the request may get.
 fn reply_of_peer(outcome: Outcome, fallback: Fallback) -> Reply {
--- a/crates/edge/src/tests/attribution.rs
+++ b/crates/edge/src/tests/attribution.rs
@@ -80,3 +80,22 @@
         assert_eq!(upstream.connections.get(), 2, "the connection is not used again");
     });
 }
+
+/// Guards against a refusal of a request that may have run: an upstream fails with a status that
+/// promises callers that it has not, and does not say so itself.
+#[yare::parameterized(
+    timeout = { "408 Request Timeout" },
+    too_many = { "429 Too Many Requests" },
+    unavailable = { "503 Service Unavailable" },
+)]
+fn a_failure_that_may_have_run_is_not_passed_on_as_a_refusal(status: &str) {
+    run(async {
+        let failure = format!("HTTP/1.1 {status}\r\nx-id: {{id}}\r\nx-signature: s\r\n");
+        let failure = Step::Write(format!("{failure}content-length: 0\r\n\r\n"));
+        let upstream = Upstream::start(vec![vec![failure]]);
+        let entry_node = start(&[&upstream]);
+        let response = Caller::connect(entry_node.addr).await.ask(&post("1")).await;
+        assert_eq!((response.status, upstream.runs()), (502, 1));
+        assert!(!response.headers.contains_key("x-signature"), "the status is not the upstream's");
+    });
+}
