oatcoved: a connection on which something arrived while it was idle is not used again

An upstream that echoes no request id had its surplus response delivered to the next caller (a listed limit of docs/design/outcomes.md); one that echoes it cost the next call its outcome. On the connection of the probes the verdict was that of the probe before.

Change: h1::Reader::has_pending_input, which edge had for its own pool, is asked by both pools and by the probes.

proxy::tests::attribution::a_connection_with_a_surplus_response_is_not_used_again (got "rest") and probe::tests::a_surplus_response_is_not_that_to_the_next_probe (got Down) failed on the code before.

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -2,11 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
-use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
@@ -102,18 +99,6 @@
     pub fn idle_time(&self) -> Duration {
         self.idle_since.elapsed()
     }
-
-    /// Returns true when the connection is open and nothing was received on it while it was idle.
-    ///
-    /// Bytes received here are a surplus response, which would be taken for the next caller's; the
-    /// end of the stream is the upstream's close.
-    async fn has_no_pending_input(&mut self) -> bool {
-        if self.reader.has_buffered() {
-            return false;
-        }
-        let mut fill = pin!(self.reader.fill());
-        std::future::poll_fn(|cx| Poll::Ready(fill.as_mut().poll(cx).is_pending())).await
-    }
 }
 
 /// Pool of idle connections by upstream.
@@ -156,7 +141,8 @@
     pub async fn take(&self, upstream: &Incarnation) -> Option<Conn> {
         loop {
             let mut conn = self.idle.borrow_mut().get_mut(upstream)?.pop()?;
-            if conn.is_within_idle_timeout(Instant::now()) && conn.has_no_pending_input().await {
+            if conn.is_within_idle_timeout(Instant::now()) && !conn.reader.has_pending_input().await
+            {
                 return Some(conn);
             }
         }
--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -296,7 +296,11 @@
 async fn probe(addr: SocketAddr, path: String, idle_conn: Option<web::Conn>, tx: Tx<Input>) {
     let request_sent_at = Instant::now();
     let deadline = request_sent_at + PROBE_TIMEOUT;
-    let first = match idle_conn {
+    let quiet_conn = match idle_conn {
+        Some(mut conn) => (!conn.has_pending_input().await).then_some(conn),
+        None => None,
+    };
+    let first = match quiet_conn {
         Some(conn) => send_probe(conn, &path, deadline).await.ok(),
         None => None,
     };
--- a/crates/oatcoved/src/probe/tests.rs
+++ b/crates/oatcoved/src/probe/tests.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 use local_sync::mpsc::unbounded;
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use store::proto;
 use yare::parameterized;
 
@@ -90,3 +91,42 @@
         assert!(reports.is_empty(), "{reports:?}");
     });
 }
+
+/// Guards against an upstream that counts as failing, or as healthy, by the response to an earlier
+/// probe: it sends a surplus response while the connection of its probes is idle.
+#[test]
+fn a_surplus_response_is_not_that_to_the_next_probe() {
+    /// Time after a response at which the upstream sends another one.
+    const SURPLUS_DELAY: Duration = Duration::from_millis(20);
+    web::runtime().block_on(async {
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("bound");
+        monoio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                monoio::spawn(async move {
+                    while let (Ok(1..), _) = stream.read(vec![0; 4_096]).await {
+                        for status in ["200 OK", "500 Failing"] {
+                            let response =
+                                format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+                            if stream.write_all(response.into_bytes()).await.0.is_err() {
+                                return;
+                            }
+                            monoio::time::sleep(SURPLUS_DELAY).await;
+                        }
+                    }
+                });
+            }
+        });
+        let (tx, mut results) = unbounded::channel();
+        let mut idle = None;
+        for _ in 0..2 {
+            super::probe(addr, "/".to_owned(), idle.take(), tx.clone()).await;
+            let Some(super::Input::Completed(_, result, conn)) = results.recv().await else {
+                panic!("a probe completes")
+            };
+            assert_eq!(result.outcome, watch::ProbeOutcome::Up);
+            idle = conn.map(|conn| *conn);
+            monoio::time::sleep(3 * SURPLUS_DELAY).await;
+        }
+    });
+}
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -65,7 +65,7 @@
         max_idle: u32,
         on_response: impl FnOnce(&web::Response),
     ) -> Attempt {
-        let mut conn = match self.take(addr, Instant::now()) {
+        let mut conn = match self.take(addr).await {
             Some(conn) => conn,
             None => match web::Conn::connect(addr, CONNECT_TIMEOUT.min(remaining)).await {
                 Ok(conn) => conn,
@@ -110,11 +110,16 @@
         }
     }
 
-    /// Takes the most recently used idle connection to `addr`, unless it has been idle for too
-    /// long.
-    fn take(&self, addr: SocketAddr, now: Instant) -> Option<web::Conn> {
-        let latest = self.by_upstream.borrow_mut().get_mut(&addr).and_then(Vec::pop)?;
-        (now.duration_since(latest.idle_since) < IDLE_TIMEOUT).then_some(latest.conn)
+    /// Takes the most recently used idle connection to `addr` that can carry a call; drops those
+    /// that cannot.
+    async fn take(&self, addr: SocketAddr) -> Option<web::Conn> {
+        loop {
+            let latest = self.by_upstream.borrow_mut().get_mut(&addr).and_then(Vec::pop)?;
+            let IdleConn { mut conn, idle_since } = latest;
+            if idle_since.elapsed() < IDLE_TIMEOUT && !conn.has_pending_input().await {
+                return Some(conn);
+            }
+        }
     }
 
     /// Keeps a connection whose last response was read completely.
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -10,6 +10,7 @@
 
 use crate::proxy::Node;
 
+mod attribution;
 mod keys;
 mod outdated;
 mod partitioned;
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -102,6 +102,12 @@
         self.is_reusable
     }
 
+    /// Returns true if something was received while the connection was idle, or the server has closed
+    /// it. Such a connection must be dropped.
+    pub async fn has_pending_input(&mut self) -> bool {
+        self.reader.has_pending_input().await
+    }
+
     /// Sends `request` and returns the whole response.
     ///
     /// The caller must drop the connection unless [`Conn::is_reusable`] returns true afterwards.
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -1,7 +1,10 @@
 //! Buffered reading and writing of HTTP messages on the two halves of a TCP connection.
 
 use std::collections::VecDeque;
+use std::future::Future;
 use std::io;
+use std::pin::pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -138,6 +141,18 @@
         Ok(length > 0)
     }
 
+    /// Returns true when bytes wait to be consumed, or the peer has closed its side.
+    ///
+    /// On a connection without a request in flight, such bytes are a surplus response, which would
+    /// be taken for that to the next request.
+    pub async fn has_pending_input(&mut self) -> bool {
+        if self.has_buffered() {
+            return true;
+        }
+        let mut fill = pin!(self.fill());
+        std::future::poll_fn(|cx| Poll::Ready(fill.as_mut().poll(cx).is_ready())).await
+    }
+
     /// Discards the buffered bytes and receives more; returns how many were received, or `None`
     /// when the peer closed its side.
     ///
