edge, quota: seeds that the settings name later take effect at once

Cause: the membership and the quotas took the seeds of the start. A reload changed only the settings, which the reading path alone looks at again. Nodes that left are contacted only if they are listed, so seeds that restart and the rest of the fleet never met.

Change: Node::reload passes new seeds to the membership (Input::SeedsChanged) and to the quotas' view; all other settings that may change were read at each use already (bounds, ratios, TTL, grace: looked through).

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -49,6 +49,7 @@
 use crate::reply::LocalReply;
 use crate::startup::{self, StartupWait};
 use crate::state::SharedState;
+use crate::Settings;
 
 /// A connection that was idle for less than this is assumed to be open at its upstream. Some
 /// upstreams drop idle connections after 0.3 s; a request between zones takes 2 ms to arrive.
@@ -161,6 +162,25 @@
         }
     }
 
+    /// Applies the settings that may change while the process runs, see [`State::reload`](crate::state::State::reload).
+    pub fn reload(&self, settings: Settings) {
+        let seeds_before = {
+            let state = &mut *self.state.borrow_mut();
+            let seeds_before = state.settings.seed_addrs.clone();
+            state.reload(settings);
+            seeds_before
+        };
+        let state = self.state.borrow();
+        if state.settings.seed_addrs == seeds_before {
+            return;
+        }
+        trace::Line::new("seeds_changed")
+            .field("seeds", format!("{:?}", state.settings.seed_addrs))
+            .log();
+        self.quotas.set_seeds(&state.settings);
+        self.send_to_gossip(gossip::Input::SeedsChanged);
+    }
+
     /// Returns a connection to an upstream, an idle one or a new one.
     ///
     /// # Errors
--- a/crates/edge/src/forward/quarantined.rs
+++ b/crates/edge/src/forward/quarantined.rs
@@ -135,9 +135,14 @@
 
     /// Wakes the membership task to broadcast updates.
     pub(crate) fn wake_gossip(&self) {
+        self.send_to_gossip(gossip::Input::UpdatesPending);
+    }
+
+    /// Sends an input to the membership task, if it has started.
+    pub(super) fn send_to_gossip(&self, input: gossip::Input) {
         if let Some(gossip) = self.gossip.get() {
             // The task ends only with the process.
-            let _ = gossip.send(gossip::Input::UpdatesPending);
+            let _ = gossip.send(input);
         }
     }
 }
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -10,7 +10,7 @@
 
 use crate::forward::Node;
 use crate::state::Peer;
-use crate::unix_ms;
+use crate::{unix_ms, Settings};
 
 /// Interval at which the membership state advances; well below its shortest timeout.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -27,6 +27,8 @@
     Tick,
     /// Findings about requests that crash upstreams, or notices of upstreams, wait to be broadcast.
     UpdatesPending,
+    /// The settings name other seeds than before.
+    SeedsChanged,
     /// This node is stopping.
     Leave,
 }
@@ -46,16 +48,17 @@
             member::Timing::default(),
             rand::rngs::SmallRng::from_os_rng(),
         );
-        let others = settings.seed_addrs.iter().filter(|addr| **addr != settings.peer_addr);
-        members.set_listed(others.map(|addr| (*addr, "".into())));
+        list_seeds(&mut members, settings);
         members
     };
     while let Some(input) = rx.recv().await {
         if apply_hints(&node, &input) || apply_path_claim(&node, &input) {
             continue;
         }
-        if matches!(input, Input::Tick) {
-            announce_paths(&socket, &node).await;
+        match input {
+            Input::Tick => announce_paths(&socket, &node).await,
+            Input::SeedsChanged => list_seeds(&mut members, &node.state.borrow().settings),
+            Input::Datagram(..) | Input::UpdatesPending | Input::Leave => {}
         }
         let (config_head, list_head, direct) = {
             let state = node.state.borrow();
@@ -94,6 +97,11 @@
     }
 }
 
+/// Has the membership contact the seeds of the settings until it knows them to be alive.
+fn list_seeds(members: &mut member::Members, settings: &Settings) {
+    members.set_listed(settings.seed_addrs.iter().map(|addr| (*addr, "".into())));
+}
+
 /// Tells a peer which services are silent, if there are any.
 async fn send_hints(socket: &UdpSocket, node: &Node, to: SocketAddr) {
     let hints = crate::silent_services::hints(&mut node.state.borrow_mut());
@@ -195,7 +203,7 @@
 fn handle(members: &mut member::Members, input: Input, now: Instant) -> Vec<member::Outgoing> {
     match input {
         Input::Tick => members.tick(now),
-        Input::UpdatesPending => Vec::new(),
+        Input::UpdatesPending | Input::SeedsChanged => Vec::new(),
         Input::Datagram(from, bytes) => match wire::Packet::decode(&bytes) {
             Ok(packet) => members.receive(from, packet, now),
             Err(err) => {
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -100,11 +100,10 @@
     /// Creates the state of a node that holds no tokens.
     pub fn new(settings: &Settings) -> Quotas {
         let me = settings.quota_addr.unwrap_or(settings.peer_addr);
-        let seeds = settings.seed_addrs.iter().filter(|_| settings.quota_addr.is_some());
-        let seeds = seeds.map(|addr| quota_addr_of(*addr));
         let rng = rand::rngs::SmallRng::from_os_rng();
+        let core = quota::Node::new(me, seeds(settings), settings.quota_bounds, rng);
         Quotas {
-            core: RefCell::new(quota::Node::new(me, seeds, settings.quota_bounds, rng)),
+            core: RefCell::new(core),
             socket: OnceCell::new(),
             waiters: RefCell::default(),
             applied_version: Cell::new(None),
@@ -113,6 +112,11 @@
         }
     }
 
+    /// Replaces the seeds by those of the settings.
+    pub(crate) fn set_seeds(&self, settings: &Settings) {
+        self.core.borrow_mut().set_seeds(seeds(settings));
+    }
+
     /// Returns the node's part in the quotas of teams.
     pub fn status(&self, now: Instant) -> Status {
         let core = self.core.borrow();
@@ -424,6 +428,12 @@
     state.peers.is_empty() && settings.seed_addrs.iter().any(|addr| *addr != settings.peer_addr)
 }
 
+/// Returns the addresses for quotas of the seeds. A node without a socket asks none.
+fn seeds(settings: &Settings) -> impl Iterator<Item = SocketAddr> + '_ {
+    let seeds = settings.seed_addrs.iter().filter(|_| settings.quota_addr.is_some());
+    seeds.map(|addr| quota_addr_of(*addr))
+}
+
 /// Returns the address for quotas of the node with this peer address.
 fn quota_addr_of(peer_addr: SocketAddr) -> SocketAddr {
     SocketAddr::new(peer_addr.ip(), peer_addr.port().wrapping_add(1))
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -314,7 +314,7 @@
 
     /// Applies the settings that may change while the process runs. Names and the node's own
     /// addresses may not change: sockets are bound to them and peers know the node by them.
-    pub fn reload(&mut self, settings: Settings) {
+    pub(crate) fn reload(&mut self, settings: Settings) {
         let own = &mut self.settings;
         own.seed_addrs = settings.seed_addrs;
         own.config_bound = settings.config_bound;
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -152,6 +152,11 @@
         }
     }
 
+    /// Replaces the seeds.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.view = self.view.with_seeds(seeds);
+    }
+
     /// Changes how far quotas may be exceeded.
     pub fn set_bounds(&mut self, bounds: Bounds) {
         self.ledger.set_bounds(bounds);
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -55,7 +55,7 @@
 pub struct View {
     me: SocketAddr,
     phase: Phase,
-    /// Hashes and addresses of the nodes that all nodes know from their start.
+    /// Hashes and addresses of the nodes that the settings of all nodes name.
     seeds: Vec<(u64, SocketAddr)>,
     /// All nodes, this one included.
     members: Vec<Member>,
@@ -66,9 +66,15 @@
 impl View {
     /// Returns the view of the node `me` that knows nobody but `seeds`.
     pub fn at_start(me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>) -> View {
+        let (phase, members, alive) = (Phase::Starting, Vec::new(), Vec::new());
+        let view = View { me, phase, seeds: Vec::new(), members, alive };
+        view.with_seeds(seeds).with_peers([], phase)
+    }
+
+    /// Returns the view with other seeds.
+    pub fn with_seeds(&self, seeds: impl IntoIterator<Item = SocketAddr>) -> View {
         let seeds = seeds.into_iter().map(|addr| (hash_of(&addr), addr)).collect();
-        View { me, phase: Phase::Starting, seeds, members: Vec::new(), alive: Vec::new() }
-            .with_peers([], Phase::Starting)
+        View { seeds, ..self.clone() }
     }
 
     /// Returns the view of a node that knows `peers`.
