member: nodes that died or left are remembered and found again without seeds

Only listed nodes were contacted while unreachable, so a healed partition or a node that came back stayed apart for good, each part with the whole quotas, if the seeds were gone.

Change: one ping in 16 goes to a remembered peer that is dead or has left; an isolated node tries these as often as its listed ones; and the sender of a packet that counts as dead is told so at once, which it refutes.

tests::a_healed_partition_merges_again_without_seeds and a_restarted_node_is_found_without_seeds failed on the code before. A fleet without dead members sends what it sent before, in the same order.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -43,6 +43,12 @@
 /// node sends the first packet.
 const PINGS_PER_RECONNECT: u32 = 4;
 
+/// On average, one in this many pings goes to a peer that died or left, listed or not, if there is
+/// one.
+///
+/// The listed nodes may all be gone when a partition heals, or when a node that left comes back.
+const PINGS_PER_REMEMBERED_PEER_PING: u32 = 16;
+
 /// On average, one in this many pings goes to another zone, if there are peers in the own zone.
 ///
 /// Traffic between zones is billed. With targets chosen regardless of zone, four fifths of the
@@ -343,6 +349,7 @@
         for update in &packet.members {
             self.merge_update(update, now);
         }
+        out.extend(self.notice_of_death(from));
         for report in &packet.health_reports {
             if report.watcher != self.local.addr && self.health_reports.merge(*report, now) {
                 self.queue.push_health_report(*report);
@@ -439,6 +446,14 @@
         is_new_incarnation
     }
 
+    /// Returns a packet that tells the sender of a packet that it counts as dead or left, so that it
+    /// refutes this. Without it, the parts of a healed partition would meet pair by pair.
+    fn notice_of_death(&self, sender: SocketAddr) -> Option<Outgoing> {
+        let peer = self.peers.get(&sender).filter(|peer| peer.standing >= Standing::Dead)?;
+        let members = vec![member_update(sender, peer)];
+        Some(Outgoing { to: sender, packet: Packet { members, ..self.bare_packet() } })
+    }
+
     /// Merges one membership update: the higher (incarnation, standing) wins.
     fn merge_update(&mut self, update: &MemberUpdate, now: Instant) {
         if update.addr == self.local.addr {
@@ -589,26 +604,35 @@
     /// Chooses the target of the next ping.
     ///
     /// Every reachable peer of the own zone, and of the other zones, has its turn once per round,
-    /// in random order. Now and then the target is a listed node that is dead or unknown.
+    /// in random order. Now and then the target is an unreachable node.
     fn next_ping_target(&mut self) -> Option<SocketAddr> {
-        let (peers, rng) = (&self.peers, &mut self.rng);
-        let unreachable = self
-            .listed
-            .keys()
-            .filter(|addr| peers.get(addr).is_none_or(|p| p.standing >= Standing::Dead))
-            .copied()
-            .choose(rng);
-        let is_isolated = peers.values().all(|p| p.standing >= Standing::Dead);
-        match unreachable {
-            Some(addr) if is_isolated || rng.random_ratio(1, PINGS_PER_RECONNECT) => {
-                return Some(addr)
-            }
-            _ => {}
+        if let Some(target) = self.unreachable_ping_target() {
+            return Some(target);
         }
         let same_zone = !self.rng.random_ratio(1, PINGS_PER_CROSS_ZONE_PING);
         self.next_in_round(same_zone).or_else(|| self.next_in_round(!same_zone))
     }
 
+    /// Returns an unreachable node if it is the turn of one: a listed node that is dead or unknown, or
+    /// a remembered one that died or left.
+    fn unreachable_ping_target(&mut self) -> Option<SocketAddr> {
+        let (peers, rng) = (&self.peers, &mut self.rng);
+        let is_unreachable = |peer: &Peer| peer.standing >= Standing::Dead;
+        let is_isolated = peers.values().all(is_unreachable);
+        let listed = self.listed.keys().filter(|addr| peers.get(addr).is_none_or(is_unreachable));
+        let remembered = peers.iter().filter(|(_, peer)| is_unreachable(peer));
+        if is_isolated {
+            return listed.copied().chain(remembered.map(|(addr, _)| *addr)).choose(rng);
+        }
+        let (listed, remembered) =
+            (listed.copied().choose(rng), remembered.map(|(addr, _)| *addr).choose(rng));
+        match (listed, remembered) {
+            (Some(addr), _) if rng.random_ratio(1, PINGS_PER_RECONNECT) => Some(addr),
+            (_, Some(addr)) if rng.random_ratio(1, PINGS_PER_REMEMBERED_PEER_PING) => Some(addr),
+            _ => None,
+        }
+    }
+
     /// Returns the next peer of the round in the own zone (`same_zone`) or in the other zones.
     fn next_in_round(&mut self, same_zone: bool) -> Option<SocketAddr> {
         let mut round = std::mem::take(if same_zone {
--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -293,6 +293,57 @@
     network.assert_standings(|_| ALIVE);
 }
 
+/// Time within which the parts of a fleet must have met again.
+const RECOVERY_TIME: Duration = Duration::from_secs(15);
+
+/// Returns `count` nodes that list only the first three as seeds, which are gone for good.
+fn network_without_seeds(count: usize, seed: u64) -> Network {
+    let mut network = Network::new(count, seed);
+    network.run(Duration::from_secs(5));
+    for node in &mut network.nodes {
+        node.members.set_listed((0..3).map(|seed| (addr(seed), "z0".into())));
+    }
+    network.nodes[..3].iter_mut().for_each(|node| node.running = false);
+    network.run(Duration::from_secs(10));
+    network
+}
+
+/// Guards against halves that stay separate after a partition heals because no listed node is left:
+/// the seeds have been replaced, and the settings are stale.
+#[test]
+fn a_healed_partition_merges_again_without_seeds() {
+    let mut network = network_without_seeds(11, 7);
+    network.cut_links = (3..7).flat_map(|a| (7..11).map(move |b| (a, b))).collect();
+    network.run(Duration::from_secs(10));
+    assert_eq!(network.standing_of(3, 7), Some(Standing::Dead));
+    network.cut_links.clear();
+    network.run(RECOVERY_TIME);
+    let expected = |of| if of < 3 { Standing::Dead } else { Standing::Alive };
+    for at in 3..11 {
+        for of in (0..11).filter(|of| *of != at) {
+            assert_eq!(network.standing_of(at, of), Some(expected(of)), "{of} at {at}");
+        }
+    }
+}
+
+/// Guards against a restarted node that stays alone because the seeds of its settings are gone: the
+/// others remember that it left.
+#[test]
+fn a_restarted_node_is_found_without_seeds() {
+    let mut network = network_without_seeds(9, 8);
+    let out = network.nodes[5].members.leave();
+    network.send(5, out);
+    network.run(Duration::from_secs(6));
+    assert_eq!(network.standing_of(4, 5), Some(Standing::Left));
+    network.restart(5, false);
+    network.nodes[5].members.set_listed((0..3).map(|seed| (addr(seed), "z0".into())));
+    network.run(RECOVERY_TIME);
+    for other in (3..9).filter(|other| *other != 5) {
+        assert_eq!(network.standing_of(other, 5), Some(Standing::Alive), "at {other}");
+        assert_eq!(network.standing_of(5, other), Some(Standing::Alive), "{other}");
+    }
+}
+
 /// Guards against callers that are sent to a node for seconds after its planned stop: without an
 /// announcement, peers notice only by missed pings.
 #[test]
