--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -197,15 +197,15 @@
         count_read(&node, &read);
         let pause = match read {
             Ok(batch) => {
-                record_success(&node, topic, failures);
                 let is_first_read = cursor.is_none();
                 let changed = !batch.events.is_empty() && cursor.is_some() && failures == 0;
-                failures = 0;
                 let as_of = match is_long_poll {
                     true => long_poll.as_of(Instant::now(), batch.events.is_empty()),
                     false => requested_at,
                 };
                 node.state.borrow_mut().renew_lease(topic, as_of, Instant::now());
+                record_success(&node, topic, failures);
+                failures = 0;
                 // Recorded before the batch is applied: frames to subscribers carry the position.
                 let batch = without_stale_evacuations(&node, topic, batch);
                 if record_progress(&node, topic, batch.cursor, batch.newest) {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -240,6 +240,8 @@
     pub list_progress: ReadProgress,
     /// Requests handled since the lease on the configuration expired; 0 while it is valid.
     handled_since_expiry: u64,
+    /// Part of these that were handled by a configuration older than its bound.
+    handled_past_bound: u64,
     /// Number of store rollbacks detected in either topic. The platform was restored from an older
     /// copy each time, and its most recent writes were lost.
     pub store_rollbacks: u32,
@@ -297,6 +299,7 @@
             config_progress: ReadProgress::default(),
             list_progress: ReadProgress::default(),
             handled_since_expiry: 0,
+            handled_past_bound: 0,
             store_rollbacks: 0,
             peers: BTreeMap::new(),
             started_at: Instant::now(),
@@ -406,7 +409,7 @@
     /// Records that everything of a topic up to `as_of` is known. Logs the end of a time in which the
     /// lease had expired.
     pub fn renew_lease(&mut self, topic: Topic, as_of: Instant, now: Instant) {
-        let before = self.progress(topic).lease;
+        let ReadProgress { lease: before, last_read, .. } = *self.progress(topic);
         self.progress_mut(topic).lease.renew(as_of);
         let Some(age) = before.age(now) else { return };
         if before.is_valid(self.staleness_bound(topic), now) || !self.is_fresh(topic, now) {
@@ -420,7 +423,10 @@
                 self.relay_peer.map_or_else(|| "platform".to_owned(), |p| p.to_string()),
             );
         match topic {
-            Topic::Config => line.field("requests", std::mem::take(&mut self.handled_since_expiry)),
+            Topic::Config => line
+                .field("requests", std::mem::take(&mut self.handled_since_expiry))
+                .field("past_bound", std::mem::take(&mut self.handled_past_bound))
+                .field("last_read", format!("{last_read:?}")),
             Topic::Upstreams => line,
         }
         .log();
@@ -432,6 +438,9 @@
         if self.table.is_some() && !self.is_fresh(Topic::Config, now) {
             self.counters.on_expired_config += 1;
             self.handled_since_expiry += 1;
+            let age = self.config_progress.lease.age(now);
+            let is_past_bound = age.is_some_and(|age| age >= self.settings.config_bound.duration());
+            self.handled_past_bound += u64::from(is_past_bound);
         }
     }
 
