lease, edge, oatcoved: one failed read does not keep outdated data in use

What callers saw (CONFIG): requests run by a service that only an older version allows, later than the bound, at a few nodes of a zone whose reader had lost a connection.

Cause: a request on data older than its bound waits for the read that is under way, unless the last read failed: then the platform does not serve the node, and there is nothing better. One failure counted as that, whatever it was: a connection that ended, one that was not accepted in time, a call among those of a whole zone. A node of a large fleet then paused (up to 2.8 s of 141 nodes, 4.2 s of 210) and used its data meanwhile, at any age, unless news of a peer came first. A timeout was the same.

Change: lease::Reads counts failed reads in sequence. Two show that the platform does not serve this node; after one, data beyond its bound is not used, and the second read follows within 0.2 s, whatever the pause of a large fleet, and without waiting for the list's. The own interface had the same: a single failed poll; its polls go through the same type.

edge::tests::expired_leases::one_failed_read_does_not_keep_an_outdated_configuration_in_use (3 cases) failed before. Tests that set the last read now record two, and check that one is not enough.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lease::LastRead;
+use lease::{LastRead, Reads};
 use quick_error::quick_error;
 use rand::Rng;
 
@@ -248,23 +248,16 @@
             }
             Err(err) => {
                 record_failure(&node, topic, failures, requested_at, &err);
-                node.state.borrow_mut().progress_mut(topic).last_read = last_read_of(&err);
                 drop_subscribers(&node, topic, requested_at);
                 failures += 1;
-                let backoff = RETRY_BACKOFF.0 * (1 << failures.min(MAX_BACKOFF_DOUBLINGS));
                 let max_backoff = readers::max_retry_backoff(&node.state.borrow(), RETRY_BACKOFF.1);
-                // Nodes with a long maximum start with it: a short outage is over before they
-                // would have tried five times.
-                with_jitter(if max_backoff > RETRY_BACKOFF.1 {
-                    max_backoff
-                } else {
-                    backoff.min(max_backoff)
-                })
+                with_jitter(backoff(node.state.borrow().progress(topic).reads, max_backoff))
             }
         };
         sleep_unless_behind(&node, topic, pause).await;
         // A delay of zero means that the platform probably responds.
-        if failures > 0 && !pause.is_zero() && topic == Topic::Config {
+        let has_retried = failures > 1;
+        if has_retried && !pause.is_zero() && topic == Topic::Config {
             wait_for_other_topic(&node).await;
         }
     }
@@ -423,6 +416,19 @@
     rolled_back
 }
 
+/// Returns the pause after the failed reads `reads`.
+///
+/// The second read follows soon, whatever the maximum: one failure shows little, and data that grows
+/// too old meanwhile may not be used. Nodes with a long maximum continue with it: a short outage is
+/// over before they would have tried five times.
+fn backoff(reads: Reads, max_backoff: Duration) -> Duration {
+    match reads.failed_in_sequence() {
+        0 | 1 => RETRY_BACKOFF.0,
+        _ if max_backoff > RETRY_BACKOFF.1 => max_backoff,
+        failed => (RETRY_BACKOFF.0 * (1 << failed.min(MAX_BACKOFF_DOUBLINGS))).min(max_backoff),
+    }
+}
+
 /// Spreads the calls of many nodes that failed at the same moment.
 fn with_jitter(pause: Duration) -> Duration {
     pause.mul_f64(rand::rng().random_range(0.6..1.2))
@@ -435,6 +441,7 @@
     requested_at: Instant,
     err: &SourceError,
 ) {
+    node.state.borrow_mut().progress_mut(topic).reads.record(last_read_of(err));
     if topic == Topic::Upstreams {
         node.state.borrow_mut().roster.store_lost(requested_at);
     }
@@ -463,7 +470,7 @@
 }
 
 fn record_success(node: &Node, topic: Topic, failures: u32) {
-    node.state.borrow_mut().progress_mut(topic).last_read = LastRead::Answered;
+    node.state.borrow_mut().progress_mut(topic).reads.record(LastRead::Answered);
     if topic == Topic::Upstreams {
         let state = &mut *node.state.borrow_mut();
         state.roster.store_answered(Instant::now());
--- a/crates/edge/src/relay/subscribe.rs
+++ b/crates/edge/src/relay/subscribe.rs
@@ -240,7 +240,7 @@
 fn renew_lease(state: &mut State, topic: Topic, queried_at: Instant, age: Option<Duration>) {
     let as_of = age.and_then(|age| queried_at.checked_sub(age));
     as_of.into_iter().for_each(|as_of| state.renew_lease(topic, as_of, Instant::now()));
-    state.progress_mut(topic).last_read = lease::LastRead::Answered;
+    state.progress_mut(topic).reads.record(lease::LastRead::Answered);
 }
 
 /// Sends freshness queries to the peer periodically; returns when the connection fails.
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -105,8 +105,8 @@
     pub has_read: bool,
     /// When the node last knew that there was nothing newer.
     pub lease: lease::Lease,
-    /// How the last attempt to read the platform ended.
-    pub last_read: lease::LastRead,
+    /// How the latest attempts to read the platform ended.
+    pub reads: lease::Reads,
 }
 
 /// Counters since start.
@@ -409,7 +409,7 @@
     /// Records that everything of a topic up to `as_of` is known. Logs the end of a time in which the
     /// lease had expired.
     pub fn renew_lease(&mut self, topic: Topic, as_of: Instant, now: Instant) {
-        let ReadProgress { lease: before, last_read, .. } = *self.progress(topic);
+        let ReadProgress { lease: before, reads, .. } = *self.progress(topic);
         self.progress_mut(topic).lease.renew(as_of);
         let Some(age) = before.age(now) else { return };
         if before.is_valid(self.staleness_bound(topic), now) || !self.is_fresh(topic, now) {
@@ -426,7 +426,7 @@
             Topic::Config => line
                 .field("requests", std::mem::take(&mut self.handled_since_expiry))
                 .field("past_bound", std::mem::take(&mut self.handled_past_bound))
-                .field("last_read", format!("{last_read:?}")),
+                .field("last_read", format!("{:?}", reads.last())),
             Topic::Upstreams => line,
         }
         .log();
@@ -446,11 +446,11 @@
 
     /// Returns true if requests may be handled by what was read of a topic.
     pub fn is_usable(&self, topic: Topic, now: Instant) -> bool {
-        let ReadProgress { lease, last_read, .. } = *self.progress(topic);
+        let ReadProgress { lease, reads, .. } = *self.progress(topic);
         let (age, bound) = (lease.age(now), self.staleness_bound(topic));
         // Looks at all peers, which requests on recent data are spared.
         let is_behind = age.is_some_and(|age| age >= bound.duration()) && self.is_behind(topic);
-        lease::Knowledge { age, bound, last_read, is_behind }.is_usable()
+        lease::Knowledge { age, bound, reads, is_behind }.is_usable()
     }
 
     /// Returns true when both topics were read, from the platform or from a peer.
--- a/crates/edge/src/tests/expired_leases.rs
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -1,6 +1,8 @@
 //! Requests at a node that cannot tell whether its configuration is the newest.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +12,7 @@
 use super::fake::{
     get, ms, ok_response, run, start, table_with_version_route, Caller, EntryNode, Upstream,
 };
+use super::fleet::serving;
 use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
 use crate::history::Cursor;
 
@@ -25,6 +28,10 @@
 /// Interval at which a caller sends requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Number of peers in a large fleet, of which one node pauses for up to four seconds after a failed
+/// read.
+const PEERS: u8 = 209;
+
 /// A platform whose responses are in transit for a while. Each version has a route of its own.
 #[derive(Clone, Default)]
 struct SlowPlatform {
@@ -36,6 +43,8 @@
     silent_polls: Rc<Cell<u32>>,
     /// Rejects every call.
     rejects: Rc<Cell<bool>>,
+    /// How the next calls fail, each after a time.
+    failures: Rc<RefCell<VecDeque<(Duration, SourceError)>>>,
 }
 
 impl SlowPlatform {
@@ -51,7 +60,12 @@
         Batch { events: vec![Event::Config(table)], cursor: newest, newest }
     }
 
-    fn check(&self) -> Result<(), SourceError> {
+    async fn check(&self) -> Result<(), SourceError> {
+        let failure = self.failures.borrow_mut().pop_front();
+        if let Some((after, error)) = failure {
+            monoio::time::sleep(after).await;
+            return Err(error);
+        }
         match self.rejects.get() {
             true => Err(SourceError::Unavailable("status 503".into())),
             false => Ok(()),
@@ -61,7 +75,7 @@
 
 impl Source for SlowPlatform {
     async fn snapshot(&self, _topic: Topic) -> Result<Batch, SourceError> {
-        self.check()?;
+        self.check().await?;
         let batch = self.batch();
         monoio::time::sleep(self.transit_time.get()).await;
         Ok(batch)
@@ -74,7 +88,7 @@
         long_poll_timeout: Duration,
         grace: Duration,
     ) -> Result<Batch, SourceError> {
-        self.check()?;
+        self.check().await?;
         self.polled.set(self.polled.get() || long_poll_timeout >= MIN_FULL_POLL);
         let started_at = Instant::now();
         if self.silent_polls.get() > 0 {
@@ -113,7 +127,7 @@
 /// Sends requests on the route of `version` from `from` to `until`, and returns how long after
 /// `from` each was sent and the status of its response.
 async fn ask_for_route(
-    addr: std::net::SocketAddr,
+    addr: SocketAddr,
     version: route::Version,
     from: Instant,
     until: Instant,
@@ -184,6 +198,56 @@
     });
 }
 
+/// Guards against requests that are handled by an older version, since one failed read of a node in a
+/// large fleet counts as evidence that the platform does not serve it: its connection ended, or its
+/// call was one of too many at that moment. The node pauses for seconds after a failure.
+#[yare::parameterized(
+    connection_closed = { ms(5), SourceError::Unavailable("connection closed".into()), ms(2_000) },
+    busy = { ms(5), SourceError::Unavailable("status 503".into()), ms(2_000) },
+    silent = { ms(1_000), SourceError::TimedOut, ms(3_000) },
+)]
+fn one_failed_read_does_not_keep_an_outdated_configuration_in_use(
+    failed_after: Duration,
+    error: SourceError,
+    served_from: Duration,
+) {
+    run(async {
+        let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
+        let entry_node = start(&[&upstream]);
+        let platform = SlowPlatform::of_version(7);
+        let now = Instant::now();
+        {
+            let state = &mut *entry_node.node.state.borrow_mut();
+            state.apply_table(table_with_version_route(7, ClientLimits::default()));
+            let peers = (1..=PEERS).map(|n| SocketAddr::from(([10, 0, 0, n], 7_600)));
+            state.peers.extend(peers.map(|peer| (peer, serving("a"))));
+            state.config_progress.has_read = true;
+            state.config_progress.up_to = 7;
+            state.list_progress.has_read = true;
+            state.reads_directly = false;
+            state.renew_lease(Topic::Config, now, now);
+            // The list stays up to date.
+            state.renew_lease(Topic::Upstreams, now + ms(10_000), now);
+        }
+        monoio::spawn(follow::run(platform.clone(), Topic::Config, entry_node.node.clone()));
+        platform.version.set(9);
+        platform.failures.borrow_mut().push_back((failed_after, error));
+        let node = entry_node.node.clone();
+        let lease_ttl = node.state.borrow().settings.config_bound.lease_ttl();
+        monoio::spawn(async move {
+            monoio::time::sleep(lease_ttl + ms(50)).await;
+            // The peer that it reads through cannot tell either.
+            node.state.borrow_mut().reads_directly = true;
+        });
+        let responses = ask_for_route(entry_node.addr, 9, now + BOUND, now + ms(3_500)).await;
+        assert_eq!(handled_by_older(&responses), [], "{responses:?}");
+        let (served_from, is_served) =
+            (served_from - BOUND, |(_, status): &&(Duration, u16)| *status == 200);
+        let first_served = responses.iter().find(is_served).map(|(at, _)| *at);
+        assert!(first_served.is_some_and(|at| at <= served_from + ms(200)), "{responses:?}");
+    });
+}
+
 /// Guards against a lease that outlasts what is known: a response with one change is in transit for
 /// long, a second change follows right behind the first, and the next long poll goes silent.
 #[test]
@@ -236,9 +300,14 @@
         let response = ask().await;
         assert_eq!((response.status, upstream.runs()), (503, 0));
         assert!(response.headers.contains_key("retry-after"));
-        node.state.borrow_mut().progress_mut(Topic::Upstreams).last_read = LastRead::Rejected;
+        let record = |ended: LastRead| {
+            node.state.borrow_mut().progress_mut(Topic::Upstreams).reads.record(ended);
+        };
+        record(LastRead::Rejected);
+        assert_eq!(ask().await.status, 503, "one failed read shows nothing");
+        record(LastRead::Rejected);
         assert_eq!(ask().await.status, 200, "there is no better list");
-        node.state.borrow_mut().progress_mut(Topic::Upstreams).last_read = LastRead::Answered;
+        record(LastRead::Answered);
         let renewing = async {
             monoio::time::sleep(ms(50)).await;
             node.state.borrow_mut().renew_lease(Topic::Upstreams, Instant::now(), Instant::now());
--- a/crates/edge/src/tests/teams.rs
+++ b/crates/edge/src/tests/teams.rs
@@ -259,7 +259,7 @@
             let progress = &mut entry_node.node.state.borrow_mut().config_progress;
             progress.lease = lease::Lease::default();
             progress.lease.renew(outdated_at);
-            progress.last_read = lease::LastRead::Rejected;
+            (0..2).for_each(|_| progress.reads.record(lease::LastRead::Rejected));
         }
         for request in [get("/get/1", "1"), post("2")] {
             let request = with_headers(&request, lines);
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -14,7 +14,7 @@
 
 use std::time::{Duration, Instant};
 
-pub use self::knowledge::{Knowledge, LastRead};
+pub use self::knowledge::{Knowledge, LastRead, Reads};
 
 /// Shortest bound that can be met. Below it, nodes would query the platform and each other all the
 /// time.
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -66,7 +66,7 @@
 /// a peer renew no lease, since it is not known how old they were when the peer read them.
 fn record_poll(view: &mut View, requested_at: Instant, succeeded: bool) {
     // Of a failed poll it is not told whether the platform rejected it.
-    view.last_config_poll = if succeeded { LastRead::Answered } else { LastRead::TimedOut };
+    view.config_polls.record(if succeeded { LastRead::Answered } else { LastRead::TimedOut });
     if succeeded {
         view.config_lease.renew(requested_at);
     }
--- a/crates/oatcoved/src/proxy/tests/outdated.rs
+++ b/crates/oatcoved/src/proxy/tests/outdated.rs
@@ -25,10 +25,13 @@
         assert!(response.headers().contains_key("retry-after"));
         assert_eq!(node.view.borrow().counters.refused_outdated, 1);
 
-        node.view.borrow_mut().last_config_poll = LastRead::TimedOut;
+        let record = |ended: LastRead| node.view.borrow_mut().config_polls.record(ended);
+        record(LastRead::TimedOut);
+        assert_eq!(outcome(&ask().await), "not-run", "one failed poll shows nothing");
+        record(LastRead::TimedOut);
         assert_eq!(outcome(&ask().await), "done", "the platform is unavailable");
 
-        node.view.borrow_mut().last_config_poll = LastRead::Answered;
+        record(LastRead::Answered);
         let polling = async {
             monoio::time::sleep(Duration::from_millis(50)).await;
             node.view.borrow_mut().config_lease.renew(Instant::now());
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -105,8 +105,8 @@
     pub config_head: proto::Version,
     /// When the config of this node was last known to be the newest.
     pub config_lease: lease::Lease,
-    /// How the last poll of the platform for config ended.
-    pub last_config_poll: lease::LastRead,
+    /// How the latest polls of the platform for config ended.
+    pub config_polls: lease::Reads,
     /// Upstream pools by service.
     pub pools: HashMap<SmolStr, balance::Pool>,
     /// Live entry VMs of the VM list.
@@ -151,7 +151,7 @@
             templates: HashMap::new(),
             config_head: 0,
             config_lease: lease::Lease::default(),
-            last_config_poll: lease::LastRead::default(),
+            config_polls: lease::Reads::default(),
             pools: HashMap::new(),
             entries: Vec::new(),
             vms: Default::default(),
@@ -236,7 +236,7 @@
         let knowledge = lease::Knowledge {
             age: self.config_lease.age(now),
             bound: lease::StalenessBound::new(bound),
-            last_read: self.last_config_poll,
+            reads: self.config_polls,
             is_behind: self.peers.values().any(is_ahead),
         };
         knowledge.is_usable()
