edge, site: a reader whose long poll ends with its connection repeats it before it drops its subscribers

What set off the users' late configurations, by the one line of their record: a reader's call ended with a closed connection. It then told all of its subscribers to look elsewhere, 46 to 69 nodes, which turn to the other readers and, as their data is up to 1.5 s old amid changes, read the store themselves within half a second.

Change: SourceError::ConnectionLost tells an ended connection from a rejected call. A long poll that ends so is repeated at once on a new connection, as one that goes silent is already; only if that fails too are the subscribers dropped.

edge::tests::relay::readers_keep_their_subscribers_when_a_connection_to_the_platform_ends fails without it (both subscribers of five nodes lost their reader).

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -121,6 +121,10 @@
         Unavailable(message: String) {
             display("unavailable: {}", message)
         }
+        /// The connection ended before the response.
+        ConnectionLost(message: String) {
+            display("unavailable: {}", message)
+        }
         /// The long poll was cancelled: peers have seen changes that it did not deliver.
         Behind {
             display("behind other entry nodes")
@@ -236,8 +240,8 @@
                 cursor = None;
                 with_jitter(RETRY_BACKOFF.0)
             }
-            // Only this connection may have gone silent: a new one shows whether the platform
-            // responds.
+            // Only this connection may have gone silent or ended: a new one shows whether the
+            // platform responds.
             Err(err)
                 if is_long_poll
                     && requested_at.elapsed() >= long_poll.timeout() + bound.long_poll_grace() =>
@@ -246,6 +250,11 @@
                 failures += 1;
                 Duration::ZERO
             }
+            Err(err @ SourceError::ConnectionLost(_)) if is_long_poll => {
+                record_failure(&node, topic, failures, Instant::now(), &err);
+                failures += 1;
+                Duration::ZERO
+            }
             Err(err) => {
                 record_failure(&node, topic, failures, requested_at, &err);
                 drop_subscribers(&node, topic, requested_at);
@@ -457,6 +466,7 @@
     match err {
         SourceError::TimedOut => LastRead::TimedOut,
         SourceError::Unavailable(_)
+        | SourceError::ConnectionLost(_)
         | SourceError::Behind
         | SourceError::HistoryGone
         | SourceError::BadResponse(_) => LastRead::Rejected,
--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -77,6 +77,8 @@
     pub silent: Rc<Cell<bool>>,
     /// When incremented, all long polls in flight go silent for good, without an error.
     pub stalls: Rc<Cell<u32>>,
+    /// When incremented, the connections of all long polls in flight end.
+    pub closes: Rc<Cell<u32>>,
     /// Does not respond to requests for the list of upstreams.
     pub list_is_silent: Rc<Cell<bool>>,
     /// Rejects every call, and long polls in flight.
@@ -128,6 +130,7 @@
     ) -> Result<Batch, SourceError> {
         self.long_polls.set(self.long_polls.get() + 1);
         let (started_at, stalls) = (Instant::now(), self.stalls.get());
+        let closes = self.closes.get();
         let rejected = || Err(SourceError::Unavailable("status 503".into()));
         if self.rejects.get() {
             return rejected();
@@ -144,6 +147,9 @@
                 .await;
                 return Err(SourceError::Unavailable("timed out".into()));
             }
+            if self.closes.get() > closes {
+                return Err(SourceError::ConnectionLost("connection closed".into()));
+            }
             if self.rejects.get() {
                 return rejected();
             }
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -377,6 +377,28 @@
     });
 }
 
+/// Guards against hundreds of nodes that read the platform at the same moment, since the platform ended
+/// one connection of the node that reads it for them.
+#[test]
+fn readers_keep_their_subscribers_when_a_connection_to_the_platform_ends() {
+    run(async {
+        let platform = platform();
+        let nodes = fleet(&platform);
+        monoio::time::sleep(ms(2_000)).await;
+        let relay_peers = || -> Vec<Option<SocketAddr>> {
+            nodes.iter().map(|node| node.state.borrow().relay_peer).collect()
+        };
+        let (before, snapshots) = (relay_peers(), platform.snapshots.get());
+        assert!(before.iter().flatten().count() > 0, "some nodes read through others");
+        platform.closes.set(1);
+        monoio::time::sleep(ms(20)).await;
+        platform.config.set(9);
+        monoio::time::sleep(ms(300)).await;
+        assert_eq!((relay_peers(), platform.snapshots.get()), (before, snapshots));
+        assert!(nodes.iter().all(|node| node.state.borrow().config_version() == 9));
+    });
+}
+
 /// Guards against most nodes considering themselves behind and reading the platform whenever
 /// upstreams warm up. An upstream writes its remaining warm-up time; readers tell each other the
 /// newest change that they have read. Subscribers must get that position too, although
