edge: a node that was alone grants no tokens of quotas until it knows the others

A start has a time of discovery for this; the end of isolation had none. It is 3.5 s now, as at the first start of a fleet.

tests::quotas::a_node_that_was_alone_grants_nothing_until_it_knows_the_others failed before (200 for 503).

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -25,6 +25,9 @@
 /// Maximum length of a datagram in bytes; longer ones are truncated and rejected.
 const MAX_DATAGRAM_BYTES: usize = quota::MAX_MESSAGE_BYTES + 1;
 
+/// Time after which a node that was isolated knows its peers: all may have been, and meet at once.
+const DISCOVERY_TIME: Duration = Duration::from_millis(3_500);
+
 /// Pause after an error of the socket.
 const ERROR_PAUSE: Duration = Duration::from_millis(100);
 
@@ -54,6 +57,8 @@
     waiters: RefCell<HashMap<Seq, oneshot::Sender<Answer>>>,
     /// Version of the configuration whose quotas were applied last.
     applied_version: Cell<Option<route::Version>>,
+    /// When the node last was isolated.
+    isolated_at: Cell<Option<Instant>>,
     lines: Cell<LineBudget>,
     /// Teams that have a label of their own in the metrics. A team keeps it, as its values would
     /// seem to fall otherwise.
@@ -107,6 +112,7 @@
             socket: OnceCell::new(),
             waiters: RefCell::default(),
             applied_version: Cell::new(None),
+            isolated_at: Cell::new(None),
             lines: Cell::new(LineBudget { since: Instant::now(), logged: 0, left_out: 0 }),
             labelled: RefCell::default(),
         }
@@ -117,6 +123,21 @@
         self.core.borrow_mut().set_seeds(seeds(settings));
     }
 
+    /// Returns how well the node knows its peers. One that was isolated may know few of them.
+    fn phase(&self, state: &State, now: Instant) -> Phase {
+        if !readers::knows_peers(state, now) {
+            return Phase::Starting;
+        }
+        if is_isolated(state) {
+            self.isolated_at.set(Some(now));
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < DISCOVERY_TIME;
+        match self.isolated_at.get().is_some_and(is_recent) {
+            true => Phase::Isolated,
+            false => Phase::Ready,
+        }
+    }
+
     /// Returns the node's part in the quotas of teams.
     pub fn status(&self, now: Instant) -> Status {
         let core = self.core.borrow();
@@ -398,11 +419,7 @@
         }
         let mut core = node.quotas.core.borrow_mut();
         core.set_bounds(state.settings.quota_bounds);
-        let phase = match readers::knows_peers(&state, now) {
-            false => Phase::Starting,
-            true if is_isolated(&state) => Phase::Isolated,
-            true => Phase::Ready,
-        };
+        let phase = node.quotas.phase(&state, now);
         let has_new_peers = core.apply_peers(members(&state), phase);
         if has_new_peers || node.quotas.applied_version.get() != Some(table.version) {
             core.apply_teams(&table.teams, now);
--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -20,6 +20,9 @@
 /// A rate at which no token is added during a test.
 const NO_RATE: f64 = 0.001;
 
+/// Time after which a node that was alone knows its peers.
+const DISCOVERY_TIME: Duration = Duration::from_millis(3_600);
+
 /// Time after its start at which a node knows its peers.
 const UPTIME: Duration = Duration::from_secs(60);
 
@@ -572,3 +575,25 @@
         assert!(times[1] < times[0], "{times:?}");
     });
 }
+
+/// Guards against teams that get several times their rate while nodes that were alone meet: each pair
+/// takes itself for the whole fleet.
+#[test]
+fn a_node_that_was_alone_grants_nothing_until_it_knows_the_others() {
+    run(async {
+        let upstream = serving_upstream();
+        let socket = UdpSocket::bind(quota_addr(19, 1)).expect("binds");
+        let entry = start_with(socket, &[&upstream], (19, 1), &[], Teams::default()).0;
+        entry.node.state.borrow_mut().settings.seed_addrs = vec![peer_addr(19, 9)];
+        apply(&entry, 3, teams("north", 100.0, 10.0));
+        assert_eq!(ask(&entry, "alone").await.status, 503);
+        let met_at = Instant::now();
+        // It is dead, so that all shards are this node's.
+        let peer = crate::state::Peer { standing: wire::Standing::Dead, ..serving("a") };
+        entry.node.state.borrow_mut().peers.insert(peer_addr(19, 2), peer);
+        quotas::housekeeping(&entry.node, met_at);
+        assert_eq!(ask(&entry, "just met").await.status, 503);
+        quotas::housekeeping(&entry.node, met_at + DISCOVERY_TIME);
+        assert_eq!(ask(&entry, "met").await.status, 200);
+    });
+}
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -44,7 +44,8 @@
     /// It has just started and may know few of them. It owns nothing, but seeds grant tokens to
     /// nodes whose owners have just started too.
     Starting,
-    /// It has met none of them, although there are some. It owns nothing.
+    /// It has met none of them, although there are some, or the first one a moment ago. It owns
+    /// nothing.
     Isolated,
     /// It knows them.
     Ready,
