edge, member, site: nodes that reach none of their seeds find each other at the platform

Change: a node that has reached no other for two seconds registers its peer address in the table oatcove-nodes and contacts all that are registered, for a minute. member::Isolation (pure) decides when, at growing intervals. Of two nodes that do so, the later one finds the earlier. Nodes with a seed in reach make no calls.

process::seeds::nodes_meet_although_their_seeds_are_gone fails without the task (not within 10 s). In the tests of seeds that change, the platform rejects all calls from then on, so that the nodes cannot meet by this.

--- a/crates/edge/src/forward/quarantined.rs
+++ b/crates/edge/src/forward/quarantined.rs
@@ -139,7 +139,7 @@
     }
 
     /// Sends an input to the membership task, if it has started.
-    pub(super) fn send_to_gossip(&self, input: gossip::Input) {
+    pub(crate) fn send_to_gossip(&self, input: gossip::Input) {
         if let Some(gossip) = self.gossip.get() {
             // The task ends only with the process.
             let _ = gossip.send(input);
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -1,5 +1,6 @@
 //! The task that owns the membership socket and state.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,9 @@
 /// Maximum length of a datagram in bytes; longer ones are truncated and rejected.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
+/// Time for which nodes that were found at the platform are contacted.
+const CONTACTS_TTL: Duration = Duration::from_secs(60);
+
 /// Inputs of the membership task from other tasks.
 #[derive(Debug)]
 pub enum Input {
@@ -29,6 +33,8 @@
     UpdatesPending,
     /// The settings name other seeds than before.
     SeedsChanged,
+    /// These nodes may be reachable where the seeds are not.
+    Contacts(Vec<SocketAddr>),
     /// This node is stopping.
     Leave,
 }
@@ -39,6 +45,7 @@
     monoio::spawn(read(socket.clone(), tx.clone()));
     monoio::spawn(tick(tx.clone()));
     node.set_gossip_sender(tx);
+    let mut contacts = Contacts::default();
     let mut members = {
         let settings = &node.state.borrow().settings;
         let mut members = member::Members::new(
@@ -48,7 +55,7 @@
             member::Timing::default(),
             rand::rngs::SmallRng::from_os_rng(),
         );
-        list_seeds(&mut members, settings);
+        contacts.list(&mut members, settings);
         members
     };
     while let Some(input) = rx.recv().await {
@@ -56,8 +63,17 @@
             continue;
         }
         match input {
-            Input::Tick => announce_paths(&socket, &node).await,
-            Input::SeedsChanged => list_seeds(&mut members, &node.state.borrow().settings),
+            Input::Tick => {
+                announce_paths(&socket, &node).await;
+                if contacts.expire(Instant::now()) {
+                    contacts.list(&mut members, &node.state.borrow().settings);
+                }
+            }
+            Input::SeedsChanged => contacts.list(&mut members, &node.state.borrow().settings),
+            Input::Contacts(ref addrs) => {
+                contacts.add(addrs, Instant::now());
+                contacts.list(&mut members, &node.state.borrow().settings);
+            }
             Input::Datagram(..) | Input::UpdatesPending | Input::Leave => {}
         }
         let (config_head, list_head, direct) = {
@@ -97,9 +113,37 @@
     }
 }
 
-/// Has the membership contact the seeds of the settings until it knows them to be alive.
-fn list_seeds(members: &mut member::Members, settings: &Settings) {
-    members.set_listed(settings.seed_addrs.iter().map(|addr| (*addr, "".into())));
+/// Nodes to contact besides the seeds.
+///
+/// They stay for a while after the node has met some of them: the others may have met each other
+/// only.
+#[derive(Default)]
+struct Contacts {
+    addrs: BTreeSet<SocketAddr>,
+    added_at: Option<Instant>,
+}
+
+impl Contacts {
+    fn add(&mut self, addrs: &[SocketAddr], now: Instant) {
+        self.addrs.extend(addrs);
+        self.added_at = Some(now);
+    }
+
+    /// Forgets the nodes once they were added long ago; returns true if there were any.
+    fn expire(&mut self, now: Instant) -> bool {
+        let is_old = |at: Instant| now.saturating_duration_since(at) >= CONTACTS_TTL;
+        let expires = self.added_at.is_some_and(is_old);
+        if expires {
+            *self = Contacts::default();
+        }
+        expires
+    }
+
+    /// Has the membership contact these nodes and the seeds until it knows them to be alive.
+    fn list(&self, members: &mut member::Members, settings: &Settings) {
+        let addrs = settings.seed_addrs.iter().chain(&self.addrs);
+        members.set_listed(addrs.map(|addr| (*addr, "".into())));
+    }
 }
 
 /// Tells a peer which services are silent, if there are any.
@@ -203,7 +247,7 @@
 fn handle(members: &mut member::Members, input: Input, now: Instant) -> Vec<member::Outgoing> {
     match input {
         Input::Tick => members.tick(now),
-        Input::UpdatesPending | Input::SeedsChanged => Vec::new(),
+        Input::UpdatesPending | Input::SeedsChanged | Input::Contacts(_) => Vec::new(),
         Input::Datagram(from, bytes) => match wire::Packet::decode(&bytes) {
             Ok(packet) => members.receive(from, packet, now),
             Err(err) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod quotas;
 pub mod readers;
 pub mod record;
+pub mod registry;
 pub mod relay;
 pub mod reply;
 pub mod serve;
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod findings;
 mod health_reports;
+mod isolation;
 mod notices;
 mod queue;
 
@@ -30,6 +31,8 @@
 use smol_str::SmolStr;
 use wire::{Body, HealthReport, Incarnation, MemberUpdate, Packet, PingSeq, Sender, Standing};
 
+pub use crate::isolation::Isolation;
+
 use crate::health_reports::HealthReports;
 use crate::queue::BroadcastQueue;
 
