--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -162,7 +162,8 @@
         }
     }
 
-    /// Applies the settings that may change while the process runs, see [`State::reload`](crate::state::State::reload).
+    /// Applies the settings that may change while the process runs: all but names and the node's own
+    /// addresses.
     pub fn reload(&self, settings: Settings) {
         let seeds_before = {
             let state = &mut *self.state.borrow_mut();
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -242,6 +242,7 @@
         node.record_path_response();
         let mut decoder = h1::Decoder::new(head.framing);
         let echoed = exchange::echoed_id(&head.headers, &names);
+        let is_own = echoed.is_none();
         match echoed {
             None => node.apply_signals(upstream, head.status, &head.headers, None),
             Some(id) => {
@@ -253,7 +254,6 @@
                     .log();
             }
         }
-        let is_own = echoed.is_none();
         while reader.body_piece(&mut decoder).await?.is_some() {}
         if is_own {
             return Ok((head, had_mismatched));
--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -441,8 +441,7 @@
 /// Returns true if the node was started beside others and has met none of them: it cannot tell
 /// what it may grant.
 fn is_isolated(state: &State) -> bool {
-    let settings = &state.settings;
-    state.peers.is_empty() && settings.seed_addrs.iter().any(|addr| *addr != settings.peer_addr)
+    state.peers.is_empty() && state.has_other_seeds()
 }
 
 /// Returns the addresses for quotas of the seeds. A node without a socket asks none.
--- a/crates/edge/src/registry.rs
+++ b/crates/edge/src/registry.rs
@@ -32,7 +32,7 @@
     let mut isolation = member::Isolation::default();
     loop {
         monoio::time::sleep(CHECK_INTERVAL).await;
-        let is_isolated = is_isolated(&node.state.borrow());
+        let is_isolated = reaches_no_node(&node.state.borrow());
         if !isolation.take_due_lookup(is_isolated, Instant::now()) {
             continue;
         }
@@ -59,8 +59,6 @@
 }
 
 /// Returns true if the settings name other nodes and this node reaches none.
-fn is_isolated(state: &State) -> bool {
-    let settings = &state.settings;
-    let has_seeds = settings.seed_addrs.iter().any(|addr| *addr != settings.peer_addr);
-    has_seeds && state.peers.values().all(|peer| peer.standing >= Standing::Dead)
+fn reaches_no_node(state: &State) -> bool {
+    state.has_other_seeds() && state.peers.values().all(|peer| peer.standing >= Standing::Dead)
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -341,6 +341,11 @@
         self.table.is_some() && !self.roster.is_empty() && self.stopping.is_none()
     }
 
+    /// Returns true if the settings name other nodes as seeds.
+    pub fn has_other_seeds(&self) -> bool {
+        self.settings.seed_addrs.iter().any(|addr| *addr != self.settings.peer_addr)
+    }
+
     /// Returns the number of entry nodes that are alive or suspect, this one included.
     pub fn fleet_size(&self) -> usize {
         1 + self.peers.values().filter(|p| p.standing <= wire::Standing::Suspect).count()
--- a/crates/member/src/isolation.rs
+++ b/crates/member/src/isolation.rs
@@ -8,12 +8,11 @@
 /// Time for which a node waits for its seeds before it looks for others at the platform.
 const SEED_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Pause after the first lookup, which doubles with each further one up to the maximum.
+/// Pause after the first lookup, which doubles with each further one.
 const LOOKUP_BACKOFF: Duration = Duration::from_secs(1);
-const MAX_LOOKUP_BACKOFF: Duration = Duration::from_secs(8);
 
 /// Maximum number of times that the pause doubles.
-const MAX_DOUBLINGS: u32 = 3;
+const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
 /// How long a node has been isolated, and how often it has looked for others.
 #[derive(Clone, Copy, Debug, Default)]
@@ -33,8 +32,8 @@
         if *self.next_lookup_at.get_or_insert(now + SEED_TIMEOUT) > now {
             return false;
         }
-        let backoff = LOOKUP_BACKOFF * (1 << self.lookups.min(MAX_DOUBLINGS));
-        self.next_lookup_at = Some(now + backoff.min(MAX_LOOKUP_BACKOFF));
+        let backoff = LOOKUP_BACKOFF * (1 << self.lookups.min(MAX_BACKOFF_DOUBLINGS));
+        self.next_lookup_at = Some(now + backoff);
         self.lookups += 1;
         true
     }
