member: seeds that restart together are met within half a second

The parts met after a second or two by luck, and each granted the whole rate until then.

Cause: a restarted seed is found by one ping in four of each node; a node that heard of its return from a peer did not introduce itself, and its first contact exchanged no members, since the new incarnation was known by then.

Change: besides its regular ping a node pings a listed one that died or left, at about twelve nodes of the fleet per interval; about four of those that hear of a return send the returned node all live members. In a fleet without missing seeds and returns nothing is sent.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -26,7 +26,7 @@
 use notice::Notice;
 use quarantine::Finding;
 use rand::rngs::SmallRng;
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
 use rand::Rng;
 use smol_str::SmolStr;
 use wire::{Body, HealthReport, Incarnation, MemberUpdate, Packet, PingSeq, Sender, Standing};
@@ -60,6 +60,15 @@
 /// updates between zones, and does not change how often each node is pinged.
 const PINGS_PER_CROSS_ZONE_PING: u32 = 4;
 
+/// Number of nodes that ping a missing seed in each interval, besides their regular pings. A part of the
+/// fleet that has just started knows only its seeds, and must be found within half a second: until
+/// then both parts take themselves for the whole.
+const PINGS_TO_MISSING_SEEDS: f64 = 12.0;
+
+/// Number of nodes that send all they know of the fleet to a node which has come back, as soon as they
+/// hear of it.
+const INTRODUCTIONS: f64 = 4.0;
+
 /// Number of peers that are sent a newer head immediately, among those not known to have it.
 ///
 /// A peer that is behind then reads the change from the platform and notifies as many peers itself.
@@ -334,6 +343,7 @@
             if let Some(target) = self.next_ping_target() {
                 out.push(self.start_ping(target, now));
             }
+            out.extend(self.ping_missing_seed());
         }
         out
     }
@@ -350,7 +360,11 @@
         }
         let is_new_incarnation = self.record_sender(&packet.sender, now);
         for update in &packet.members {
+            let was_unreachable = self.is_unreachable(update.addr);
             self.merge_update(update, now);
+            if was_unreachable && !self.is_unreachable(update.addr) {
+                self.introduce_fleet_to(update.addr, &mut out);
+            }
         }
         out.extend(self.notice_of_death(from));
         for report in &packet.health_reports {
@@ -604,6 +618,40 @@
         }
     }
 
+    /// Returns a ping, besides the regular one, to a listed node that died or left. It may be back,
+    /// with others that know no more of this part of the fleet than it does.
+    fn ping_missing_seed(&mut self) -> Option<Outgoing> {
+        let missing: Vec<SocketAddr> =
+            self.listed.keys().copied().filter(|addr| self.is_unreachable(*addr)).collect();
+        let target = *missing.choose(&mut self.rng)?;
+        if !self.is_among(PINGS_TO_MISSING_SEEDS) {
+            return None;
+        }
+        let body = Body::Ping(self.take_seq());
+        let members = self.peers.get(&target).map(|peer| member_update(target, peer));
+        let members = members.into_iter().collect();
+        Some(Outgoing { to: target, packet: Packet { body, members, ..self.bare_packet() } })
+    }
+
+    /// Sends all live members to a node that has come back, as a peer says: it may not know this part
+    /// of the fleet.
+    fn introduce_fleet_to(&mut self, addr: SocketAddr, out: &mut Vec<Outgoing>) {
+        if !self.leaving && self.is_among(INTRODUCTIONS) {
+            self.send_full_state(addr, out);
+        }
+    }
+
+    /// Returns true with such a probability that it is true at about `count` nodes of the fleet.
+    fn is_among(&mut self, count: f64) -> bool {
+        let probability = count / self.reachable_peers().count().max(1) as f64;
+        self.rng.random_bool(probability.min(1.0))
+    }
+
+    /// Returns true for a known node that died or left.
+    fn is_unreachable(&self, addr: SocketAddr) -> bool {
+        self.standing(addr).is_some_and(|standing| standing >= Standing::Dead)
+    }
+
     /// Chooses the target of the next ping.
     ///
     /// Every reachable peer of the own zone, and of the other zones, has its turn once per round,
--- a/crates/member/src/tests.rs
+++ b/crates/member/src/tests.rs
@@ -344,6 +344,37 @@
     }
 }
 
+/// Time in which the parts of a fleet may each grant a whole quota: 75 requests of tolerance for a team of
+/// 100 per second.
+const MAX_SPLIT_TIME: Duration = Duration::from_millis(750);
+
+/// Guards against quotas that are granted twice: seeds that restart together know only each other, and
+/// the rest of the fleet must meet all of them at once.
+#[test]
+fn seeds_that_restart_together_are_met_at_once() {
+    for seed in 0..40 {
+        let mut network = network_without_seeds(13, seed);
+        let list = |node: &mut Node| {
+            node.members.set_listed((3..6).map(|seed| (addr(seed), "z0".into())));
+        };
+        network.nodes.iter_mut().for_each(list);
+        for index in 3..6 {
+            let out = network.nodes[index].members.leave();
+            network.send(index, out);
+        }
+        network.run(Duration::from_secs(5));
+        for index in 3..6 {
+            network.restart(index, false);
+            list(&mut network.nodes[index]);
+        }
+        network.run(MAX_SPLIT_TIME);
+        for (at, of) in (3..13).flat_map(|at| (3..13).map(move |of| (at, of))) {
+            let standing = network.standing_of(at, of);
+            assert!(at == of || standing == Some(Standing::Alive), "{of} at {at}: {standing:?}");
+        }
+    }
+}
+
 /// Guards against callers that are sent to a node for seconds after its planned stop: without an
 /// announcement, peers notice only by missed pings.
 #[test]
