quota, edge: a stopping node grants no tokens

Cause: a node that leaves was no member for the others, but for itself, and granted its own callers tokens of the shards that it had owned. Any planned stop of an owner does this, with or without a change of the seeds.

Change: Phase::Leaving. A stopping node is not among its members and asks the new owners; one that is alone goes on granting.

edge::tests::quotas::a_stopping_node_grants_no_tokens_of_its_own failed before (it owned a shard and asked for 5 of 6).

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -125,6 +125,9 @@
 
     /// Returns how well the node knows its peers. One that was isolated may know few of them.
     fn phase(&self, state: &State, now: Instant) -> Phase {
+        if state.stopping.is_some() && members(state).any(|member| member.is_alive) {
+            return Phase::Leaving;
+        }
         if !readers::knows_peers(state, now) {
             return Phase::Starting;
         }
--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -597,3 +597,37 @@
         assert_eq!(ask(&entry, "met").await.status, 200);
     });
 }
+
+/// Guards against teams that get more than their rate during planned stops: a stopping node serves its
+/// callers for seconds, and went on granting them tokens of shards that others had taken over.
+#[test]
+fn a_stopping_node_grants_no_tokens_of_its_own() {
+    run(async {
+        let upstream = serving_upstream();
+        let owner = FakeOwner::start(quota_addr(20, 2), Duration::ZERO, |_, seq| {
+            Some(Message::Grant { seq, tokens: 1 })
+        });
+        let entry = start(&[&upstream], (20, 1), &[2], teams("north", 100.0, 10.0));
+        assert!(entry.node.quotas.owned_count() > 0, "it owns some of the shards");
+        let now = Instant::now();
+        entry.node.state.borrow_mut().stopping =
+            Some(crate::state::Stopping { requested_at: now, exits_at: now + ms(5_000) });
+        quotas::housekeeping(&entry.node, now);
+        assert_eq!(statuses(&entry, 6).await, [200; 6]);
+        assert_eq!((entry.node.quotas.owned_count(), owner.count()), (0, 6));
+    });
+}
+
+/// Guards against refusals by the last node of a fleet while it stops.
+#[test]
+fn a_stopping_node_that_is_alone_grants_tokens() {
+    run(async {
+        let upstream = serving_upstream();
+        let entry = start_alone(21, &[&upstream], 100.0, 10.0);
+        let now = Instant::now();
+        entry.node.state.borrow_mut().stopping =
+            Some(crate::state::Stopping { requested_at: now, exits_at: now + ms(5_000) });
+        quotas::housekeeping(&entry.node, now);
+        assert_eq!(statuses(&entry, 1).await, [200]);
+    });
+}
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -49,6 +49,8 @@
     Isolated,
     /// It knows them.
     Ready,
+    /// It is stopping, and still serves: the others have taken over what it owned.
+    Leaving,
 }
 
 /// What one node knows about which nodes there are.
@@ -58,7 +60,7 @@
     phase: Phase,
     /// Hashes and addresses of the nodes that the settings of all nodes name.
     seeds: Vec<(u64, SocketAddr)>,
-    /// All nodes, this one included.
+    /// All nodes, this one included unless it is leaving.
     members: Vec<Member>,
     /// Addresses of the nodes that are alive, with their hashes.
     alive: Vec<(u64, SocketAddr)>,
@@ -80,9 +82,8 @@
 
     /// Returns the view of a node that knows `peers`.
     pub fn with_peers(&self, peers: impl IntoIterator<Item = Member>, phase: Phase) -> View {
-        let own = Member { addr: self.me, is_alive: true };
-        let members: Vec<Member> =
-            peers.into_iter().filter(|peer| peer.addr != self.me).chain([own]).collect();
+        let peers = peers.into_iter().filter(|peer| peer.addr != self.me);
+        let members: Vec<Member> = peers.chain(self.own_member(phase)).collect();
         let alive = members.iter().filter(|member| member.is_alive);
         let alive = alive.map(|member| (hash_of(&member.addr), member.addr)).collect();
         View { me: self.me, phase, seeds: self.seeds.clone(), members, alive }
@@ -90,11 +91,14 @@
 
     /// Returns true if the view is that of these peers.
     pub fn is_of(&self, peers: impl Iterator<Item = Member>, phase: Phase) -> bool {
-        let own = Member { addr: self.me, is_alive: true };
-        let peers = peers.filter(|peer| peer.addr != self.me).chain([own]);
+        let peers = peers.filter(|peer| peer.addr != self.me).chain(self.own_member(phase));
         self.phase == phase && peers.eq(self.members.iter().copied())
     }
 
+    fn own_member(&self, phase: Phase) -> Option<Member> {
+        (phase != Phase::Leaving).then_some(Member { addr: self.me, is_alive: true })
+    }
+
     /// Returns how well the node knows its peers.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -107,7 +111,7 @@
 
     /// Returns true if any node besides this one is in touch.
     pub fn has_peers_alive(&self) -> bool {
-        self.alive.len() > 1
+        self.alive.iter().any(|(_, addr)| *addr != self.me)
     }
 
     /// Returns the share of all known nodes that are in touch. An owner grants this share of the
@@ -117,7 +121,9 @@
     pub fn granted_ratio(&self) -> f64 {
         match self.phase {
             Phase::Starting => 1.0,
-            Phase::Isolated | Phase::Ready => self.alive.len() as f64 / self.members.len() as f64,
+            Phase::Isolated | Phase::Ready | Phase::Leaving => {
+                self.alive.len() as f64 / self.members.len() as f64
+            }
         }
     }
 
@@ -138,7 +144,7 @@
     pub fn is_owner(&self, team: &str, shard: Shard) -> bool {
         match self.phase {
             Phase::Starting => self.seed_owner(team, shard) == Some(self.me),
-            Phase::Isolated => false,
+            Phase::Isolated | Phase::Leaving => false,
             Phase::Ready => self.owners(team, shard).0 == self.me,
         }
     }
