--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -18,6 +18,7 @@
 mod isolation;
 mod notices;
 mod queue;
+mod reunion;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,7 +27,7 @@
 use notice::Notice;
 use quarantine::Finding;
 use rand::rngs::SmallRng;
-use rand::seq::{IndexedRandom, IteratorRandom, SliceRandom};
+use rand::seq::{IteratorRandom, SliceRandom};
 use rand::Rng;
 use smol_str::SmolStr;
 use wire::{Body, HealthReport, Incarnation, MemberUpdate, Packet, PingSeq, Sender, Standing};
@@ -39,19 +40,6 @@
 /// Number of peers that are asked to ping a peer that did not respond directly.
 const INDIRECT_PING_HELPERS: usize = 2;
 
-/// On average, one in this many pings goes to a listed node that is dead or unknown, if there is
-/// one.
-///
-/// Without these pings a healed partition stays split: each side considers the other dead, and no
-/// node sends the first packet.
-const PINGS_PER_RECONNECT: u32 = 4;
-
-/// On average, one in this many pings goes to a peer that died or left, listed or not, if there is
-/// one.
-///
-/// The listed nodes may all be gone when a partition heals, or when a node that left comes back.
-const PINGS_PER_REMEMBERED_PEER_PING: u32 = 16;
-
 /// On average, one in this many pings goes to another zone, if there are peers in the own zone.
 ///
 /// Traffic between zones is billed. With targets chosen regardless of zone, four fifths of the
@@ -60,15 +48,6 @@
 /// updates between zones, and does not change how often each node is pinged.
 const PINGS_PER_CROSS_ZONE_PING: u32 = 4;
 
-/// Number of nodes that ping a missing seed in each interval, besides their regular pings. A part of the
-/// fleet that has just started knows only its seeds, and must be found within half a second: until
-/// then both parts take themselves for the whole.
-const PINGS_TO_MISSING_SEEDS: f64 = 12.0;
-
-/// Number of nodes that send all they know of the fleet to a node which has come back, as soon as they
-/// hear of it.
-const INTRODUCTIONS: f64 = 4.0;
-
 /// Number of peers that are sent a newer head immediately, among those not known to have it.
 ///
 /// A peer that is behind then reads the change from the platform and notifies as many peers itself.
@@ -463,14 +442,6 @@
         is_new_incarnation
     }
 
-    /// Returns a packet that tells the sender of a packet that it counts as dead or left, so that it
-    /// refutes this. Without it, the parts of a healed partition would meet pair by pair.
-    fn notice_of_death(&self, sender: SocketAddr) -> Option<Outgoing> {
-        let peer = self.peers.get(&sender).filter(|peer| peer.standing >= Standing::Dead)?;
-        let members = vec![member_update(sender, peer)];
-        Some(Outgoing { to: sender, packet: Packet { members, ..self.bare_packet() } })
-    }
-
     /// Merges one membership update: the higher (incarnation, standing) wins.
     fn merge_update(&mut self, update: &MemberUpdate, now: Instant) {
         if update.addr == self.local.addr {
@@ -618,40 +589,6 @@
         }
     }
 
-    /// Returns a ping, besides the regular one, to a listed node that died or left. It may be back,
-    /// with others that know no more of this part of the fleet than it does.
-    fn ping_missing_seed(&mut self) -> Option<Outgoing> {
-        let missing: Vec<SocketAddr> =
-            self.listed.keys().copied().filter(|addr| self.is_unreachable(*addr)).collect();
-        let target = *missing.choose(&mut self.rng)?;
-        if !self.is_among(PINGS_TO_MISSING_SEEDS) {
-            return None;
-        }
-        let body = Body::Ping(self.take_seq());
-        let members = self.peers.get(&target).map(|peer| member_update(target, peer));
-        let members = members.into_iter().collect();
-        Some(Outgoing { to: target, packet: Packet { body, members, ..self.bare_packet() } })
-    }
-
-    /// Sends all live members to a node that has come back, as a peer says: it may not know this part
-    /// of the fleet.
-    fn introduce_fleet_to(&mut self, addr: SocketAddr, out: &mut Vec<Outgoing>) {
-        if !self.leaving && self.is_among(INTRODUCTIONS) {
-            self.send_full_state(addr, out);
-        }
-    }
-
-    /// Returns true with such a probability that it is true at about `count` nodes of the fleet.
-    fn is_among(&mut self, count: f64) -> bool {
-        let probability = count / self.reachable_peers().count().max(1) as f64;
-        self.rng.random_bool(probability.min(1.0))
-    }
-
-    /// Returns true for a known node that died or left.
-    fn is_unreachable(&self, addr: SocketAddr) -> bool {
-        self.standing(addr).is_some_and(|standing| standing >= Standing::Dead)
-    }
-
     /// Chooses the target of the next ping.
     ///
     /// Every reachable peer of the own zone, and of the other zones, has its turn once per round,
@@ -664,26 +601,6 @@
         self.next_in_round(same_zone).or_else(|| self.next_in_round(!same_zone))
     }
 
-    /// Returns an unreachable node if it is the turn of one: a listed node that is dead or unknown, or
-    /// a remembered one that died or left.
-    fn unreachable_ping_target(&mut self) -> Option<SocketAddr> {
-        let (peers, rng) = (&self.peers, &mut self.rng);
-        let is_unreachable = |peer: &Peer| peer.standing >= Standing::Dead;
-        let is_isolated = peers.values().all(is_unreachable);
-        let listed = self.listed.keys().filter(|addr| peers.get(addr).is_none_or(is_unreachable));
-        let remembered = peers.iter().filter(|(_, peer)| is_unreachable(peer));
-        if is_isolated {
-            return listed.copied().chain(remembered.map(|(addr, _)| *addr)).choose(rng);
-        }
-        let (listed, remembered) =
-            (listed.copied().choose(rng), remembered.map(|(addr, _)| *addr).choose(rng));
-        match (listed, remembered) {
-            (Some(addr), _) if rng.random_ratio(1, PINGS_PER_RECONNECT) => Some(addr),
-            (_, Some(addr)) if rng.random_ratio(1, PINGS_PER_REMEMBERED_PEER_PING) => Some(addr),
-            _ => None,
-        }
-    }
-
     /// Returns the next peer of the round in the own zone (`same_zone`) or in the other zones.
     fn next_in_round(&mut self, same_zone: bool) -> Option<SocketAddr> {
         let mut round = std::mem::take(if same_zone {
