--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -119,10 +119,16 @@
 
 /// Returns the name of a team whose only shard is owned by node 2 of a test, with node 1 next.
 fn team_of_node_2(test: u8) -> String {
+    team_of_node(test, 2)
+}
+
+/// Returns the name of a team whose first shard is owned by node `owner` of nodes 1 and 2 of a test.
+/// The addresses of the nodes, and so the owners of a given team, differ between test processes.
+fn team_of_node(test: u8, owner: u8) -> String {
     let member = |n| quota::Member { addr: quota_addr(test, n), is_alive: true };
     let view =
         quota::View::at_start(quota_addr(test, 1), []).with_peers([member(2)], quota::Phase::Ready);
-    let is_owned = |name: &String| view.owners(name, 0).0 == quota_addr(test, 2);
+    let is_owned = |name: &String| view.owners(name, 0).0 == quota_addr(test, owner);
     (0..).map(|n| format!("team{n}")).find(is_owned).expect("half of the names")
 }
 
@@ -607,7 +613,8 @@
         let owner = FakeOwner::start(quota_addr(20, 2), Duration::ZERO, |_, seq| {
             Some(Message::Grant { seq, tokens: 1 })
         });
-        let entry = start(&[&upstream], (20, 1), &[2], teams("north", 100.0, 10.0));
+        let teams = teams(&team_of_node(20, 1), 100.0, 10.0);
+        let entry = start(&[&upstream], (20, 1), &[2], teams);
         assert!(entry.node.quotas.owned_count() > 0, "it owns some of the shards");
         let now = Instant::now();
         entry.node.state.borrow_mut().stopping =
