edge: a line when a configuration is used beyond its bound, and how long a failed read took

lease_renewed tells of such a time only once it is over. outdated_in_use says at its start why the node went on: how the reads ended, how many failed, whether a peer is ahead. Nodes also remember when they last heard from each peer; nothing uses it yet.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -458,11 +458,12 @@
         trace::Line::new("store_lost")
             .field("topic", topic.name())
             .field("error", err.to_string())
+            .field("took_ms", crate::as_ms(requested_at.elapsed()))
             .log();
     }
 }
 
-fn last_read_of(err: &SourceError) -> LastRead {
+pub(crate) fn last_read_of(err: &SourceError) -> LastRead {
     match err {
         SourceError::TimedOut => LastRead::TimedOut,
         SourceError::Unavailable(_)
--- a/crates/edge/src/gossip.rs
+++ b/crates/edge/src/gossip.rs
@@ -59,6 +59,9 @@
         members
     };
     while let Some(input) = rx.recv().await {
+        if let Input::Datagram(from, _) = &input {
+            node.state.borrow_mut().record_heard_from(*from, Instant::now());
+        }
         if apply_hints(&node, &input) || apply_path_claim(&node, &input) {
             continue;
         }
@@ -275,6 +278,7 @@
                 config_head: 0,
                 list_head: 0,
                 heads_received: false,
+                heard_at: None,
             });
             peer.zone = zone;
             peer.standing = standing;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -58,6 +58,8 @@
     pub list_head: Cursor,
     /// Whether the peer itself has sent its heads to this node since the peer started.
     pub heads_received: bool,
+    /// When the peer's newest membership packet was received.
+    pub heard_at: Option<Instant>,
 }
 
 impl Peer {
@@ -446,9 +448,24 @@
             let age = self.config_progress.lease.age(now);
             let is_past_bound = age.is_some_and(|age| age >= self.settings.config_bound.duration());
             self.handled_past_bound += u64::from(is_past_bound);
+            if is_past_bound && self.handled_past_bound == 1 {
+                self.log_outdated_in_use(age);
+            }
         }
     }
 
+    /// Logs why the configuration is used beyond its bound, once until the lease is renewed.
+    fn log_outdated_in_use(&self, age: Option<Duration>) {
+        let reads = self.config_progress.reads;
+        trace::Line::new("outdated_in_use")
+            .field("config", self.config_version())
+            .field("config_age_ms", age.map(as_ms))
+            .field("last_read", format!("{:?}", reads.last()))
+            .field("failed_reads", reads.failed_in_sequence())
+            .field("is_behind", self.is_behind(Topic::Config))
+            .log();
+    }
+
     /// Returns true if requests may be handled by what was read of a topic.
     pub fn is_usable(&self, topic: Topic, now: Instant) -> bool {
         let ReadProgress { lease, reads, .. } = *self.progress(topic);
@@ -458,6 +475,13 @@
         lease::Knowledge { age, bound, reads, is_behind }.is_usable()
     }
 
+    /// Records that a membership packet of `peer` was received.
+    pub fn record_heard_from(&mut self, peer: SocketAddr, now: Instant) {
+        if let Some(peer) = self.peers.get_mut(&peer) {
+            peer.heard_at = Some(now);
+        }
+    }
+
     /// Returns true when both topics were read, from the platform or from a peer.
     pub fn has_read_all_topics(&self) -> bool {
         self.config_progress.has_read && self.list_progress.has_read
--- a/crates/edge/src/tests/budgets.rs
+++ b/crates/edge/src/tests/budgets.rs
@@ -18,7 +18,14 @@
     for n in 0..others {
         let addr = std::net::SocketAddr::from(([10, 0, 0, 1], n));
         let (zone, standing) = ("a".into(), Standing::Alive);
-        let peer = Peer { zone, standing, config_head: 1, list_head: 1, heads_received: true };
+        let peer = Peer {
+            zone,
+            standing,
+            config_head: 1,
+            list_head: 1,
+            heads_received: true,
+            heard_at: None,
+        };
         state.peers.insert(addr, peer);
     }
     state
--- a/crates/edge/src/tests/fleet.rs
+++ b/crates/edge/src/tests/fleet.rs
@@ -28,6 +28,7 @@
         config_head: 7,
         list_head: 7,
         heads_received: true,
+        heard_at: None,
     }
 }
 
@@ -71,6 +72,8 @@
     pub list_version: Rc<Cell<Cursor>>,
     pub long_polls: Rc<Cell<u32>>,
     pub snapshots: Rc<Cell<u32>>,
+    /// Part of these that read the configuration.
+    pub config_snapshots: Rc<Cell<u32>>,
     /// Long polls see no changes, and connections time out.
     pub partitioned: Rc<Cell<bool>>,
     /// Accepts calls and responds to none of them.
@@ -111,6 +114,9 @@
 impl Source for Platform {
     async fn snapshot(&self, topic: Topic) -> Result<Batch, SourceError> {
         self.snapshots.set(self.snapshots.get() + 1);
+        if topic == Topic::Config {
+            self.config_snapshots.set(self.config_snapshots.get() + 1);
+        }
         if self.silent.get() || (topic == Topic::Upstreams && self.list_is_silent.get()) {
             monoio::time::sleep(ms(1_000)).await;
             return Err(SourceError::Unavailable("timed out".into()));
--- a/crates/edge/src/tests/large_fleets.rs
+++ b/crates/edge/src/tests/large_fleets.rs
@@ -43,7 +43,14 @@
         let head = if heads_received { 7 } else { 0 };
         let standing = Standing::Alive;
         let zone = (*zone).into();
-        let peer = Peer { zone, standing, config_head: head, list_head: head, heads_received };
+        let peer = Peer {
+            zone,
+            standing,
+            config_head: head,
+            list_head: head,
+            heads_received,
+            heard_at: None,
+        };
         state.peers.insert(*addr, peer);
     }
     state
--- a/crates/edge/src/tests/node_state.rs
+++ b/crates/edge/src/tests/node_state.rs
@@ -28,7 +28,14 @@
 }
 
 fn peer(zone: &str, standing: Standing, config_head: Cursor) -> Peer {
-    Peer { zone: zone.into(), standing, config_head, list_head: 0, heads_received: true }
+    Peer {
+        zone: zone.into(),
+        standing,
+        config_head,
+        list_head: 0,
+        heads_received: true,
+        heard_at: None,
+    }
 }
 
 /// A simulated platform that counts snapshots. Its long polls hang while `hang` is set.
