--- a/crates/edge/src/tests/expired_leases.rs
+++ b/crates/edge/src/tests/expired_leases.rs
@@ -15,6 +15,7 @@
 use super::fleet::serving;
 use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
 use crate::history::Cursor;
+use crate::state::Peer;
 
 /// Time within which a configuration must be in force: the bound in the settings of these tests.
 const BOUND: Duration = Duration::from_millis(2_000);
@@ -316,3 +317,64 @@
         assert_eq!(response.status, 200, "a request waits for the read");
     });
 }
+
+/// Guards against requests that are handled by an older version for as long as a node's reads fail,
+/// although a peer that has a newer one is heard of all the time: the platform serves others.
+#[yare::parameterized(
+    silent = { SourceError::TimedOut },
+    rejected = { SourceError::Unavailable("status 429".into()) },
+)]
+fn failed_reads_do_not_keep_a_configuration_in_use_that_peers_have_replaced(error: SourceError) {
+    run(async {
+        let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
+        let entry_node = start(&[&upstream]);
+        let (now, peer) = (Instant::now(), SocketAddr::from(([10, 0, 0, 1], 7_600)));
+        let node = entry_node.node.clone();
+        {
+            let state = &mut *node.state.borrow_mut();
+            state.apply_table(table_with_version_route(7, ClientLimits::default()));
+            state.config_progress.up_to = 7;
+            state.renew_lease(Topic::Config, now, now);
+            state.renew_lease(Topic::Upstreams, now + ms(20_000), now);
+            state.peers.insert(peer, Peer { config_head: 9, ..serving("a") });
+        }
+        let last_read = follow::last_read_of(&error);
+        monoio::spawn(async move {
+            loop {
+                node.state.borrow_mut().record_heard_from(peer, Instant::now());
+                node.state.borrow_mut().progress_mut(Topic::Config).reads.record(last_read);
+                monoio::time::sleep(ms(100)).await;
+            }
+        });
+        let from = now + BOUND;
+        let responses = ask_for_route(entry_node.addr, 9, from, from + 2 * BOUND).await;
+        assert_eq!(handled_by_older(&responses), [], "{responses:?}");
+    });
+}
+
+/// Guards against a partitioned node that refuses its callers: it knows that peers had newer data,
+/// and hears from none of them any more.
+#[test]
+fn a_node_that_hears_from_no_peer_serves_by_what_it_holds() {
+    run(async {
+        let upstream = Upstream::start(vec![vec![ok_response("beans")]]);
+        let entry_node = start(&[&upstream]);
+        let (now, peer) = (Instant::now(), SocketAddr::from(([10, 0, 0, 1], 7_600)));
+        {
+            let state = &mut *entry_node.node.state.borrow_mut();
+            state.apply_table(table_with_version_route(7, ClientLimits::default()));
+            state.config_progress.up_to = 7;
+            state.renew_lease(Topic::Config, now, now);
+            state.renew_lease(Topic::Upstreams, now + ms(20_000), now);
+            state.peers.insert(peer, Peer { config_head: 9, ..serving("a") });
+            state.record_heard_from(peer, now);
+            (0..2).for_each(|_| {
+                state.progress_mut(Topic::Config).reads.record(LastRead::TimedOut);
+            });
+        }
+        let from = now + BOUND + ms(200);
+        let responses = ask_for_route(entry_node.addr, 7, from, from + ms(500)).await;
+        let refused: Vec<_> = responses.iter().filter(|(_, status)| *status != 200).collect();
+        assert!(refused.is_empty(), "{responses:?}");
+    });
+}
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -10,6 +10,7 @@
 use super::fleet::{
     addr, entry, platform, serving, start, state_at, wait_until_subscribed, Platform,
 };
+use crate::follow::Topic;
 use crate::forward::Node;
 use crate::history::Cursor;
 use crate::readers::{self, ReadPath};
@@ -447,3 +448,62 @@
         }
     });
 }
+
+/// Guards against nodes that stay behind although most others have the change: the platform rejects
+/// them, and the node that reads for their zone fails.
+#[test]
+fn a_node_whose_readers_fail_reads_through_any_peer_that_is_ahead() {
+    run(async {
+        let platform = platform();
+        let (ahead, ahead_at) = start(&platform);
+        let rejecting = Platform { rejects: Rc::default(), ..platform.clone() };
+        let node = start_behind_unreachable_readers(&rejecting);
+        {
+            let state = &mut *node.state.borrow_mut();
+            // The third of the zone by address, so that the peer that is ahead is no reader.
+            state.peers.insert(SocketAddr::from(([127, 0, 0, 1], 3)), serving("a"));
+            state.peers.insert(ahead_at, serving("a"));
+        }
+        monoio::time::sleep(ms(100)).await;
+        rejecting.rejects.set(true);
+        platform.config.set(9);
+        let since = Instant::now();
+        while since.elapsed() < ms(2_000) && node.state.borrow().config_version() < 9 {
+            {
+                let state = &mut *node.state.borrow_mut();
+                let head = ahead.state.borrow().config_progress.newest;
+                state.peers.get_mut(&ahead_at).expect("a peer").config_head = head;
+                state.record_heard_from(ahead_at, Instant::now());
+            }
+            monoio::time::sleep(ms(20)).await;
+        }
+        assert_eq!(node.state.borrow().config_version(), 9);
+    });
+}
+
+/// Guards against hundreds of nodes that read a large configuration at the same moment, since the
+/// node that reads for their zone has fallen silent: each knows the position up to which it has
+/// read, and nothing has changed since.
+#[test]
+fn a_node_that_loses_its_reader_asks_for_changes_of_the_configuration_only() {
+    run(async {
+        let platform = platform();
+        let reader = start(&platform);
+        monoio::time::sleep(ms(100)).await;
+        let own = Platform { config_snapshots: Rc::default(), ..platform.clone() };
+        let node = start_behind_unreachable_readers(&own);
+        node.state.borrow_mut().peers.insert(reader.1, serving("a"));
+        wait_until_subscribed(&node).await;
+        monoio::time::sleep(ms(200)).await;
+        let before = own.config_snapshots.get();
+        reader.0.subscribers.drop_all(true);
+        reader.0.state.borrow_mut().platform_reachable = false;
+        node.state.borrow_mut().reads_directly = true;
+        monoio::time::sleep(ms(1_000)).await;
+        assert_eq!(own.config_snapshots.get() - before, 0);
+        assert!(node.state.borrow().is_fresh(Topic::Config, Instant::now()));
+        platform.config.set(9);
+        monoio::time::sleep(ms(500)).await;
+        assert_eq!(node.state.borrow().config_version(), 9);
+    });
+}
