web, platform, store: a response that is arriving is not given up

What callers saw: requests run by the service of an older version at all nodes at once, or, if a configuration was large when the nodes started, no request served at all.

The node gave the response up while it arrived, began again from nothing, and took its own timeouts for a platform that does not answer, by which an outdated configuration may be used. Class: slowness taken for absence, and work begun again that never ends.

Now only the beginning of a response has a deadline; after that it is waited for while at least 4 KiB arrive each half second, ten seconds at most. A silent platform is noticed as soon as before.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -9,7 +9,7 @@
 
 use crate::proto;
 
-/// Timeout for connecting to the platform, and for one request to it.
+/// Timeout for connecting to the platform, and time within which its response to a request must begin.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 quick_error! {
@@ -157,7 +157,7 @@
             .header(http::header::HOST, self.addr.to_string())
             .body(body)
             .expect("request has a valid method, path and host");
-        let response = conn.send(request, CALL_TIMEOUT).await?;
+        let response = conn.send_for_large_response(request, CALL_TIMEOUT).await?;
         *self.conn.borrow_mut() = Some(conn).filter(web::Conn::is_reusable);
         Ok(response)
     }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,14 +1,20 @@
 //! HTTP/1.1 client connection.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use http::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use monoio::io::Splitable;
 use quick_error::quick_error;
 
+use crate::arrival::{self, Arrival};
 use crate::{h1, Request, Response, MAX_BODY_BYTES};
 
+/// Time for input that arrived while the event loop stalled to be received.
+const TURN_TIMEOUT: Duration = Duration::from_millis(1);
+
 quick_error! {
     /// Errors of connecting, or of sending a request and reading its response.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,7 +32,7 @@
         Http(message: String) {
             display("http error: {}", message)
         }
-        /// The timeout passed before the whole response arrived.
+        /// The timeout passed before the whole response arrived, or the response stopped arriving.
         Timeout {
             display("timed out")
         }
@@ -118,16 +124,41 @@
     /// [`Error::Send`] when writing fails, [`Error::Http`] when the response is malformed,
     /// too long or incomplete, and [`Error::Timeout`] when `timeout` passes first.
     pub async fn send(&mut self, request: Request, timeout: Duration) -> Result<Response, Error> {
-        // Reusable again once the whole response is received.
-        if !std::mem::replace(&mut self.is_reusable, false) {
-            return Err(Error::Connect("the connection cannot be used again".to_owned()));
-        }
+        self.begin_exchange()?;
         match crate::timeout(timeout, self.exchange(request)).await {
             Ok(result) => result,
             Err(_) => Err(Error::Timeout),
         }
     }
 
+    /// Same as [`Conn::send`] for a response that may be large: it must begin within `timeout`, and
+    /// is then received for as long as it arrives.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Conn::send`]; [`Error::Timeout`] when the response does not begin in time, stops
+    /// arriving, or arrives for too long.
+    pub async fn send_for_large_response(
+        &mut self,
+        request: Request,
+        timeout: Duration,
+    ) -> Result<Response, Error> {
+        self.begin_exchange()?;
+        let given_up = wait_until_given_up(self.reader.received(), timeout);
+        monoio::select! {
+            result = self.exchange(request) => result,
+            () = given_up => Err(Error::Timeout),
+        }
+    }
+
+    /// Makes the connection not reusable until a whole response is received.
+    fn begin_exchange(&mut self) -> Result<(), Error> {
+        match std::mem::replace(&mut self.is_reusable, false) {
+            true => Ok(()),
+            false => Err(Error::Connect("the connection cannot be used again".to_owned())),
+        }
+    }
+
     async fn exchange(&mut self, request: Request) -> Result<Response, Error> {
         let http_error = |err: h1::ReadError| Error::Http(err.to_string());
         let (parts, body) = request.into_parts();
@@ -156,5 +187,20 @@
     }
 }
 
+/// Returns once a response is no longer waited for that must begin within `timeout`.
+async fn wait_until_given_up(received: Rc<Cell<u64>>, timeout: Duration) {
+    let (sent_at, received_before) = (Instant::now(), received.get());
+    let mut arrival = Arrival::default();
+    let mut pause = timeout;
+    loop {
+        monoio::time::sleep(pause).await;
+        monoio::time::sleep(TURN_TIMEOUT).await;
+        if !arrival.continues(received.get() - received_before, sent_at.elapsed()) {
+            return;
+        }
+        pause = arrival::CHECK_INTERVAL;
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/web/src/client/tests.rs
+++ b/crates/web/src/client/tests.rs
@@ -62,3 +62,34 @@
         }
     });
 }
+
+/// Guards against a caller that gives up a large response while it arrives over a slow link, and
+/// against one that waits without end for a response that stops.
+#[yare::parameterized(
+    arrives = { 8, true },
+    stops = { 4, false },
+)]
+fn a_large_response_is_received_while_it_arrives(pieces: usize, is_whole: bool) {
+    const PIECE: [u8; 5_000] = [b'a'; 5_000];
+    crate::runtime().block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("address");
+        monoio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepts");
+            let (_, _) = stream.read(vec![0; 4_096]).await;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", 8 * PIECE.len());
+            stream.write_all(head.into_bytes()).await.0.expect("writes");
+            for _ in 0..pieces {
+                monoio::time::sleep(Duration::from_millis(200)).await;
+                stream.write_all(PIECE.to_vec()).await.0.expect("writes");
+            }
+            monoio::time::sleep(TIMEOUT).await;
+        });
+        let mut conn = Conn::connect(addr, TIMEOUT).await.expect("connects");
+        let request = http::Request::get("/").body(Bytes::new()).expect("request");
+        let result = conn.send_for_large_response(request, Duration::from_millis(300)).await;
+        let expected =
+            if is_whole { Ok(Bytes::from(PIECE.repeat(8))) } else { Err(Error::Timeout) };
+        assert_eq!(result.map(|response| response.into_body()), expected);
+    });
+}
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -1,9 +1,11 @@
 //! Buffered reading and writing of HTTP messages on the two halves of a TCP connection.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::pin::pin;
+use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
@@ -49,6 +51,8 @@
 pub struct Reader {
     half: OwnedReadHalf<TcpStream>,
     buf: BytesMut,
+    /// Number of bytes received since the connection was opened.
+    received: Rc<Cell<u64>>,
     receive_times: Option<ReceiveTimes>,
 }
 
@@ -93,7 +97,12 @@
 impl Reader {
     /// Creates a reader for a connection that has not been read from yet.
     pub fn new(half: OwnedReadHalf<TcpStream>) -> Reader {
-        Reader { half, buf: BytesMut::new(), receive_times: None }
+        Reader { half, buf: BytesMut::new(), received: Rc::default(), receive_times: None }
+    }
+
+    /// Returns the number of bytes received so far, which the reader goes on to update.
+    pub(crate) fn received(&self) -> Rc<Cell<u64>> {
+        self.received.clone()
     }
 
     /// Creates a reader, for a connection that has not been read from yet, that records receive
@@ -134,6 +143,7 @@
     pub async fn fill(&mut self) -> io::Result<bool> {
         let (result, scratch) = self.half.read(Vec::with_capacity(READ_BUFFER_BYTES)).await;
         let length = result?;
+        self.received.set(self.received.get() + length as u64);
         self.buf.extend_from_slice(&scratch[..length]);
         if let Some(receive_times) = &mut self.receive_times {
             receive_times.record(length, Instant::now());
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -6,6 +6,7 @@
 //! caller never receives the rest of another caller's response. After any error the connection is
 //! closed.
 
+mod arrival;
 mod client;
 mod connect;
 pub mod h1;
