edge: a node without a usable reader reads through any peer that is ahead

What callers saw: nodes that the platform rejects, or that cannot read it in time, stay behind although most others have the change: they ask readers only. Cause: readers::choose knew no others. Class: a role (reader) taken for the ability (having the data).

Now a node whose data may be outdated, and that has no usable reader, chooses among all peers that have newer data and were heard from within the bound, of its own zone first; a reader that is behind does so, too.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -74,6 +74,9 @@
 }
 
 impl Topic {
+    /// All topics.
+    pub const ALL: [Topic; 2] = [Topic::Config, Topic::Upstreams];
+
     pub(crate) fn name(self) -> &'static str {
         match self {
             Topic::Config => "config",
--- a/crates/edge/src/readers.rs
+++ b/crates/edge/src/readers.rs
@@ -4,9 +4,9 @@
 //! long-polls it. A few nodes per zone, the readers, do so; the others receive each change from
 //! one of these a few milliseconds later. The subscribers of a reader notice when it fails or falls
 //! behind ([`crate::follow::wait_until_behind`]). They connect to another reader and, if that
-//! fails too, read the platform themselves.
+//! fails too, read the platform themselves, and through any peer that has newer data.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 use wire::Standing;
 
+use crate::follow::Topic;
 use crate::state::State;
 use crate::Settings;
 
@@ -183,6 +184,25 @@
     !state.reads_directly && (state.has_read_all_topics() || state.settings.bootstrap)
 }
 
+/// Returns the peers to read through while no reader is usable and this node's data may be outdated:
+/// those that have newer data, of the own zone if there are any.
+///
+/// The load pattern: readers fail, or the platform rejects them, while it serves most other nodes.
+/// Each of the hundreds that are behind chooses among all that are ahead, so that none of these
+/// serves many.
+fn peers_ahead(state: &State, now: Instant) -> Vec<SocketAddr> {
+    let outdated = Topic::ALL.into_iter().filter(|topic| !state.is_fresh(*topic, now));
+    let ahead: BTreeSet<SocketAddr> =
+        outdated.flat_map(|topic| state.peers_ahead(topic, now)).collect();
+    let is_same_zone =
+        |addr: &SocketAddr| state.peers.get(addr).is_some_and(|p| p.zone == state.settings.zone);
+    let own_zone: Vec<SocketAddr> = ahead.iter().copied().filter(is_same_zone).collect();
+    match own_zone.is_empty() {
+        true => ahead.into_iter().collect(),
+        false => own_zone,
+    }
+}
+
 /// Chooses how this node reads the platform now; peers in `excluded` failed and are not used until
 /// the given time.
 ///
@@ -220,12 +240,16 @@
             let all = || by_zone.values().flatten().copied().filter(usable).collect();
             let own = by_zone.get(&state.settings.zone).into_iter().flatten();
             let own: Vec<SocketAddr> = own.copied().filter(usable).collect();
-            match is_reader {
+            let usable_readers: Vec<SocketAddr> = match is_reader {
                 false if own.is_empty() => all(),
                 false => own,
                 // The platform rejects this reader; another one may get responses.
                 true if is_unreachable => all(),
                 true => Vec::new(),
+            };
+            match usable_readers.is_empty() {
+                true => peers_ahead(state, now).into_iter().filter(usable).collect(),
+                false => usable_readers,
             }
         }
     };
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -63,6 +63,14 @@
 }
 
 impl Peer {
+    /// Returns the newest change of a topic that it has read.
+    pub fn head(&self, topic: Topic) -> Cursor {
+        match topic {
+            Topic::Config => self.config_head,
+            Topic::Upstreams => self.list_head,
+        }
+    }
+
     /// Returns true when the peer serves or may serve: it is alive and has not reported that it has
     /// no configuration.
     ///
@@ -410,7 +418,7 @@
 
     /// Returns true while what was read of both topics is within its staleness bound.
     pub fn is_all_fresh(&self, now: Instant) -> bool {
-        [Topic::Config, Topic::Upstreams].into_iter().all(|topic| self.is_fresh(topic, now))
+        Topic::ALL.into_iter().all(|topic| self.is_fresh(topic, now))
     }
 
     /// Records that everything of a topic up to `as_of` is known. Logs the end of a time in which the
@@ -489,11 +497,19 @@
 
     /// Returns true when a peer has read changes of a topic that this node has not.
     pub fn is_behind(&self, topic: Topic) -> bool {
-        let (up_to, head): (Cursor, fn(&Peer) -> Cursor) = match topic {
-            Topic::Config => (self.config_progress.up_to, |peer| peer.config_head),
-            Topic::Upstreams => (self.list_progress.up_to, |peer| peer.list_head),
+        let up_to = self.progress(topic).up_to;
+        self.peers.values().any(|peer| peer.head(topic) > up_to)
+    }
+
+    /// Returns the peers that have read changes of a topic that this node has not, and were heard
+    /// from within the topic's staleness bound. A partitioned node hears from none of them.
+    pub fn peers_ahead(&self, topic: Topic, now: Instant) -> impl Iterator<Item = SocketAddr> + '_ {
+        let (up_to, within) = (self.progress(topic).up_to, self.staleness_bound(topic).duration());
+        let is_ahead = move |peer: &Peer| {
+            let heard_ago = peer.heard_at.map(|at| now.saturating_duration_since(at));
+            peer.head(topic) > up_to && heard_ago.is_some_and(|ago| ago <= within)
         };
-        self.peers.values().any(|peer| head(peer) > up_to)
+        self.peers.iter().filter(move |(_, peer)| is_ahead(peer)).map(|(addr, _)| *addr)
     }
 
     /// Puts `table` in force; returns false when it is not newer than the current one.
