edge: a subscriber that has the configuration is not sent it again

When a reader fails, its subscribers turn to other readers, dozens to each, and each of these sent all of them the whole configuration: some 100 KB for 1,400 routes, by estimate. The greeting names the newest change that a subscriber has seen; if that is the sender's, it gets the evacuations and the position only.

--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -125,6 +125,14 @@
     node.subscribers.refer(greeting.peer_addr, &greeting.zone, Instant::now())
 }
 
+/// Returns true if the subscriber has the configuration of this node.
+///
+/// When a reader fails, its subscribers turn to others, dozens to each. A large configuration that
+/// they already have would occupy the link for seconds.
+fn has_config(state: &State, greeting: &Greeting) -> bool {
+    greeting.config_newest > 0 && greeting.config_newest == state.config_progress.newest
+}
+
 /// Waits briefly until this node's state may be relayed; returns false if it may not.
 async fn wait_until_relayable(node: &Node, greeting: &Greeting) -> bool {
     let _pending = node.subscribers.count_pending();
@@ -170,7 +178,10 @@
     // The current state and all later changes: without an await in between, no change is lost.
     let initial = {
         let state = node.state.borrow();
-        let mut bytes = encode(&Frame::config(&state));
+        let mut bytes = match has_config(&state, &greeting) {
+            true => Vec::new(),
+            false => encode(&Frame::config(&state)),
+        };
         bytes.extend_from_slice(&encode(&Frame::evacuated(&state)));
         bytes.extend_from_slice(&encode(&node.subscribers.list_frame(&state)));
         bytes.extend_from_slice(&encode(&Frame::ages(
--- a/crates/edge/src/tests/relay.rs
+++ b/crates/edge/src/tests/relay.rs
@@ -17,6 +17,9 @@
 use crate::relay;
 use crate::state::{Peer, State};
 
+/// Size of a large configuration, in bytes.
+const MIN_CONFIG_BYTES: u64 = 10_000;
+
 fn read_path(state: &mut State) -> ReadPath {
     readers::choose(state, &HashMap::new(), false, Instant::now())
 }
@@ -510,3 +513,35 @@
         assert_eq!(node.state.borrow().config_version(), 9);
     });
 }
+
+/// Returns teams that make a configuration larger than [`MIN_CONFIG_BYTES`].
+fn many_teams() -> team::Teams {
+    let team = |n: usize| team::Team {
+        name: format!("team-{n}").into(),
+        keys: vec![team::KeyDigest::of(&n.to_be_bytes())],
+        priority: 0,
+        quota: None,
+    };
+    team::Teams::new((0..MIN_CONFIG_BYTES as usize / 16).map(team).collect(), []).expect("valid")
+}
+
+/// Guards against a link that is occupied for seconds when a reader fails: its subscribers turn to
+/// others, and each is sent a large configuration that it has.
+#[test]
+fn a_subscriber_that_has_the_configuration_is_not_sent_it_again() {
+    run(async {
+        let platform = platform();
+        *platform.teams.borrow_mut() = many_teams();
+        let reader = start(&platform);
+        monoio::time::sleep(ms(100)).await;
+        let node = start_behind_unreachable_readers(&platform);
+        node.state.borrow_mut().peers.insert(reader.1, serving("a"));
+        wait_until_subscribed(&node).await;
+        let sent = reader.0.state.borrow().counters.relay_bytes;
+        reader.0.subscribers.drop_all(false);
+        monoio::time::sleep(ms(300)).await;
+        wait_until_subscribed(&node).await;
+        let sent_again = reader.0.state.borrow().counters.relay_bytes - sent;
+        assert!(sent_again > 0 && sent_again < MIN_CONFIG_BYTES, "{sent_again} bytes");
+    });
+}
