lease, edge, oatcoved: failed reads do not excuse outdated data while a peer that is heard from has newer

Cause: lease::Knowledge allowed data of any age once two reads in sequence had been rejected, and once they had timed out if no peer was ahead or the data was twice as old as the bound. It took the failure of one's own reads for the state of the platform; and heads of peers counted as news although nothing was heard from these peers any more, so that the second exception had to exist. Class: evidence about oneself taken for evidence about the other side.

Now old data is used while reads fail only if no peer that was heard from within the bound has newer data. A node that is cut off from peers and platform serves by what it has, as before, sooner.

old_data_is_used_only_while_there_is_no_better: the cases 'partitioned' (peers ahead, 4 s old: used) and 'rejected' (peers ahead: used) stated the exceptions that are wrong; in their place are cases for both ways in which reads fail, with peers ahead (never used) and without (used), up to a minute old.

--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -479,7 +479,8 @@
         let ReadProgress { lease, reads, .. } = *self.progress(topic);
         let (age, bound) = (lease.age(now), self.staleness_bound(topic));
         // Looks at all peers, which requests on recent data are spared.
-        let is_behind = age.is_some_and(|age| age >= bound.duration()) && self.is_behind(topic);
+        let is_past_bound = age.is_some_and(|age| age >= bound.duration());
+        let is_behind = is_past_bound && self.peers_ahead(topic, now).next().is_some();
         lease::Knowledge { age, bound, reads, is_behind }.is_usable()
     }
 
--- a/crates/lease/src/knowledge.rs
+++ b/crates/lease/src/knowledge.rs
@@ -3,16 +3,14 @@
 //! The load pattern: whatever a node reads through goes silent, its lease expires, and the node reads
 //! the platform itself. That read outlasts the bound where hundreds of nodes read at once, the link
 //! is slow, the data is large, or the node gets little processor time. Requests keep arriving
-//! meanwhile, and routes that were dropped or moved must not be used for them.
+//! meanwhile, and routes that were dropped or moved must not be used for them. Failed reads alone do
+//! not tell a platform that is unavailable from a node that is slow; peers do: while one that this
+//! node hears from has newer data, the platform is available.
 
 use std::time::Duration;
 
 use crate::StalenessBound;
 
-/// Multiple of the bound after which a node whose reads time out uses its data even though peers have
-/// newer data.
-const MAX_BEHIND_FACTOR: u32 = 2;
-
 /// Number of reads that must fail in sequence before they show that the platform does not serve this
 /// node. A single one may be due to its connection, or to many nodes that read at the same moment.
 const MIN_FAILED_READS: u32 = 2;
@@ -74,17 +72,15 @@
     pub bound: StalenessBound,
     /// How the latest attempts to read the platform ended.
     pub reads: Reads,
-    /// Whether a peer has newer data.
+    /// Whether a peer that was heard from lately has newer data. A partitioned node hears from none.
     pub is_behind: bool,
 }
 
 impl Knowledge {
     /// Returns true if requests may be handled by the data.
     ///
-    /// Data within the bound may be used. Older data may be used while the platform is unavailable,
-    /// as there is nothing better. A node whose reads timed out while a peer has newer data may only
-    /// be slow; one that gets that data from nobody is partitioned, and serves its callers as it
-    /// can.
+    /// Data within the bound may be used. Older data may be used while reads fail and no peer is known
+    /// to have newer data, as there is nothing better.
     pub fn is_usable(self) -> bool {
         let bound = self.bound.duration();
         match (self.age, self.reads.evidence()) {
@@ -92,8 +88,7 @@
             (None, _) => true,
             (Some(age), _) if age < bound => true,
             (Some(_), LastRead::Answered) => false,
-            (Some(_), LastRead::Rejected) => true,
-            (Some(age), LastRead::TimedOut) => !self.is_behind || age >= bound * MAX_BEHIND_FACTOR,
+            (Some(_), LastRead::Rejected | LastRead::TimedOut) => !self.is_behind,
         }
     }
 }
--- a/crates/lease/src/knowledge/tests.rs
+++ b/crates/lease/src/knowledge/tests.rs
@@ -22,8 +22,11 @@
     being_read_for_long = { 60_000, LastRead::Answered, false, false },
     platform_silent = { 2_000, LastRead::TimedOut, false, true },
     slow_node = { 2_000, LastRead::TimedOut, true, false },
-    partitioned = { 4_000, LastRead::TimedOut, true, true },
-    rejected = { 2_000, LastRead::Rejected, true, true },
+    slow_node_for_long = { 60_000, LastRead::TimedOut, true, false },
+    platform_rejects_all = { 2_000, LastRead::Rejected, false, true },
+    platform_serves_peers = { 2_000, LastRead::Rejected, true, false },
+    platform_serves_peers_for_long = { 60_000, LastRead::Rejected, true, false },
+    partitioned = { 60_000, LastRead::TimedOut, false, true },
 )]
 fn old_data_is_used_only_while_there_is_no_better(
     age_ms: u64,
--- a/crates/oatcoved/src/discovery/tests.rs
+++ b/crates/oatcoved/src/discovery/tests.rs
@@ -28,7 +28,8 @@
 }
 
 fn set_standing(view: &mut View, port: u16, standing: Standing) {
-    let peer = Peer { zone: "z-0".into(), standing: Some(standing), config_head: 0 };
+    let peer =
+        Peer { zone: "z-0".into(), standing: Some(standing), config_head: 0, heard_at: None };
     view.peers.insert(addr(port), peer);
 }
 
--- a/crates/oatcoved/src/follow/history_tests.rs
+++ b/crates/oatcoved/src/follow/history_tests.rs
@@ -93,7 +93,8 @@
     for peer in peers {
         // As the membership would report a peer that is alive and has newer config.
         let standing = Some(wire::Standing::Alive);
-        let newer = Peer { zone: "z".into(), standing, config_head: proto::Version::MAX };
+        let newer =
+            Peer { zone: "z".into(), standing, config_head: proto::Version::MAX, heard_at: None };
         view.peers.insert(*peer, newer);
     }
     let view = Rc::new(RefCell::new(view));
--- a/crates/oatcoved/src/gossip.rs
+++ b/crates/oatcoved/src/gossip.rs
@@ -69,6 +69,9 @@
     };
     while let Some(input) = rx.recv().await {
         let now = Instant::now();
+        if let Input::Datagram(from, _) = &input {
+            record_heard_from(&mut view.borrow_mut(), *from, now);
+        }
         if apply_path_claim(&view, &input, now) {
             continue;
         }
@@ -202,6 +205,13 @@
     }
 }
 
+/// Records that a membership packet of `peer` was received.
+fn record_heard_from(view: &mut View, peer: SocketAddr, now: Instant) {
+    if let Some(peer) = view.peers.get_mut(&peer) {
+        peer.heard_at = Some(now);
+    }
+}
+
 /// Applies a membership event to the view.
 pub fn apply_event(view: &mut View, event: member::Event) {
     match event {
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -70,6 +70,8 @@
     pub standing: Option<wire::Standing>,
     /// Highest config commit that the peer has.
     pub config_head: proto::Version,
+    /// When the peer's newest membership packet was received.
+    pub heard_at: Option<Instant>,
 }
 
 /// Why an entry node is isolated from its peers although it should not be. An isolated node does
@@ -231,8 +233,11 @@
 
     /// Returns true if calls may be handled by the config of this node.
     pub fn is_config_usable(&self, now: Instant) -> bool {
-        let is_ahead = |peer: &Peer| peer.config_head > self.synced_head();
         let bound = CONFIG_BOUND.max(2 * self.settings.config_poll_interval);
+        let is_heard = |peer: &Peer| {
+            peer.heard_at.is_some_and(|at| now.saturating_duration_since(at) <= bound)
+        };
+        let is_ahead = |peer: &Peer| peer.config_head > self.synced_head() && is_heard(peer);
         let knowledge = lease::Knowledge {
             age: self.config_lease.age(now),
             bound: lease::StalenessBound::new(bound),
