web: a peer that sends without end does not stop the event loop

A read that finds input does not wait, so a task that receives from a peer which sends faster than it is processed never yields: timeouts of its own request and all other tasks stand still. Probes of 0.4 s and requests of 0.5 s were open a second later, after 12 to 16 MB. Class: a loop that is bounded by its input alone.

A reader that has found input without waiting for 5 ms pauses for 1 ms now. Failed before: of bytes_without_end_* the cases of_another_request (both), chunks and responses (probes); run one at a time.

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -22,7 +22,7 @@
 
 /// Timeout of a probe, after which its connection and the idle ones to the upstream are closed. An
 /// upstream that has not responded after a hundred times the usual latency has gone silent.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Timeout of a probe that verifies an idle connection: upstreams that report their load respond
 /// within 2 ms across zones.
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -22,6 +22,11 @@
 /// one byte at a time cannot make the list of receive times long.
 const RECEIVE_TIME_RESOLUTION: Duration = Duration::from_millis(1);
 
+/// Time for which a reader may find input without waiting before it pauses, and for how long. Other
+/// tasks and timers do not run meanwhile: a peer that sends without end would stop them.
+const MAX_BUSY_TIME: Duration = Duration::from_millis(5);
+const PAUSE: Duration = Duration::from_millis(1);
+
 /// Maximum number of bytes in one read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -54,6 +59,8 @@
     /// Number of bytes received since the connection was opened.
     received: Rc<Cell<u64>>,
     receive_times: Option<ReceiveTimes>,
+    /// Since when each read has found input without waiting.
+    busy_since: Option<Instant>,
 }
 
 /// Receive times of the bytes of a stream.
@@ -97,7 +104,13 @@
 impl Reader {
     /// Creates a reader for a connection that has not been read from yet.
     pub fn new(half: OwnedReadHalf<TcpStream>) -> Reader {
-        Reader { half, buf: BytesMut::new(), received: Rc::default(), receive_times: None }
+        Reader {
+            half,
+            buf: BytesMut::new(),
+            received: Rc::default(),
+            receive_times: None,
+            busy_since: None,
+        }
     }
 
     /// Returns the number of bytes received so far, which the reader goes on to update.
@@ -177,8 +190,29 @@
         Ok(more.then_some(self.buf.len()))
     }
 
+    /// Same as [`Reader::fill`], and pauses when input arrives faster than it is processed.
+    async fn fill_in_turns(&mut self) -> io::Result<bool> {
+        let (result, has_waited) = {
+            let mut fill = pin!(self.fill());
+            match std::future::poll_fn(|cx| Poll::Ready(fill.as_mut().poll(cx))).await {
+                Poll::Ready(result) => (result, false),
+                Poll::Pending => (fill.await, true),
+            }
+        };
+        match self.busy_since {
+            _ if has_waited => self.busy_since = None,
+            None => self.busy_since = Some(Instant::now()),
+            Some(since) if since.elapsed() >= MAX_BUSY_TIME => {
+                self.busy_since = None;
+                monoio::time::sleep(PAUSE).await;
+            }
+            Some(_) => {}
+        }
+        result
+    }
+
     async fn fill_or_closed(&mut self) -> Result<(), ReadError> {
-        match self.fill().await? {
+        match self.fill_in_turns().await? {
             true => Ok(()),
             false => Err(ReadError::Closed),
         }
@@ -236,7 +270,7 @@
             match decoder.decode(&mut self.buf)? {
                 Progress::Data(data) => return Ok(Some(data)),
                 Progress::End => return Ok(None),
-                Progress::NeedMore => match self.fill().await? {
+                Progress::NeedMore => match self.fill_in_turns().await? {
                     true => {}
                     false if decoder.is_close_delimited() => return Ok(None),
                     false => return Err(ReadError::Closed),
