edge: a response without end ends with the wait of its caller

A response longer than 64 KiB was streamed for as long as the upstream sent and the caller received, beyond the deadline that the caller had stated and the route's timeout: 190 MB and on. Its connection to the upstream and the caller's stay in use meanwhile.

Streaming ends when the caller's stated deadline passes; as with every truncated response, no end is passed on.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -4,6 +4,7 @@
 //! possible end is one variant of [`Outcome`].
 
 use std::pin::pin;
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Method, StatusCode};
@@ -43,6 +44,8 @@
     pub head: h1::ResponseHead,
     /// Body.
     pub body: ResponseBody,
+    /// Until when its caller waits for the end of the body; `None` if that is not known.
+    pub awaited_until: Option<Instant>,
 }
 
 impl Response {
@@ -198,7 +201,7 @@
         status if status.is_success() && !is_signed => Outcome::Lost("answer not signed"),
         // No content coding was requested: these are not the bytes that the upstream produced.
         status if status.is_success() && is_encoded => Outcome::Lost("answer in an unasked coding"),
-        _ => Outcome::Answered(Response { head, body }),
+        _ => Outcome::Answered(Response { head, body, awaited_until: None }),
     }
 }
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -414,6 +414,10 @@
         // behind a non-idempotent request of its connection or waiting for the node to start.
         let sending = self.send_with_retries(&call, body);
         let reply = match web::timeout(call.deadline_left(), sending).await {
+            Ok(Reply::Upstream(response)) => {
+                let awaited_until = Some(call.caller_deadline);
+                Reply::Upstream(Response { awaited_until, ..response })
+            }
             Ok(reply) => reply,
             Err(_) => {
                 call.log_line("timed_out").log();
--- a/crates/edge/src/serve/responses.rs
+++ b/crates/edge/src/serve/responses.rs
@@ -1,7 +1,7 @@
 //! Writes responses to callers, in the order of their requests.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -105,7 +105,7 @@
     head_only: bool,
     close: bool,
 ) -> bool {
-    let Response { head, body } = response;
+    let Response { head, body, awaited_until } = response;
     let declared_length = head.headers.get(CONTENT_LENGTH).cloned();
     let mut headers = head.headers;
     web::strip_connection_headers(&mut headers);
@@ -134,11 +134,19 @@
                 _ => headers.insert(TRANSFER_ENCODING, HeaderValue::from_static("chunked")),
             };
             let bytes = h1::write_response(head.status, &headers);
-            stream_response(writer, bytes, first, decoder, *conn, chunked).await
+            stream_response(writer, bytes, first, decoder, *conn, chunked, awaited_until).await
         }
     }
 }
 
+/// Returns the time allowed for the next piece of a response; `None` once its caller does not wait any
+/// more. An upstream may send without end.
+fn piece_timeout(awaited_until: Option<Instant>) -> Option<Duration> {
+    let left = awaited_until.map(|until| until.saturating_duration_since(Instant::now()));
+    let timeout = left.map_or(STREAMING_TIMEOUT, |left| left.min(STREAMING_TIMEOUT));
+    (!timeout.is_zero()).then_some(timeout)
+}
+
 /// Streams a long response to the caller; returns false if the caller has disconnected or the
 /// response is truncated. A truncated one is passed on without an end, so that the caller can tell.
 async fn stream_response(
@@ -148,6 +156,7 @@
     mut decoder: h1::Decoder,
     mut conn: crate::conns::Conn,
     chunked: bool,
+    awaited_until: Option<Instant>,
 ) -> bool {
     let encode = |piece: &[u8]| match chunked {
         true => h1::encode_chunk(piece),
@@ -155,12 +164,13 @@
     };
     bytes.extend_from_slice(&encode(&first));
     loop {
-        match monoio::time::timeout(STREAMING_TIMEOUT, writer.write(bytes)).await {
+        let Some(timeout) = piece_timeout(awaited_until) else { return false };
+        match monoio::time::timeout(timeout, writer.write(bytes)).await {
             Ok(Ok(())) => {}
             Ok(Err(_)) | Err(_) => return false,
         }
         let piece = conn.reader.body_piece(&mut decoder);
-        bytes = match monoio::time::timeout(STREAMING_TIMEOUT, piece).await {
+        bytes = match monoio::time::timeout(timeout, piece).await {
             Ok(Ok(Some(piece))) => encode(&piece),
             Ok(Ok(None)) if chunked => return writer.write(h1::LAST_CHUNK.to_vec()).await.is_ok(),
             Ok(Ok(None)) => return true,
--- a/crates/edge/src/tests/endless.rs
+++ b/crates/edge/src/tests/endless.rs
@@ -121,8 +121,10 @@
     line = { LINE },
     headers = { HEADERS },
     interim_responses = { INTERIM },
+    chunks = { CHUNKS },
     chunk_size = { CHUNK_SIZE },
     trailer = { TRAILER },
+    until_close = { UNTIL_CLOSE },
     of_another_request = { OF_ANOTHER_REQUEST },
     responses = { RESPONSES },
 )]
