oatcoved: a probe does not receive a body without end

Each probe buffered up to 64 MB of a response, at a hundred upstreams at once more than a machine has.

--- a/crates/oatcoved/src/probe.rs
+++ b/crates/oatcoved/src/probe.rs
@@ -24,6 +24,9 @@
 /// Timeout of one probe, including connecting.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Maximum size of the body of a response, in bytes; a load report takes some dozen.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
 /// Maximum age of a response that shows that this node reaches upstreams.
 const RECENT_RESPONSE_AGE: Duration = Duration::from_secs(1);
 
@@ -308,7 +311,10 @@
     let response = match first {
         Some(response) => Ok(response),
         None => match web::Conn::connect(addr, time_left(deadline)).await {
-            Ok(conn) => send_probe(conn, &path, deadline).await,
+            Ok(mut conn) => {
+                conn.limit_body(MAX_BODY_BYTES);
+                send_probe(conn, &path, deadline).await
+            }
             Err(err) => Err(err),
         },
     };
--- a/crates/oatcoved/src/probe/tests.rs
+++ b/crates/oatcoved/src/probe/tests.rs
@@ -130,3 +130,32 @@
         }
     });
 }
+
+/// Guards against a node that runs out of memory: an upstream responds to probes with a body without
+/// end, of which each probe receives up to 64 MB.
+#[test]
+fn a_body_without_end_is_not_received() {
+    const MAX_SENT_BYTES: usize = 24 * 1024 * 1024;
+    web::runtime().block_on(async {
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("an address");
+        let sent_bytes = Rc::new(std::cell::Cell::new(0));
+        let sent = sent_bytes.clone();
+        monoio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepts");
+            let (_, _) = stream.read(vec![0; 4_096]).await;
+            let mut bytes = b"HTTP/1.1 200 OK\r\n\r\n".to_vec();
+            while stream.write_all(bytes).await.0.is_ok() {
+                sent.set(sent.get() + 64 * 1024);
+                bytes = vec![b'a'; 64 * 1024];
+            }
+        });
+        let (tx, mut rx) = unbounded::channel();
+        super::probe(addr, "/".to_owned(), None, tx).await;
+        let Some(super::Input::Completed(_, result, None)) = rx.recv().await else {
+            panic!("the connection is not kept");
+        };
+        assert_eq!(result.outcome, watch::ProbeOutcome::Down);
+        assert!(sent_bytes.get() < MAX_SENT_BYTES, "{} bytes", sent_bytes.get());
+    });
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -28,7 +28,7 @@
             display("send failed: {}", message)
         }
         /// The connection was closed or failed before the whole response arrived, or the response
-        /// is malformed or longer than [`MAX_BODY_BYTES`](crate::MAX_BODY_BYTES).
+        /// is malformed or too long ([`Conn::limit_body`]).
         Http(message: String) {
             display("http error: {}", message)
         }
@@ -56,6 +56,7 @@
     writer: h1::Writer,
     reader: h1::Reader,
     is_reusable: bool,
+    max_body_bytes: usize,
     /// Address of the server.
     pub peer: SocketAddr,
 }
@@ -98,7 +99,12 @@
         }
         let (read, write) = stream.into_split();
         let (reader, writer) = (h1::Reader::new(read), h1::Writer::new(write));
-        Ok(Conn { reader, writer, is_reusable: true, peer: addr })
+        Ok(Conn { reader, writer, is_reusable: true, max_body_bytes: MAX_BODY_BYTES, peer: addr })
+    }
+
+    /// Limits the body of each response to `max_bytes` instead of [`MAX_BODY_BYTES`].
+    pub fn limit_body(&mut self, max_bytes: usize) {
+        self.max_body_bytes = max_bytes;
     }
 
     /// Returns true if another request may be sent: the last exchange succeeded, its response did
@@ -178,7 +184,7 @@
         self.writer.write(bytes).await.map_err(|err| Error::Send(err.to_string()))?;
         let head = self.reader.response_head(&parts.method).await.map_err(http_error)?;
         let mut decoder = h1::Decoder::new(head.framing);
-        let body = self.reader.body(&mut decoder, MAX_BODY_BYTES).await.map_err(http_error)?;
+        let body = self.reader.body(&mut decoder, self.max_body_bytes).await.map_err(http_error)?;
         self.is_reusable = head.keep_alive && !self.reader.has_buffered();
         let mut response = http::Response::new(body);
         *response.status_mut() = head.status;
