--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -16,10 +16,10 @@
 const NODE_PROGRAM: &str = "target/release/oatcove-entry";
 
 /// Ports of every node, at addresses of their own: front, ready, control, directory, internal.
-pub const FRONT: u16 = 8144;
-pub const READY: u16 = 8140;
+const FRONT: u16 = 8144;
+const READY: u16 = 8140;
 const CONTROL: u16 = 8146;
-pub const DIRECTORY: u16 = 8143;
+const DIRECTORY: u16 = 8143;
 const INTERNAL: (u16, u16) = (7660, 7675);
 
 /// What was sent, answered and run, with times since the start in milliseconds.
@@ -179,7 +179,9 @@
         let id = request.header("x-request-id").unwrap_or("");
         let refusal = match request.header("x-expect-instance") {
             Some(expected) if expected != self.id => Some("421 Misdirected Request"),
-            _ if self.running.load(Ordering::SeqCst) >= self.slots => Some("503 Service Unavailable"),
+            _ if self.running.load(Ordering::SeqCst) >= self.slots => {
+                Some("503 Service Unavailable")
+            }
             _ => None,
         };
         if let Some(status) = refusal {
@@ -310,16 +312,6 @@
         http::send(self.addr(READY), head, &[], Duration::from_secs(1))
             .is_some_and(|response| response.status == 200)
     }
-
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args([name, &id]).status();
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 /// Waits until all nodes are ready; returns false if that takes over 10 s.
@@ -339,11 +331,9 @@
 pub struct Answer {
     pub request: String,
     pub sent_at: Instant,
-    pub ended_at: Instant,
     /// `None` if the connection ended without an answer.
     pub status: Option<u16>,
     pub signature: Option<String>,
-    pub is_whole: bool,
 }
 
 /// Sends requests as clients do, and records them.
@@ -359,45 +349,32 @@
         Client { host, record: record.clone(), count: Arc::default() }
     }
 
-    pub fn head(&self, method: &str, path: &str, id: &str, deadline_ms: u64, more: &str) -> String {
+    fn head(&self, method: &str, path: &str, id: &str, deadline_ms: u64, more: &str) -> String {
         format!(
             "{method} {path} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {deadline_ms}\r\n{more}\r\n",
             self.host
         )
     }
 
-    pub fn next_id(&self) -> String {
+    fn next_id(&self) -> String {
         format!("r{:05}", self.count.fetch_add(1, Ordering::SeqCst))
     }
 
     /// Sends one request to a node over a new connection.
     pub fn send(&self, node: &Node, method: &str, path: &str, deadline_ms: u64) -> Answer {
-        self.send_to(node.addr(FRONT), &node.name, method, path, deadline_ms)
-    }
-
-    pub fn send_to(
-        &self,
-        addr: SocketAddr,
-        name: &str,
-        method: &str,
-        path: &str,
-        deadline_ms: u64,
-    ) -> Answer {
         let id = self.next_id();
         let more = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
         let head = self.head(method, path, &id, deadline_ms, more);
-        self.record.add(format!("sent     {id} {method} {path} to {name}"));
+        self.record.add(format!("sent     {id} {method} {path} to {}", node.name));
         let sent_at = Instant::now();
-        let response = http::send(addr, &head, &[], Duration::from_millis(deadline_ms));
+        let response = http::send(node.addr(FRONT), &head, &[], Duration::from_millis(deadline_ms));
         let answer = Answer {
             request: id.clone(),
             sent_at,
-            ended_at: Instant::now(),
             status: response.as_ref().map(|r| r.status),
             signature: response
                 .as_ref()
                 .and_then(|r| r.header("x-server-signature").map(str::to_owned)),
-            is_whole: response.as_ref().is_some_and(|r| r.is_whole),
         };
         self.record.add(format!(
             "answered {id} {} signature {}",
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -58,7 +58,8 @@
         let mut lines = head.split("\r\n");
         let first = lines.next()?.to_owned();
         let headers = lines.filter_map(|line| line.split_once(':'));
-        let headers = headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
+        let headers =
+            headers.map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()));
         Some((first, headers.collect()))
     }
 
@@ -115,31 +116,26 @@
         Some(Request { method, target, headers, body })
     }
 
-    /// Reads a response; its body is whole if the second value is true.
+    /// Reads a response; `None` if it does not come to its end.
     pub fn response(&mut self) -> Option<Response> {
         let (first, headers) = self.head()?;
         let status = first.split(' ').nth(1)?.parse().ok()?;
-        let (body, is_whole) = match header(&headers, "transfer-encoding") {
-            Some(_) => match self.chunks() {
-                Some(body) => (body, true),
-                None => (Vec::new(), false),
-            },
+        match header(&headers, "transfer-encoding") {
+            Some(_) => drop(self.chunks()?),
             None => {
                 let length = header(&headers, "content-length").and_then(|text| text.parse().ok());
-                let body = self.bytes(length.unwrap_or(0));
-                let is_whole = body.len() == length.unwrap_or(0);
-                (body, is_whole)
+                if self.bytes(length.unwrap_or(0)).len() < length.unwrap_or(0) {
+                    return None;
+                }
             }
-        };
-        Some(Response { status, headers, body, is_whole })
+        }
+        Some(Response { status, headers })
     }
 }
 
 pub struct Response {
     pub status: u16,
     pub headers: Vec<(String, String)>,
-    pub body: Vec<u8>,
-    pub is_whole: bool,
 }
 
 impl Response {
@@ -150,16 +146,7 @@
 
 /// Sends one request over a new connection; `None` if the connection ends without a response.
 pub fn send(addr: SocketAddr, head: &str, body: &[u8], timeout: Duration) -> Option<Response> {
-    let stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
-    exchange(stream, head, body, timeout)
-}
-
-pub fn exchange(
-    mut stream: TcpStream,
-    head: &str,
-    body: &[u8],
-    timeout: Duration,
-) -> Option<Response> {
+    let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1)).ok()?;
     let _ = stream.set_nodelay(true);
     stream.set_read_timeout(Some(timeout)).ok()?;
     let began = Instant::now();
--- a/review/standin-2/platform.rs
+++ b/review/standin-2/platform.rs
@@ -124,11 +124,14 @@
                                 b't' => text.push(b'\t'),
                                 b'r' => text.push(b'\r'),
                                 b'u' => {
-                                    let hex = std::str::from_utf8(bytes.get(*at + 1..*at + 5)?).ok()?;
+                                    let hex =
+                                        std::str::from_utf8(bytes.get(*at + 1..*at + 5)?).ok()?;
                                     let code = u32::from_str_radix(hex, 16).ok()?;
                                     let mut buffer = [0; 4];
                                     let char = char::from_u32(code).unwrap_or('?');
-                                    text.extend_from_slice(char.encode_utf8(&mut buffer).as_bytes());
+                                    text.extend_from_slice(
+                                        char.encode_utf8(&mut buffer).as_bytes(),
+                                    );
                                     *at += 4;
                                 }
                                 other => text.push(other),
@@ -165,7 +168,8 @@
     const DIGITS: &[u8] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for part in bytes.chunks(3) {
-        let number = part.iter().fold(0_u32, |n, b| (n << 8) | u32::from(*b)) << (8 * (3 - part.len()));
+        let number =
+            part.iter().fold(0_u32, |n, b| (n << 8) | u32::from(*b)) << (8 * (3 - part.len()));
         for index in 0..4 {
             match index <= part.len() {
                 true => out.push(DIGITS[(number >> (18 - 6 * index)) as usize & 63] as char),
@@ -273,7 +277,9 @@
                 let listed: Vec<String> = rows
                     .rows
                     .iter()
-                    .filter(|((table, part, _), _)| *table == param("Table") && *part == param("part"))
+                    .filter(|((table, part, _), _)| {
+                        *table == param("Table") && *part == param("part")
+                    })
                     .map(|(name, (value, ver))| row_json(name, Some(value), *ver))
                     .collect();
                 (200, self.body(&rows, &listed, ",\"HasMore\":false"))
@@ -291,7 +297,9 @@
                         let rows = self.rows.lock().unwrap();
                         let changes = rows.history.iter();
                         let changed: Vec<String> = changes
-                            .filter(|(ver, (table, ..), _)| *ver > after && *table == param("Table"))
+                            .filter(|(ver, (table, ..), _)| {
+                                *ver > after && *table == param("Table")
+                            })
                             .map(|(ver, name, value)| row_json(name, value.as_ref(), *ver))
                             .collect();
                         if !changed.is_empty() || asked_at.elapsed() >= wait {
--- a/review/standin-2/regress.rs
+++ b/review/standin-2/regress.rs
@@ -16,7 +16,12 @@
 /// `RollbackSlackMs`.
 const ROLLBACK_SLACK: Duration = Duration::from_millis(250);
 
-fn route(name: &'static str, prefix: &'static str, kind: &'static str, service: &'static str) -> Route {
+fn route(
+    name: &'static str,
+    prefix: &'static str,
+    kind: &'static str,
+    service: &'static str,
+) -> Route {
     Route { name, prefix, kind, service, timeout_ms: 1_200, slo_ms: 400 }
 }
 
@@ -88,7 +93,8 @@
                 record.add(format!("BROKEN   {} is handled by version 1", answer.request));
                 broken.push(answer.request.clone());
             }
-            let newest = runs.iter().filter(|run| run.service == "new-desk").map(|run| run.at).min();
+            let newest =
+                runs.iter().filter(|run| run.service == "new-desk").map(|run| run.at).min();
             if effect_at.is_none() && newest.is_some() {
                 effect_at = newest;
                 record.add(format!("effect   of version 5 at {}", node.name));
