--- a/crates/edge/src/forward/via_peer.rs
+++ b/crates/edge/src/forward/via_peer.rs
@@ -15,6 +15,7 @@
 use crate::as_ms;
 use crate::conns::Conn;
 use crate::exchange::{self, Outcome, OutgoingRequest, SendResult};
+use crate::follow::Topic;
 use crate::relay::{self, Offer};
 
 /// Time allowed for a peer to accept the connection, and again for its reply to an offer.
@@ -98,7 +99,10 @@
             predicted_ms: 0,
             report_age_ms: None,
         });
-        call.log_line("sent_via_peer").field("peer", peer).log();
+        call.log_line("sent_via_peer")
+            .field("peer", peer)
+            .field("is_behind", self.state.borrow().is_behind(Topic::Config))
+            .log();
         self.state.borrow_mut().counters.sent_via_peers += 1;
         if let Some(token) = &call.token {
             token.spend();
--- a/crates/edge/src/relay/offer.rs
+++ b/crates/edge/src/relay/offer.rs
@@ -98,6 +98,12 @@
     let Ok(Ok(offer)) = receiving.await else { return };
     let accepted = accepts(&node.state.borrow(), &offer);
     let reply = if accepted { OfferReply::Accepted } else { OfferReply::Declined };
+    trace::Line::new("offer_answered")
+        .field("service", offer.service.as_str())
+        .field("offered_config", offer.config_version)
+        .field("config", node.state.borrow().config_version())
+        .field("accepted", accepted)
+        .log();
     {
         let counters = &mut node.state.borrow_mut().counters;
         match accepted {
