edge, lease: a request goes through a peer only by the configuration of this node

Callers saw: a VM that reaches no upstream for a request sends it through a peer, which routes it by a newer configuration; for up to the bound of the configuration the same VM handles its next requests by its own older one: claims run by the service from which they were moved, 404 on added routes.

Cause: an offer was accepted by any peer whose configuration was not older, and the VM that made it neither learned nor got the version used.

Change: lease::agreement (pure) compares what two nodes handle requests by: the version, and the position in the topic, which has the evacuations too. A peer takes a request only if both are the same. If it is ahead, it says so, and the node reads its configuration (one read at a time, relay::catch_up), puts it in force, and makes the offer again: the newer version is in force at the node before any upstream sees a request by it. A peer uses the configuration that was agreed on although a newer one comes before the request does.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -87,6 +87,8 @@
     pub conns: Conns,
     /// Peers that read the platform through this node.
     pub subscribers: relay::Subscribers,
+    /// Reads of the configuration from peers that have a newer one.
+    pub catch_ups: relay::CatchUps,
     /// Tokens of teams' quotas.
     pub quotas: quotas::Quotas,
     /// Metrics of the node.
@@ -105,7 +107,7 @@
     /// made.
     pub has_left: Rc<Cell<bool>>,
     /// How a peer has offered the request, if it came from one.
-    pub offer: Option<relay::Offer>,
+    pub offer: Option<Rc<relay::AcceptedOffer>>,
 }
 
 impl Caller {
@@ -157,6 +159,7 @@
             quotas,
             conns: Conns::default(),
             subscribers: relay::Subscribers::default(),
+            catch_ups: relay::CatchUps::default(),
             probe_budgets: RefCell::default(),
             gossip: OnceCell::new(),
         }
@@ -313,8 +316,11 @@
         let table = {
             let mut state = self.state.borrow_mut();
             state.record_handled(Instant::now());
-            state.table.clone()
+            let agreed_table = caller.offer.as_ref().map(|accepted| accepted.table.clone());
+            agreed_table.or_else(|| state.table.clone())
         };
+        let accepted = caller.offer;
+        let offer = accepted.as_deref().map(|accepted| &accepted.offer);
         let Some(table) = table else {
             trace::Line::new("no_config").field("request", request_id_of(head, &names)).log();
             return Reply::Local(LocalReply::not_run(
@@ -343,7 +349,7 @@
                 received_at,
             )
         });
-        let has_token = caller.offer.as_ref().is_some_and(|offer| offer.has_token);
+        let has_token = offer.is_some_and(|offer| offer.has_token);
         let token = match &team {
             Some(team) if !has_token => {
                 match self.acquire_token(team, self.timeliness(route, retrying_for)).await {
@@ -376,13 +382,13 @@
             ));
         }
         let body_start = body.received().clone();
-        let offered_service = caller.offer.as_ref().map(|offer| &offer.service);
+        let offered_service = offer.map(|offer| &offer.service);
         let is_target = |name: &&ServiceName| route.targets.iter().any(|t| t.service == **name);
         let service = match offered_service.filter(is_target) {
             Some(service) => service.clone(),
             None => self.next_service(route),
         };
-        let attempts = caller.offer.as_ref().map_or(u32::MAX, |offer| offer.attempts);
+        let attempts = offer.map_or(u32::MAX, |offer| offer.attempts);
         let most_urgent = table.is_most_urgent(route, &service)
             && team.as_ref().is_none_or(|team| table.teams.is_most_urgent(team));
         let config_age_ms = self.state.borrow().config_age_ms(received_at);
@@ -404,7 +410,7 @@
             caller_left: caller.has_left,
             retrying_for,
             attempts: attempts.min(route.attempts),
-            offer: caller.offer,
+            offer,
             deadline,
             caller_deadline: received_at + stated_deadline.unwrap_or(route.timeout),
             last_send,
--- a/crates/edge/src/forward/call.rs
+++ b/crates/edge/src/forward/call.rs
@@ -50,7 +50,7 @@
     /// Maximum number of upstreams that the request may reach.
     pub(super) attempts: u32,
     /// How a peer has offered the request, if one did.
-    pub(super) offer: Option<Offer>,
+    pub(super) offer: Option<&'a Offer>,
     pub(super) deadline: Instant,
     /// When the caller gives up; `deadline` may be earlier.
     pub(super) caller_deadline: Instant,
--- a/crates/edge/src/forward/retries.rs
+++ b/crates/edge/src/forward/retries.rs
@@ -191,7 +191,7 @@
         let mut state = self.state.borrow_mut();
         if upstreams.is_empty() {
             // That of an offered request may be counted by the peer that made the offer.
-            if !call.offer.as_ref().is_some_and(|offer| offer.is_counted) {
+            if !call.offer.is_some_and(|offer| offer.is_counted) {
                 state.record_first_send(&call.service);
             }
         } else if reached > 0 && !state.try_second_send(&call.service) {
@@ -443,7 +443,7 @@
             Ok(choice) => choice,
             Err(why) => return self.refuse(call, why, Fallback::NotRun),
         };
-        if !call.offer.as_ref().is_some_and(|offer| offer.is_counted) {
+        if !call.offer.is_some_and(|offer| offer.is_counted) {
             self.state.borrow_mut().record_first_send(&call.service);
         }
         // It is never taken for vanished: a part of it may still be on its way.
--- a/crates/edge/src/forward/via_peer.rs
+++ b/crates/edge/src/forward/via_peer.rs
@@ -1,12 +1,15 @@
 //! Sends of a request through a peer, while this node reaches no upstream itself.
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::{HeaderName, HeaderValue};
 use http::HeaderMap;
+use monoio::net::TcpStream;
 use web::h1;
 
 use super::call::{Call, SendRecord, Tried};
@@ -16,11 +19,14 @@
 use crate::conns::Conn;
 use crate::exchange::{self, Outcome, OutgoingRequest, SendResult};
 use crate::follow::Topic;
-use crate::relay::{self, Offer};
+use crate::relay::{self, Offer, OfferReply};
 
 /// Time allowed for a peer to accept the connection, and again for its reply to an offer.
 const OFFER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Time for which a request waits for the newer configuration of peers.
+const MAX_CATCH_UP_WAIT: Duration = Duration::from_millis(500);
+
 /// Peers to which a request is offered at most.
 const MAX_PEERS_ASKED: usize = 3;
 
@@ -124,40 +130,61 @@
 
     /// Offers a request to peers until one accepts it; `None` if none does.
     pub(super) async fn offer_to_peers(
-        &self,
+        self: &Rc<Node>,
         call: &Call<'_>,
         tried: &RefCell<Tried>,
     ) -> Option<AcceptingPeer> {
-        let (is_counted, reached) = {
-            let mut tried = tried.borrow_mut();
-            tried.peers_asked = true;
-            (!tried.upstreams.is_empty(), tried.reached)
-        };
+        tried.borrow_mut().peers_asked = true;
+        let catch_up_until = Instant::now() + MAX_CATCH_UP_WAIT.min(call.deadline_left());
         for peer in self.peers_for(call).into_iter().take(MAX_PEERS_ASKED) {
-            let offer = Offer {
-                config_version: call.config_version,
-                age: call.received_at.elapsed(),
-                service: call.service.clone(),
-                attempts: call.attempts.saturating_sub(reached).max(1),
-                is_counted,
-                has_token: call.token.is_some(),
-            };
-            let timeout = OFFER_TIMEOUT.min(call.deadline_left());
-            match relay::offer(peer, &offer, timeout).await {
-                Ok(stream) => {
+            let mut offered = self.offer_to(call, tried, peer).await;
+            if let Ok((OfferReply::Newer, _)) = offered {
+                let max_wait = catch_up_until.saturating_duration_since(Instant::now());
+                relay::catch_up(self, peer, max_wait).await;
+                offered = self.offer_to(call, tried, peer).await;
+            }
+            let error = match offered {
+                Ok((OfferReply::Accepted, stream)) => {
                     return Some(AcceptingPeer { addr: peer, conn: Conn::to_peer(stream) })
                 }
-                Err(err) => {
-                    trace::Line::new("offer_declined")
-                        .field("peer", peer)
-                        .field("error", err.to_string())
-                        .log();
-                    self.state.borrow_mut().peer_paths.record_declined(peer, Instant::now());
-                }
-            }
+                // It takes requests as soon as this node has its configuration.
+                Ok((OfferReply::Newer, _)) => continue,
+                Ok((OfferReply::Declined, _)) => "declined".to_owned(),
+                Err(err) => err.to_string(),
+            };
+            trace::Line::new("offer_declined").field("peer", peer).field("error", error).log();
+            self.state.borrow_mut().peer_paths.record_declined(peer, Instant::now());
         }
         None
     }
+
+    async fn offer_to(
+        &self,
+        call: &Call<'_>,
+        tried: &RefCell<Tried>,
+        peer: SocketAddr,
+    ) -> io::Result<(OfferReply, TcpStream)> {
+        let offer = self.offer_of(call, &tried.borrow());
+        relay::offer(peer, &offer, OFFER_TIMEOUT.min(call.deadline_left())).await
+    }
+
+    /// Returns the offer of a request. A peer routes it anew, so what counts is the configuration in
+    /// force at this node, not the one by which it was routed here.
+    fn offer_of(&self, call: &Call<'_>, tried: &Tried) -> Offer {
+        let state = self.state.borrow();
+        let lease::ConfigInForce { version, position } = state.config_in_force();
+        Offer {
+            config_version: version,
+            config_up_to: position.up_to,
+            config_newest: position.newest,
+            list_newest: state.list_progress.newest,
+            age: call.received_at.elapsed(),
+            service: call.service.clone(),
+            attempts: call.attempts.saturating_sub(tried.reached).max(1),
+            is_counted: !tried.upstreams.is_empty(),
+            has_token: call.token.is_some(),
+        }
+    }
 }
 
 /// Returns the headers that are sent to the peer: those of the caller, as the peer takes the request
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -17,7 +17,7 @@
 const REQUEST_SECONDS_BUCKETS: [f64; 13] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 5.0, 10.0];
 
-const COUNTERS: [meter::CounterSpec<Counters>; 36] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 38] = [
     ("oatcove_requests", "Requests received", |c| c.requests),
     ("oatcove_answered", "Requests answered by an upstream", |c| c.answered),
     ("oatcove_refused", "Requests refused at once; they did not run", |c| c.refused),
@@ -35,6 +35,10 @@
     ("oatcove_sent_via_peers", "Requests sent through a peer", |c| c.sent_via_peers),
     ("oatcove_offers_accepted", "Requests of peers taken", |c| c.offers_accepted),
     ("oatcove_offers_declined", "Requests of peers declined", |c| c.offers_declined),
+    ("oatcove_offers_outdated", "Requests of peers with an older configuration", |c| {
+        c.offers_outdated
+    }),
+    ("oatcove_caught_up", "Newer configurations read from peers for requests", |c| c.caught_up),
     ("oatcove_vanished", "Sends that upstreams neither held nor answered", |c| c.vanished),
     ("oatcove_probes", "Probes sent to upstreams", |c| c.probes),
     ("oatcove_connects", "Connections opened to upstreams", |c| c.connects),
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,8 +5,10 @@
 //! then each change as the peer applies it. The peer has already decided which upstreams are kept
 //! through an outage. Frames are encoded with postcard behind a length prefix of four bytes.
 //!
-//! The same address takes offers of requests ([`offer`]).
+//! The same address takes offers of requests ([`offer`]), and questions for the configuration alone
+//! ([`catch_up`]).
 
+mod catch_up;
 mod frame;
 mod new_nodes;
 mod offer;
@@ -16,8 +18,10 @@
 
 use std::time::Duration;
 
+pub(crate) use self::catch_up::catch_up;
+pub use self::catch_up::CatchUps;
 pub use self::frame::{decode_entries, Frame};
-pub(crate) use self::offer::offer;
+pub(crate) use self::offer::{offer, OfferReply};
 pub use self::offer::{AcceptedOffer, Offer};
 pub use self::serve::{serve, watch_path};
 pub use self::subscribe::run;
--- a/crates/edge/src/relay/serve.rs
+++ b/crates/edge/src/relay/serve.rs
@@ -1,5 +1,5 @@
 //! Serves this node's state to subscribers, and decides whether it may. Also accepts the connections
-//! of peers that offer requests.
+//! of peers that offer requests or ask for the configuration.
 
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -9,8 +9,8 @@
 use monoio::net::{TcpListener, TcpStream};
 
 use super::frame::{encode, receive, receive_rest, AgeQuery, Frame, Greeting};
-use super::offer;
 use super::subscribers::{FrameReceiver, FrameSender};
+use super::{catch_up, offer};
 use super::{FIRST_FRAME_TIMEOUT, READER_CHECK_INTERVAL, SYNC_CHECK_INTERVAL};
 use crate::follow;
 use crate::forward::Node;
@@ -147,17 +147,21 @@
     true
 }
 
-fn count_relayed(node: &Node, zone: &str, bytes: u64) {
+/// Counts bytes relayed to a peer in `zone`.
+pub(super) fn count_relayed(node: &Node, zone: &str, bytes: u64) {
     let state = &mut *node.state.borrow_mut();
     state.counters.relay_bytes += bytes;
     state.counters.relay_far_bytes += if state.settings.zone == zone { 0 } else { bytes };
 }
 
-/// Serves a peer, which either offers a request or subscribes.
+/// Serves a peer, which offers a request, asks for the configuration, or subscribes.
 async fn serve_connection(mut stream: TcpStream, node: Rc<Node>) {
     let first = web::timeout(FIRST_FRAME_TIMEOUT, stream.read_exact(vec![0; 4]));
     match first.await {
         Ok((Ok(_), bytes)) if bytes == offer::PREFACE => offer::serve_offer(stream, node).await,
+        Ok((Ok(_), bytes)) if bytes == catch_up::PREFACE => {
+            catch_up::serve_config(stream, node).await
+        }
         Ok((Ok(_), bytes)) => serve_subscriber(stream, node, &bytes).await,
         Ok((Err(_), _)) | Err(_) => {}
     }
--- a/crates/edge/src/serve/pipeline.rs
+++ b/crates/edge/src/serve/pipeline.rs
@@ -19,7 +19,7 @@
 
 use crate::bodies::Reservation;
 use crate::forward::{Body, Caller, Node, Reply};
-use crate::relay::Offer;
+use crate::relay::AcceptedOffer;
 
 /// Maximum number of requests of one connection that are read and not answered yet. Each may hold a
 /// complete response of 64 KiB that waits for the ones before it: half a megabyte per connection.
@@ -168,7 +168,7 @@
     pub(super) idempotent: bool,
     pub(super) in_flight: Rc<InFlight>,
     /// How a peer has offered it, if one did.
-    pub(super) offer: Option<Offer>,
+    pub(super) offer: Option<Rc<AcceptedOffer>>,
 }
 
 /// Forwards a request in a task of its own.
--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -123,7 +123,7 @@
         }
         let (head_only, body_bytes) = (head.method == Method::HEAD, body.len());
         let mut last = !head.keep_alive || accepted_offer.is_some();
-        let offer = accepted_offer.map(|accepted| accepted.offer.clone());
+        let offer = accepted_offer;
         self.pipeline.request_started(body_bytes);
         let reply = match decoder.is_done() {
             true => {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -150,6 +150,10 @@
     pub offers_accepted: u64,
     /// Requests of peers that this node declined.
     pub offers_declined: u64,
+    /// Requests of peers with an older configuration that this node did not take.
+    pub offers_outdated: u64,
+    /// Newer configurations read from peers before requests were sent through them.
+    pub caught_up: u64,
     /// Probes sent.
     pub probes: u64,
     /// Connections opened to upstreams.
@@ -346,6 +350,13 @@
         self.table.as_ref().map_or(0, |table| table.version)
     }
 
+    /// Returns the configuration that requests are handled by, to compare it to that of a peer.
+    pub fn config_in_force(&self) -> lease::ConfigInForce {
+        let ReadProgress { up_to, newest, .. } = self.config_progress;
+        let position = lease::Position { up_to, newest };
+        lease::ConfigInForce { version: self.config_version(), position }
+    }
+
     /// Returns true when the node can serve callers and is not stopping.
     pub fn is_ready(&self) -> bool {
         self.table.is_some() && !self.roster.is_empty() && self.stopping.is_none()
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod long_bodies;
 mod node_state;
+mod offered;
 mod partitioned;
 mod pipelining;
 mod quotas;
--- a/crates/edge/src/tests/partitioned.rs
+++ b/crates/edge/src/tests/partitioned.rs
@@ -28,7 +28,7 @@
 
 /// How the connections of a partitioned node fail.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Failure {
+pub enum Failure {
     /// New ones are refused.
     Refused,
     /// They are open, and nothing is answered.
@@ -36,13 +36,13 @@
 }
 
 /// Addresses that stand for the upstreams as a partitioned node sees them.
-struct Unreachable {
+pub struct Unreachable {
     closed: Vec<emu::closed_port::ClosedPort>,
     silent: Vec<Upstream>,
 }
 
 impl Unreachable {
-    fn new(failure: Failure) -> Unreachable {
+    pub fn new(failure: Failure) -> Unreachable {
         let silent = || Upstream::start(vec![vec![Step::Wait(Duration::from_secs(60))]]);
         let closed = || emu::closed_port::ClosedPort::new().expect("a port is free");
         let count = |wanted| if failure == wanted { UPSTREAMS } else { 0 };
@@ -52,14 +52,14 @@
         }
     }
 
-    fn addrs(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+    pub fn addrs(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         let silent = self.silent.iter().map(|upstream| upstream.addr);
         self.closed.iter().map(|port| port.addr()).chain(silent)
     }
 }
 
 /// Starts a node whose upstreams have these addresses, with its housekeeping and its peer port.
-fn start_node(upstreams: &[SocketAddr]) -> EntryNode {
+pub fn start_node(upstreams: &[SocketAddr]) -> EntryNode {
     let peers = TcpListener::bind("127.0.0.1:0").expect("binds");
     let peer_addr = peers.local_addr().expect("bound");
     let entry_node = fake::start_with(&[], |settings| settings.peer_addr = peer_addr);
@@ -86,7 +86,7 @@
     entry_node
 }
 
-fn introduce(a: &EntryNode, b: &EntryNode) {
+pub fn introduce(a: &EntryNode, b: &EntryNode) {
     let peer_addr = b.node.state.borrow().settings.peer_addr;
     a.node.state.borrow_mut().peers.insert(peer_addr, serving("a"));
 }
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -10,10 +10,12 @@
 //!
 //! Of hundreds of nodes, a few long-poll the platform and relay the changes to the rest.
 
+mod agreement;
 mod knowledge;
 
 use std::time::{Duration, Instant};
 
+pub use self::agreement::{Agreement, ConfigInForce, Position};
 pub use self::knowledge::{Knowledge, LastRead, Reads};
 
 /// Shortest bound that can be met. Below it, nodes would query the platform and each other all the
