oatcoved: a call goes through a peer only by the config of this node

A peer that lacked the service's template answered 404, which was passed on to the caller.

An offer states the template's version and the position of drains and evacuations; a peer takes the call only if both are the same (lease::agreement). A newer one says so, and the node reads its rows and offers the call again. A peer decides before it looks up service and key, and declines while its config must not be used. The poll tells members and probes of rows that a call has read. Nodes of the former form take the offer for a call of a caller.

Tests: a_node_has_the_template_by_which_a_peer_serves_its_calls, a_node_has_the_evacuations_by_which_a_peer_serves_its_calls (both fail with a peer that takes calls while it is ahead), a_peer_that_lacks_a_change_takes_no_calls (fails with one that takes them while it is behind), a_newer_peer_whose_config_cannot_be_read_is_passed_over (fails where the reply newer is taken for the response).

--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -36,13 +36,14 @@
     poll_interval: Duration,
     channels: Channels,
 ) {
+    let mut announced_head = 0;
     loop {
-        let previous_head = view.borrow().synced_head();
         let requested_at = Instant::now();
         let polled = read_config(&store, &view).await;
         record_poll(&mut view.borrow_mut(), requested_at, polled.is_ok());
         if let Err(err) = polled {
-            log::warn!("config poll failed, keeping the config of commit {previous_head}: {err}");
+            let head = view.borrow().synced_head();
+            log::warn!("config poll failed, keeping the config of commit {head}: {err}");
             let relay_peer = crate::relay::config_source(&view.borrow(), &mut rand::rng());
             if let Some(peer) = relay_peer {
                 match read_config(&store::Store::new(peer), &view).await {
@@ -53,8 +54,10 @@
                 }
             }
         }
+        // A call may have read newer rows from a peer meanwhile.
         let head = view.borrow().synced_head();
-        if head != previous_head {
+        if head != announced_head {
+            announced_head = head;
             let _ = channels.gossip.send(gossip::Input::ConfigHead(head));
             let _ = channels.probe.send(probe::Input::Changed(None));
         }
@@ -74,7 +77,14 @@
 
 /// Reads newer template, drain and evacuation rows from `store`, which is the platform or a peer,
 /// and applies them.
-async fn read_config(store: &store::Store, view: &RefCell<View>) -> Result<(), store::StoreError> {
+///
+/// # Errors
+///
+/// Returns the error of the first table that cannot be read; rows of the other may be applied.
+pub(crate) async fn read_config(
+    store: &store::Store,
+    view: &RefCell<View>,
+) -> Result<(), store::StoreError> {
     let since = view.borrow().config_head;
     let rows = store.since(store::TEMPLATES, since).await?;
     apply_templates(&mut view.borrow_mut(), rows);
@@ -120,6 +130,8 @@
 /// never replaces a newer one.
 pub fn apply_drains(view: &mut View, rows: proto::Rows) {
     let mut changed = false;
+    let newest = rows.rows.iter().map(|row| row.version).max();
+    view.newest_drain = view.newest_drain.max(newest.unwrap_or_default());
     for row in rows.rows {
         if let Some(zone) = row.key.strip_prefix(store::EVACUATED_PREFIX) {
             let zone = SmolStr::from(zone);
--- a/crates/oatcoved/src/lib.rs
+++ b/crates/oatcoved/src/lib.rs
@@ -57,8 +57,9 @@
 pub const LEAVING: &str = "x-oatcove-leaving";
 
 /// Request header of a call that an entry node offers to another one, as it reaches no upstream: the
-/// number of upstreams that the call may reach, and the commit up to which the node has read the
-/// config. Response header of a node that declines the call, with value `declined`.
+/// number of upstreams that the call may reach, the version of the service's template, the commit up
+/// to which the node has read drains and evacuations, and the newest of these. Response header of a node that
+/// does not take the call, with value `declined`, or `newer` if its config is.
 pub const OFFER: &str = "x-oatcove-offer";
 
 /// Request and response header with the request id, passed on end to end.
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -30,7 +30,7 @@
     upstreams_unreachable: Gauge<u64>,
 }
 
-const COUNTERS: [meter::CounterSpec<Counters>; 20] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 22] = [
     ("oatcove_calls", "Calls received", |c| c.calls),
     ("oatcove_calls_done", "Calls answered by an upstream", |c| c.done),
     ("oatcove_calls_not_run", "Calls told not-run", |c| c.not_run),
@@ -43,6 +43,8 @@
     ("oatcove_relayed_reads", "Reads answered by a peer", |c| c.relayed_reads),
     ("oatcove_sent_via_peers", "Calls sent through a peer", |c| c.sent_via_peers),
     ("oatcove_offers_declined", "Calls of peers declined", |c| c.offers_declined),
+    ("oatcove_offers_outdated", "Calls of peers with an older config", |c| c.offers_outdated),
+    ("oatcove_caught_up", "Newer configs read from peers for calls", |c| c.caught_up),
     ("oatcove_probes", "Probes sent to upstreams", |c| c.probes_sent),
     ("oatcove_peer_packets", "Membership packets sent", |c| c.peer_packets_sent),
     ("oatcove_peer_bytes", "Bytes of membership packets sent", |c| c.peer_bytes_sent),
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -154,7 +154,14 @@
         path: &str,
     ) -> (web::Response, &'static str) {
         let request_id = self.request_id(&request);
-        if !self.wait_for_config().await {
+        let offer = Offer::of(request.headers());
+        let is_usable = self.wait_for_config().await;
+        // Before the call is resolved: the service or key may be unknown to this node only.
+        if let Some(response) = offer.and_then(|offer| self.decline(offer, service, &request_id)) {
+            self.view.borrow_mut().counters.not_run += 1;
+            return (response, response::NOT_RUN);
+        }
+        if !is_usable {
             let counters = &mut self.view.borrow_mut().counters;
             counters.not_run += 1;
             counters.refused_outdated += 1;
@@ -162,7 +169,7 @@
             let response = response::refused_for(text, RETRY_AFTER_OTHER_NODE, &request_id);
             return (response, response::NOT_RUN);
         }
-        let call = match self.resolve_call(&request, &request_id, service, path) {
+        let call = match self.resolve_call(&request, &request_id, service, path, offer) {
             Ok(call) => call,
             Err(rejection) => {
                 let counters = &mut self.view.borrow_mut().counters;
@@ -180,12 +187,6 @@
                 return (response, response::NOT_RUN);
             }
         };
-        if let Some(response) = call.offer.and_then(|offer| self.decline(offer, &request_id)) {
-            let counters = &mut self.view.borrow_mut().counters;
-            counters.offers_declined += 1;
-            counters.not_run += 1;
-            return (response, response::NOT_RUN);
-        }
         let Some(admitted) = self.admit(&call) else {
             let mut view = self.view.borrow_mut();
             view.counters.not_run += 1;
@@ -284,6 +285,7 @@
         request_id: &HeaderValue,
         service: &str,
         path: &'a str,
+        offer: Option<Offer>,
     ) -> Result<Call<'a>, Rejection> {
         let view = self.view.borrow();
         let template = view.templates.get(service).ok_or(Rejection::UnknownService)?;
@@ -315,7 +317,7 @@
             has_keys,
             deadline: Instant::now() + Duration::from_millis(timeout_ms),
             connection_share: connection_share(&params, view.entries.len()),
-            offer: Offer::of(request.headers()),
+            offer,
             idempotent: params.idempotent_methods.iter().any(|m| m == request.method().as_str()),
             kind: kind(request.method(), path),
             params,
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -12,6 +12,7 @@
 
 mod attribution;
 mod keys;
+mod offered;
 mod outdated;
 mod partitioned;
 
@@ -57,6 +58,7 @@
             id: Default::default(),
         })
         .collect();
+    view.vms = vms.iter().map(|vm| (vm.addr, vm.clone())).collect();
     crate::follow::apply_vms(&mut view, &vms);
     let (gossip, _) = local_sync::mpsc::unbounded::channel();
     let metrics = crate::metrics::Metrics::new().expect("metrics");
--- a/crates/oatcoved/src/proxy/tests/partitioned.rs
+++ b/crates/oatcoved/src/proxy/tests/partitioned.rs
@@ -44,7 +44,7 @@
 }
 
 /// Starts a node that other nodes reach, in front of `upstreams`.
-fn start_node(upstreams: &[SocketAddr]) -> (Rc<Node>, SocketAddr) {
+pub(super) fn start_node(upstreams: &[SocketAddr]) -> (Rc<Node>, SocketAddr) {
     let template = "service: svc\ndefaults:\n  timeout_ms: 400\n  max_attempts: 2\n";
     let node = Rc::new(node(template, upstreams));
     let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -54,7 +54,7 @@
     (node, addr)
 }
 
-fn introduce(node: &Node, peer: SocketAddr) {
+pub(super) fn introduce(node: &Node, peer: SocketAddr) {
     let peer_state = crate::view::Peer {
         zone: "z-0".into(),
         standing: Some(wire::Standing::Alive),
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -41,6 +41,10 @@
     pub sent_via_peers: u64,
     /// Calls of peers that this node declined.
     pub offers_declined: u64,
+    /// Calls of peers with an older config that this node did not take.
+    pub offers_outdated: u64,
+    /// Newer configs read from peers before calls were sent through them.
+    pub caught_up: u64,
     /// Probes sent to upstreams.
     pub probes_sent: u64,
     /// Membership packets sent to peers.
@@ -121,6 +125,8 @@
     pub drains: BTreeMap<SocketAddr, (proto::Drain, proto::Row)>,
     /// Highest table commit whose drain and evacuation rows have all been read.
     pub drain_head: proto::Version,
+    /// Highest version of a drain or evacuation row that has been read.
+    pub newest_drain: proto::Version,
     /// Evacuation rows by availability zone; see [`View::is_evacuated`].
     pub evacuations: BTreeMap<SmolStr, (proto::Evacuation, proto::Row)>,
     /// Other entry nodes, by address.
@@ -160,6 +166,7 @@
             vm_head: 0,
             drains: Default::default(),
             drain_head: 0,
+            newest_drain: 0,
             evacuations: Default::default(),
             peers: Default::default(),
             health_reports: Default::default(),
@@ -231,6 +238,14 @@
         self.config_head.min(self.drain_head)
     }
 
+    /// Returns the config that calls to `service` are handled by, to compare it to that of a peer: the
+    /// version of its template, and how far drains and evacuations have been read.
+    pub fn config_in_force(&self, service: &str) -> lease::ConfigInForce {
+        let position = lease::Position { up_to: self.drain_head, newest: self.newest_drain };
+        let version = self.templates.get(service).map_or(0, |loaded| loaded.version);
+        lease::ConfigInForce { version, position }
+    }
+
     /// Returns true if calls may be handled by the config of this node.
     pub fn is_config_usable(&self, now: Instant) -> bool {
         let bound = CONFIG_BOUND.max(2 * self.settings.config_poll_interval);
