--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -367,7 +367,11 @@
 
 impl Caller {
     pub async fn connect(addr: SocketAddr) -> Caller {
-        let stream = TcpStream::connect_addr(addr).await.expect("connects");
+        Caller::over(TcpStream::connect_addr(addr).await.expect("connects"))
+    }
+
+    /// Returns a caller that uses an open connection.
+    pub fn over(stream: TcpStream) -> Caller {
         let (read, write) = stream.into_split();
         Caller { reader: h1::Reader::new(read), writer: h1::Writer::new(write) }
     }
