--- a/crates/quota/src/tests/fleet.rs
+++ b/crates/quota/src/tests/fleet.rs
@@ -100,6 +100,8 @@
     pub given_back: f64,
     /// Share of the requests that are late.
     pub late_share: f64,
+    /// Time after which a node considers a peer alive again, and how much it varies.
+    pub revival: (Duration, Duration),
     /// Whether peers can become unreachable; without it all nodes know each other from the start.
     has_faults: bool,
     /// Times at which requests that kept their token got it.
@@ -124,6 +126,7 @@
             max_delay: ms(3),
             given_back: 0.0,
             late_share: 0.0,
+            revival: REVIVAL,
             has_faults,
             used: Vec::new(),
             totals: Totals::default(),
@@ -383,7 +386,7 @@
 
     /// Applies what a node has found out about its peers.
     fn update_view(&mut self, n: usize) {
-        let (now, count) = (self.now, self.len());
+        let (now, count, revival) = (self.now, self.len(), self.revival);
         // A peer that it has met tells it all peers that it knows.
         let met = (0..count).filter(|peer| self.nodes[n].believed_alive[*peer] == Some(true));
         let met: Vec<usize> = met.filter(|peer| self.reaches(*peer, n)).collect();
@@ -407,7 +410,7 @@
                 continue;
             }
             let since = *node.differs_since[peer].get_or_insert(now);
-            let (least, varies) = if reached { REVIVAL } else { DEATH };
+            let (least, varies) = if reached { revival } else { DEATH };
             // Differs between nodes but is constant for each.
             let part = ((n * 31 + peer * 17) % 100) as f64 / 100.0;
             if now - since >= least + varies.mul_f64(part) {
