quota: a part of the fleet that returns raises no share until all know of it

Callers saw: a team got more than its quota (1,452 of 1,413) for some seconds after a zone that was cut off met the others again.

Cause: each part grants the share of the rate that its nodes are of all, and a node raised its share with each node that it found alive again, at once. Until all have, the owner by the whole view grants nearly the whole shard, and the owner of the other part its share and more of the same one.

Change: a node that is in touch again does not count into the share for 6 s. Each part has one owner of a shard at most, as a node that knows any of the others still knows all of its own part, so that the shares of both add up to the rate. Who owns a shard changes at once, as before. Nodes that nobody knew, such as those of a fleet that starts, count at once.

--- a/crates/edge/src/quotas.rs
+++ b/crates/edge/src/quotas.rs
@@ -423,7 +423,7 @@
         let mut core = node.quotas.core.borrow_mut();
         core.set_bounds(state.settings.quota_bounds);
         let phase = node.quotas.phase(&state, now);
-        let has_new_peers = core.apply_peers(members(&state), phase);
+        let has_new_peers = core.apply_peers(members(&state), phase, now);
         if has_new_peers || node.quotas.applied_version.get() != Some(table.version) {
             core.apply_teams(&table.teams, now);
             node.quotas.applied_version.set(Some(table.version));
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -34,6 +34,9 @@
 /// Time for which a late answer is still accepted.
 const MAX_ANSWER_AGE: Duration = TOKEN_LIFETIME;
 
+/// Time after which all nodes of a fleet know of a node that is in touch again.
+const RETURN_TIME: Duration = Duration::from_secs(6);
+
 /// Why a request gets no token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -115,6 +118,8 @@
 #[derive(Debug)]
 pub struct Node {
     view: View,
+    /// Members that were out of touch, with the time since when they are in touch again.
+    returned: HashMap<SocketAddr, Instant>,
     ledger: Ledger,
     allowances: HashMap<TeamName, Allowance>,
     counts: HashMap<TeamName, Counts>,
@@ -139,6 +144,7 @@
     ) -> Node {
         Node {
             view: View::at_start(me, seeds),
+            returned: HashMap::new(),
             ledger: Ledger::new(bounds),
             allowances: HashMap::new(),
             counts: HashMap::new(),
@@ -168,11 +174,22 @@
         &mut self,
         peers: impl Iterator<Item = Member> + Clone,
         phase: Phase,
+        now: Instant,
     ) -> bool {
         let has_changed = !self.view.is_of(peers.clone(), phase);
         if has_changed {
+            for peer in peers.clone().filter(|peer| peer.is_alive) {
+                if self.view.is_out_of_touch(peer.addr) {
+                    self.returned.insert(peer.addr, now);
+                }
+            }
             self.view = self.view.with_peers(peers, phase);
         }
+        let view = &self.view;
+        self.returned.retain(|addr, since| {
+            now.saturating_duration_since(*since) < RETURN_TIME && !view.is_out_of_touch(*addr)
+        });
+        self.view = self.view.clone().with_returning(self.returned.len());
         has_changed
     }
 
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -64,13 +64,15 @@
     members: Vec<Member>,
     /// Addresses of the nodes that are alive, with their hashes.
     alive: Vec<(u64, SocketAddr)>,
+    /// Number of these that were out of touch a moment ago.
+    returning: usize,
 }
 
 impl View {
     /// Returns the view of the node `me` that knows nobody but `seeds`.
     pub fn at_start(me: SocketAddr, seeds: impl IntoIterator<Item = SocketAddr>) -> View {
         let (phase, members, alive) = (Phase::Starting, Vec::new(), Vec::new());
-        let view = View { me, phase, seeds: Vec::new(), members, alive };
+        let view = View { me, phase, seeds: Vec::new(), members, alive, returning: 0 };
         view.with_seeds(seeds).with_peers([], phase)
     }
 
@@ -86,7 +88,12 @@
         let members: Vec<Member> = peers.chain(self.own_member(phase)).collect();
         let alive = members.iter().filter(|member| member.is_alive);
         let alive = alive.map(|member| (hash_of(&member.addr), member.addr)).collect();
-        View { me: self.me, phase, seeds: self.seeds.clone(), members, alive }
+        View { me: self.me, phase, seeds: self.seeds.clone(), members, alive, returning: 0 }
+    }
+
+    /// Returns the view with this number of nodes that are alive and were out of touch a moment ago.
+    pub fn with_returning(self, returning: usize) -> View {
+        View { returning, ..self }
     }
 
     /// Returns true if the view is that of these peers.
@@ -109,20 +116,27 @@
         self.me
     }
 
+    /// Returns true for a known node that is not in touch.
+    pub fn is_out_of_touch(&self, addr: SocketAddr) -> bool {
+        self.members.iter().any(|member| member.addr == addr && !member.is_alive)
+    }
+
     /// Returns true if any node besides this one is in touch.
     pub fn has_peers_alive(&self) -> bool {
         self.alive.iter().any(|(_, addr)| *addr != self.me)
     }
 
-    /// Returns the share of all known nodes that are in touch. An owner grants this share of the
-    /// rate: nodes out of touch may have an owner of their own.
+    /// Returns the share of all known nodes that have been in touch for a while. An owner grants this
+    /// share of the rate: nodes out of touch may have an owner of their own, and go on asking it until
+    /// all of them know that they are in touch again.
     ///
     /// A seed that has just started stands alone for its shards, and grants their whole rate.
     pub fn granted_ratio(&self) -> f64 {
         match self.phase {
             Phase::Starting => 1.0,
             Phase::Isolated | Phase::Ready | Phase::Leaving => {
-                self.alive.len() as f64 / self.members.len() as f64
+                let in_touch = self.alive.len().saturating_sub(self.returning);
+                in_touch as f64 / self.members.len() as f64
             }
         }
     }
--- a/crates/quota/src/tests/bounds.rs
+++ b/crates/quota/src/tests/bounds.rs
@@ -175,13 +175,13 @@
 fn a_part_of_the_fleet_that_returns_is_not_granted_twice(part: usize, seed: u64) {
     let (nodes, quota) = (120, quota(211.0, 211.0));
     let mut fleet = Fleet::start(nodes, quota, true, seed);
-    fleet.revival = (ms(100), ms(2_400));
+    fleet.revival = (ms(100), ms(5_400));
     fleet.run(ms(8_000), 2.0 * quota.rate_per_s, any_node(nodes));
     for _ in 0..3 {
         (0..part).for_each(|n| fleet.set_group(n, 1));
         fleet.run(ms(14_000), 7.5 * quota.rate_per_s, any_node(nodes));
         (0..nodes).for_each(|n| fleet.set_group(n, 0));
-        fleet.run(ms(10_000), 7.5 * quota.rate_per_s, any_node(nodes));
+        fleet.run(ms(16_000), 7.5 * quota.rate_per_s, any_node(nodes));
     }
     let most = fleet.most_used(Duration::ZERO) as f64;
     println!("{most} of {}", most_allowed(quota));
--- a/crates/quota/src/tests/decisions.rs
+++ b/crates/quota/src/tests/decisions.rs
@@ -20,7 +20,7 @@
     let (teams, now) = (teams(Some(quota)), Instant::now());
     let mut node = Node::new(addr(0), [], BOUNDS, SmallRng::seed_from_u64(1));
     let peers = (1..126).map(|n| Member { addr: addr(n), is_alive: true });
-    assert!(node.apply_peers(peers, Phase::Ready));
+    assert!(node.apply_peers(peers, Phase::Ready, Instant::now()));
     node.apply_teams(&teams, now);
     (node, teams, now)
 }
@@ -97,7 +97,7 @@
     let (teams, now) = (teams(Some(QUOTA)), Instant::now());
     let mut node = Node::new(addr(0), [addr(0), addr(1)], BOUNDS, SmallRng::seed_from_u64(1));
     let peer = |is_alive| [Member { addr: addr(1), is_alive }].into_iter();
-    node.apply_peers(peer(true), Phase::Ready);
+    node.apply_peers(peer(true), Phase::Ready, Instant::now());
     node.apply_teams(&teams, now);
     for n in 0..400 {
         let at = now + ms(n * 20);
@@ -106,7 +106,7 @@
             step = node.timed_out(&mut attempt, at + ms(80));
         }
     }
-    node.apply_peers(peer(false), Phase::Ready);
+    node.apply_peers(peer(false), Phase::Ready, Instant::now());
     let later = now + ms(10_000);
     node.apply_teams(&teams, later);
     let (_, step) = node.begin(north(&teams), &QUOTA, Timeliness::InTime, later + ms(500));
@@ -227,7 +227,7 @@
     let teams = Teams::new(many.collect(), []).expect("valid teams");
     let (mut node, _, _) = asking_node(QUOTA);
     let peers = (1..312).map(|n| Member { addr: addr(n), is_alive: true });
-    assert!(node.apply_peers(peers, Phase::Ready));
+    assert!(node.apply_peers(peers, Phase::Ready, Instant::now()));
     let started_at = Instant::now();
     node.apply_teams(&teams, now);
     println!("{:?} for 312 nodes and {count} teams", started_at.elapsed());
--- a/crates/quota/src/tests/fleet.rs
+++ b/crates/quota/src/tests/fleet.rs
@@ -429,7 +429,7 @@
             let is_alive = alive[peer]?;
             Some(Member { addr: addr(peer), is_alive })
         });
-        if node.core.apply_peers(peers, phase) {
+        if node.core.apply_peers(peers, phase, self.base + now) {
             node.core.apply_teams(&self.teams, self.base + now);
         }
     }
