quota: nodes that return have a module of their own

returning::ReturningNodes records them with the two views of a change; the view is not copied at each tick.

--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -11,6 +11,7 @@
 mod ledger;
 mod message;
 mod node;
+mod returning;
 mod shard;
 
 use std::time::Duration;
--- a/crates/quota/src/node.rs
+++ b/crates/quota/src/node.rs
@@ -9,6 +9,7 @@
 use team::{Quota, Team, TeamName, Teams};
 
 use crate::allowance::Held;
+use crate::returning::ReturningNodes;
 use crate::{
     shard_count, Allowance, Answer, Bounds, Ledger, Member, Message, Phase, Seq, Shard, Timeliness,
     View, TOKEN_LIFETIME,
@@ -34,9 +35,6 @@
 /// Time for which a late answer is still accepted.
 const MAX_ANSWER_AGE: Duration = TOKEN_LIFETIME;
 
-/// Time after which all nodes of a fleet know of a node that is in touch again.
-const RETURN_TIME: Duration = Duration::from_secs(6);
-
 /// Why a request gets no token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -118,8 +116,7 @@
 #[derive(Debug)]
 pub struct Node {
     view: View,
-    /// Members that were out of touch, with the time since when they are in touch again.
-    returned: HashMap<SocketAddr, Instant>,
+    returning_nodes: ReturningNodes,
     ledger: Ledger,
     allowances: HashMap<TeamName, Allowance>,
     counts: HashMap<TeamName, Counts>,
@@ -144,7 +141,7 @@
     ) -> Node {
         Node {
             view: View::at_start(me, seeds),
-            returned: HashMap::new(),
+            returning_nodes: ReturningNodes::default(),
             ledger: Ledger::new(bounds),
             allowances: HashMap::new(),
             counts: HashMap::new(),
@@ -168,7 +165,7 @@
         self.ledger.set_bounds(bounds);
     }
 
-    /// Applies the known peers, and how well the node knows them; returns true if anything changed. Then
+    /// Applies the known peers, and how well the node knows them; returns true if either changed. Then
     /// [`Node::apply_teams`] must follow.
     pub fn apply_peers(
         &mut self,
@@ -178,18 +175,11 @@
     ) -> bool {
         let has_changed = !self.view.is_of(peers.clone(), phase);
         if has_changed {
-            for peer in peers.clone().filter(|peer| peer.is_alive) {
-                if self.view.is_out_of_touch(peer.addr) {
-                    self.returned.insert(peer.addr, now);
-                }
-            }
-            self.view = self.view.with_peers(peers, phase);
+            let view = self.view.with_peers(peers, phase);
+            self.returning_nodes.record(&self.view, &view, now);
+            self.view = view;
         }
-        let view = &self.view;
-        self.returned.retain(|addr, since| {
-            now.saturating_duration_since(*since) < RETURN_TIME && !view.is_out_of_touch(*addr)
-        });
-        self.view = self.view.clone().with_returning(self.returned.len());
+        self.view.set_returning(self.returning_nodes.count(now));
         has_changed
     }
 
--- a/crates/quota/src/shard.rs
+++ b/crates/quota/src/shard.rs
@@ -64,7 +64,7 @@
     members: Vec<Member>,
     /// Addresses of the nodes that are alive, with their hashes.
     alive: Vec<(u64, SocketAddr)>,
-    /// Number of these that were out of touch a moment ago.
+    /// Number of these of which not all others may know yet.
     returning: usize,
 }
 
@@ -91,9 +91,9 @@
         View { me: self.me, phase, seeds: self.seeds.clone(), members, alive, returning: 0 }
     }
 
-    /// Returns the view with this number of nodes that are alive and were out of touch a moment ago.
-    pub fn with_returning(self, returning: usize) -> View {
-        View { returning, ..self }
+    /// Sets the number of nodes in touch of which not all others may know yet.
+    pub(crate) fn set_returning(&mut self, returning: usize) {
+        self.returning = returning;
     }
 
     /// Returns true if the view is that of these peers.
@@ -116,9 +116,14 @@
         self.me
     }
 
-    /// Returns true for a known node that is not in touch.
-    pub fn is_out_of_touch(&self, addr: SocketAddr) -> bool {
-        self.members.iter().any(|member| member.addr == addr && !member.is_alive)
+    /// Returns the nodes that are in touch, this one included.
+    pub(crate) fn in_touch(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.alive.iter().map(|(_, addr)| *addr)
+    }
+
+    /// Returns the known nodes that are not in touch.
+    pub(crate) fn out_of_touch(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+        self.members.iter().filter(|member| !member.is_alive).map(|member| member.addr)
     }
 
     /// Returns true if any node besides this one is in touch.
@@ -126,9 +131,9 @@
         self.alive.iter().any(|(_, addr)| *addr != self.me)
     }
 
-    /// Returns the share of all known nodes that have been in touch for a while. An owner grants this
-    /// share of the rate: nodes out of touch may have an owner of their own, and go on asking it until
-    /// all of them know that they are in touch again.
+    /// Returns the share of all known nodes that are in touch, without those of which not all others
+    /// may know yet. An owner grants this share of the rate: the other nodes may have an owner of their
+    /// own.
     ///
     /// A seed that has just started stands alone for its shards, and grants their whole rate.
     pub fn granted_ratio(&self) -> f64 {
