--- a/crates/quota/src/returning.rs
+++ b/crates/quota/src/returning.rs
@@ -28,7 +28,7 @@
         self.since.extend(returned.map(|addr| (addr, now)));
     }
 
-    /// ReturningNodes the number of nodes of which not all others may know yet.
+    /// Returns the number of nodes of which not all others may know yet.
     pub(crate) fn count(&mut self, now: Instant) -> usize {
         self.since.retain(|_, since| now.saturating_duration_since(*since) < RETURN_TIME);
         self.since.len()
