web: a reset that a write has met ends no response

What callers saw: an upload was answered with 200 and a part of the upstream's body as a complete response, or, where the response is long and streamed, with a part of it and the last chunk. The upstream had answered at once without a length and reset the connection while the upload was written.

Cause: a socket reports its failure to one call only. A write of the upload took it, so that the next read found an end of file, and a body without length ends with that. The reader knew nothing of the writer of its connection.

Change: a reader and a writer are made together (h1::split) and share how a write failed; the reader returns that failure in place of an end of file. A broken pipe is none: the peer has closed its side before the reset, so that all of its response arrived, and it is passed on as before. Responses of upstreams and peers, probes, discarded responses and the store's are all read through this reader.

--- a/crates/edge/src/conns.rs
+++ b/crates/edge/src/conns.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use http::HeaderMap;
-use monoio::io::Splitable;
 use monoio::net::TcpStream;
 use place::Incarnation;
 use web::h1;
@@ -68,10 +67,10 @@
     }
 
     fn new(stream: TcpStream, open_guard: OpenGuard) -> Conn {
-        let (read, write) = stream.into_split();
+        let (reader, writer) = h1::split(stream);
         Conn {
-            reader: h1::Reader::new(read),
-            writer: h1::Writer::new(write),
+            reader,
+            writer,
             idle_since: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             used: false,
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use local_sync::mpsc::unbounded;
-use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
 use web::h1;
 
@@ -64,9 +63,7 @@
     node: Rc<Node>,
     accepted_offer: Option<Rc<AcceptedOffer>>,
 ) {
-    let (read, write) = stream.into_split();
-    let mut reader = h1::Reader::with_receive_times(read);
-    let mut writer = h1::Writer::new(write);
+    let (mut reader, mut writer) = h1::split_with_receive_times(stream);
     let end = {
         let pipeline = Pipeline::default();
         let (writes, queued_writes) = unbounded::channel();
--- a/crates/edge/src/tests/crash_cluster.rs
+++ b/crates/edge/src/tests/crash_cluster.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use local_sync::{mpsc::unbounded, oneshot};
-use monoio::io::Splitable;
 use monoio::net::udp::UdpSocket;
 use monoio::net::{TcpListener, TcpStream};
 use place::{Entry, Event};
@@ -181,8 +180,7 @@
     }
 
     async fn serve_connection(&self, stream: TcpStream, instance: &Instance) {
-        let (read, write) = stream.into_split();
-        let (mut reader, mut writer) = (h1::Reader::new(read), h1::Writer::new(write));
+        let (mut reader, mut writer) = h1::split(stream);
         while let Ok(head) = reader.request_head(64 * 1024).await {
             let mut decoder = h1::Decoder::new(head.framing);
             if reader.body(&mut decoder, 1024 * 1024).await.is_err() {
--- a/crates/edge/src/tests/fake.rs
+++ b/crates/edge/src/tests/fake.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use http::{HeaderName, Method};
-use monoio::io::{AsyncReadRent, AsyncWriteRentExt, Splitable};
+use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
 use place::{Change, Entry};
 use route::{ClientLimits, RetryPolicy, Route, Service, Table, Target};
@@ -241,9 +241,7 @@
     seen: Rc<RefCell<Vec<SeenRequest>>>,
     abandoned: Rc<Cell<u32>>,
 ) {
-    let (read, write) = stream.into_split();
-    let mut reader = h1::Reader::new(read);
-    let mut writer = h1::Writer::new(write);
+    let (mut reader, mut writer) = h1::split(stream);
     while let Ok(head) = reader.request_head(64 * 1024).await {
         let id = head.headers.get("x-id").and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
         let script = {
@@ -372,8 +370,8 @@
 
     /// Returns a caller that uses an open connection.
     pub fn over(stream: TcpStream) -> Caller {
-        let (read, write) = stream.into_split();
-        Caller { reader: h1::Reader::new(read), writer: h1::Writer::new(write) }
+        let (reader, writer) = h1::split(stream);
+        Caller { reader, writer }
     }
 
     pub async fn write(&mut self, text: &str) {
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -7,6 +7,7 @@
 mod callers;
 mod crash_cluster;
 mod crashes;
+mod early_answers;
 mod endless;
 mod evacuation;
 mod expired_leases;
--- a/crates/edge/src/tests/partitioned.rs
+++ b/crates/edge/src/tests/partitioned.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use monoio::io::Splitable;
 use monoio::net::udp::UdpSocket;
 use monoio::net::{TcpListener, TcpStream};
 use web::h1;
@@ -251,8 +250,7 @@
 }
 
 async fn answer_until_reset(stream: TcpStream, is_reset: Rc<Cell<bool>>) {
-    let (read, write) = stream.into_split();
-    let (mut reader, mut writer) = (h1::Reader::new(read), h1::Writer::new(write));
+    let (mut reader, mut writer) = h1::split(stream);
     let answering = async {
         while let Ok(head) = reader.request_head(64 * 1024).await {
             let id = head.headers.get("x-id").and_then(|id| id.to_str().ok()).unwrap_or("");
--- a/crates/edge/src/tests/teams.rs
+++ b/crates/edge/src/tests/teams.rs
@@ -567,8 +567,8 @@
             outputs.extend(upstream.seen.borrow().iter().map(text_of));
             outputs.extend(upstream.seen.borrow().iter().map(|seen| format!("{:?}", seen.head)));
         }
-        let mut reader_head = web::h1::Reader::new(connected_to_text(&served).await);
-        let head = reader_head.request_head(1_000).await.expect("a head");
+        let (mut reader, _writer) = web::h1::split(connected_to_text(&served).await);
+        let head = reader.request_head(1_000).await.expect("a head");
         outputs.push(format!("{head:?}"));
         trace::flush_and_wait(ms(2_000));
         let log = String::from_utf8(log.0.lock().expect("not poisoned").clone()).expect("text");
@@ -587,12 +587,12 @@
     });
 }
 
-/// Returns the reading half of a connection on which a request with these header lines arrives.
-async fn connected_to_text(lines: &str) -> monoio::net::tcp::TcpOwnedReadHalf {
+/// Returns a connection on which a request with these header lines arrives.
+async fn connected_to_text(lines: &str) -> TcpStream {
     let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("binds");
     let addr = listener.local_addr().expect("bound");
     let mut stream = TcpStream::connect_addr(addr).await.expect("connects");
     write_raw(&mut stream, &with_headers(&get("/get/1", "1"), lines)).await;
     let (accepted, _) = listener.accept().await.expect("accepts");
-    monoio::io::Splitable::into_split(accepted).0
+    accepted
 }
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use http::header::{HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use monoio::io::Splitable;
 use quick_error::quick_error;
 
 use crate::arrival::{self, Arrival};
@@ -97,8 +96,7 @@
             let result = stream.set_tcp_keepalive(Some(idle), Some(interval), Some(probes));
             result.map_err(|err| Error::Connect(err.to_string()))?;
         }
-        let (read, write) = stream.into_split();
-        let (reader, writer) = (h1::Reader::new(read), h1::Writer::new(write));
+        let (reader, writer) = h1::split(stream);
         Ok(Conn { reader, writer, is_reusable: true, max_body_bytes: MAX_BODY_BYTES, peer: addr })
     }
 
--- a/crates/web/src/h1/mod.rs
+++ b/crates/web/src/h1/mod.rs
@@ -18,7 +18,7 @@
     parse_request, parse_response, write_request, write_response, Framing, ParseError, RequestHead,
     ResponseHead, MAX_RESPONSE_HEAD_BYTES,
 };
-pub use stream::{ReadError, Reader, Writer};
+pub use stream::{split, split_with_receive_times, ReadError, Reader, Writer};
 
 #[cfg(test)]
 mod tests;
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -11,7 +11,9 @@
 
 use bytes::{Bytes, BytesMut};
 use http::Method;
-use monoio::io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf};
+use monoio::io::{
+    AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
+};
 use monoio::net::TcpStream;
 use quick_error::quick_error;
 
@@ -52,9 +54,32 @@
     }
 }
 
+/// Splits a connection into its reader and its writer.
+pub fn split(stream: TcpStream) -> (Reader, Writer) {
+    let (read, write) = stream.into_split();
+    let write_failure = Rc::new(Cell::new(None));
+    let reader = Reader {
+        half: read,
+        write_failure: write_failure.clone(),
+        buf: BytesMut::new(),
+        received: Rc::default(),
+        receive_times: None,
+        busy_since: None,
+    };
+    (reader, Writer { half: write, failure: write_failure })
+}
+
+/// Same as [`split`], with a reader that records receive times for [`Reader::receive_time`].
+pub fn split_with_receive_times(stream: TcpStream) -> (Reader, Writer) {
+    let (reader, writer) = split(stream);
+    (Reader { receive_times: Some(ReceiveTimes::default()), ..reader }, writer)
+}
+
 /// Reads messages from the receiving half of a connection and buffers unconsumed bytes.
 pub struct Reader {
     half: OwnedReadHalf<TcpStream>,
+    /// How the connection failed, if a write was told so.
+    write_failure: Rc<Cell<Option<io::ErrorKind>>>,
     buf: BytesMut,
     /// Number of bytes received since the connection was opened.
     received: Rc<Cell<u64>>,
@@ -99,31 +124,15 @@
 /// Writes to the sending half of a connection.
 pub struct Writer {
     half: OwnedWriteHalf<TcpStream>,
+    failure: Rc<Cell<Option<io::ErrorKind>>>,
 }
 
 impl Reader {
-    /// Creates a reader for a connection that has not been read from yet.
-    pub fn new(half: OwnedReadHalf<TcpStream>) -> Reader {
-        Reader {
-            half,
-            buf: BytesMut::new(),
-            received: Rc::default(),
-            receive_times: None,
-            busy_since: None,
-        }
-    }
-
     /// Returns the number of bytes received so far, which the reader goes on to update.
     pub(crate) fn received(&self) -> Rc<Cell<u64>> {
         self.received.clone()
     }
 
-    /// Creates a reader, for a connection that has not been read from yet, that records receive
-    /// times for [`Reader::receive_time`].
-    pub fn with_receive_times(half: OwnedReadHalf<TcpStream>) -> Reader {
-        Reader { receive_times: Some(ReceiveTimes::default()), ..Reader::new(half) }
-    }
-
     /// Returns when the last consumed byte was received, or the current time when receive times are
     /// not recorded.
     ///
@@ -152,10 +161,14 @@
     ///
     /// # Errors
     ///
-    /// Returns the I/O error of the socket.
+    /// Returns the I/O error of the socket. The socket reports an error only once: if a write was told
+    /// that the connection failed, it is returned here in place of an end that the peer never sent.
     pub async fn fill(&mut self) -> io::Result<bool> {
         let (result, scratch) = self.half.read(Vec::with_capacity(READ_BUFFER_BYTES)).await;
-        let length = result?;
+        let length = match (result?, self.write_failure.get()) {
+            (0, Some(failure)) => return Err(failure.into()),
+            (length, _) => length,
+        };
         self.received.set(self.received.get() + length as u64);
         self.buf.extend_from_slice(&scratch[..length]);
         if let Some(receive_times) = &mut self.receive_times {
@@ -302,11 +315,6 @@
 }
 
 impl Writer {
-    /// Creates a writer for a connection.
-    pub fn new(half: OwnedWriteHalf<TcpStream>) -> Writer {
-        Writer { half }
-    }
-
     /// Writes all of `bytes`.
     ///
     /// Not cancel safe: if the future is dropped before it completes, an unknown part of `bytes`
@@ -316,7 +324,19 @@
     ///
     /// Returns the I/O error of the socket.
     pub async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
-        self.half.write_all(bytes).await.0.map(|_| ())
+        let result = self.half.write_all(bytes).await.0.map(|_| ());
+        if let Err(err) = &result {
+            self.record_failure(err.kind());
+        }
+        result
+    }
+
+    /// Records how the connection failed. After a broken pipe everything that the peer sent can still
+    /// be read: it had closed its side before the connection failed, or the failure is known already.
+    fn record_failure(&self, kind: io::ErrorKind) {
+        if kind != io::ErrorKind::BrokenPipe && self.failure.get().is_none() {
+            self.failure.set(Some(kind));
+        }
     }
 
     /// Closes the sending side of the connection.
@@ -325,3 +345,6 @@
         let _ = self.half.shutdown().await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
-use monoio::io::Splitable;
 use monoio::net::{TcpListener, TcpStream};
 
 use crate::{h1, Request, Response, MAX_BODY_BYTES};
@@ -62,9 +61,7 @@
     peer: std::net::SocketAddr,
     handler: Rc<H>,
 ) {
-    let (read, write) = stream.into_split();
-    let mut reader = h1::Reader::new(read);
-    let mut writer = h1::Writer::new(write);
+    let (mut reader, mut writer) = h1::split(stream);
     loop {
         let (request, caller_closes) = match read_request(&mut reader, &mut writer).await {
             Ok(received) => received,
