web, edge, oatcoved: tests of malformed responses, and of early ones at the own interface

Guards against an upstream's response with status 000, or with a field name that holds a blank or a control byte, that a caller gets as a response: already handled, nothing in the product changed. Such a response is a syntax error to web::h1, the one parser of upstreams' responses, probes, peers and the platform: 502 (may have run), tried again where the route allows it, no load report, a probe that counts as failed.

--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -19,6 +19,7 @@
 mod leaving;
 mod limits;
 mod long_bodies;
+mod malformed_heads;
 mod node_state;
 mod offered;
 mod partitioned;
--- a/crates/oatcoved/src/probe/tests.rs
+++ b/crates/oatcoved/src/probe/tests.rs
@@ -159,3 +159,27 @@
         assert!(sent_bytes.get() < MAX_SENT_BYTES, "{} bytes", sent_bytes.get());
     });
 }
+
+/// Guards against an upstream that counts as up by a malformed response.
+#[parameterized(
+    status_000 = { "HTTP/1.1 000 OK\r\ncontent-length: 0\r\n\r\n" },
+    blank_in_name = { "HTTP/1.1 200 OK\r\nx a: 1\r\ncontent-length: 0\r\n\r\n" },
+    control_byte_in_name = { "HTTP/1.1 200 OK\r\nx\u{1}a: 1\r\ncontent-length: 0\r\n\r\n" },
+)]
+fn a_malformed_response_counts_as_down(response: &'static str) {
+    web::runtime().block_on(async {
+        let listener = monoio::net::TcpListener::bind("127.0.0.1:0").expect("binds");
+        let addr = listener.local_addr().expect("bound");
+        monoio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("accepts");
+            let (_, _) = stream.read(vec![0; 4_096]).await;
+            stream.write_all(response.as_bytes().to_vec()).await.0.expect("writes");
+        });
+        let (tx, mut results) = unbounded::channel();
+        crate::probe::probe(addr, "/".to_owned(), None, tx).await;
+        let Some(crate::probe::Input::Completed(_, result, None)) = results.recv().await else {
+            panic!("the connection is not kept")
+        };
+        assert_eq!(result.outcome, watch::ProbeOutcome::Down);
+    });
+}
--- a/crates/oatcoved/src/proxy/tests.rs
+++ b/crates/oatcoved/src/proxy/tests.rs
@@ -11,6 +11,7 @@
 use crate::proxy::Node;
 
 mod attribution;
+mod broken_responses;
 mod keys;
 mod offered;
 mod outdated;
--- a/crates/web/src/client/tests.rs
+++ b/crates/web/src/client/tests.rs
@@ -93,3 +93,19 @@
         assert_eq!(result.map(|response| response.into_body()), expected);
     });
 }
+
+/// Guards against a malformed response that counts as one of an upstream, a peer or the platform.
+#[yare::parameterized(
+    status_000 = { "HTTP/1.1 000 OK\r\ncontent-length: 1\r\n\r\na" },
+    blank_in_name = { "HTTP/1.1 200 OK\r\nx a: 1\r\ncontent-length: 1\r\n\r\na" },
+    blank_in_length = { "HTTP/1.1 200 OK\r\ncontent-length : 1\r\n\r\nabc" },
+    control_byte_in_name = { "HTTP/1.1 200 OK\r\nx\u{1}a: 1\r\ncontent-length: 1\r\n\r\na" },
+)]
+fn malformed_response_is_an_error(response: &'static str) {
+    crate::runtime().block_on(async {
+        let mut conn =
+            Conn::connect(start_server(response, true), TIMEOUT).await.expect("connects");
+        let result = get(&mut conn).await;
+        assert!(matches!(result, Err(Error::Http(_))), "{result:?}");
+    });
+}
