web, oatcoved: the bodies of a process share a budget of memory

What callers saw: an upstream that sends body bytes without end took the memory of the entry node that called it, so that the calls of all its callers were at risk. Own interface only: it receives a response in full, up to 64 MiB each, with no limit for all of them together. The platform's interface streams beyond 64 KiB (process::endless, unchanged).

Change: BufferBudget, shared by the bodies of one kind in a process; oatcoved has one for calls and one for responses, 96 MiB each. A body may hold at most twice what is left, so that many bodies without end are given up early and short ones always fit; one of 64 MiB alone is received as before. The share is returned with the last clone of the body. A response is written in pieces with a timeout each, as a caller that does not read would keep its share. Long bodies are no longer copied to be sent.

The bound is 192 MiB, twice the budget as buffers grow by doubling. Seen to fail: without the decision of the budget a_request_beyond_the_budget_is_rejected and three cases of a_short_body_fits_beside_bodies_without_end; with a timeout of 1,000 s a_response_that_is_not_read_is_given_up.

--- a/crates/edge/src/tests/crash_cluster.rs
+++ b/crates/edge/src/tests/crash_cluster.rs
@@ -183,7 +183,8 @@
         let (mut reader, mut writer) = h1::split(stream);
         while let Ok(head) = reader.request_head(64 * 1024).await {
             let mut decoder = h1::Decoder::new(head.framing);
-            if reader.body(&mut decoder, 1024 * 1024).await.is_err() {
+            let budget = web::BufferBudget::unlimited();
+            if reader.body(&mut decoder, 1024 * 1024, &budget).await.is_err() {
                 return;
             }
             let text = |name: &str| {
@@ -193,7 +194,7 @@
             let id = text("x-id");
             if text("x-expect") != instance.id {
                 let rejection = "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n";
-                if writer.write(rejection.into()).await.is_err() {
+                if writer.write(rejection.as_bytes()).await.is_err() {
                     return;
                 }
                 continue;
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -41,10 +41,15 @@
     retry_budget: limit::RetryBudget,
 }
 
+/// Memory that the bodies of callers' requests may take together, and again those of responses.
+const MAX_BUFFERED_BYTES: usize = 96 * 1024 * 1024;
+
 /// The entry node's HTTP handler.
 pub struct Node {
     view: Rc<RefCell<View>>,
     idle: attempt::IdleConns,
+    request_buffers: web::BufferBudget,
+    response_buffers: web::BufferBudget,
     service_limits: RefCell<HashMap<SmolStr, ServiceLimits>>,
     run_delay: RunDelayClock,
     slow_calls: RefCell<limit::SlowCallDetector>,
@@ -58,9 +63,12 @@
     /// Creates the handler, on the thread that will serve its calls. `gossip` is notified of updates
     /// that have to be broadcast to peers.
     pub fn new(view: Rc<RefCell<View>>, metrics: Metrics, gossip: Tx<gossip::Input>) -> Node {
+        let response_buffers = web::BufferBudget::new(MAX_BUFFERED_BYTES);
         Node {
             view,
-            idle: attempt::IdleConns::default(),
+            idle: attempt::IdleConns::new(&response_buffers),
+            request_buffers: web::BufferBudget::new(MAX_BUFFERED_BYTES),
+            response_buffers,
             service_limits: RefCell::new(HashMap::new()),
             run_delay: RunDelayClock::of_this_thread(),
             slow_calls: RefCell::default(),
@@ -152,6 +160,10 @@
         }
         response
     }
+
+    fn request_buffers(&self) -> web::BufferBudget {
+        self.request_buffers.clone()
+    }
 }
 
 fn json<T: serde::Serialize>(value: &T) -> web::Response {
--- a/crates/oatcoved/src/proxy/attempt.rs
+++ b/crates/oatcoved/src/proxy/attempt.rs
@@ -43,15 +43,20 @@
 pub(super) struct IdleConns {
     by_upstream: RefCell<HashMap<SocketAddr, Vec<IdleConn>>>,
     purged_at: Cell<Instant>,
+    /// Memory for the responses.
+    response_buffers: web::BufferBudget,
 }
 
-impl Default for IdleConns {
-    fn default() -> Self {
-        IdleConns { by_upstream: RefCell::default(), purged_at: Cell::new(Instant::now()) }
+impl IdleConns {
+    /// Creates a pool without connections, whose responses take memory of `response_buffers`.
+    pub(super) fn new(response_buffers: &web::BufferBudget) -> IdleConns {
+        IdleConns {
+            by_upstream: RefCell::default(),
+            purged_at: Cell::new(Instant::now()),
+            response_buffers: response_buffers.clone(),
+        }
     }
-}
 
-impl IdleConns {
     /// Sends `request` to `addr` and waits for the response for at most `remaining`.
     ///
     /// The connection is kept for reuse unless the response asks to close it or `max_idle`
@@ -72,6 +77,7 @@
                 Err(_) => return Attempt::NotSent,
             },
         };
+        conn.share_buffers(&self.response_buffers);
         let request_id = request.headers().get(crate::REQUEST_ID).cloned();
         let has_body = !request.body().is_empty();
         let result = conn.send(request, remaining).await;
--- a/crates/oatcoved/src/proxy/via_peer.rs
+++ b/crates/oatcoved/src/proxy/via_peer.rs
@@ -158,6 +158,7 @@
         let Ok(mut conn) = web::Conn::connect(peer, timeout).await else {
             return Offered::Declined;
         };
+        conn.share_buffers(&self.response_buffers);
         let request = self.offered_request(call, peer, attempts);
         match conn.send(request, call.remaining()).await {
             Ok(response) => match response.headers().get(crate::OFFER) {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -9,7 +9,7 @@
 use quick_error::quick_error;
 
 use crate::arrival::{self, Arrival};
-use crate::{h1, Request, Response, MAX_BODY_BYTES};
+use crate::{h1, BufferBudget, Request, Response, MAX_BODY_BYTES};
 
 /// Time for input that arrived while the event loop stalled to be received.
 const TURN_TIMEOUT: Duration = Duration::from_millis(1);
@@ -56,6 +56,7 @@
     reader: h1::Reader,
     is_reusable: bool,
     max_body_bytes: usize,
+    budget: BufferBudget,
     /// Address of the server.
     pub peer: SocketAddr,
 }
@@ -97,7 +98,14 @@
             result.map_err(|err| Error::Connect(err.to_string()))?;
         }
         let (reader, writer) = h1::split(stream);
-        Ok(Conn { reader, writer, is_reusable: true, max_body_bytes: MAX_BODY_BYTES, peer: addr })
+        Ok(Conn {
+            reader,
+            writer,
+            is_reusable: true,
+            max_body_bytes: MAX_BODY_BYTES,
+            budget: BufferBudget::unlimited(),
+            peer: addr,
+        })
     }
 
     /// Limits the body of each response to `max_bytes` instead of [`MAX_BODY_BYTES`].
@@ -105,6 +113,11 @@
         self.max_body_bytes = max_bytes;
     }
 
+    /// Receives the bodies of responses into memory of `budget`.
+    pub fn share_buffers(&mut self, budget: &BufferBudget) {
+        self.budget = budget.clone();
+    }
+
     /// Returns true if another request may be sent: the last exchange succeeded, its response did
     /// not end with the connection, and no bytes followed it, which would be taken for the response
     /// to the next request.
@@ -177,12 +190,13 @@
         if !body.is_empty() || parts.method != http::Method::GET {
             headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
         }
-        let mut bytes = h1::write_request(&parts.method, target, &headers);
-        bytes.extend_from_slice(&body);
-        self.writer.write(bytes).await.map_err(|err| Error::Send(err.to_string()))?;
+        let bytes = h1::write_request(&parts.method, target, &headers);
+        let written = self.writer.write_message(bytes, &body).await;
+        written.map_err(|err| Error::Send(err.to_string()))?;
         let head = self.reader.response_head(&parts.method).await.map_err(http_error)?;
         let mut decoder = h1::Decoder::new(head.framing);
-        let body = self.reader.body(&mut decoder, self.max_body_bytes).await.map_err(http_error)?;
+        let body = self.reader.body(&mut decoder, self.max_body_bytes, &self.budget).await;
+        let body = body.map_err(http_error)?;
         self.is_reusable = head.keep_alive && !self.reader.has_buffered();
         let mut response = http::Response::new(body);
         *response.status_mut() = head.status;
--- a/crates/web/src/h1/head.rs
+++ b/crates/web/src/h1/head.rs
@@ -41,6 +41,10 @@
         TooLong {
             display("head too long")
         }
+        /// The body does not fit into the memory that all bodies may take.
+        NoMemory {
+            display("no memory for the body")
+        }
         /// The length of the body is ambiguous or invalid.
         Framing(message: &'static str) {
             display("ambiguous body length: {}", message)
@@ -66,6 +70,7 @@
         match self {
             ParseError::TooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             ParseError::TransferCoding => StatusCode::NOT_IMPLEMENTED,
+            ParseError::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::Method;
+use monoio::buf::IoBuf;
 use monoio::io::{
     AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
 };
@@ -19,6 +20,7 @@
 
 use super::body::{Decoder, Progress};
 use super::head::{self, ParseError, RequestHead, ResponseHead};
+use crate::buffers::BufferBudget;
 
 /// Reads that follow each other within this time share one receive time, so that a peer that sends
 /// one byte at a time cannot make the list of receive times long.
@@ -29,6 +31,9 @@
 const MAX_BUSY_TIME: Duration = Duration::from_millis(5);
 const PAUSE: Duration = Duration::from_millis(1);
 
+/// Maximum length of a body that is sent in one write with its head, in bytes.
+const MAX_COPIED_BODY_BYTES: usize = 64 * 1024;
+
 /// Maximum number of bytes in one read.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -292,23 +297,27 @@
         }
     }
 
-    /// Reads the whole body that `decoder` decodes, of at most `max_bytes` bytes.
+    /// Reads the whole body that `decoder` decodes, of at most `max_bytes` bytes, into memory of
+    /// `budget`.
     ///
     /// # Errors
     ///
     /// Returns [`ReadError`], which is `Closed` when the connection ends before the body does and
-    /// `Malformed` when the body is malformed or too long.
+    /// `Malformed` when the body is malformed, too long, or does not fit into the budget.
     pub async fn body(
         &mut self,
         decoder: &mut Decoder,
         max_bytes: usize,
+        budget: &BufferBudget,
     ) -> Result<Bytes, ReadError> {
-        let mut body = BytesMut::new();
+        let mut body = budget.buffer();
         while let Some(piece) = self.body_piece(decoder).await? {
             if body.len() + piece.len() > max_bytes {
                 return Err(ParseError::TooLong.into());
             }
-            body.extend_from_slice(&piece);
+            if !body.append(&piece) {
+                return Err(ParseError::NoMemory.into());
+            }
         }
         Ok(body.freeze())
     }
@@ -323,7 +332,7 @@
     /// # Errors
     ///
     /// Returns the I/O error of the socket.
-    pub async fn write(&mut self, bytes: Vec<u8>) -> io::Result<()> {
+    pub async fn write<B: IoBuf + 'static>(&mut self, bytes: B) -> io::Result<()> {
         let result = self.half.write_all(bytes).await.0.map(|_| ());
         if let Err(err) = &result {
             self.record_failure(err.kind());
@@ -331,6 +340,20 @@
         result
     }
 
+    /// Writes a message: its head, and its body, which is copied only if it is short.
+    ///
+    /// # Errors
+    ///
+    /// Same as [`Writer::write`].
+    pub async fn write_message(&mut self, mut head: Vec<u8>, body: &Bytes) -> io::Result<()> {
+        if body.len() <= MAX_COPIED_BODY_BYTES {
+            head.extend_from_slice(body);
+            return self.write(head).await;
+        }
+        self.write(head).await?;
+        self.write(body.clone()).await
+    }
+
     /// Records how the connection failed. After a broken pipe everything that the peer sent can still
     /// be read: it had closed its side before the connection failed, or the failure is known already.
     fn record_failure(&self, kind: io::ErrorKind) {
--- a/crates/web/src/h1/stream/tests.rs
+++ b/crates/web/src/h1/stream/tests.rs
@@ -39,7 +39,8 @@
 }
 
 async fn read_body(reader: &mut Reader) -> Result<Bytes, ReadError> {
-    reader.body(&mut Decoder::new(Framing::UntilClose), 1_024).await
+    let budget = crate::BufferBudget::unlimited();
+    reader.body(&mut Decoder::new(Framing::UntilClose), 1_024, &budget).await
 }
 
 /// Guards against a part of a body that is taken for all of it: its sender resets the connection
--- a/crates/web/src/h1/tests.rs
+++ b/crates/web/src/h1/tests.rs
@@ -16,6 +16,7 @@
         Ok(_) => None,
         Err(ParseError::Syntax(_)) => Some("syntax"),
         Err(ParseError::TooLong) => Some("too long"),
+        Err(ParseError::NoMemory) => Some("no memory"),
         Err(ParseError::Framing(_)) => Some("framing"),
         Err(ParseError::Host) => Some("host"),
         Err(ParseError::Target) => Some("target"),
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -7,6 +7,7 @@
 //! closed.
 
 mod arrival;
+mod buffers;
 mod client;
 mod connect;
 pub mod h1;
@@ -15,6 +16,7 @@
 mod server;
 mod timeout;
 
+pub use buffers::BufferBudget;
 pub use client::{Conn, Error, TcpKeepalive};
 pub use connect::connect;
 pub use headers::{credentials, strip_connection_headers};
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -1,19 +1,29 @@
 //! HTTP/1.1 server for short messages.
 
 use std::future::Future;
+use std::io;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::header::{HeaderValue, CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use monoio::net::{TcpListener, TcpStream};
 
-use crate::{h1, Request, Response, MAX_BODY_BYTES};
+use crate::{h1, BufferBudget, Request, Response, MAX_BODY_BYTES};
 
 /// Maximum length of a request head, in bytes; a common limit among HTTP servers.
 const MAX_REQUEST_HEAD_BYTES: usize = 16 * 1024;
 
+/// Length of the pieces in which a long body is written, and timeout of each. A caller that does not
+/// read keeps the memory of its response.
+const WRITE_PIECE_BYTES: usize = 64 * 1024;
+const WRITE_PIECE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// `Retry-After` of a request for whose body there is no memory, in seconds.
+const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
+
 /// Handles the requests of a server; all connections share one value.
 pub trait Handler: 'static {
     /// Returns the whole response to `request`; `peer` is the caller's address.
@@ -30,6 +40,11 @@
     fn max_connections(&self) -> usize {
         usize::MAX
     }
+
+    /// Returns the memory that the bodies of requests may take; requests beyond it get 503.
+    fn request_buffers(&self) -> BufferBudget {
+        BufferBudget::unlimited()
+    }
 }
 
 /// Accepts connections on `listener` and serves each in its own task; never returns.
@@ -62,12 +77,14 @@
     handler: Rc<H>,
 ) {
     let (mut reader, mut writer) = h1::split(stream);
+    let budget = handler.request_buffers();
     loop {
-        let (request, caller_closes) = match read_request(&mut reader, &mut writer).await {
+        let received = read_request(&mut reader, &mut writer, &budget).await;
+        let (request, caller_closes) = match received {
             Ok(received) => received,
             Err(h1::ReadError::Malformed(err)) => {
                 log::debug!("rejected a malformed request from {peer}: {err}");
-                let response = crate::reply(err.status(), format!("{err}\n"));
+                let response = rejection(&err);
                 let _ = send_response(&mut writer, response, false).await;
                 writer.shutdown().await;
                 return;
@@ -98,10 +115,20 @@
     }
 }
 
+/// Returns the response to a request that cannot be received.
+fn rejection(err: &h1::ParseError) -> Response {
+    let mut response = crate::reply(err.status(), format!("{err}\n"));
+    if err.status() == StatusCode::SERVICE_UNAVAILABLE {
+        response.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S);
+    }
+    response
+}
+
 /// Reads a whole request and returns it with whether the connection closes after the response.
 async fn read_request(
     reader: &mut h1::Reader,
     writer: &mut h1::Writer,
+    budget: &BufferBudget,
 ) -> Result<(Request, bool), h1::ReadError> {
     let head = reader.request_head(MAX_REQUEST_HEAD_BYTES).await?;
     let mut decoder = h1::Decoder::new(head.framing);
@@ -109,7 +136,7 @@
     if expect_header.is_some_and(|e| e.as_bytes().eq_ignore_ascii_case(b"100-continue")) {
         writer.write(h1::write_response(StatusCode::CONTINUE, &HeaderMap::new())).await?;
     }
-    let body = reader.body(&mut decoder, MAX_BODY_BYTES).await?;
+    let body = reader.body(&mut decoder, MAX_BODY_BYTES, budget).await?;
     let uri = http::Uri::try_from(head.target.as_str());
     let uri = uri.map_err(|err| h1::ParseError::Syntax(err.to_string()))?;
     let mut request = http::Request::new(body);
@@ -125,16 +152,24 @@
     writer: &mut h1::Writer,
     response: Response,
     head_only: bool,
-) -> std::io::Result<()> {
+) -> io::Result<()> {
     let (parts, body): (_, Bytes) = response.into_parts();
     let mut headers = parts.headers;
     headers.remove(TRANSFER_ENCODING);
     headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
-    let mut bytes = h1::write_response(parts.status, &headers);
-    if !head_only {
-        bytes.extend_from_slice(&body);
+    let bytes = h1::write_response(parts.status, &headers);
+    if head_only {
+        return writer.write(bytes).await;
+    }
+    let first = body.slice(..body.len().min(WRITE_PIECE_BYTES));
+    writer.write_message(bytes, &first).await?;
+    let mut rest = body.slice(first.len()..);
+    while !rest.is_empty() {
+        let piece = rest.split_to(rest.len().min(WRITE_PIECE_BYTES));
+        let writing = crate::timeout(WRITE_PIECE_TIMEOUT, writer.write(piece));
+        writing.await.map_err(|_| io::ErrorKind::TimedOut)??;
     }
-    writer.write(bytes).await
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/web/src/server/tests.rs
+++ b/crates/web/src/server/tests.rs
@@ -8,6 +8,8 @@
 
 use crate::server::{serve, Handler};
 
+mod memory;
+
 /// Responds with the path after 50 ms, and counts started and completed requests.
 #[derive(Default)]
 struct SlowHandler {
