oatcoved, limit: a stopping node takes no call that it would cut

What callers saw: in a planned stop, calls that came late in the grace period were taken and passed on, and cut with no answer when the process exited, those among them that must not run twice. Own interface: a stopping node took every call until its exit. The platform's interface rejects what may last longer in the second half of the grace period; its test passes (stops::...::taken_late, real process and signal).

Change: the decision of the platform's interface moves to limit::Stopping, and oatcoved asks it too; calls that it rejects are not-run, and another node can serve them at once. A call whose deadline is later than the exit is also rejected early if it most likely ends later, by the mean latency of its kind. The process exits 0.2 s before the end of stop_grace_ms rather than up to 0.25 s after it.

Evidence: xtask stops::a_stopping_node_takes_no_call_that_it_would_cut (calls of 1.5 s, six callers, grace of 6 s) failed 3 of 3 before: six calls, sent 5.0 s after the signal, received by the upstream and cut; the process ran for 6.07 s. After: 3 of 3 pass, none cut. Seen to fail: without the decision, taken_late (six cut, sent 4.0 s after the signal) and three cases of limit::stop.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -365,7 +365,9 @@
             .map_or(route.timeout, |stated_deadline| stated_deadline.min(route.timeout));
         let deadline = received_at + allowed;
         let stopping = self.state.borrow().stopping;
-        if stopping.is_some_and(|stopping| stopping.must_reject(deadline, received_at)) {
+        if stopping
+            .is_some_and(|stopping| stopping.must_reject(deadline, Duration::ZERO, received_at))
+        {
             trace::Line::new("refused")
                 .field("request", request_id_of(head, &names))
                 .field("reason", "stopping")
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use limit::Stopping;
 use place::{Incarnation, RequestOutcome};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -82,28 +83,6 @@
     }
 }
 
-/// A graceful stop in progress.
-#[derive(Clone, Copy, Debug)]
-pub struct Stopping {
-    /// When the stop was requested.
-    pub requested_at: Instant,
-    /// When the process exits, even with requests in flight.
-    pub exits_at: Instant,
-}
-
-impl Stopping {
-    /// Returns true when a request that may take until `deadline` must not be accepted any more.
-    ///
-    /// A request that is cut off when the process exits may have run, and its caller cannot tell;
-    /// if it is refused at once, another node serves it. In the first half of the grace period
-    /// every request is accepted: callers still have this node's address cached, and most requests
-    /// take far less than their deadline.
-    pub fn must_reject(&self, deadline: Instant, now: Instant) -> bool {
-        let half = self.requested_at + (self.exits_at - self.requested_at) / 2;
-        now > half && deadline > self.exits_at
-    }
-}
-
 /// How far a node has read a topic's history.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ReadProgress {
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -10,11 +10,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use limit::Stopping;
 use local_sync::mpsc::unbounded::Tx;
 
 use crate::forward::Node;
 use crate::stalls::StallLog;
-use crate::state::Stopping;
 use crate::{follow, gossip, paths, quotas, unix_ms};
 
 /// Interval of housekeeping and of checks for signals.
--- a/crates/edge/src/tests/node_state.rs
+++ b/crates/edge/src/tests/node_state.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use limit::Stopping;
 use route::ClientLimits;
 use wire::Standing;
 
@@ -13,7 +14,7 @@
 use crate::follow::{self, Batch, Event, Source, SourceError, Topic};
 use crate::forward::Node;
 use crate::history::Cursor;
-use crate::state::{Peer, ReadProgress, State, Stopping};
+use crate::state::{Peer, ReadProgress, State};
 
 fn node() -> Rc<Node> {
     Rc::new(Node::new(Rc::new(RefCell::new(State::new(settings()))), metrics()))
@@ -230,7 +231,7 @@
     let requested_at = Instant::now();
     let stopping = Stopping { requested_at, exits_at: requested_at + ms(5_400) };
     let now = requested_at + ms(after_ms);
-    assert_eq!(stopping.must_reject(now + ms(takes_ms), now), rejected);
+    assert_eq!(stopping.must_reject(now + ms(takes_ms), Duration::ZERO, now), rejected);
 }
 
 #[test]
--- a/crates/edge/src/tests/pipelining.rs
+++ b/crates/edge/src/tests/pipelining.rs
@@ -11,7 +11,6 @@
     get, incarnation, ms, ok_response, post, read_to_end, run, start, table_with_objective,
     write_raw, Caller, EntryNode, Step, Upstream,
 };
-use crate::state::Stopping;
 
 /// Maximum number of requests of one connection in flight.
 const MAX_IN_FLIGHT: usize = 8;
@@ -228,7 +227,7 @@
         wait_until(|| upstream.runs() == 3).await;
         let now = Instant::now();
         entry_node.node.state.borrow_mut().stopping =
-            Some(Stopping { requested_at: now, exits_at: now + Duration::from_secs(5) });
+            Some(limit::Stopping { requested_at: now, exits_at: now + Duration::from_secs(5) });
         write_raw(&mut stream, &get("/get/4", "id-4")).await;
         let text = read_to_end(stream).await;
         for id in ["id-1", "id-2", "id-3"] {
--- a/crates/edge/src/tests/quotas.rs
+++ b/crates/edge/src/tests/quotas.rs
@@ -618,7 +618,7 @@
         assert!(entry.node.quotas.owned_count() > 0, "it owns some of the shards");
         let now = Instant::now();
         entry.node.state.borrow_mut().stopping =
-            Some(crate::state::Stopping { requested_at: now, exits_at: now + ms(5_000) });
+            Some(limit::Stopping { requested_at: now, exits_at: now + ms(5_000) });
         quotas::housekeeping(&entry.node, now);
         assert_eq!(statuses(&entry, 6).await, [200; 6]);
         assert_eq!((entry.node.quotas.owned_count(), owner.count()), (0, 6));
@@ -633,7 +633,7 @@
         let entry = start_alone(21, &[&upstream], 100.0, 10.0);
         let now = Instant::now();
         entry.node.state.borrow_mut().stopping =
-            Some(crate::state::Stopping { requested_at: now, exits_at: now + ms(5_000) });
+            Some(limit::Stopping { requested_at: now, exits_at: now + ms(5_000) });
         quotas::housekeeping(&entry.node, now);
         assert_eq!(statuses(&entry, 1).await, [200]);
     });
--- a/crates/oatcoved/src/discovery.rs
+++ b/crates/oatcoved/src/discovery.rs
@@ -71,7 +71,7 @@
     // that reached it never gets an empty list. While stopping, it does so only if it knows no
     // other node.
     let is_partitioned = drops_partitioned && view.paths.is_unreachable();
-    if !(view.stopping || is_partitioned) || candidates.is_empty() {
+    if !(view.stopping.is_some() || is_partitioned) || candidates.is_empty() {
         candidates.insert(own_addr, view.settings.zone.clone());
     }
     let mut sorted: Vec<Entry> =
--- a/crates/oatcoved/src/discovery/tests.rs
+++ b/crates/oatcoved/src/discovery/tests.rs
@@ -79,7 +79,8 @@
 #[test]
 fn stopping_node_includes_itself_only_when_alone() {
     let mut stopping = view_with_entries();
-    stopping.stopping = true;
+    let now = std::time::Instant::now();
+    stopping.stopping = Some(limit::Stopping { requested_at: now, exits_at: now });
     assert!(!ports(&stopping).contains(&7100));
     stopping.entries.clear();
     assert_eq!(ports(&stopping), [7100]);
--- a/crates/oatcoved/src/metrics.rs
+++ b/crates/oatcoved/src/metrics.rs
@@ -30,7 +30,7 @@
     upstreams_unreachable: Gauge<u64>,
 }
 
-const COUNTERS: [meter::CounterSpec<Counters>; 22] = [
+const COUNTERS: [meter::CounterSpec<Counters>; 23] = [
     ("oatcove_calls", "Calls received", |c| c.calls),
     ("oatcove_calls_done", "Calls answered by an upstream", |c| c.done),
     ("oatcove_calls_not_run", "Calls told not-run", |c| c.not_run),
@@ -56,6 +56,11 @@
     ("oatcove_calls_refused_outdated", "Calls refused since the config may be outdated", |c| {
         c.refused_outdated
     }),
+    (
+        "oatcove_calls_refused_stopping",
+        "Calls refused since this node is stopping and would cut them",
+        |c| c.refused_stopping,
+    ),
     ("oatcove_calls_unauthorized", "Calls without a valid key", |c| c.unauthorized),
 ];
 
--- a/crates/oatcoved/src/proxy.rs
+++ b/crates/oatcoved/src/proxy.rs
@@ -153,7 +153,7 @@
 impl web::Handler for Node {
     async fn handle(&self, request: web::Request, _peer: SocketAddr) -> web::Response {
         let mut response = self.route(request).await;
-        if self.view.borrow().stopping {
+        if self.view.borrow().stopping.is_some() {
             // The caller must send its next call to another entry node.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(http::header::CONNECTION, close);
--- a/crates/oatcoved/src/proxy/forward.rs
+++ b/crates/oatcoved/src/proxy/forward.rs
@@ -187,6 +187,14 @@
                 return (response, response::NOT_RUN);
             }
         };
+        if self.would_be_cut(&call) {
+            let counters = &mut self.view.borrow_mut().counters;
+            counters.not_run += 1;
+            counters.refused_stopping += 1;
+            let text = "this entry node is stopping\n";
+            let response = response::refused_for(text, RETRY_AFTER_OTHER_NODE, &request_id);
+            return (response, response::NOT_RUN);
+        }
         let Some(admitted) = self.admit(&call) else {
             let mut view = self.view.borrow_mut();
             view.counters.not_run += 1;
@@ -253,6 +261,15 @@
         }
     }
 
+    /// Returns true if this node is stopping and would likely exit before the call ends.
+    fn would_be_cut(&self, call: &Call<'_>) -> bool {
+        let stopping = self.view.borrow().stopping;
+        let expected_latency = || self.expected_busy_time(call);
+        stopping.is_some_and(|stopping| {
+            stopping.must_reject(call.deadline, expected_latency(), Instant::now())
+        })
+    }
+
     /// Waits briefly while the config may be outdated; returns false if it must not be used.
     async fn wait_for_config(&self) -> bool {
         let is_usable = || self.view.borrow().is_config_usable(Instant::now());
--- a/crates/oatcoved/src/stop.rs
+++ b/crates/oatcoved/src/stop.rs
@@ -3,8 +3,9 @@
 //! On SIGTERM or SIGINT the node tells its peers that it is leaving, so that
 //! they stop naming it to callers, and asks callers to close their
 //! connections. It keeps serving meanwhile, since callers keep discovery
-//! responses for `entries_ttl_s` and may still connect. It exits once that
-//! time has passed and no call is in flight, or after `stop_grace_ms`.
+//! responses for `entries_ttl_s` and may still connect, but refuses calls that
+//! it would cut ([`limit::Stopping`]). It exits once that time has passed and no
+//! call is in flight, at the latest shortly before the end of `stop_grace_ms`.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -18,7 +19,13 @@
 use crate::view::View;
 
 /// Interval at which the stop flag and the calls in flight are checked.
-const POLL_INTERVAL: Duration = Duration::from_millis(250);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time before the end of the grace period at which the process exits.
+const EXIT_BEFORE_KILL: Duration = Duration::from_millis(200);
+
+/// Time before the exit by which the last calls end, so that their responses are written.
+const RESPONSE_TIME: Duration = Duration::from_millis(100);
 
 /// Returns a flag that is set by SIGTERM and SIGINT.
 ///
@@ -42,20 +49,22 @@
     while !flag.load(Ordering::Relaxed) {
         monoio::time::sleep(POLL_INTERVAL).await;
     }
-    let (node_id, entries_ttl, stop_grace) = {
-        let mut view = view.borrow_mut();
-        view.stopping = true;
+    let requested_at = Instant::now();
+    let (node_id, entries_ttl, max_wait) = {
+        let view = &mut *view.borrow_mut();
         let settings = &view.settings;
-        (settings.node_id.clone(), settings.entries_ttl, settings.stop_grace)
+        let max_wait = settings.stop_grace.saturating_sub(EXIT_BEFORE_KILL);
+        let exits_at = requested_at + max_wait.saturating_sub(RESPONSE_TIME);
+        view.stopping = Some(limit::Stopping { requested_at, exits_at });
+        (settings.node_id.clone(), settings.entries_ttl, max_wait)
     };
-    let stop_requested_at = Instant::now();
     log::info!("node={node_id} stopping: leaving the membership; new calls are still served");
     let _ = gossip.send(gossip::Input::Leave);
     loop {
         monoio::time::sleep(POLL_INTERVAL).await;
         let in_flight = view.borrow().in_flight;
-        match stop_requested_at.elapsed() {
-            elapsed if elapsed >= stop_grace => {
+        match requested_at.elapsed() {
+            elapsed if elapsed >= max_wait => {
                 log::warn!(
                     "node={node_id} stop grace period expired with {in_flight} calls in flight"
                 );
--- a/crates/oatcoved/src/view.rs
+++ b/crates/oatcoved/src/view.rs
@@ -63,6 +63,8 @@
     pub unauthorized: u64,
     /// Calls refused because the config may be outdated.
     pub refused_outdated: u64,
+    /// Calls refused because this node is stopping and would cut them.
+    pub refused_stopping: u64,
 }
 
 /// Another entry node, as known from the membership.
@@ -145,8 +147,8 @@
     pub peer_paths: reach::Peers,
     /// Calls in flight.
     pub in_flight: u64,
-    /// True once the node is stopping.
-    pub stopping: bool,
+    /// Set once the node is stopping.
+    pub stopping: Option<limit::Stopping>,
     /// Counters since start.
     pub counters: Counters,
 }
@@ -176,7 +178,7 @@
             paths: reach::Paths::default(),
             peer_paths: reach::Peers::default(),
             in_flight: 0,
-            stopping: false,
+            stopping: None,
             counters: Counters::default(),
         }
     }
