edge: a stopping node rejects requests that most likely outlast it

What callers saw: a request that takes 6 s, sent 4 s after the signal of a planned stop with a grace period of 10 s, was passed on and cut with no answer. In the first half of the grace period a node took every request, however long those of its route usually take.

Change: the estimated work of the route decides as well (limit::Stopping), at the time at which the request is passed on rather than received: its body may have taken long.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -295,6 +295,15 @@
         }
     }
 
+    /// Returns true if this node is stopping and would likely exit before a request ends.
+    fn would_be_cut(&self, route: &Route, deadline: Instant) -> bool {
+        let state = self.state.borrow();
+        let expected_latency = || state.work_estimates.work(&route.name, route.objective);
+        state.stopping.is_some_and(|stopping| {
+            stopping.must_reject(deadline, expected_latency(), Instant::now())
+        })
+    }
+
     /// Forwards a request and returns the response to its caller.
     pub async fn forward(
         self: &Rc<Node>,
@@ -364,10 +373,7 @@
         let allowed = stated_deadline
             .map_or(route.timeout, |stated_deadline| stated_deadline.min(route.timeout));
         let deadline = received_at + allowed;
-        let stopping = self.state.borrow().stopping;
-        if stopping
-            .is_some_and(|stopping| stopping.must_reject(deadline, Duration::ZERO, received_at))
-        {
+        if self.would_be_cut(route, deadline) {
             trace::Line::new("refused")
                 .field("request", request_id_of(head, &names))
                 .field("reason", "stopping")
