store: an odd entry of the platform keeps no node from the others

What callers saw (own interface): with one odd entry in the VM list, a port out of range, a value nested deeply or a number too large, a running node followed no further change of the list, and a starting one had no upstream and refused every call. The same for rows of templates and drains. The platform's interface decodes each row by itself.

Cause: a list was decoded as a whole, so one entry failed every read.

Change: store::lists decodes entries one by one. One that cannot be decoded, or whose address no VM can have, is left out and logged, five of a list with a line each; a running node is told of it once, as reads are of changes. Its last sound form stays in use until the next one. A whole list without any sound entry is an error, as before, and not an empty list.

--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -379,5 +379,8 @@
 #[cfg(test)]
 mod history_tests;
 
+#[cfg(test)]
+mod odd_entry_tests;
+
 #[cfg(test)]
 mod tests;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Store`] is the client that all oatcove programs use. Everything persistent (templates, the
 //! audit trail) is stored through it: oatcove keeps no replicated state of its own.
 
+mod lists;
 pub mod proto;
 mod store;
 
--- a/crates/store/src/proto.rs
+++ b/crates/store/src/proto.rs
@@ -114,6 +114,14 @@
     pub id: SmolStr,
 }
 
+impl Vm {
+    /// Returns true if a VM can have this address.
+    pub fn has_valid_addr(&self) -> bool {
+        let ip = self.addr.ip();
+        self.addr.port() != 0 && !ip.is_unspecified() && !ip.is_multicast()
+    }
+}
+
 /// Value of a row of the drains table whose key is an upstream's address.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Drain {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use quick_error::quick_error;
 
-use crate::proto;
+use crate::{lists, proto};
 
 /// Timeout for connecting to the platform, and time within which its response to a request must begin.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -68,7 +68,7 @@
     }
 
     /// Reads every row of `table` written after commit `since`, and the table service's latest
-    /// commit.
+    /// commit. Rows that cannot be decoded are left out and logged.
     ///
     /// # Errors
     ///
@@ -78,7 +78,8 @@
         table: &str,
         since: proto::Version,
     ) -> Result<proto::Rows, StoreError> {
-        self.read(&format!("/v1/rows/{table}?since={since}")).await
+        let body = self.read(&format!("/v1/rows/{table}?since={since}")).await?;
+        lists::rows(&body, since).map_err(bad_response)
     }
 
     /// Commits all writes of `txn`, or none.
@@ -104,16 +105,19 @@
         }
     }
 
-    /// Reads the VM list, which may lag behind the actual VMs.
+    /// Reads the VM list, which may lag behind the actual VMs. Entries that cannot be decoded are left
+    /// out and logged.
     ///
     /// # Errors
     ///
     /// [`StoreError::Unavailable`] or [`StoreError::BadResponse`].
     pub async fn vms(&self) -> Result<Vec<proto::Vm>, StoreError> {
-        self.read("/v1/vms").await
+        let body = self.read("/v1/vms").await?;
+        lists::vms(&body).map_err(bad_response)
     }
 
-    /// Reads the changes of the VM list after version `since`; 0 reads the whole list.
+    /// Reads the changes of the VM list after version `since`; 0 reads the whole list. Entries that
+    /// cannot be decoded are left out and logged.
     ///
     /// A response without changes takes a few hundred bytes whatever the size of the list, and the
     /// whole list about 105 bytes per VM (docs/CAPACITY.md).
@@ -122,15 +126,16 @@
     ///
     /// [`StoreError::Unavailable`] or [`StoreError::BadResponse`].
     pub async fn vm_changes(&self, since: proto::Version) -> Result<proto::VmChanges, StoreError> {
-        self.read(&format!("/v1/vms?since={since}")).await
+        let body = self.read(&format!("/v1/vms?since={since}")).await?;
+        lists::vm_changes(&body, since).map_err(bad_response)
     }
 
-    /// Reads `path` and decodes the body of a response with status 200.
-    async fn read<T: serde::de::DeserializeOwned>(&self, path: &str) -> Result<T, StoreError> {
+    /// Reads `path` and returns the body of a response with status 200.
+    async fn read(&self, path: &str) -> Result<Bytes, StoreError> {
         let response =
             self.call(http::Method::GET, path, Bytes::new()).await.map_err(read_error)?;
         match response.status() {
-            http::StatusCode::OK => decode(response.body()),
+            http::StatusCode::OK => Ok(response.into_body()),
             status => Err(status_error(status, response.body())),
         }
     }
@@ -176,5 +181,9 @@
 }
 
 fn decode<T: serde::de::DeserializeOwned>(body: &Bytes) -> Result<T, StoreError> {
-    serde_json::from_slice(body).map_err(|err| StoreError::BadResponse(err.to_string()))
+    serde_json::from_slice(body).map_err(bad_response)
+}
+
+fn bad_response(err: impl std::fmt::Display) -> StoreError {
+    StoreError::BadResponse(err.to_string())
 }
