--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -12,6 +12,9 @@
 /// Timeout for connecting to the platform, and time within which its response to a request must begin.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum length of the body of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+
 quick_error! {
     /// The reason why a request to the platform failed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -154,7 +157,11 @@
         let open = self.conn.borrow_mut().take();
         let mut conn = match open {
             Some(conn) => conn,
-            None => web::Conn::connect(self.addr, CALL_TIMEOUT).await?,
+            None => {
+                let mut conn = web::Conn::connect(self.addr, CALL_TIMEOUT).await?;
+                conn.limit_body(MAX_RESPONSE_BYTES);
+                conn
+            }
         };
         let request = http::Request::builder()
             .method(method)
--- a/xtask/tests/endless.rs
+++ b/xtask/tests/endless.rs
@@ -11,6 +11,10 @@
 /// Memory that a process may take: twice what it may hold of responses, as buffers grow by doubling.
 const MAX_MEMORY_BYTES: u64 = 2 * 96 * 1024 * 1024;
 
+/// Memory that a process may take where the platform sends without end: the same for two clients of it,
+/// each of which receives 16 MiB at most, and 32 MiB for all else.
+const MAX_PLATFORM_MEMORY_BYTES: u64 = (2 * 2 * 16 + 32) * 1024 * 1024;
+
 /// Callers that call the endless upstream at once.
 const CALLERS: usize = 40;
 
@@ -19,6 +23,25 @@
 
 const TEMPLATE: &str = "service: swap-desk\ndefaults:\n  timeout_ms: 2000\n  max_attempts: 1\n";
 
+/// Returns the directory of the binaries that cargo built with this test.
+fn bin_dir() -> PathBuf {
+    let exe = std::env::current_exe().expect("test binary path");
+    exe.parent().and_then(|deps| deps.parent()).expect("target dir").to_owned()
+}
+
+/// Returns a cluster of one upstream and one entry node.
+fn spec() -> ClusterSpec {
+    ClusterSpec {
+        service: "sound".into(),
+        zones: vec!["attiki-a".into()],
+        upstreams_per_zone: 1,
+        entries: 1,
+        slots: 6,
+        light_ms: 1,
+        heavy_ms: 1,
+    }
+}
+
 /// Starts a server on threads of its own that sends `begin` and then `block` without end on each
 /// connection.
 fn start_endless(begin: &'static str, block: &'static str) -> SocketAddr {
@@ -82,21 +105,10 @@
     huge_length = { "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", "a" },
 )]
 fn bodies_without_end_take_limited_memory(begin: &'static str, block: &'static str) {
-    let exe = std::env::current_exe().expect("test binary path");
-    let bin_dir = exe.parent().and_then(|deps| deps.parent()).expect("target dir").to_owned();
     let endless = start_endless(begin, block);
     let name = format!("oatcove-endless-{}-{}", endless.port(), std::process::id());
     let dir: PathBuf = std::env::temp_dir().join(name);
-    let spec = ClusterSpec {
-        service: "sound".into(),
-        zones: vec!["attiki-a".into()],
-        upstreams_per_zone: 1,
-        entries: 1,
-        slots: 6,
-        light_ms: 1,
-        heavy_ms: 1,
-    };
-    let cluster = Cluster::start(&bin_dir, &dir, &spec);
+    let cluster = Cluster::start(&bin_dir(), &dir, &spec());
     assert!(cluster.apply_template("endless.yaml", TEMPLATE).status.success());
     assert!(cluster.apply_template("sound.yaml", "service: sound\n").status.success());
     assert!(cluster.wait_for_version("sound", 2, STARTUP).is_some());
@@ -117,3 +129,19 @@
     assert!(peak_bytes < MAX_MEMORY_BYTES, "{peak_bytes} bytes");
     assert!(statuses.iter().all(|status| ["502", "503", "504"].contains(&status.as_str())));
 }
+
+/// Guards against the same where the platform sends bytes without end.
+#[test]
+fn a_platform_without_end_takes_limited_memory() {
+    let platform = start_endless("HTTP/1.1 200 OK\r\n\r\n", "a");
+    let name = format!("oatcove-endless-{}-{}", platform.port(), std::process::id());
+    let dir: PathBuf = std::env::temp_dir().join(name);
+    let spec = ClusterSpec { entries: 0, ..spec() };
+    let mut cluster = Cluster::start(&bin_dir(), &dir, &spec);
+    cluster.start_entry("attiki-a", &[("platform_addr", platform.to_string())]);
+    std::thread::sleep(Duration::from_secs(4));
+    let peak_bytes = peak_memory_bytes(cluster.entries[0].id());
+    println!("peak of {} MiB", peak_bytes / 1024 / 1024);
+    assert!(peak_bytes < MAX_PLATFORM_MEMORY_BYTES, "{peak_bytes} bytes");
+    assert!(!cluster.get_entry_json(0, "/v1/status").is_null(), "the node responds");
+}
