edge: a caller of HTTP/1.0 gets no chunks

What callers saw: a long response without length reached a caller of HTTP/1.0 in chunks, which it takes for a part of the body; where the upstream broke off, with half of the body as all of it.

Cause: the version of a request was not kept, so that each response of unknown length was chunked.

Change: such a response is received in full, up to 1 MiB within the budget of bodies, and sent with its length; 502 if it is cut off or longer. Responses with a length, and those to HTTP/1.1, are streamed as before. The own interface sends a length with every response.

Evidence: edge::tests::long_bodies::a_long_response_without_length_reaches_an_older_caller_whole, three cases, failed before, pass after.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,9 +1,11 @@
 //! Callers' connections: [`requests`] reads requests, [`responses`] writes the responses in the
 //! order of the requests, and [`pipeline`] tracks the requests in flight between the two.
+//! [`unchunked`] prepares responses for callers of HTTP/1.0.
 
 mod pipeline;
 mod requests;
 mod responses;
+mod unchunked;
 
 use std::pin::pin;
 use std::rc::Rc;
--- a/crates/edge/src/serve/requests.rs
+++ b/crates/edge/src/serve/requests.rs
@@ -122,6 +122,7 @@
             return self.wait_for_disconnect().await;
         }
         let (head_only, body_bytes) = (head.method == Method::HEAD, body.len());
+        let accepts_chunks = head.accepts_chunks;
         let mut last = !head.keep_alive || accepted_offer.is_some();
         self.pipeline.request_started(body_bytes);
         let reply = match decoder.is_done() {
@@ -151,6 +152,7 @@
         let _ = self.writes.send(QueuedWrite::Response(QueuedResponse {
             reply,
             head_only,
+            accepts_chunks,
             last,
             body_bytes,
             in_flight,
@@ -180,6 +182,7 @@
         let _ = self.writes.send(QueuedWrite::Response(QueuedResponse {
             reply: PendingReply::Ready(Box::new(Reply::Local(local_reply))),
             head_only,
+            accepts_chunks: false,
             last: false,
             body_bytes: 0,
             in_flight: InFlight::start(self.node),
@@ -266,6 +269,7 @@
         let _ = self.writes.send(QueuedWrite::Response(QueuedResponse {
             reply: PendingReply::Ready(Box::new(Reply::Local(local_reply))),
             head_only,
+            accepts_chunks: false,
             last: true,
             body_bytes: 0,
             in_flight: InFlight::start(self.node),
--- a/crates/edge/src/serve/responses.rs
+++ b/crates/edge/src/serve/responses.rs
@@ -10,7 +10,7 @@
 use web::h1;
 
 use super::pipeline::{Pipeline, QueuedResponse, QueuedWrite};
-use super::ConnectionEnd;
+use super::{unchunked, ConnectionEnd};
 use crate::exchange::{Response, ResponseBody};
 use crate::forward::{Node, Reply};
 use crate::reply::LocalReply;
@@ -40,8 +40,16 @@
                 Err(_) => return ConnectionEnd::Disconnected,
             }
         };
-        let QueuedResponse { reply, head_only, last, body_bytes, in_flight } = response;
+        let QueuedResponse { reply, head_only, accepts_chunks, last, body_bytes, in_flight } =
+            response;
         let Some(reply) = reply.wait().await else { return ConnectionEnd::Disconnected };
+        let (reply, _reservation) = match reply {
+            Reply::Upstream(response) if !accepts_chunks => {
+                let budget = node.state.borrow().body_budget.clone();
+                unchunked::with_length(response, &budget).await
+            }
+            reply => (reply, None),
+        };
         // A stopping node closes only behind the last request in flight: the caller would not know
         // whether the requests after this one, already sent to upstreams, have run.
         let stopping = node.state.borrow().stopping.is_some();
--- a/crates/edge/src/tests/long_bodies.rs
+++ b/crates/edge/src/tests/long_bodies.rs
@@ -1,6 +1,8 @@
 //! Request and response bodies longer than what is buffered in memory.
 
-use super::fake::{get, ok_response, run, start, Caller, Step, Upstream};
+use monoio::net::TcpStream;
+
+use super::fake::{get, ok_response, read_to_end, run, start, write_raw, Caller, Step, Upstream};
 
 /// Length of a body that is streamed, not buffered.
 const LONG_BYTES: usize = 300_000;
@@ -82,3 +84,34 @@
         assert_eq!(response.body.len() == LONG_BYTES, complete);
     });
 }
+
+/// Guards against a caller that takes chunk sizes for a part of the body, or half of a body for all of
+/// it: HTTP/1.0 has no chunks, and such a caller takes the end of the connection for that of the body.
+#[yare::parameterized(
+    complete = { LONG_BYTES, true, "200" },
+    cut = { 200_000, false, "502" },
+    longer_than_what_is_received_first = { 5 * LONG_BYTES, true, "502" },
+)]
+fn a_long_response_without_length_reaches_an_older_caller_whole(
+    sent_bytes: usize,
+    is_ended: bool,
+    status: &str,
+) {
+    run(async {
+        let head =
+            "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signature: s\r\ntransfer-encoding: chunked\r\n\r\n";
+        let body = long_body().repeat(5)[..sent_bytes].to_owned();
+        let end = if is_ended { "\r\n0\r\n\r\n" } else { "" };
+        let chunk = format!("{sent_bytes:x}\r\n{body}{end}");
+        let script = vec![Step::Write(head.to_owned()), Step::Write(chunk), Step::Close];
+        let upstream = Upstream::start(vec![script]);
+        let entry_node = start(&[&upstream]);
+        let mut stream = TcpStream::connect_addr(entry_node.addr).await.expect("connects");
+        write_raw(&mut stream, &get("/get/1", "7").replace("HTTP/1.1", "HTTP/1.0")).await;
+        let received = read_to_end(stream).await;
+        let (head, received_body) = received.split_once("\r\n\r\n").expect("a head");
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")), "{head}");
+        assert!(!head.contains("transfer-encoding"), "{head}");
+        assert_eq!(received_body == body, status == "200", "{} bytes", received_body.len());
+    });
+}
--- a/crates/web/src/h1/head.rs
+++ b/crates/web/src/h1/head.rs
@@ -91,6 +91,8 @@
     pub framing: Framing,
     /// Whether the connection may be used for another request afterwards.
     pub keep_alive: bool,
+    /// Whether the response may be chunked: callers of HTTP/1.0 know no transfer codings.
+    pub accepts_chunks: bool,
 }
 
 impl RequestHead {
@@ -145,7 +147,15 @@
     let (authority, target) = split_target(parsed.path.unwrap_or_default())?;
     let host = request_host(&headers, authority, is_http11)?;
     let keep_alive = is_http11 && !has_connection_option(&headers, "close");
-    let head = RequestHead { method, target: target.into(), host, headers, framing, keep_alive };
+    let head = RequestHead {
+        method,
+        target: target.into(),
+        host,
+        headers,
+        framing,
+        keep_alive,
+        accepts_chunks: is_http11,
+    };
     Ok(Some((head, length)))
 }
 
