--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -171,7 +171,7 @@
     let mut receiving = pin!(receiving);
     let mut sending = pin!(async {
         // An upstream that responds before it has read everything may close the connection. Its
-        // response still counts; if there is none, receiving it reports the failure.
+        // response still counts; if there is none, or it was cut off, receiving it reports the failure.
         match writer.write(bytes).await {
             Ok(()) => write_rest(writer).await,
             Err(_) => SendResult::UpstreamClosed,
--- a/crates/edge/src/serve/pipeline.rs
+++ b/crates/edge/src/serve/pipeline.rs
@@ -109,7 +109,7 @@
     pub(super) reply: PendingReply,
     /// Whether only the head of the response is written.
     pub(super) head_only: bool,
-    /// Whether the response may be chunked.
+    /// Whether an upstream's response may be chunked.
     pub(super) accepts_chunks: bool,
     /// Whether the connection closes after the response.
     pub(super) last: bool,
--- a/crates/edge/src/tests/early_answers.rs
+++ b/crates/edge/src/tests/early_responses.rs
@@ -1,4 +1,4 @@
-//! Upstreams that answer an upload before they have received all of it.
+//! Upstreams that respond to an upload before they have received all of it.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -12,9 +12,9 @@
 use crate::exchange::{self, Outcome, OutgoingRequest, SendResult};
 
 /// A response without a length, which ends with its connection.
-const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\nx-id: 7\r\nx-signature: s\r\n\r\nbeans";
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nx-id: 7\r\nx-signature: s\r\n\r\nbeans";
 
-/// Length of an upload, and of its part that is there when the upstream answers: more than what a
+/// Length of an upload, and of its part that is there when the upstream responds: more than what a
 /// node receives before it sends the request on.
 const UPLOAD_BYTES: usize = 1_000_000;
 const FIRST_BYTES: usize = 100_000;
@@ -112,13 +112,13 @@
     exchange::run(conn, request, &header_names(), |_, _| {}, write_rest).await.0
 }
 
-/// Guards against a part of a response that is passed on as all of it: an upstream answers an upload
+/// Guards against a part of a response that is passed on as all of it: an upstream responds to an upload
 /// without stating a length, and resets the connection while the upload is written.
 #[test]
 fn a_response_that_a_reset_ends_during_the_upload_is_lost() {
     run(async {
         let outcome = exchange_with(|mut peer| {
-            peer.write_all(ANSWER).expect("writes");
+            peer.write_all(RESPONSE).expect("writes");
             reset(peer);
         });
         let outcome = outcome.await;
@@ -138,8 +138,8 @@
             let mut caller = begin_upload(entry_node.addr).await;
             let mut peer = raw.accept_request().await;
             monoio::time::sleep(ms(20)).await;
-            // The node finds the answer, the reset and more of the upload at once.
-            peer.write_all(ANSWER).expect("writes");
+            // The node finds the response, the reset and more of the upload at once.
+            peer.write_all(RESPONSE).expect("writes");
             reset(peer);
             caller.write_all(&[b'a'; 1_000]).expect("writes");
             statuses.push(read_response(caller).await.status);
@@ -148,13 +148,13 @@
     });
 }
 
-/// Accepts one connection, reads a part of an upload, and answers with `body_bytes` of body and a reset.
-fn answer_part_and_reset(listener: &TcpListener, body_bytes: usize) {
+/// Accepts one connection, reads a part of an upload, and responds with `body_bytes` of body and a reset.
+fn respond_in_part_and_reset(listener: &TcpListener, body_bytes: usize) {
     let (mut stream, _) = listener.accept().expect("accepts");
     stream.read_exact(&mut [0; 50_000]).expect("reads");
-    let answer = [ANSWER, &vec![b'a'; body_bytes]].concat();
+    let response = [RESPONSE, &vec![b'a'; body_bytes]].concat();
     // Fails if the node has closed the connection already.
-    let _ = stream.write_all(&answer);
+    let _ = stream.write_all(&response);
     reset(stream);
 }
 
@@ -194,7 +194,7 @@
             let addr = listener.local_addr().expect("bound");
             let upstream = Upstream { addr, ..Upstream::start(Vec::new()) };
             let entry_node = start(&[&upstream]);
-            std::thread::spawn(move || answer_part_and_reset(&listener, body_bytes));
+            std::thread::spawn(move || respond_in_part_and_reset(&listener, body_bytes));
             let upload = std::thread::spawn(move || upload_in_chunks(entry_node.addr));
             while !upload.is_finished() {
                 monoio::time::sleep(RETRY_INTERVAL).await;
@@ -208,13 +208,13 @@
     });
 }
 
-/// Guards against a whole response that is given up: an upstream answers an upload before it has
+/// Guards against a whole response that is given up: an upstream responds to an upload before it has
 /// received all of it, ends the response, and closes the connection.
 #[test]
 fn a_response_without_length_that_ends_during_the_upload_is_passed_on() {
     run(async {
         let outcome = exchange_with(|mut peer| {
-            peer.write_all(ANSWER).expect("writes");
+            peer.write_all(RESPONSE).expect("writes");
             peer.shutdown(Shutdown::Write).expect("shuts down");
             reset(peer);
         });
--- a/crates/edge/src/tests/mod.rs
+++ b/crates/edge/src/tests/mod.rs
@@ -7,7 +7,7 @@
 mod callers;
 mod crash_cluster;
 mod crashes;
-mod early_answers;
+mod early_responses;
 mod endless;
 mod evacuation;
 mod expired_leases;
--- a/crates/oatcoved/src/follow.rs
+++ b/crates/oatcoved/src/follow.rs
@@ -380,7 +380,7 @@
 mod history_tests;
 
 #[cfg(test)]
-mod odd_entry_tests;
+mod invalid_entry_tests;
 
 #[cfg(test)]
 mod tests;
--- a/crates/oatcoved/src/follow/odd_entry_tests.rs
+++ b/crates/oatcoved/src/follow/invalid_entry_tests.rs
@@ -1,4 +1,4 @@
-//! Odd entries among those of the platform.
+//! Invalid entries among those of the platform.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -55,7 +55,7 @@
 }
 
 /// Returns the entry with a value that is nested deeply, or a number that is too large, in one field.
-fn odd_value(entry: &str, kind: &str) -> String {
+fn with_invalid_value(entry: &str, kind: &str) -> String {
     let value = match kind {
         "nested" => format!("{}{}", "[".repeat(5_000), "]".repeat(5_000)),
         _ => "9".repeat(400),
@@ -91,27 +91,27 @@
 }
 
 /// Guards against a node without upstreams, or one that follows no change any more, since another
-/// writer left one odd entry in the VM list.
+/// writer left one invalid entry in the VM list.
 #[yare::parameterized(
     port_out_of_range = { vm("97304") },
     no_port = { vm("0") },
-    nested_deeply = { odd_value(&vm("9009"), "nested") },
-    number_too_large = { odd_value(&vm("9009"), "number") },
+    nested_deeply = { with_invalid_value(&vm("9009"), "nested") },
+    number_too_large = { with_invalid_value(&vm("9009"), "number") },
     number = { "17".to_owned() },
     unknown_state = { vm("9009").replace("live", "resting") },
 )]
-fn an_odd_vm_is_left_out(odd: String) {
+fn an_invalid_vm_is_left_out(invalid: String) {
     web::runtime().block_on(async {
-        let (platform, view) = start(vec![vm("9001"), odd.clone(), vm("9002")], Vec::new());
+        let (platform, view) = start(vec![vm("9001"), invalid.clone(), vm("9002")], Vec::new());
         wait_until("the list is read at the start", || ports(&view) == [9001, 9002]).await;
-        platform.vms.borrow_mut().push(odd.clone());
-        wait_until("the odd entry is read", || view.borrow().vm_head == 4).await;
-        platform.vms.borrow_mut().extend([odd, vm("9003")]);
+        platform.vms.borrow_mut().push(invalid.clone());
+        wait_until("the invalid entry is read", || view.borrow().vm_head == 4).await;
+        platform.vms.borrow_mut().extend([invalid, vm("9003")]);
         wait_until("a later change is followed", || ports(&view) == [9001, 9002, 9003]).await;
     });
 }
 
-/// Guards against calls to nowhere, or an upstream that is lost, since its entry is replaced by an odd
+/// Guards against calls to nowhere, or an upstream that is lost, since its entry is replaced by an invalid
 /// one: the last sound one stays in use until the next.
 #[test]
 fn the_last_sound_entry_of_a_vm_stays_in_use() {
@@ -119,7 +119,7 @@
         let (platform, view) = start(vec![vm("9001"), vm("9002")], Vec::new());
         wait_until("the list is read", || ports(&view) == [9001, 9002]).await;
         platform.vms.borrow_mut().push(vm("9001").replace("live", "resting"));
-        wait_until("the odd entry is read", || view.borrow().vm_head == 3).await;
+        wait_until("the invalid entry is read", || view.borrow().vm_head == 3).await;
         assert_eq!(ports(&view), [9001, 9002]);
         platform.vms.borrow_mut().push(vm("9001").replace("live", "gone"));
         wait_until("the next sound entry is applied", || ports(&view) == [9002]).await;
@@ -140,21 +140,21 @@
 
 /// Guards against the same for templates.
 #[yare::parameterized(
-    nested_deeply = { odd_value(&template("odd", "7"), "nested") },
-    number_too_large = { template("odd", &"9".repeat(400)) },
+    nested_deeply = { with_invalid_value(&template("invalid", "7"), "nested") },
+    number_too_large = { template("invalid", &"9".repeat(400)) },
     number = { "17".to_owned() },
-    nested_deeply_inside = { template("odd", "7").replace("\\n", &"[".repeat(5_000)) },
+    nested_deeply_inside = { template("invalid", "7").replace("\\n", &"[".repeat(5_000)) },
 )]
-fn an_odd_template_is_left_out(odd: String) {
+fn an_invalid_template_is_left_out(invalid: String) {
     web::runtime().block_on(async {
-        let rows = vec![template("svc", "1"), odd.clone()];
+        let rows = vec![template("svc", "1"), invalid.clone()];
         let (platform, view) = start(Vec::new(), rows);
         let has = |service: &str| view.borrow().templates.contains_key(service);
         wait_until("the template is read at the start", || has("svc")).await;
-        platform.templates.borrow_mut().push(odd);
-        wait_until("the odd row is read", || view.borrow().config_head == 3).await;
+        platform.templates.borrow_mut().push(invalid);
+        wait_until("the invalid row is read", || view.borrow().config_head == 3).await;
         platform.templates.borrow_mut().push(template("next", "4"));
         wait_until("a later change is followed", || has("next")).await;
-        assert!(!has("odd"));
+        assert!(!has("invalid"));
     });
 }
--- a/crates/store/src/lists.rs
+++ b/crates/store/src/lists.rs
@@ -1,4 +1,4 @@
-//! Decodes lists of the platform, into which other writers may have put odd entries.
+//! Decodes lists of the platform, into which other writers may have put invalid entries.
 //!
 //! Each entry is decoded by itself, so that one that is nested too deeply, holds a number that is too
 //! large, or names no address keeps no reader from the others. Such an entry is left out and logged.
--- a/crates/web/src/buffers.rs
+++ b/crates/web/src/buffers.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct BufferBudget {
     max_bytes: usize,
+    /// Atomic since a body may be dropped on another thread; a process decides on one.
     used_bytes: Arc<AtomicUsize>,
 }
 
--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -354,8 +354,9 @@
         self.write(body.clone()).await
     }
 
-    /// Records how the connection failed. After a broken pipe everything that the peer sent can still
-    /// be read: it had closed its side before the connection failed, or the failure is known already.
+    /// Records how the connection failed, unless all that the peer sent can still be read: a write
+    /// finds a broken pipe if the peer closed its side in an orderly way before the connection failed,
+    /// or if the failure was reported before.
     fn record_failure(&self, kind: io::ErrorKind) {
         if kind != io::ErrorKind::BrokenPipe && self.failure.get().is_none() {
             self.failure.set(Some(kind));
--- a/crates/web/src/server.rs
+++ b/crates/web/src/server.rs
@@ -161,11 +161,19 @@
     if head_only {
         return writer.write(bytes).await;
     }
-    let first = body.slice(..body.len().min(WRITE_PIECE_BYTES));
-    writer.write_message(bytes, &first).await?;
-    let mut rest = body.slice(first.len()..);
-    while !rest.is_empty() {
-        let piece = rest.split_to(rest.len().min(WRITE_PIECE_BYTES));
+    match body.len() <= WRITE_PIECE_BYTES {
+        true => writer.write_message(bytes, &body).await,
+        false => write_long(writer, bytes, body).await,
+    }
+}
+
+/// Writes a head and a long body, and gives up if a piece of it is not written in time.
+async fn write_long(writer: &mut h1::Writer, head: Vec<u8>, mut body: Bytes) -> io::Result<()> {
+    let first = body.split_to(WRITE_PIECE_BYTES);
+    let writing = crate::timeout(WRITE_PIECE_TIMEOUT, writer.write_message(head, &first));
+    writing.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    while !body.is_empty() {
+        let piece = body.split_to(body.len().min(WRITE_PIECE_BYTES));
         let writing = crate::timeout(WRITE_PIECE_TIMEOUT, writer.write(piece));
         writing.await.map_err(|_| io::ErrorKind::TimedOut)??;
     }
