web: the memory of a long body is a mapping of its own

A real fault: the test had passed by how its bodies happened to grow.

Cause: the budget counts the bytes of bodies, but a body was one buffer that grows by doubling. Bodies that grow at the same time, up to what is left of the budget, leave buffers of half and a quarter of their length in the heap, too short for any of them. The allocator (glibc) avoids that for buffers from 128 KiB on, which it maps one by one, but only until the first such buffer is freed: from then on buffers of that length come from the heap.

Change: a body of more than 64 KiB is in an anonymous mapping (memmap2), which is replaced by one of four times its length. Its pages go back to the operating system when it moves or is dropped; pages without bytes take no memory. What the budget admits is unchanged. Mapping fails like a budget that is used up.

--- a/crates/web/src/buffers.rs
+++ b/crates/web/src/buffers.rs
@@ -6,10 +6,14 @@
 //! depends on what is left of the budget: the more bodies there are, the sooner the longest are given
 //! up, and a short one always fits beside them.
 
+mod memory;
+
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+
+use memory::Memory;
 
 /// Maximum length of a body, as a ratio of what is left of the budget.
 const MAX_RATIO_OF_REST: usize = 2;
@@ -41,7 +45,7 @@
     /// Starts a body without bytes.
     pub(crate) fn buffer(&self) -> Buffer {
         let share = Share { budget: self.clone(), bytes: 0 };
-        Buffer { bytes: BytesMut::new(), share }
+        Buffer { memory: Memory::new(), share }
     }
 
     /// Returns true if a body that takes `held` bytes may take `more` of them.
@@ -77,36 +81,32 @@
 
 /// A body that is being received.
 pub(crate) struct Buffer {
-    bytes: BytesMut,
+    memory: Memory,
     share: Share,
 }
 
 impl Buffer {
     pub(crate) fn len(&self) -> usize {
-        self.bytes.len()
+        self.share.bytes
     }
 
-    /// Appends `piece`; returns false if the budget does not allow it.
+    /// Appends `piece`; returns false if the budget does not allow it, or there is no memory.
     pub(crate) fn append(&mut self, piece: &[u8]) -> bool {
-        let is_admitted = self.share.grow(piece.len());
-        if is_admitted {
-            self.bytes.extend_from_slice(piece);
-        }
-        is_admitted
+        self.share.grow(piece.len()) && self.memory.append(piece).is_ok()
     }
 
     /// Returns the whole body, which counts against the budget until its last clone is dropped.
     pub(crate) fn freeze(self) -> Bytes {
-        match self.bytes.is_empty() {
-            true => Bytes::new(),
-            false => Bytes::from_owner(self),
+        match self.len() {
+            0 => Bytes::new(),
+            _ => Bytes::from_owner(self),
         }
     }
 }
 
 impl AsRef<[u8]> for Buffer {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.memory.as_ref()
     }
 }
 
--- a/crates/web/src/buffers/tests.rs
+++ b/crates/web/src/buffers/tests.rs
@@ -61,3 +61,37 @@
     let mut buffer = BufferBudget::unlimited().buffer();
     assert!((0..100).all(|_| buffer.append(&[0; MAX_BYTES])));
 }
+
+/// Guards against a body whose bytes are lost or in another order when its memory grows.
+#[yare::parameterized(
+    on_the_heap = { 10_000 },
+    as_long_as_the_heap_allows = { 64 * KIB },
+    one_byte_longer = { 64 * KIB + 1 },
+    moved_more_than_once = { 1_500_000 },
+)]
+fn a_body_is_returned_as_it_was_appended(length: usize) {
+    let sent: Vec<u8> = (0..length).map(|index| (index % 251) as u8).collect();
+    let mut buffer = BufferBudget::unlimited().buffer();
+    let mut rest = &sent[..];
+    for piece_bytes in (1..).map(|index| index * 7 % 9_000) {
+        let (piece, after) = rest.split_at(piece_bytes.min(rest.len()));
+        assert!(buffer.append(piece));
+        rest = after;
+        if rest.is_empty() {
+            break;
+        }
+    }
+    assert_eq!(buffer.len(), length);
+    assert!(buffer.freeze() == sent);
+}
+
+#[test]
+fn a_long_piece_is_appended_whole() {
+    let mut buffer = BufferBudget::unlimited().buffer();
+    assert!(buffer.append(b"bean") && buffer.append(&[b's'; 1024 * KIB]));
+    let body = buffer.freeze();
+    assert_eq!(
+        (body.len(), &body[..5], body[body.len() - 1]),
+        (1024 * KIB + 4, &b"beans"[..], b's')
+    );
+}
