web: other tasks run after 64 KiB of a body that arrives without waiting

Seen: a trial with release processes, calls of others beside n bodies without end (their senders on threads of their own; calls at the own interface of oatcoved, readiness checks at the platform's). Median and p99 in ms, n = 0, 1, 8, 40: own 2.6/3.8, 6.5/16.9, 47.6/71.0, 122.7/207.2; platform's 0.35/0.90, 1.3/8.2, 44.9/61.9, 128.9/229.0.

Cause: a reader that finds input without waiting read on for up to 5 ms before it paused, and n of them one after the other. Nothing else runs meanwhile, neither requests of other callers nor the end of a deadline.

Change: after 8 such reads, of 8 KiB at most each, the task goes to the end of the queue. A task that wakes itself does not: monoio puts it to the front. So it waits for an empty task behind all others. The pause after 5 ms stays, as timers run only while no task can; as these 5 ms now pass for all readers at the same time, all of them pause together.

Seen to fail without the change: other_tasks_run_while_a_body_is_received, 5 of 5 runs, 2.9 to 3.4 MB in one turn; 64 KiB are allowed. The order is certain: the bytes are in the socket before reader and observer start.

--- a/crates/web/src/h1/stream.rs
+++ b/crates/web/src/h1/stream.rs
@@ -26,8 +26,12 @@
 /// one byte at a time cannot make the list of receive times long.
 const RECEIVE_TIME_RESOLUTION: Duration = Duration::from_millis(1);
 
-/// Time for which a reader may find input without waiting before it pauses, and for how long. Other
-/// tasks and timers do not run meanwhile: a peer that sends without end would stop them.
+/// Number of reads that may find input without waiting before other tasks run: a peer that sends without
+/// end would stop them.
+const READS_PER_TURN: u32 = 8;
+
+/// Time for which a reader may find input without waiting before it pauses, and for how long. Timers run
+/// only while no task can.
 const MAX_BUSY_TIME: Duration = Duration::from_millis(5);
 const PAUSE: Duration = Duration::from_millis(1);
 
@@ -69,7 +73,7 @@
         buf: BytesMut::new(),
         received: Rc::default(),
         receive_times: None,
-        busy_since: None,
+        busy: None,
     };
     (reader, Writer { half: write, failure: write_failure })
 }
@@ -89,8 +93,14 @@
     /// Number of bytes received since the connection was opened.
     received: Rc<Cell<u64>>,
     receive_times: Option<ReceiveTimes>,
-    /// Since when each read has found input without waiting.
-    busy_since: Option<Instant>,
+    /// Is set while each read finds input without waiting.
+    busy: Option<Busy>,
+}
+
+/// Reads that found input without waiting.
+struct Busy {
+    since: Instant,
+    reads: u32,
 }
 
 /// Receive times of the bytes of a stream.
@@ -208,7 +218,8 @@
         Ok(more.then_some(self.buf.len()))
     }
 
-    /// Same as [`Reader::fill`], and pauses when input arrives faster than it is processed.
+    /// Same as [`Reader::fill`], and lets other tasks and timers run when input arrives faster than it is
+    /// processed.
     async fn fill_in_turns(&mut self) -> io::Result<bool> {
         let (result, has_waited) = {
             let mut fill = pin!(self.fill());
@@ -217,14 +228,19 @@
                 Poll::Pending => (fill.await, true),
             }
         };
-        match self.busy_since {
-            _ if has_waited => self.busy_since = None,
-            None => self.busy_since = Some(Instant::now()),
-            Some(since) if since.elapsed() >= MAX_BUSY_TIME => {
-                self.busy_since = None;
+        match &mut self.busy {
+            _ if has_waited => self.busy = None,
+            None => self.busy = Some(Busy { since: Instant::now(), reads: 1 }),
+            Some(busy) if busy.since.elapsed() >= MAX_BUSY_TIME => {
+                self.busy = None;
                 monoio::time::sleep(PAUSE).await;
             }
-            Some(_) => {}
+            Some(busy) => {
+                busy.reads += 1;
+                if busy.reads % READS_PER_TURN == 0 {
+                    run_other_tasks().await;
+                }
+            }
         }
         result
     }
@@ -323,6 +339,11 @@
     }
 }
 
+/// Lets the other tasks run that can. A task that only wakes itself would run again before them.
+async fn run_other_tasks() {
+    monoio::spawn(async {}).await;
+}
+
 impl Writer {
     /// Writes all of `bytes`.
     ///
--- a/crates/web/src/h1/stream/tests.rs
+++ b/crates/web/src/h1/stream/tests.rs
@@ -84,3 +84,48 @@
         assert!(matches!(&body, Ok(body) if body == BODY), "{body:?}");
     });
 }
+
+/// Writes until the socket takes no more; returns the number of bytes.
+fn fill_socket(peer: &mut std::net::TcpStream) -> u64 {
+    peer.set_nonblocking(true).expect("a socket option");
+    let mut written = 0;
+    while let Ok(length) = peer.write(&[b'a'; 64 * 1024]) {
+        written += length as u64;
+    }
+    written
+}
+
+/// Guards against requests of other callers that wait for a long body, or one without end, which is
+/// received faster than its reader finds an end of the input.
+#[test]
+fn other_tasks_run_while_a_body_is_received() {
+    const MAX_TURN_BYTES: u64 = 64 * 1024;
+    crate::runtime().block_on(async {
+        let Connection { mut reader, writer: _writer, mut peer } = Connection::open().await;
+        let sent = fill_socket(&mut peer);
+        assert!(sent > 2 * MAX_TURN_BYTES, "{sent} bytes are there at once");
+        // From here on the socket is known to be readable.
+        assert!(reader.fill().await.expect("receives"));
+        let received = reader.received();
+        let observing = monoio::spawn(async move {
+            let mut max_turn_bytes = 0;
+            while received.get() < sent {
+                let before = received.get();
+                // A task that wakes itself runs again before the others.
+                monoio::spawn(async {}).await;
+                max_turn_bytes = max_turn_bytes.max(received.get() - before);
+                if received.get() == before {
+                    // Timers only run while no task can.
+                    monoio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+            max_turn_bytes
+        });
+        monoio::spawn(async move {
+            let budget = crate::BufferBudget::unlimited();
+            let _ = reader.body(&mut Decoder::new(Framing::UntilClose), usize::MAX, &budget).await;
+        });
+        let turn_bytes = observing.await;
+        assert!(turn_bytes <= MAX_TURN_BYTES, "{turn_bytes} bytes while another task could run");
+    });
+}
